Keep a customer's quota in one or two homes, with an understudy

A quota lay in up to twelve parts, each hardly larger than one request, and a try asked two of them.

Now a rate up to what one gateway's intake bears has one home, a larger one two, and each try may ask both. What guarded dead homes, asking a second part, is an understudy's: it is asked only after two asks on end without an answer, and keeps a bounded part of quota and ceiling, so that lost messages give a customer little on top. Asks are thinned by their number against the intake, which is what they would drown, no longer by units.

--- a/src/control.rs
+++ b/src/control.rs
@@ -34,11 +34,13 @@
 const TOLD_FOR: Micros = 1_000_000; // µs a customer stays in the messages; a few may be lost
 const COUNT_STEP: f64 = 1.0 / 8.0; // counts in messages are in this part of a unit, so that fractions add up
 const HOMES_FROM: f64 = 500_000.0; // µs between counts to all from which they tell too little: homes instead
-const HOME_RATE: f64 = 4.0; // units a second that one home of a customer looks after
-const HOMES: u32 = 2; // the fewest homes, and the most that one try hears "short" from
+const HOME_RATE: f64 = 24.0; // units a second one home looks after: asks for them are half of its intake at most
+const HOMES: u32 = 2; // the most homes: what is left in one part is of no use to a try that asks the other
+const UNDERSTUDY: f64 = 0.35; // an understudy's part of a quota, on top, and of a ceiling, out of the homes'
 const ANSWER_IN: Micros = 120_000; // µs a home may take to answer, and its grant holds under a ceiling
 const MUTE_FOR: Micros = 1_000_000; // µs for which a home that did not answer is passed over
-const WANTED: f64 = 2.0; // asks that a home wants, as a multiple of what it can grant
+const MISSES: u32 = 2; // asks on end without an answer that make a home mute: one alone is mostly a lost message
+const WANTED: f64 = 0.4; // asks of one customer that a home wants, as a share of the words it takes in
 const THIN: f64 = 0.97; // factor by which each ask too many thins them out
 const THICKEN: f64 = 0.5; // share of tries that may ask again, a second
 const THIN_FOR: f64 = 2e6; // µs in which a gateway forgets what share may ask
@@ -350,10 +352,19 @@
         store
     }
 
-    /// What one of `homes` homes keeps: its part of the quota, full, and of the ceiling, empty.
+    /// What one of `homes` homes, or their understudy, keeps: a home's part of the quota, full, and a part of the
+    /// ceiling, empty. Danger: a ceiling passed by the sum of the parts, so the understudy's is taken off the homes'.
+    /// Its part of the quota is on top: the most that a customer gains where lost messages make homes look silent.
     fn home(now: Micros, ask: &Ask, plan: &Plan, homes: u32, most: f64) -> Self {
         let store = Store::new(now, 0, ask.plan, plan, (ask.first, homes), most);
-        Store { share: 1.0 / f64::from(homes), ..store }
+        let part = 1.0 / f64::from(homes);
+        let (share, ceiling_share) = match u32::from(ask.home) < homes {
+            _ if ask.spread <= homes => (part, part), // too few gateways for an understudy
+            true => (part, part * (1.0 - UNDERSTUDY)),
+            false => (UNDERSTUDY, UNDERSTUDY),
+        };
+        let depth = (plan.burst * share).max(most);
+        Store { share, ceiling_share, is_home: true, depth, level: depth, ..store }
     }
 
     /// Goes over to another plan or set; nothing is gained by that, and all that is out or told stays so.
@@ -384,7 +395,7 @@
 
 impl Store {
     fn most_under(&self, ceiling: &Ceiling) -> f64 {
-        let late = if self.share < 1.0 { ceiling.rate * ANSWER_IN as f64 / 1e6 } else { 0.0 };
+        let late = if self.is_home { ceiling.rate * ANSWER_IN as f64 / 1e6 } else { 0.0 };
         (ceiling.depth - late) * self.ceiling_share
     }
 
@@ -497,22 +508,32 @@
     // ---- Homes: quotas of wide sets ----
 
     // Exception to the design, where counts to all come too seldom (`HOMES_FROM`): a store that hardly sees
-    // its customer knows nothing. A few of the customer's gateways, found by hash, keep it in parts; a try
-    // asks one before it is first sent on, and another if that is short or silent. Danger: hundreds of
-    // gateways, each with its own burst. It costs a round trip. With all silent the own store decides.
+    // its customer knows nothing. One or two of the customer's gateways, found by hash, keep it in parts; a try
+    // asks one before it is first sent on, and the other if that is short. Where the homes are silent another
+    // gateway, their understudy, keeps a part like theirs. Danger: hundreds of gateways, each with its own
+    // burst. It costs a round trip. With all silent the own store decides.
 
     fn homes_of(plan: &Plan, spread: u32) -> u32 {
-        // A part of a ceiling must hold a few tries.
-        let most = plan.ceiling.map_or(spread, |ceiling| (ceiling.depth / HOME_RATE) as u32);
-        ((plan.rate / HOME_RATE).ceil() as u32).min(most).max(HOMES).min(spread)
+        ((plan.rate / HOME_RATE).ceil() as u32).clamp(1, HOMES).min(spread)
     }
 
+    /// The gateway that is one of the homes, or their understudy, by its number.
     fn home(&self, of: CustomerId, (first, spread): (GatewayId, u32), homes: u32, number: u32) -> GatewayId {
         let mixed = (mix(of.0) >> 33) as u32;
-        let step = (mixed % spread + number * (spread / homes)) % spread;
+        let step = (mixed % spread + number * (spread / (homes + 1)).max(1)) % spread;
         GatewayId((first.0 % self.settings.gateways + step) % self.settings.gateways)
     }
 
+    /// Whom a try asks next: the homes in turn, and their understudy only while these are silent. Danger: a
+    /// customer beyond its quota that has the understudy's part on top.
+    fn next_home(&self, now: Micros, at: impl Fn(u32) -> GatewayId, homes: u32, start: u32) -> u32 {
+        let turns = (0..homes).map(|step| (start + step) % homes);
+        let speaks = |number: &u32| {
+            self.mute.get(&at(*number)).is_none_or(|(misses, until)| *misses < MISSES || *until <= now)
+        };
+        turns.chain([homes]).find(speaks).unwrap_or(start % homes)
+    }
+
     fn ask(&mut self, now: Micros, id: RequestId, out: &mut Out) {
         let Some(request) = self.requests.get(&id) else { return };
         let Some(store) = self.stores.get(&request.customer) else { return };
@@ -520,10 +541,9 @@
         let homes = Self::homes_of(&self.settings.plans[request.plan.0], spread);
         let fresh = request.asking.short + request.asking.missed == 0;
         let start = if fresh { self.random.u32(0..homes) } else { request.asking.home.0 + 1 };
-        let at = |step: u32| self.home(customer, (first, spread), homes, (start + step) % homes);
-        let speaks = |step: &u32| self.mute.get(&at(*step)).is_none_or(|until| *until <= now);
-        let step = (0..homes).find(speaks).unwrap_or(0);
-        let (to, number) = (at(step), (start + step) % homes);
+        let at = |number: u32| self.home(customer, (first, spread), homes, number);
+        let number = self.next_home(now, at, homes, start);
+        let to = at(number);
         self.serial = self.serial.wrapping_add(1);
         let serial = self.serial;
         let (plan, units, home) = (request.plan, request.units, number as u8);
@@ -546,7 +566,7 @@
         let spread = ask.spread.clamp(1, self.settings.gateways);
         let homes = Self::homes_of(plan, spread);
         let home = self.home(ask.customer, (ask.first, spread), homes, u32::from(ask.home));
-        if home != self.settings.me || u32::from(ask.home) >= homes {
+        if home != self.settings.me || u32::from(ask.home) > homes {
             return None;
         }
         let most = self.settings.most_units;
@@ -556,13 +576,13 @@
         store.fill(now, plan, 0.0);
         store.used = now;
         // Danger: a customer far over its quota whose asks drown its homes. A share of its tries asks.
-        store.asked = store.asked * (-span).exp() + ask.units;
-        let wanted = (WANTED * plan.rate * store.share).max(1.0);
-        let pressed = plan.rate > 0.0 && store.asked > wanted;
+        store.asked = store.asked * (-span).exp() + 1.0;
+        let pressed = plan.rate > 0.0 && store.asked > WANTED * self.settings.peer_messages_per_s;
         store.chance = if pressed { store.chance * THIN } else { (store.chance + THICKEN * span).min(1.0) };
         let chance = store.chance;
         store.places.retain(|place| place.2 > now);
-        let places = plan.at_once.map(|most| (most + homes - 1 - u32::from(ask.home)) / homes);
+        let number = u32::from(ask.home).min(homes - 1);
+        let places = plan.at_once.map(|most| (most + homes - 1 - number) / homes);
         let full = places.is_some_and(|most| store.places.len() >= most as usize);
         let short = plan.rate > 0.0 && store.level < ask.units;
         if short || full || plan.ceiling.is_some() && store.ceiling < ask.units {
@@ -583,6 +603,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some((_, asked)) = request.asking.open.filter(|asked| asked.0 == serial) else { return };
         request.asking.open = None;
+        self.mute.remove(&request.asking.home.1);
         let thin = |store: &mut Store| (store.chance, store.chance_at) = (said.1, now);
         self.stores.entry(request.customer).and_modify(thin);
         match said.0 {
@@ -593,7 +614,8 @@
             }
             Verdict::Short => {
                 request.asking.short += 1;
-                if request.asking.short < HOMES && said.1 >= 1.0 {
+                let homes = Self::homes_of(&self.settings.plans[request.plan.0], self.settings.gateways);
+                if request.asking.short < homes && request.asking.home.0 < homes && said.1 >= 1.0 {
                     self.ask(now, id, out);
                 } else {
                     self.finish(now, &id, out);
@@ -620,7 +642,8 @@
             }
             (request.asking.missed, request.asking.open) = (request.asking.missed + 1, None);
             self.asks.remove(&serial);
-            self.mute.insert(request.asking.home.1, now.saturating_add(MUTE_FOR));
+            let mute = self.mute.entry(request.asking.home.1).or_default();
+            *mute = (mute.0 + 1, now.saturating_add(MUTE_FOR));
             if request.asking.missed > HOMES && plan.ceiling.is_none() {
                 let covered = self.stores.get(&customer).is_some_and(|store| store.level >= 0.0);
                 (request.asking.granted, request.due) = (Some((self.settings.me, serial)), now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -147,9 +147,11 @@
     /// What part of the quota and of the ceiling is kept here.
     pub share: f64,
     pub ceiling_share: f64,
+    /// Whether it is a home's, for all gateways, and not this gateway's own.
+    pub is_home: bool,
     /// As a home: who holds a place of the limit on attempts at once, and until when.
     pub places: Vec<(GatewayId, u16, Micros)>,
-    /// As a home: units asked for in about a second.
+    /// As a home: asks in about a second.
     pub asked: f64,
     /// The share of tries that may ask, and when that was told.
     pub chance: f64,
@@ -287,12 +289,12 @@
     pub(crate) names: BTreeMap<u16, ServerId>,
     pub(crate) stores: BTreeMap<CustomerId, Store>,
     /// Whether customers have homes; the stores kept here as a home; open asks and the number of the last;
-    /// who did not answer, and until when it is passed over.
+    /// who did not answer so many asks on end, and until when it is passed over.
     pub(crate) wide: bool,
     pub(crate) homes: BTreeMap<CustomerId, Store>,
     pub(crate) asks: BTreeMap<u16, RequestId>,
     pub(crate) serial: u16,
-    pub(crate) mute: BTreeMap<GatewayId, Micros>,
+    pub(crate) mute: BTreeMap<GatewayId, (u32, Micros)>,
     /// Share of the attempts into each zone that found no connection.
     pub(crate) cut: BTreeMap<ZoneId, f64>,
     pub(crate) fuzzy: Fuzzy,
