Test: wait for each reload before the next one

The SIGHUP test failed by chance, on the untouched program too: a signal that was handled late read the next file, so the edge node moved to the new discovery twice and left the watch that the test was writing to. The test now waits for the line that says how each reload ended.

--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -363,8 +363,11 @@
     let mut client = node.client();
     // A file that cannot be read as a configuration changes nothing.
     node.reload(|text| text.replacen('{', "", 1));
+    // A signal that is handled late would read the next file, and move to the new discovery twice.
+    node.says("the old configuration stays");
     assert_eq!(serves(&mut client, "a"), "s-1");
     node.reload(|text| format!("{{{text}"));
+    node.says("reloaded");
     let new = Discovery::start();
     let (from, to) = (old.address.to_string(), new.address.to_string());
     node.reload(|text| text.replace(&from, &to));
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -224,6 +224,8 @@
     pub peer: UdpSocket,
     pub datagrams: SocketAddr,
     config: std::path::PathBuf,
+    /// Its log after the first line.
+    said: Receiver<String>,
 }
 
 /// Starts the program with a configuration; it may fail.
@@ -261,8 +263,10 @@
         log.read_line(&mut line).expect("a line");
         let address = line.trim_end().rsplit(' ').next().and_then(|word| word.parse().ok());
         let address = address.unwrap_or_else(|| panic!("it listens: {line}"));
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Node { child, address, peer, datagrams, config }
+        let (tell, said) = mpsc::channel();
+        // Read to its end, whoever listens: a full pipe would stop the edge node.
+        thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
+        Node { child, address, peer, datagrams, config, said }
     }
 
     pub fn client(&self) -> Client {
@@ -272,6 +276,12 @@
         Client { stream, reader }
     }
 
+    /// Waits until the edge node has logged these words.
+    pub fn says(&self, words: &str) {
+        let line = || self.said.recv_timeout(PATIENCE).expect("it says so");
+        while !line().contains(words) {}
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
