Come back to discovery at a pace that the fleet's size sets

The first pause and the longest now grow with the number of edge nodes (20 ms and 200 ms for each), so the calls of a whole fleet that is turned away fall to about five a second. Fleets of a few come back as quickly as before.

--- a/src/bin/saffronpaddle/discovery.rs
+++ b/src/bin/saffronpaddle/discovery.rs
@@ -20,8 +20,12 @@
 /// A watch says something every 2 s; one that is this late is taken for dead. Guards drains: what discovery
 /// has to tell counts as told 6 s later, also on a watch that nobody serves any more.
 const SILENT_FOR: Duration = Duration::from_secs(3);
-/// Until a watch that ended is opened again: at first, doubled each time, and at the most.
+/// Until a watch that ended is opened again: at first, doubled each time, and at the most, however few edge nodes
+/// there are.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// The same for each edge node of the fleet. Guards against a herd: a discovery that turns calls away, as all come
+/// at once, goes on doing so for as long as they come back faster than it can serve them.
+const BACKOFF_EACH: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(200));
 /// Most bytes of one line of a watch.
 const LINE_MOST: usize = 4 << 20;
 
@@ -58,9 +62,15 @@
     }
 }
 
+/// The first and the longest pause before a watch is opened again, in a fleet of so many edge nodes.
+fn backoff(fleet: u32) -> (Duration, Duration) {
+    (BACKOFF.0.max(BACKOFF_EACH.0 * fleet), BACKOFF.1.max(BACKOFF_EACH.1 * fleet))
+}
+
 /// Follows the list at one address, for ever.
 async fn stay(follower: &mut Follower, address: SocketAddr) {
-    let mut pause = BACKOFF.0;
+    let (first, longest) = backoff(follower.node.named.settings.gateways);
+    let mut pause = first;
     let mut told = false;
     loop {
         let before = follower.seq;
@@ -70,11 +80,11 @@
             }
         }
         if follower.seq != before {
-            (pause, told) = (BACKOFF.0, false);
+            (pause, told) = (first, false);
         }
         // Spread out, so that all edge nodes do not come back at one stroke.
         tokio::time::sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
-        pause = (pause * 2).min(BACKOFF.1);
+        pause = (pause * 2).min(longest);
     }
 }
 
@@ -127,3 +137,23 @@
     }
     bail!("the watch ended")
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Calls a second of a whole fleet that is turned away, each pause at its mean.
+    fn calls_per_s(fleet: u32, pause: Duration) -> f64 {
+        f64::from(fleet) / pause.as_secs_f64()
+    }
+
+    #[test]
+    fn the_calls_of_a_fleet_that_is_turned_away_do_not_grow_with_it() {
+        assert_eq!(backoff(2), BACKOFF, "a small one comes back as quickly as ever");
+        for fleet in [50, 100, 400] {
+            let (first, longest) = backoff(fleet);
+            assert!(calls_per_s(fleet, first) <= 60.0, "{fleet}: {first:?}");
+            assert!(calls_per_s(fleet, longest) <= 6.0, "{fleet}: {longest:?}");
+        }
+    }
+}
