Count a hanging request in W once where each gateway sees few

Each tick (0.5 s) counted each open late request anew, so one that hung at a stopped server weighed twelve times as much as an answer, and news carried that through the fleet.

--- a/src/control.rs
+++ b/src/control.rs
@@ -752,13 +752,17 @@
         }
         self.next_tick = now + TICK;
         let mut seen = self.fuzzy.take_seen();
-        let released = |request: &&Request| !self.wide || request.asking.granted.is_some();
-        for request in self.requests.values().filter(released) {
+        let wide = self.wide;
+        let released = |request: &&mut Request| !wide || request.asking.granted.is_some();
+        for request in self.requests.values_mut().filter(released) {
             // Danger: a hang that looks fast, as nothing is answered. What is open counts once late.
             let aim = self.settings.classes[request.class.0].aim.max(1) as f64;
             let age = now.saturating_sub(request.due) as f64 / aim;
             let (sum, count) = seen[request.class.0];
-            if age > 1.0 || (count > 0.0 && age > sum / count) {
+            // Danger: a few that hang, counted at every tick, that outweigh all answers of a gateway which sees
+            // few, and through news those of the fleet: then all of it sheds and caps what would be served.
+            let new = !wide || age > 1.0 && !std::mem::replace(&mut request.late, true);
+            if new && (age > 1.0 || (count > 0.0 && age > sum / count)) {
                 seen[request.class.0] = (sum + age, count + 1.0);
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,6 +35,8 @@
     pub attempts: u32,
     pub out: Option<AttemptNo>,
     pub cancelled: bool,
+    /// Whether it has been counted as late while it was open.
+    pub late: bool,
     /// Whether an attempt has come to a server.
     pub reached: bool,
     pub ran: Option<Ran>,
