Leave alone a server that takes no connection, not its whole zone

In a wide fleet one attempt that found no connection, at one hung server, made its whole zone count five times worse for a node that would take seconds to try there again.

In wide fleets each server that takes no connection is now left alone for 0.5 to 1 s, doubled four times, whatever the rest do, and the zone's mark is not used. What found no connection put work on nobody, so trying another takes nothing from the retries saved up. Small fleets are as they were.

--- a/src/control.rs
+++ b/src/control.rs
@@ -65,6 +65,7 @@
 const AGAIN: f64 = 4.0; // places that count more at the server tried last
 const FAILING: f64 = 4.0; // times the wait counts more where all fails: failing fast must not look quick
 const CUT: (f64, f64) = (0.2, 20.0); // weight of an attempt in whether its zone is cut; what that adds
+const DARK: (Micros, u32) = (500_000, 4); // µs a server that took no connection is left alone, doubled so often
 const OUT_AT: f64 = 0.35; // share of failures at which a server is out, unless the fleet's is half as bad
 const TRIAL_EVERY: Micros = 700_000; // µs between trial requests to a server that is out
 const REMAIN: f64 = 0.5; // share of the fleet that must remain, or none is out (iac7c0b: it feeds on itself)
@@ -827,7 +828,8 @@
     fn has_room(&self, server: &Server, now: Micros) -> bool {
         let cold = server.warmth(&self.settings.rules, now) < 1.0 && server.cold_credit < 1.0;
         let wait = || self.place_wait(server, now) * f64::from(server.open + 1);
-        !cold && (server.open == 0 || wait() <= FIT * self.shortest_aim)
+        let dark = self.wide && server.dark_until > now;
+        !cold && !dark && (server.open == 0 || wait() <= FIT * self.shortest_aim)
     }
 
     /// The server with the least expected wait, of those healthy for the request's class.
@@ -865,7 +867,8 @@
                 if server.entry.zone == self.settings.zone { 0.0 } else { self.settings.cross_zone };
             let again = if request.last == Some(id) { AGAIN } else { 0.0 };
             let places = f64::from(server.open) + 1.0 + CROSSING * crossing + again;
-            let cut = self.cut.get(&server.entry.zone).copied().unwrap_or(0.0) * CUT.1;
+            let cut =
+                if self.wide { 0.0 } else { self.cut.get(&server.entry.zone).map_or(0.0, |cut| cut * CUT.1) };
             let score = places * self.place_wait(server, now) * (1.0 + health.failing * FAILING + cut);
             let trial = health.trial.is_some() && request.attempts == 0 && !(few && self.wide);
             // Danger: hundreds of gateways that flock to the server last heard to be quick. Where each knows
@@ -917,6 +920,7 @@
         // only what is seen here counts. It hurts where many servers of one zone die for other reasons.
         // A trial of a server that is out tells nothing of its zone, though a hung machine takes no connection.
         let unreachable = outcome == Outcome::Unreachable;
+        server.darken(unreachable, now, DARK.0 + self.random.u64(0..DARK.0), DARK.1);
         if !unreachable || server.health[class].trial.is_none() {
             let cut = self.cut.entry(server.entry.zone).or_default();
             *cut += (f64::from(u8::from(unreachable)) - *cut) * CUT.0;
@@ -1024,12 +1028,14 @@
         }
         let class = &self.settings.classes[request.class.0];
         let worth = class.late_value > 0.0 || now < request.arrived.saturating_add(class.aim);
-        let spent = request.attempts >= self.settings.allowed.attempts || self.retries < 1.0;
+        // Where there was no server to burden, trying another takes nothing from what saves servers from retries.
+        let free = self.wide && matches!(outcome, Outcome::Unreachable | Outcome::NotSent);
+        let spent = request.attempts >= self.settings.allowed.attempts || self.retries < 1.0 && !free;
         let never = request.ran.is_some() && class.effect == Effect::Unsafe;
         if now >= request.deadline || spent || never {
             self.finish(now, &id, out);
         } else if worth {
-            self.retries -= 1.0;
+            self.retries -= if free { 0.0 } else { 1.0 };
             self.waiting.push(id);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -224,6 +224,9 @@
     /// By class.
     pub health: Vec<Health>,
     pub cold_credit: f64,
+    /// How many attempts on end found no connection, and until when it is left alone for that.
+    pub dark: u32,
+    pub dark_until: Micros,
 }
 
 /// How a server fares with one class.
@@ -261,6 +264,12 @@
         true
     }
 
+    /// One more attempt found no connection, or did; how long it is left alone doubles `most` times.
+    pub fn darken(&mut self, unreachable: bool, now: Micros, first: Micros, most: u32) {
+        let pause = first << self.dark.min(most);
+        (self.dark, self.dark_until) = if unreachable { (self.dark + 1, now + pause) } else { (0, 0) };
+    }
+
     pub fn ready(&self) -> bool {
         self.entry.standing == Standing::Ready
     }
