Shed and choose by what servers say they hold, in wide fleets

Each answer's load is now an input of the module and rides on rumours, one byte more each (message layout 3). Shedding goes by the time that the median server takes at its load, so that a few hung ones shed nobody; where nothing is reported, by W as before. A server's expected wait is at least what its load gives, and its share goes by the square of that.

--- a/src/bin/doordock-benchlink/main.rs
+++ b/src/bin/doordock-benchlink/main.rs
@@ -248,6 +248,7 @@
             attempt: AttemptNo(line.number("shot")?),
             outcome: outcome(line)?,
             closed: line.flag("doneFlag")?,
+            load: line.optional("telemetry").and_then(|report| setup::held(report, ':')),
         },
         "gone" => Event::Abandoned { id: request_id(line)? },
         "elapsed" => Event::Woke { token: line.number("nonce")? },
--- a/src/bin/saffronpaddle/node.rs
+++ b/src/bin/saffronpaddle/node.rs
@@ -3,11 +3,10 @@
 
 use crate::config::{Health, List};
 use crate::peers::Peers;
-use crate::upstream::{Forward, Upstream};
+use crate::upstream::{Ending, Forward, Upstream};
 use bytes::Bytes;
 use doordock::interface::{
-    Action, AttemptNo, CellId, Event, ListKind, Micros, Outcome, RequestId, ServerEntry, ServerId, Standing,
-    ZoneId,
+    Action, AttemptNo, CellId, Event, ListKind, Micros, RequestId, ServerEntry, ServerId, Standing, ZoneId,
 };
 use doordock::setup::Named;
 use doordock::Gateway;
@@ -163,19 +162,20 @@
         let node = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let open = || node.is_open(&id);
-            let (outcome, body) = node.upstream.attempt(&forward, server, until, called_off, open).await;
-            node.ended(id, attempt, outcome, body);
+            let ending = node.upstream.attempt(&forward, server, until, called_off, open).await;
+            node.ended(id, attempt, ending);
         });
     }
 
     /// The connection of the attempt is closed or free again by now, so that no two attempts are ever out.
-    fn ended(self: &Rc<Self>, id: RequestId, attempt: AttemptNo, outcome: Outcome, body: Option<Bytes>) {
+    fn ended(self: &Rc<Self>, id: RequestId, attempt: AttemptNo, ending: Ending) {
+        let Ending { outcome, body, load } = ending;
         self.out.borrow_mut().remove(&id);
         if let Some(body) = body {
             self.answer(&id, Answer::Served(body));
         }
         let closed = !self.is_open(&id);
-        self.post(Event::Ended { id, attempt, outcome, closed });
+        self.post(Event::Ended { id, attempt, outcome, closed, load });
     }
 
     /// Follows discovery: the addresses first, so that nothing waiting for a connection goes to who left.
--- a/src/bin/saffronpaddle/upstream.rs
+++ b/src/bin/saffronpaddle/upstream.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use doordock::interface::{Micros, Outcome, RequestId, ServerId};
+use doordock::setup;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -129,6 +130,22 @@
     }
 }
 
+/// How an attempt ended.
+#[derive(Debug, PartialEq)]
+pub struct Ending {
+    pub outcome: Outcome,
+    /// The body of a good answer.
+    pub body: Option<Bytes>,
+    /// How many requests the server said it holds.
+    pub load: Option<f64>,
+}
+
+impl From<Outcome> for Ending {
+    fn from(outcome: Outcome) -> Ending {
+        Ending { outcome, body: None, load: None }
+    }
+}
+
 pub struct Upstream {
     pub room: Room,
     places: RefCell<HashMap<ServerId, Place>>,
@@ -185,20 +202,20 @@
     pub async fn attempt(
         &self, forward: &Forward, server: ServerId, until: Instant, called_off: oneshot::Receiver<()>,
         open: impl Fn() -> bool,
-    ) -> (Outcome, Option<Bytes>) {
+    ) -> Ending {
         tokio::pin!(called_off);
         let link = match self.idle(server) {
             Some(link) => link,
             None => {
                 let connected = tokio::select! {
                     biased;
-                    _ = &mut called_off => return (Outcome::NotSent, None),
-                    () = tokio::time::sleep_until(until) => return (Outcome::Unreachable, None),
+                    _ = &mut called_off => return Outcome::NotSent.into(),
+                    () = tokio::time::sleep_until(until) => return Outcome::Unreachable.into(),
                     connected = self.connect(server) => connected,
                 };
                 match connected {
                     Ok(link) => link,
-                    Err(outcome) => return (outcome, None),
+                    Err(outcome) => return outcome.into(),
                 }
             }
         };
@@ -207,7 +224,7 @@
         let wanted = open() && Instant::now() < until;
         if !wanted || !self.leads_to(server, &link) {
             self.keep(server, link);
-            return (Outcome::NotSent, None);
+            return Outcome::NotSent.into();
         }
         let mut link = link;
         link.wrote.set(false);
@@ -220,14 +237,14 @@
         };
         let never = !link.wrote.get();
         match outcome {
-            Ok((outcome, body)) => {
+            Ok(ending) => {
                 self.keep(server, link);
-                (outcome, body)
+                ending
             }
             Err(outcome) => {
                 link.close().await;
                 // A request of which some bytes were written counts as one that may have run.
-                (if never { unwritten(outcome) } else { outcome }, None)
+                if never { unwritten(outcome) } else { outcome }.into()
             }
         }
     }
@@ -318,7 +335,7 @@
 /// Writes the request and reads its whole answer. An error is an answer that did not come whole.
 async fn exchange(
     sender: &mut SendRequest<Full<Bytes>>, forward: &Forward, dial: SocketAddr, until: Instant, room: &Room,
-) -> Result<(Outcome, Option<Bytes>), Outcome> {
+) -> Result<Ending, Outcome> {
     let left = until.saturating_duration_since(Instant::now()).as_millis();
     let mut request = Request::builder()
         .method(&forward.method)
@@ -342,9 +359,10 @@
     if !framed {
         return Err(Outcome::Broken);
     }
+    let load = answer.headers().get("x-load").and_then(|value| setup::held(value.to_str().ok()?, '='));
     // Buffered whole, so that a client never gets an answer that was cut.
     let body = Limited::new(answer.into_body(), most).collect().await.map_err(|_| Outcome::Broken)?;
-    Ok((outcome, (outcome == Outcome::Ok).then(|| body.to_bytes())))
+    Ok(Ending { outcome, body: (outcome == Outcome::Ok).then(|| body.to_bytes()), load })
 }
 
 fn outcome<B>(answer: &Response<B>) -> Outcome {
@@ -447,8 +465,9 @@
         };
         let (_call_off, called_off) = oneshot::channel();
         let open = || change(&upstream, dial);
-        let (outcome, body) = upstream.attempt(&forward, server, forward.deadline, called_off, open).await;
-        assert!(body.is_none());
+        let Ending { outcome, body, load } =
+            upstream.attempt(&forward, server, forward.deadline, called_off, open).await;
+        assert!(body.is_none() && load.is_none());
         upstream.listed(true, std::iter::empty());
         let (mut stream, _) = listener.accept().await.expect("it connected");
         let mut written = Vec::new();
--- a/src/control.rs
+++ b/src/control.rs
@@ -19,6 +19,8 @@
 const TICK: Micros = 500_000; // µs of a controller tick; the paper's 4 s is longer than the bursts here
 const DESIRED: f64 = 1.0; // W at which the controller rests, in aims (the design's D)
 const SHED: (f64, f64) = (0.5, 1.5); // W at which shedding by chance begins, and takes all but the dearest
+const CROWDED: (f64, f64) = (0.2, 0.6); // the same by the time the median server takes, in aims, where loads are told
+const LOAD_FADE: f64 = 1.5e6; // µs in which a told load fades halfway to the fleet's: many are sent meanwhile
 const SHED_MOST: f64 = 0.9; // and the most of any that is shed
 const K_INPUTS: (f64, f64) = (1.0, 2.0); // inverse widths, an aim: an error of 1, a change of 0.5 is large
 const K_OUTPUT: f64 = 3.0 * 0.15; // output gain, a share of what is open; tuned at alpha 1, then tripled
@@ -36,7 +38,7 @@
 const HOMES_FROM: f64 = 500_000.0; // µs between counts to all from which they tell too little: homes instead
 const HOME_RATE: f64 = 24.0; // units a second one home looks after: asks for them are half of its intake at most
 const HOMES: u32 = 2; // the most homes: what is left in one part is of no use to a try that asks the other
-const UNDERSTUDY: f64 = 0.35; // an understudy's part of a quota, on top, and of a ceiling, out of the homes'
+const UNDERSTUDY: f64 = 0.3; // an understudy's part of a quota, on top, and of a ceiling, out of the homes'
 const ANSWER_IN: Micros = 120_000; // µs a home may take to answer, and its grant holds under a ceiling
 const MUTE_FOR: Micros = 1_000_000; // µs for which a home that did not answer is passed over
 const MISSES: u32 = 2; // asks on end without an answer that make a home mute: one alone is mostly a lost message
@@ -92,6 +94,7 @@
         gateway.spoke[gateway.settings.me.0 as usize] = Micros::MAX;
         let first = gateway.shortest_aim * FIRST_WAIT;
         (gateway.latency, gateway.typical, gateway.retries) = (first, first, RETRY_MOST);
+        gateway.service = first;
         gateway.next_tick = now + TICK;
         Ok(gateway)
     }
@@ -115,8 +118,8 @@
             Event::Started { id } => {
                 self.requests.entry(id).and_modify(|request| request.belongs_to_client());
             }
-            Event::Ended { id, attempt: n, outcome, closed } => {
-                self.ended(now, (id, n), outcome, closed, out)
+            Event::Ended { id, attempt: n, outcome, closed, load } => {
+                self.ended(now, (id, n), (outcome, load), closed, out)
             }
             Event::Abandoned { id } => self.forget(&id, out),
             Event::Woke { .. } if now < self.woken => {} // one that is no longer wanted
@@ -173,12 +176,16 @@
         }
     }
 
-    /// Exception to the design, where a gateway has too little out for its cap to press: as the fleet's W
-    /// comes near the aim, tries are refused by chance, least worth first. Danger: a jam that hundreds of
-    /// gateways with one attempt each never see. It hurts where W is high for other reasons.
+    /// Exception to the design, where a gateway has too little out for its cap to press: as the servers fill,
+    /// tries are refused by chance, least worth first. Danger: a jam that hundreds of gateways with one attempt
+    /// each never see. What servers say they hold tells of it an answer's time sooner than W, which stands in
+    /// where they say nothing; and of the median server, so that a few that hang shed nobody.
     fn shed(&self, request: &Request) -> f64 {
-        let worst = self.worst().unwrap_or(0.0);
-        let press = ((worst - SHED.0) / (SHED.1 - SHED.0)).clamp(0.0, 1.0);
+        let ramp = |value: f64, (from, to): (f64, f64)| ((value - from) / (to - from)).clamp(0.0, 1.0);
+        let press = match self.crowd {
+            Some(crowd) => ramp(self.service * crowd.max(1.0) / self.shortest_aim, CROWDED),
+            None => ramp(self.worst().unwrap_or(0.0), SHED),
+        };
         let worth = |class: &Class, plan: &Plan| class.worth * plan.price;
         let own = worth(&self.settings.classes[request.class.0], &self.settings.plans[request.plan.0]);
         let plans = &self.settings.plans;
@@ -793,7 +800,12 @@
         let weight = if self.wide { SERVED_WEIGHT } else { span / 4.0 };
         self.served += (self.done / span - self.served) * weight;
         self.done = 0.0;
-        self.typical = self.median_wait().unwrap_or(self.shortest_aim * FIRST_WAIT);
+        let waits = |server: &Server| Some(server.wait).filter(|wait| *wait > 0.0);
+        self.typical = self.median(waits).unwrap_or(self.shortest_aim * FIRST_WAIT);
+        self.crowd = self.median(|server| {
+            let fresh = server.load.filter(|_| now <= server.load_at.saturating_add(NEWS_FOR));
+            fresh.map(|load| server.crowd(load))
+        });
         self.credit(now);
         self.tidy(now);
     }
@@ -807,7 +819,17 @@
         if server.wait <= 0.0 {
             return fleet / server.warmth(&self.settings.rules, now).max(0.1);
         }
-        server.wait * keep + fleet * (1.0 - keep)
+        let learned = server.wait * keep + fleet * (1.0 - keep);
+        learned.max(self.load_wait(server, now).unwrap_or(0.0))
+    }
+
+    /// The same by what a server said it holds. Danger: latency tells of a queue only once it was waited out; by
+    /// then hundreds of gateways have sent more. Where each sees most answers itself, waits tell as much.
+    fn load_wait(&self, server: &Server, now: Micros) -> Option<f64> {
+        let (load, fleet) = (server.load.filter(|_| self.wide)?, self.crowd?);
+        let keep = 0.5f64.powf(now.saturating_sub(server.load_at) as f64 / LOAD_FADE);
+        let crowd = server.crowd(load) * keep + fleet * (1.0 - keep);
+        Some(self.service * crowd.max(1.0))
     }
 
     /// Servers that may be chosen from now: listed and with room.
@@ -872,9 +894,9 @@
             let score = places * self.place_wait(server, now) * (1.0 + health.failing * FAILING + cut);
             let trial = health.trial.is_some() && request.attempts == 0 && !(few && self.wide);
             // Danger: hundreds of gateways that flock to the server last heard to be quick. Where each knows
-            // little, a server's share is in inverse to its wait; the least of such draws does that.
+            // little, a server's share is in inverse to the square of its wait; the least of such draws does that.
             let draw = self.random.f64();
-            let draw = if self.wide { -draw.max(1e-9).ln() } else { 1.0 + JITTER * draw };
+            let draw = if self.wide { -draw.max(1e-9).ln() * score } else { 1.0 + JITTER * draw };
             let score = if trial { 0.0 } else { score * draw };
             best = if score < best.0 { (score, Some(id)) } else { best };
         }
@@ -900,9 +922,15 @@
         }
     }
 
-    fn learn(&mut self, now: Micros, attempt: &Attempt, outcome: Outcome, stalled: bool) {
+    fn learn(&mut self, now: Micros, attempt: &Attempt, said: (Outcome, Option<f64>), stalled: bool) {
         let took = now.saturating_sub(attempt.sent) as f64;
         let Some(server) = self.servers.get_mut(&attempt.server) else { return };
+        let (outcome, load) = said;
+        server.holds(now, load);
+        if let (Outcome::Ok, Some(load)) = said {
+            let alone = took / server.crowd(load - 1.0).max(1.0);
+            self.service += (alone - self.service) * LATENCY_WEIGHT;
+        }
         let class = attempt.class.0;
         let since = server.health[class].answered > attempt.sent && !stalled;
         let bad = match outcome {
@@ -920,7 +948,9 @@
         // only what is seen here counts. It hurts where many servers of one zone die for other reasons.
         // A trial of a server that is out tells nothing of its zone, though a hung machine takes no connection.
         let unreachable = outcome == Outcome::Unreachable;
-        server.darken(unreachable, now, DARK.0 + self.random.u64(0..DARK.0), DARK.1);
+        if self.wide {
+            server.darken(unreachable, now, DARK.0 + self.random.u64(0..DARK.0), DARK.1);
+        }
         if !unreachable || server.health[class].trial.is_none() {
             let cut = self.cut.entry(server.entry.zone).or_default();
             *cut += (f64::from(u8::from(unreachable)) - *cut) * CUT.0;
@@ -1004,11 +1034,14 @@
         out.push(Action::Send { id, server, time_out: None });
     }
 
-    fn ended(&mut self, now: Micros, key: AttemptKey, outcome: Outcome, closed: bool, out: &mut Out) {
+    fn ended(
+        &mut self, now: Micros, key: AttemptKey, said: (Outcome, Option<f64>), closed: bool, out: &mut Out,
+    ) {
+        let outcome = said.0;
         let Some(attempt) = self.take_attempt(&key) else { return };
         let id = key.0;
         let called_off = self.requests.get(&id).is_some_and(|request| request.cancelled);
-        self.learn(now, &attempt, outcome, called_off && outcome == Outcome::Cancelled);
+        self.learn(now, &attempt, said, called_off && outcome == Outcome::Cancelled);
         if outcome == Outcome::Ok {
             self.done += 1.0;
             let aim = self.settings.classes[attempt.class.0].aim.max(1) as f64;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -305,6 +305,8 @@
         outcome: Outcome,
         /// The request is closed: nothing more is owed.
         closed: bool,
+        /// How many requests the server said it holds, if its answer told.
+        load: Option<f64>,
     },
     /// Nobody waits for this request any more.
     Abandoned {
--- a/src/message.rs
+++ b/src/message.rs
@@ -2,11 +2,11 @@
 
 use crate::interface::{ClassId, CustomerId, GatewayId, Micros, PlanId, ServerId};
 
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 /// Version and kind; the least that a message holds.
 const HEAD: usize = 2;
 const COUNT: usize = 7;
-const RUMOUR: usize = 5;
+const RUMOUR: usize = 6;
 const SIZE: usize = 256;
 /// Steps of the small numbers: of aims and units, of µs of wait and of µs of age.
 const PART: f64 = 16.0;
@@ -25,6 +25,8 @@
     pub class: ClassId,
     pub failing: f64,
     pub wait: f64,
+    /// How many requests it holds, if that is known.
+    pub load: Option<f64>,
     pub age: Micros,
 }
 
@@ -125,6 +127,7 @@
         let level = (rumour.failing.clamp(0.0, 1.0) * f64::from(LEVELS)).round() as u8;
         bytes.push((rumour.class.0 % CLASSES) as u8 * (LEVELS + 1) + level);
         bytes.push(small(rumour.wait / WAIT_STEP));
+        bytes.push(rumour.load.map_or(255, |load| small(load).min(254)));
         bytes.push((rumour.age / AGE_STEP).min(255) as u8);
     }
 }
@@ -155,6 +158,7 @@
                 class: ClassId(usize::from(what / (LEVELS + 1))),
                 failing: f64::from(what % (LEVELS + 1)) / f64::from(LEVELS),
                 wait: self.number(1)? as f64 * WAIT_STEP,
+                load: Some(self.number(1)?).filter(|load| *load < 255).map(|load| load as f64),
                 age: self.number(1)? * AGE_STEP,
             });
         }
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -223,3 +223,32 @@
             .then_some(Ceiling { rate: wire.cap_rate, depth: wire.never_over_depth }),
     }
 }
+
+/// The name under which a load report tells how many requests a server holds.
+const HELD: &str = "concurrent";
+/// No server holds more requests than this: a report that says so is spoilt.
+const HELD_MOST: f64 = 1e6;
+
+/// How many requests a server says it holds, in a report of names and values parted by commas. One that can't be
+/// read tells nothing, and spoils nothing.
+pub fn held(report: &str, equals: char) -> Option<f64> {
+    let mut fields = report.split(',').filter_map(|field| field.split_once(equals));
+    let (_, value) = fields.find(|(name, _)| name.trim() == HELD)?;
+    value.trim().parse().ok().filter(|held| (0.0..=HELD_MOST).contains(held))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_load_report_that_cannot_be_read_tells_nothing() {
+        assert_eq!(held("concurrent=7.5,depth=2,load_share=0.61", '='), Some(7.5));
+        assert_eq!(held("depth:2, concurrent : 0", ':'), Some(0.0));
+        for bad in
+            ["", "concurrent", "concurrent=", "concurrent=-1", "concurrent=NaN", "concurrent=1e99", "depth=3"]
+        {
+            assert_eq!(held(bad, '='), None, "{bad:?}");
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -224,6 +224,9 @@
     /// By class.
     pub health: Vec<Health>,
     pub cold_credit: f64,
+    /// How many requests it said it holds, and when it did.
+    pub load: Option<f64>,
+    pub load_at: Micros,
     /// How many attempts on end found no connection, and until when it is left alone for that.
     pub dark: u32,
     pub dark_until: Micros,
@@ -261,9 +264,22 @@
         health.seen = seen;
         health.failing += (rumour.failing - health.failing) * weight;
         self.waited(seen, rumour.wait, weight, unknown);
+        self.holds(seen, rumour.load);
         true
     }
 
+    /// It was seen to hold so many requests; what was seen before the newest is no news.
+    pub fn holds(&mut self, seen: Micros, load: Option<f64>) {
+        if load.is_some() && seen >= self.load_at {
+            (self.load, self.load_at) = (load, seen);
+        }
+    }
+
+    /// Requests for each part of its size, with one more.
+    pub fn crowd(&self, load: f64) -> f64 {
+        (load + 1.0) / self.entry.size.max(1.0)
+    }
+
     /// One more attempt found no connection, or did; how long it is left alone doubles `most` times.
     pub fn darken(&mut self, unreachable: bool, now: Micros, first: Micros, most: u32) {
         let pause = first << self.dark.min(most);
@@ -314,6 +330,9 @@
     /// µs: mean latency, and the median wait of the servers.
     pub(crate) latency: f64,
     pub(crate) typical: f64,
+    /// µs that a server with room takes, and how crowded the median server is, where servers tell their load.
+    pub(crate) service: f64,
+    pub(crate) crowd: Option<f64>,
     /// Mean attempts out, of the lowest class and in all; each class's latency in aims, below 0 if unknown.
     pub(crate) low_out: f64,
     pub(crate) all_out: f64,
@@ -355,6 +374,8 @@
             spoke: vec![now; settings.gateways as usize],
             latency: 0.0,
             typical: 0.0,
+            service: 0.0,
+            crowd: None,
             low_out: 0.0,
             all_out: 0.0,
             aims: vec![-1.0; classes],
@@ -414,7 +435,8 @@
             for (class, health) in server.health.iter().enumerate().filter(|(_, health)| health.seen > 0) {
                 let (age, named) = (now.saturating_sub(health.seen), message::short(server.entry.server));
                 let (class, failing) = (ClassId(class), health.failing);
-                let rumour = Rumour { server: named, class, failing, wait: server.wait, age };
+                let rumour =
+                    Rumour { server: named, class, failing, wait: server.wait, load: server.load, age };
                 all.extend((age < span).then_some(rumour));
             }
         }
@@ -459,11 +481,11 @@
         self.attempts.values().filter(|attempt| attempt.class == class).count() as f64
     }
 
-    /// The median wait of the servers that have shown one.
-    pub(crate) fn median_wait(&self) -> Option<f64> {
-        let waits = self.servers.values().filter(|server| server.ready()).map(|server| server.wait);
-        let mut waits: Vec<f64> = waits.filter(|wait| *wait > 0.0).collect();
-        waits.sort_by(f64::total_cmp);
-        waits.get(waits.len() / 2).copied()
+    /// The median of what the ready servers have shown.
+    pub(crate) fn median(&self, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
+        let mut all: Vec<f64> =
+            self.servers.values().filter(|server| server.ready()).filter_map(of).collect();
+        all.sort_by(f64::total_cmp);
+        all.get(all.len() / 2).copied()
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -83,6 +83,10 @@
     pub out: Vec<(RequestId, AttemptNo, ServerId)>,
     told: BTreeMap<RequestId, Told>,
     pub log: Vec<Action>,
+    /// How many gateways a customer's tries come through, from number 0 on.
+    pub spread: u32,
+    /// How many requests the servers say they hold, by server.
+    pub loads: BTreeMap<ServerId, f64>,
     next: u64,
 }
 
@@ -92,6 +96,8 @@
         Stand {
             now,
             gateway,
+            spread: settings.gateways,
+            loads: BTreeMap::new(),
             settings,
             wakes: Vec::new(),
             list: BTreeMap::new(),
@@ -130,7 +136,7 @@
             customer: CustomerId(customer),
             units: 1.0,
             first: GatewayId(0),
-            spread: self.settings.gateways,
+            spread: self.spread,
             patience,
         });
         id
@@ -148,7 +154,8 @@
         if outcome == Outcome::Ok {
             told.open = false;
         }
-        self.event(Event::Ended { id, attempt, outcome, closed })
+        let load = self.loads.get(&server).copied();
+        self.event(Event::Ended { id, attempt, outcome, closed, load })
     }
 
     pub fn event(&mut self, event: Event) -> Vec<Action> {
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -395,7 +395,7 @@
     let (_servers, _discovery, mut node) = with_one("peers", &[SERVES]);
     let mut client = node.client();
     let stranger = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
-    for noise in [&[0xff; 1400][..], &[], &[2], &[2, 0, 1], &[2, 1, 0, 0, 9, 9], &[7; 256]] {
+    for noise in [&[0xff; 1400][..], &[], &[3], &[3, 0, 1], &[3, 1, 0, 0, 9, 9], &[7; 256]] {
         node.peer.send_to(noise, node.datagrams).expect("sent");
         stranger.send_to(noise, node.datagrams).expect("sent");
     }
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -47,7 +47,7 @@
         2,
         "sent again after an error\n{text}"
     );
-    assert!(text.contains("tell\ti=3\taddressee=*\tblob=02"), "{text}");
+    assert!(text.contains("tell\ti=3\taddressee=*\tblob=03"), "{text}");
 }
 
 #[test]
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -62,9 +62,9 @@
     let refused = stand.log.iter().filter(|action| matches!(action, Action::Refuse { .. })).count();
     assert_eq!((sends(&stand.log), refused), (4, 1), "a burst of 4");
     let before = sends(&stand.log);
-    stand.event(Event::Peer { from: GatewayId(1), bytes: vec![2, 0, 1, 0, 0, 0] });
+    stand.event(Event::Peer { from: GatewayId(1), bytes: vec![3, 0, 1, 0, 0, 0] });
     stand.now += 700 * MS;
-    stand.event(Event::Peer { from: GatewayId(1), bytes: vec![2, 0, 1, 0, 0, 0] });
+    stand.event(Event::Peer { from: GatewayId(1), bytes: vec![3, 0, 1, 0, 0, 0] });
     stand.now += 700 * MS;
     stand.request(SAFE, 0, 7, 2 * S);
     assert_eq!(sends(&stand.log), before + 1, "1.4 units later one is covered");
@@ -108,7 +108,7 @@
 }
 
 fn message(birth: u32, customer: u64, count: u16) -> Event {
-    let mut bytes = vec![2, 0];
+    let mut bytes = vec![3, 0];
     bytes.extend(birth.to_le_bytes());
     bytes.extend(&customer.to_le_bytes()[..5]);
     bytes.extend((count * 8).to_le_bytes());
@@ -730,7 +730,7 @@
     let mut random = fastrand::Rng::with_seed(3);
     for kind in 0..6u8 {
         for size in 0..80 {
-            let mut bytes = vec![2, kind];
+            let mut bytes = vec![3, kind];
             bytes.extend((0..size).map(|_| random.u8(..)));
             stand.event(Event::Peer { from: GatewayId(5), bytes });
         }
@@ -783,3 +783,93 @@
     }
     assert!(beside > 60, "{beside} of 300 went to the healthy server of that zone");
 }
+
+/// A gateway of a wide fleet that is the only one of its customers, so that it grants their tries itself.
+fn alone_in_a_wide_fleet(servers: u64) -> Stand {
+    let mut stand = Stand::with_servers(5, settings(0, 300), S, servers);
+    stand.spread = 1;
+    stand
+}
+
+/// Sends tries one after the other, each answered at once; how many were let in, and how many went to server 0.
+fn let_in(stand: &mut Stand, tries: usize) -> (usize, usize) {
+    let (mut served, mut at_first) = (0, 0);
+    for _ in 0..tries {
+        let id = stand.request(SAFE, 1, 7, 2 * S);
+        if let Some(server) = stand.out.iter().find(|out| out.0 == id).map(|out| out.2) {
+            served += 1;
+            at_first += usize::from(server.0 == 0);
+            stand.end(&id, Outcome::Ok);
+        }
+        stand.pass(100 * MS);
+    }
+    (served, at_first)
+}
+
+/// A quota in many small parts refuses what the whole would have covered.
+#[test]
+fn a_large_quota_of_a_wide_set_is_not_lost_in_parts() {
+    let mut fleet = Fleet::new(60, 40, |settings| {
+        settings.plans[0].rate = 40.0;
+        settings.plans[0].burst = 12.0;
+        settings.peer_messages_per_s = 200.0;
+    });
+    let sent = fleet.drive(0, 30, 6);
+    assert!(sent >= 162, "of 180, three quarters of the quota: {sent}");
+}
+
+/// As the servers fill, the least worth is refused; a few that hang refuse nobody.
+#[test]
+fn a_wide_fleet_sheds_by_what_its_servers_hold() {
+    let mut stand = alone_in_a_wide_fleet(8);
+    stand.loads = (0..8).map(|server| (ServerId(server), if server < 2 { 60.0 } else { 0.0 })).collect();
+    assert!(let_in(&mut stand, 60).0 >= 58, "two of eight are full");
+    stand.loads = (0..8).map(|server| (ServerId(server), 60.0)).collect();
+    let_in(&mut stand, 30);
+    let (served, _) = let_in(&mut stand, 60);
+    assert!((1..30).contains(&served), "all are full, yet some goes on so that news comes: {served}");
+}
+
+#[test]
+fn a_wide_fleet_chooses_by_what_servers_hold() {
+    let mut stand = alone_in_a_wide_fleet(4);
+    stand.loads = (0..4).map(|server| (ServerId(server), if server == 0 { 30.0 } else { 0.0 })).collect();
+    let (served, at_first) = let_in(&mut stand, 200);
+    assert!(served >= 190 && at_first <= 20, "{at_first} of {served} went to the full one");
+}
+
+/// One request that hangs must not look like many.
+#[test]
+fn a_request_that_hangs_sheds_nobody_in_a_wide_fleet() {
+    let mut stand = alone_in_a_wide_fleet(4);
+    stand.request(UNSAFE, 1, 7, 6 * S);
+    let mut served = 0;
+    for number in 0..55 {
+        let class = if number % 2 == 0 { UNSAFE } else { SAFE };
+        let id = stand.request(class, 1, 7, 2 * S);
+        if stand.out.iter().any(|out| out.0 == id) {
+            served += 1;
+            stand.end(&id, Outcome::Ok);
+        }
+        stand.pass(100 * MS);
+    }
+    assert!(served >= 52, "{served} of 55");
+}
+
+/// A server that takes no connection is left alone, also where most are so, and costs no request its answer.
+#[test]
+fn a_wide_fleet_leaves_alone_servers_that_take_no_connection() {
+    let mut stand = alone_in_a_wide_fleet(10);
+    let (mut served, mut refused) = (0, 0);
+    for _ in 0..100 {
+        let id = stand.request(UNSAFE, 1, 7, 2 * S);
+        while let Some(server) = stand.out.iter().find(|out| out.0 == id).map(|out| out.2) {
+            let gone = server.0 < 6;
+            (served, refused) = (served + u32::from(!gone), refused + u32::from(gone));
+            stand.end(&id, if gone { Outcome::Unreachable } else { Outcome::Ok });
+        }
+        stand.pass(50 * MS);
+    }
+    // In 5 s each of the six is tried some four times, its pause doubling from 0.5 s on.
+    assert!(served >= 97 && refused <= 36, "{served} served, {refused} refused");
+}
