Subsetting: a gateway of a wide fleet uses 16 servers of its own

The ready servers stand on a ring, in an order that all nodes share; each node starts at a place of its own, a golden section from the last number's, and uses the first 16 that can be chosen. One that is out, dark or full is passed over and the next taken. Cold servers' tokens go to those who have them in their part, so each earns more of them; trials still come from anyone.

Weighed: a random subset by hash (uneven by a fifth at this size), a ring in the nodes' own order (a customer's gateways have numbers in a row, and would share servers).

--- a/src/control.rs
+++ b/src/control.rs
@@ -39,9 +39,9 @@
 const HOME_RATE: f64 = 24.0; // units a second one home looks after: asks for them are half of its intake at most
 const HOMES: u32 = 2; // the most homes: what is left in one part is of no use to a try that asks the other
 const UNDERSTUDY: f64 = 0.3; // an understudy's part of a quota, on top, and of a ceiling, out of the homes'
-const ANSWER_IN: Micros = 120_000; // µs a home may take to answer, and its grant holds under a ceiling
+const ANSWER_IN: Micros = 90_000; // µs a home may take to answer, and its grant holds under a ceiling
 const MUTE_FOR: Micros = 1_000_000; // µs for which a home that did not answer is passed over
-const MISSES: u32 = 2; // asks on end without an answer that make a home mute: one alone is mostly a lost message
+const MISSES: u32 = 3; // asks on end without an answer that make a home mute: one alone is mostly a lost message
 const WANTED: f64 = 0.4; // asks of one customer that a home wants, as a share of the words it takes in
 const THIN: f64 = 0.97; // factor by which each ask too many thins them out
 const THICKEN: f64 = 0.5; // share of tries that may ask again, a second
@@ -64,6 +64,7 @@
 const FIRST_WAIT: f64 = 0.12; // expected wait before anything was seen, as a share of the shortest aim
 const JITTER: f64 = 0.1; // spread of the choice among equal servers, so that gateways do not move as one
 const CROSSING: f64 = 30.0; // places that count more in another zone, for each 1.0 that crossing costs
+const SUBSET: usize = 16; // servers a gateway of a wide fleet uses: few, to keep connections busy; enough to choose
 const AGAIN: f64 = 4.0; // places that count more at the server tried last
 const FAILING: f64 = 4.0; // times the wait counts more where all fails: failing fast must not look quick
 const CUT: (f64, f64) = (0.2, 20.0); // weight of an attempt in whether its zone is cut; what that adds
@@ -652,7 +653,7 @@
             self.asks.remove(&serial);
             let mute = self.mute.entry(request.asking.home.1).or_default();
             *mute = (mute.0 + 1, now.saturating_add(MUTE_FOR));
-            if request.asking.missed > HOMES && plan.ceiling.is_none() {
+            if request.asking.missed > MISSES && plan.ceiling.is_none() {
                 let covered = self.stores.get(&customer).is_some_and(|store| store.level >= 0.0);
                 (request.asking.granted, request.due) = (Some((self.settings.me, serial)), now);
                 self.waiting.extend(covered.then(|| id.clone()));
@@ -854,6 +855,13 @@
         !cold && !dark && (server.open == 0 || wait() <= FIT * self.shortest_aim)
     }
 
+    /// This gateway's part of the servers that may be chosen, which are in the order of their ids. One that is out or
+    /// full is passed over, and the next on the ring taken in its place.
+    fn subset<'a>(&self, from: &[&'a Server]) -> Vec<&'a Server> {
+        let place = |id| from.binary_search_by_key(&id, |server| server.entry.server).ok();
+        self.ring.from(self.settings.me).filter_map(place).map(|place| from[place]).take(SUBSET).collect()
+    }
+
     /// The server with the least expected wait, of those healthy for the request's class.
     fn choose(&mut self, now: Micros, id: &RequestId, able: &[ServerId]) -> Option<ServerId> {
         let request = self.requests.get(id)?;
@@ -871,13 +879,13 @@
         };
         let mut from: Vec<_> = able.iter().filter_map(|id| self.servers.get(id)).filter(fits).collect();
         if self.wide {
-            // A cold server's rare token is spent first, so that it warms; then trials.
+            // A trial comes first; then a cold server's rare token is spent, so that it warms.
+            let trial = |server: &&Server| server.health[class].trial.is_some();
+            let due = from.iter().copied().find(|server| trial(server) && !few && request.attempts == 0);
+            from = due.map_or_else(|| self.subset(&from), |server| vec![server]);
             self.random.shuffle(&mut from);
-            let first = |server: &&Server| {
-                let trial = server.health[class].trial.is_some() && !few && request.attempts == 0;
-                trial || server.warmth(&self.settings.rules, now) < 1.0
-            };
-            if let Some(place) = from.iter().position(first) {
+            let cold = |server: &&Server| server.warmth(&self.settings.rules, now) < 1.0;
+            if let Some(place) = from.iter().position(cold) {
                 from = vec![from[place]];
             }
         }
@@ -1083,7 +1091,9 @@
         let warm = self.servers.values().filter(warm).count().max(1) as f64;
         let gateways = f64::from(self.settings.gateways);
         let known = self.served / warm * COLD_SAFE * rules.fall_multiple;
-        let rate = known.max(COLD_BLIND / gateways) * TICK as f64 / 1e6;
+        // Only a part of a wide fleet has a server in its subset, so each of these has a larger share of it.
+        let few = if self.wide { (warm / SUBSET as f64).max(1.0) } else { 1.0 };
+        let rate = known.max(COLD_BLIND / gateways) * few * TICK as f64 / 1e6;
         let kept = (COLD_KEEPERS / gateways).min(1.0);
         for server in self.servers.values_mut().filter(|server| server.warmth(&rules, now) < 1.0) {
             let gained = (rate * server.warmth(&rules, now) + self.random.f64()).floor();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,5 +9,6 @@
 mod message;
 pub mod setup;
 mod state;
+mod subset;
 
 pub use control::Gateway;
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::*;
 use crate::message::{self, Rumour};
+use crate::subset::Ring;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Where actions are gathered.
@@ -312,6 +313,8 @@
     pub(crate) waiting: Vec<RequestId>,
     pub(crate) attempts: BTreeMap<(RequestId, AttemptNo), Attempt>,
     pub(crate) servers: BTreeMap<ServerId, Server>,
+    /// The ready servers, in the order in which gateways share them out.
+    pub(crate) ring: Ring,
     /// Servers by the short names of rumours.
     pub(crate) names: BTreeMap<u16, ServerId>,
     pub(crate) stores: BTreeMap<CustomerId, Store>,
@@ -362,6 +365,7 @@
             waiting: Vec::new(),
             attempts: BTreeMap::new(),
             servers: BTreeMap::new(),
+            ring: Ring::default(),
             names: BTreeMap::new(),
             stores: BTreeMap::new(),
             wide: false,
@@ -426,6 +430,8 @@
             server.entry = entry;
             self.names.insert(message::short(entry.server), entry.server);
         }
+        let ready = self.servers.values().filter(|server| server.ready());
+        self.ring = Ring::new(ready.map(|server| server.entry.server));
     }
 
     /// All evidence on ready servers that is younger than a span.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -83,7 +83,8 @@
     pub out: Vec<(RequestId, AttemptNo, ServerId)>,
     told: BTreeMap<RequestId, Told>,
     pub log: Vec<Action>,
-    /// How many gateways a customer's tries come through, from number 0 on.
+    /// The gateways a customer's tries come through: the first, and how many.
+    pub first: GatewayId,
     pub spread: u32,
     /// How many requests the servers say they hold, by server.
     pub loads: BTreeMap<ServerId, f64>,
@@ -96,6 +97,7 @@
         Stand {
             now,
             gateway,
+            first: GatewayId(0),
             spread: settings.gateways,
             loads: BTreeMap::new(),
             settings,
@@ -135,7 +137,7 @@
             plan: PlanId(plan),
             customer: CustomerId(customer),
             units: 1.0,
-            first: GatewayId(0),
+            first: self.first,
             spread: self.spread,
             patience,
         });
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -873,3 +873,23 @@
     // In 5 s each of the six is tried some four times, its pause doubling from 0.5 s on.
     assert!(served >= 97 && refused <= 36, "{served} served, {refused} refused");
 }
+
+/// Few servers are met by one gateway, and all by the fleet.
+#[test]
+fn a_gateway_of_a_wide_fleet_uses_a_subset_of_the_servers() {
+    let mut met_by_all = std::collections::BTreeSet::new();
+    for me in 0..60 {
+        let mut stand = Stand::with_servers(u64::from(me), settings(me, 300), S, 60);
+        (stand.spread, stand.first) = (1, GatewayId(me));
+        let mut met = std::collections::BTreeSet::new();
+        for _ in 0..60 {
+            let id = stand.request(SAFE, 1, 7, 2 * S);
+            met.extend(stand.out.iter().map(|out| out.2));
+            stand.end(&id, Outcome::Ok);
+            stand.pass(20 * MS);
+        }
+        assert!((4..=20).contains(&met.len()), "gateway {me} met {}", met.len());
+        met_by_all.extend(met);
+    }
+    assert_eq!(met_by_all.len(), 60);
+}
