Reopen a watch inside the grace for drains, read what can be read, start on the first list

Lines at fault: discovery.rs BACKOFF_EACH and backoff(): 300 nodes pause 3 to 9 s at first, up to 90 s. SILENT_FOR was also spent on each connect and answer. Further: a list over many lines ended the watch; one entry that could not be read dropped the list; a new process sent by its old list before the first one; a version of another numbering was taken for old.

Now: times are parts of rules.drainGraceUs (an answer within a quarter, pauses of a sixteenth at most, under half in all); a watch asks for the whole list, so its first word comes at once and versions count within one watch. Only one that is turned away or can't be read waits longer, up to 1 s. New lists.rs reads objects on one line or many; of what is spoilt the entries are picked out. A server that leaves keeps its zone and cell for what it may have run. Clients wait in the backlog for the first list, for half of the grace at most.

--- a/src/bin/saffronpaddle/config.rs
+++ b/src/bin/saffronpaddle/config.rs
@@ -1,5 +1,6 @@
 //! What the edge node is told at its start: `LB_*` and the JSON of `LB_CONFIG`, as typed values.
 
+use crate::lists::List;
 use anyhow::{ensure, Context, Result};
 use doordock::setup::{self, Named};
 use serde::Deserialize;
@@ -32,42 +33,6 @@
     pub all: Option<SocketAddr>,
 }
 
-/// The list of app servers, or changes to it, as discovery writes it.
-#[derive(Deserialize, Clone, Debug, PartialEq)]
-pub struct List {
-    pub seq: u64,
-    #[serde(default)]
-    pub whole: bool,
-    #[serde(default)]
-    pub hosts: Vec<Host>,
-}
-
-#[derive(Deserialize, Clone, Debug, PartialEq)]
-pub struct Host {
-    pub host: String,
-    pub dial: SocketAddr,
-    pub site: String,
-    #[serde(default)]
-    pub block: u64,
-    pub health: Health,
-    #[serde(default = "full_share")]
-    pub share: f64,
-    #[serde(default)]
-    pub born_ms: u64,
-}
-
-fn full_share() -> f64 {
-    1.0
-}
-
-#[derive(Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum Health {
-    Ready,
-    Draining,
-    Gone,
-}
-
 #[derive(Deserialize)]
 struct File {
     name: String,
--- a/src/bin/saffronpaddle/main.rs
+++ b/src/bin/saffronpaddle/main.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod config;
 mod discovery;
+mod lists;
 mod node;
 mod peers;
 mod upstream;
@@ -20,7 +21,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use upstream::{Room, Upstream};
 
 /// After SIGTERM new connections go on coming for so long at the least.
@@ -66,9 +67,13 @@
     let (phase, seen) = watch::channel(Phase::Serving);
     let (moved, discovery) = watch::channel(config.discovery);
     tokio::task::spawn_local(reload(hangup, config.path, moved));
-    tokio::task::spawn_local(discovery::follow(Rc::clone(&node), discovery, config.known));
+    let (heard, first_word) = oneshot::channel();
+    tokio::task::spawn_local(discovery::follow(Rc::clone(&node), discovery, config.known, heard));
     tokio::task::spawn_local(peers::listen(Rc::clone(&node)));
     tokio::task::spawn_local(retire(Rc::clone(&node)));
+    // What discovery holds counts as told from the first moment, and the list that is known may be old. Clients wait
+    // in the backlog for that; while discovery is silent, what is known has to do.
+    let _ = tokio::time::timeout(discovery::first_word_in(node.named.drain_grace), first_word).await;
     let clients = tokio::task::spawn_local(clients::serve(listener, node, each_side, seen));
 
     terminate.recv().await;
--- a/src/bin/saffronpaddle/node.rs
+++ b/src/bin/saffronpaddle/node.rs
@@ -1,7 +1,7 @@
 //! Owns the decision module and all that it speaks of: the clock, the open requests and their attempts.
 //! Only here is the module called; what it asks for is done in the order in which it asks.
 
-use crate::config::{Health, List};
+use crate::lists::{Health, Host};
 use crate::peers::Peers;
 use crate::upstream::{Ending, Forward, Upstream};
 use bytes::Bytes;
@@ -179,10 +179,9 @@
     }
 
     /// Follows discovery: the addresses first, so that nothing waiting for a connection goes to who left.
-    pub fn listed(self: &Rc<Self>, list: &List) {
-        let kind = if list.whole { ListKind::Complete } else { ListKind::Changes };
+    pub fn listed(self: &Rc<Self>, kind: ListKind, hosts: &[Host]) {
         let zone = |name: &String| self.named.zones.iter().position(|zone| zone == name);
-        let entries = list.hosts.iter().map(|host| ServerEntry {
+        let entries = hosts.iter().map(|host| ServerEntry {
             server: server_id(&host.host),
             zone: ZoneId(zone(&host.site).map_or(u32::MAX, |place| place as u32)),
             cell: CellId(host.block),
@@ -195,9 +194,9 @@
             started: (host.born_ms > 0).then_some(host.born_ms.saturating_mul(1000)),
         });
         let entries = entries.collect();
-        let hosts = list.hosts.iter();
-        let dials = hosts.map(|host| (server_id(&host.host), host.dial, host.health == Health::Ready));
-        self.upstream.listed(list.whole, dials);
+        let ready = |host: &Host| host.dial.filter(|_| host.health == Health::Ready);
+        let dials = hosts.iter().map(|host| (server_id(&host.host), ready(host)));
+        self.upstream.listed(kind == ListKind::Complete, dials);
         self.post(Event::Servers { kind, entries });
     }
 }
--- a/src/bin/saffronpaddle/upstream.rs
+++ b/src/bin/saffronpaddle/upstream.rs
@@ -118,15 +118,15 @@
     }
 }
 
+/// Where a server that is ready is reached.
 struct Place {
     dial: SocketAddr,
-    ready: bool,
     idle: Vec<Link>,
 }
 
 impl Place {
-    fn close_idle(&mut self) {
-        self.idle.drain(..).for_each(|link| link.driver.abort());
+    fn close_idle(self) {
+        self.idle.into_iter().for_each(|link| link.driver.abort());
     }
 }
 
@@ -168,21 +168,22 @@
         }
     }
 
-    /// Follows the list. Who is gone, or not on a whole list, and who moved, loses its idle connections.
-    pub fn listed(&self, whole: bool, servers: impl Iterator<Item = (ServerId, SocketAddr, bool)>) {
+    /// Follows the list: where each server that is ready is reached. Who is gone, or not on a whole list, and who
+    /// moved, loses its idle connections.
+    pub fn listed(&self, whole: bool, servers: impl Iterator<Item = (ServerId, Option<SocketAddr>)>) {
         let mut places = self.places.borrow_mut();
-        if whole {
-            places.values_mut().for_each(|place| place.ready = false);
-        }
-        for (server, dial, ready) in servers {
-            let place = places.entry(server).or_insert_with(|| Place { dial, ready, idle: Vec::new() });
-            if place.dial != dial {
-                place.close_idle();
+        let mut before = if whole { std::mem::take(&mut *places) } else { HashMap::new() };
+        for (server, dial) in servers {
+            let kept = before.remove(&server).or_else(|| places.remove(&server));
+            match (kept, dial) {
+                (Some(place), Some(dial)) if place.dial == dial => drop(places.insert(server, place)),
+                (kept, dial) => {
+                    kept.into_iter().for_each(Place::close_idle);
+                    places.extend(dial.map(|dial| (server, Place { dial, idle: Vec::new() })));
+                }
             }
-            (place.dial, place.ready) = (dial, ready);
         }
-        places.values_mut().filter(|place| !place.ready).for_each(Place::close_idle);
-        places.retain(|_, place| place.ready);
+        before.into_values().for_each(Place::close_idle);
     }
 
     /// Retires connections that have stood idle for long, for ever.
@@ -454,7 +455,7 @@
         let dial = listener.local_addr().expect("an address");
         let (server, wait) = (ServerId(1), Duration::from_secs(60));
         let upstream = Upstream::new(Room::new(0), 8, 15_000_000, 60_000_000);
-        upstream.listed(true, [(server, dial, true)].into_iter());
+        upstream.listed(true, [(server, Some(dial))].into_iter());
         let forward = Forward {
             id: RequestId("a".into()),
             method: Method::GET,
@@ -477,14 +478,14 @@
 
     async fn all_end_unsent() {
         assert_eq!(changed(|_, _| false).await, (Outcome::NotSent, Vec::new()), "answered meanwhile");
-        let drains = |upstream: &Upstream, dial| {
-            upstream.listed(false, [(ServerId(1), dial, false)].into_iter());
+        let drains = |upstream: &Upstream, _| {
+            upstream.listed(false, [(ServerId(1), None)].into_iter());
             true
         };
         assert_eq!(changed(drains).await, (Outcome::NotSent, Vec::new()), "drains meanwhile");
         let moves = |upstream: &Upstream, dial: SocketAddr| {
             let elsewhere = SocketAddr::new(dial.ip(), dial.port() ^ 1);
-            upstream.listed(false, [(ServerId(1), elsewhere, true)].into_iter());
+            upstream.listed(false, [(ServerId(1), Some(elsewhere))].into_iter());
             true
         };
         assert_eq!(changed(moves).await, (Outcome::NotSent, Vec::new()), "moves meanwhile");
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -104,6 +104,12 @@
     cold_us: u64,
     fall_multiple: f64,
     overload_for_us: u64,
+    #[serde(default = "default_grace")]
+    drain_grace_us: u64,
+}
+
+fn default_grace() -> u64 {
+    500_000
 }
 
 #[derive(Deserialize, Default)]
@@ -142,6 +148,8 @@
     pub zones: Vec<String>,
     /// How long a client of any class waits at the most.
     pub longest_deadline: Micros,
+    /// Nothing new may go to a server for longer than this after it was told to leave.
+    pub drain_grace: Micros,
     /// A server closes a connection that has stood idle for so long.
     pub conn_idle: Micros,
     /// A connection that has not come up by then never will.
@@ -186,6 +194,7 @@
     Ok(Named {
         settings,
         longest_deadline: setup.classes.iter().map(|class| class.deadline_us).max().unwrap_or(0),
+        drain_grace: setup.rules.drain_grace_us,
         conn_idle: setup.ceilings.conn_idle_us,
         connect_timeout: setup.ceilings.connect_timeout_us,
         classes: setup.classes.into_iter().map(|class| class.name).collect(),
--- a/src/state.rs
+++ b/src/state.rs
@@ -424,6 +424,11 @@
         for entry in entries {
             let unknown = || Server::unknown(entry, now, classes);
             let server = self.servers.entry(entry.server).or_insert_with(unknown);
+            if entry.standing != Standing::Ready {
+                // Who leaves stays where it was, for what it may have run.
+                server.entry.standing = entry.standing;
+                continue;
+            }
             if server.entry.started != entry.started {
                 *server = Server { open: server.open, ..unknown() };
             }
