End a request whose client has left behind further requests

Seen: in the review of what is owed at each await. A client sends one request and twenty more behind it, then closes: the first stays out at its server until its deadline and the others are begun in turn. Test on the previous commit: "it is worked on still" after 10 s.

Checked: a client that leaves with nothing behind its request is noticed (test a_client_that_goes_away passes before and after). Ruled out: the module, which forgets at once on Abandoned, and Upstream::attempt, which looks at the request again once its connection is up. At fault: clients.rs decide() leaves the watch for an end to hyper, which reads no further while its buffer holds a next request.

Now: new ahead.rs reads up to 16 KB ahead while a request is open, so that the end shows. Beyond that an end is seen once the request is answered, as before.

--- /dev/null
+++ b/src/bin/saffronpaddle/ahead.rs
@@ -0,0 +1,93 @@
+//! A client's connection that can be read ahead: its end must show behind whatever was sent before it.
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Most bytes read ahead of one request. Guards memory against clients that send at full speed; of one that has sent
+/// more, the end shows only once its request is answered.
+const AHEAD_MOST: usize = 16 * 1024;
+
+/// One connection, shared by who speaks on it and who watches for its end.
+#[derive(Clone)]
+pub struct Ahead(Rc<RefCell<Inner>>);
+
+struct Inner {
+    stream: TokioIo<TcpStream>,
+    /// What was read ahead and not yet asked for.
+    read: Vec<u8>,
+    ended: bool,
+}
+
+impl Ahead {
+    pub fn new(stream: TcpStream) -> Ahead {
+        Ahead(Rc::new(RefCell::new(Inner { stream: TokioIo::new(stream), read: Vec::new(), ended: false })))
+    }
+
+    /// Comes back once the client has ended the connection, or it broke.
+    pub async fn end(&self) {
+        poll_fn(|context| self.0.borrow_mut().poll_end(context)).await;
+    }
+}
+
+impl Inner {
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let mut buffer = [0; 1024];
+        while !self.ended {
+            if self.read.len() >= AHEAD_MOST {
+                return Poll::Pending;
+            }
+            let mut buffer = ReadBuf::new(&mut buffer);
+            let came = ready!(Pin::new(self.stream.inner_mut()).poll_read(context, &mut buffer));
+            self.ended = came.is_err() || buffer.filled().is_empty();
+            self.read.extend_from_slice(buffer.filled());
+        }
+        Poll::Ready(())
+    }
+}
+
+impl Read for Ahead {
+    fn poll_read(
+        self: Pin<&mut Self>, context: &mut Context<'_>, mut into: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let inner = &mut *self.0.borrow_mut();
+        if inner.read.is_empty() && !inner.ended {
+            return Pin::new(&mut inner.stream).poll_read(context, into);
+        }
+        let given = inner.read.len().min(into.remaining());
+        into.put_slice(&inner.read[..given]);
+        inner.read.drain(..given);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for Ahead {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>, context: &mut Context<'_>, parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(context)
+    }
+}
--- a/src/bin/saffronpaddle/clients.rs
+++ b/src/bin/saffronpaddle/clients.rs
@@ -1,5 +1,6 @@
 //! Clients: their connections, what they ask and the answers that they get.
 
+use crate::ahead::Ahead;
 use crate::node::{Answer, Node};
 use crate::upstream::Forward;
 use bytes::Bytes;
@@ -11,9 +12,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use std::cell::Cell;
-use std::convert::Infallible;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -149,21 +150,24 @@
 async fn converse(stream: TcpStream, node: Rc<Node>, phase: watch::Receiver<Phase>, seat: Rc<Seat>) {
     let _ = stream.set_nodelay(true);
     let seen = phase.clone();
+    let stream = Ahead::new(stream);
+    let line = stream.clone();
     let service = service_fn(move |request| {
         let (node, seen, seat) = (Rc::clone(&node), seen.clone(), Rc::clone(&seat));
+        let line = line.clone();
         async move {
             let _busy = Busy::new(&seat);
-            let mut reply = respond(&node, request, &seen).await;
+            let mut reply = respond(&node, request, &seen, &line).await?;
             if *seen.borrow() > Phase::Serving {
                 reply.headers_mut().insert(CONNECTION, CLOSE);
             }
-            Ok::<_, Infallible>(reply)
+            Ok::<_, Gone>(reply)
         }
     });
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN).max_buf_size(BUFFER_MOST);
     http.auto_date_header(false);
-    let connection = http.serve_connection(TokioIo::new(stream), service);
+    let connection = http.serve_connection(stream, service);
     tokio::pin!(connection);
     tokio::select! {
         _ = &mut connection => return,
@@ -173,29 +177,49 @@
     let _ = connection.await;
 }
 
-async fn respond(node: &Rc<Node>, request: Request<Incoming>, phase: &watch::Receiver<Phase>) -> Reply {
+/// The client has left; there is nobody to answer.
+#[derive(Debug)]
+struct Gone;
+
+impl fmt::Display for Gone {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the client has left")
+    }
+}
+
+impl std::error::Error for Gone {}
+
+async fn respond(
+    node: &Rc<Node>, request: Request<Incoming>, phase: &watch::Receiver<Phase>, line: &Ahead,
+) -> Result<Reply, Gone> {
+    match admit(node, request, phase).await {
+        Ok((event, forward)) => decide(node, event, forward, line).await,
+        Err(reply) => Ok(reply),
+    }
+}
+
+/// Reads a request whole, or answers what is none.
+async fn admit(
+    node: &Rc<Node>, request: Request<Incoming>, phase: &watch::Receiver<Phase>,
+) -> Result<(Event, Forward), Reply> {
     if request.method() == Method::GET && request.uri().path() == "/-/ready" {
         let ready = *phase.borrow() == Phase::Serving;
-        return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+        return Err(plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""));
     }
     let (head, body) = request.into_parts();
-    let asked = match read(&node.named, &head) {
-        Ok(asked) => asked,
-        Err((status, what)) => return turned_away(status, what),
-    };
+    let asked = read(&node.named, &head).map_err(|(status, what)| turned_away(status, what))?;
     // Nothing of a body that is too large is read.
     let Some((most, _held)) = node.upstream.room.take(body.size_hint().lower()) else {
-        return turned_away(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
+        return Err(turned_away(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
     };
     if !asked.takes_body && !body.is_end_stream() {
-        return turned_away(StatusCode::BAD_REQUEST, "this class takes no body\n");
+        return Err(turned_away(StatusCode::BAD_REQUEST, "this class takes no body\n"));
     }
     let body = match tokio::time::timeout(BODY_WITHIN, Limited::new(body, most).collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
-        _ => return turned_away(StatusCode::BAD_REQUEST, "the body did not come whole\n"),
+        _ => return Err(turned_away(StatusCode::BAD_REQUEST, "the body did not come whole\n")),
     };
-    let (event, forward) = asked.arrived(head, body);
-    decide(node, event, forward).await
+    Ok(asked.arrived(head, body))
 }
 
 /// An answer to what can't be served, after which nothing that comes on the connection is believed.
@@ -217,13 +241,19 @@
     }
 }
 
-async fn decide(node: &Rc<Node>, event: Event, forward: Forward) -> Reply {
+async fn decide(node: &Rc<Node>, event: Event, forward: Forward, line: &Ahead) -> Result<Reply, Gone> {
     let (id, overdue) = (forward.id.clone(), forward.deadline + OVERDUE);
     let Some(answered) = node.take(event, forward) else {
-        return turned_away(StatusCode::BAD_REQUEST, "X-Request-Id: in use\n");
+        return Ok(turned_away(StatusCode::BAD_REQUEST, "X-Request-Id: in use\n"));
     };
     let _waiting = Waiting { node, id };
-    match tokio::time::timeout_at(overdue, answered).await {
+    let answered = tokio::select! {
+        biased;
+        answered = tokio::time::timeout_at(overdue, answered) => answered,
+        // Guards against work for nobody: hyper does not see an end that stands behind further requests.
+        () = line.end() => return Err(Gone),
+    };
+    Ok(match answered {
         Ok(Ok(Answer::Served(body))) => Response::new(Full::new(body)),
         Ok(Ok(Answer::Refused(retry_in))) => {
             let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "");
@@ -235,7 +265,7 @@
         }
         // Guards against a request that nothing ends: past its time it fails, whatever the module says.
         Ok(Ok(Answer::Failed) | Err(_)) | Err(_) => plain(StatusCode::BAD_GATEWAY, ""),
-    }
+    })
 }
 
 fn plain(status: StatusCode, words: &'static str) -> Reply {
--- a/src/bin/saffronpaddle/main.rs
+++ b/src/bin/saffronpaddle/main.rs
@@ -1,6 +1,7 @@
 //! The edge node: a shell of sockets round the decision module. It makes no policy.
 #![forbid(unsafe_code)]
 
+mod ahead;
 mod clients;
 mod config;
 mod discovery;
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -289,6 +289,27 @@
     assert_eq!(node.client().ask(&request("b", "pay", "20000m")).status(), 200);
 }
 
+/// Clients that send much at once and go: nothing of it is worked on for them, and nothing more is begun.
+#[test]
+fn a_client_that_leaves_behind_further_requests_ends_its_attempt() {
+    let (servers, _discovery, node) = with_one("left", &[Does::IsSilent, SERVES]);
+    let mut client = node.client();
+    let further: String = (0..20).map(|number| request(&format!("b{number}"), "pay", "20000m")).collect();
+    client.write(&request("a", "pay", "20000m"));
+    let got = servers.next();
+    client.write(&further);
+    drop(client);
+    got.stream.set_read_timeout(Some(PATIENCE / 6)).expect("a time-out");
+    let ends = got.stream.peek(&mut [0]);
+    assert!(
+        !ends.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock),
+        "it is worked on still"
+    );
+    assert_eq!(node.client().ask(&request("c", "pay", "20000m")).status(), 200);
+    assert_eq!(servers.next().message.header("x-request-id"), "c");
+    servers.got_no_more();
+}
+
 /// A connection that the server closed while it was idle is not written to: that would end as a reset.
 #[test]
 fn a_close_of_an_idle_connection_is_noticed() {
