Derive subset, homes and advice from the settings, not from one deployment

SUBSET 7: with 23 gateways and 200 servers some servers are in no gateway's part (test no_server_is_in_no_gateways_subset). HOME_RATE 24 is right for 40 words a second alone. ADVICE 20 to 100 ms, and Retry-After sent whatever ceilings.retryAfter and maxRetryAfterUs say. message.rs named a rumour's class modulo 8: in a deployment of nine classes, the ninth's failures passed for the first's. setup.rs refused to start without zones.

Now: as many servers as give each server seven gateways, seven at the least; a home looks after 0.6 units a second for each word it takes in; advice is 1/40 to 1/8 of the shortest aim (20 and 100 ms at 800 ms, as the old test wants), as long as clients follow at the most, and none where it is not allowed; classes that can't be named are left out; a deployment may have no zones.

--- a/src/bin/saffronpaddle/node.rs
+++ b/src/bin/saffronpaddle/node.rs
@@ -180,10 +180,16 @@
 
     /// Follows discovery: the addresses first, so that nothing waiting for a connection goes to who left.
     pub fn listed(self: &Rc<Self>, kind: ListKind, hosts: &[Host]) {
-        let zone = |name: &String| self.named.zones.iter().position(|zone| zone == name);
+        let zones = &self.named.zones;
+        let zone = |name: &String| match zones.iter().position(|zone| zone == name) {
+            Some(place) => place as u32,
+            // Where there are no zones, nothing crosses them.
+            None if zones.is_empty() => 0,
+            None => u32::MAX,
+        };
         let entries = hosts.iter().map(|host| ServerEntry {
             server: server_id(&host.host),
-            zone: ZoneId(zone(&host.site).map_or(u32::MAX, |place| place as u32)),
+            zone: ZoneId(zone(&host.site)),
             cell: CellId(host.block),
             standing: match host.health {
                 Health::Ready => Standing::Ready,
--- a/src/control.rs
+++ b/src/control.rs
@@ -28,7 +28,7 @@
 const CAP_LEAD: f64 = 12.0; // and how far it may lead what was open
 const HEARD_FOR: Micros = 2_000_000; // µs over which heard counts age out (design)
 const LAG: f64 = 0.5; // s of the peers' use that a store keeps back: sent on, but not yet told
-const ADVICE: (Micros, Micros) = (20_000, 100_000); // µs a refused client is told to wait: aims are short
+const ADVICE: (f64, f64) = (0.025, 0.125); // shortest aims that a refused client is told to wait: all tries share one
 const OPEN_RISK: f64 = 0.2; // loss, of its worth, that a first attempt risks at a limit that is reached
 const SILENT: std::ops::Range<Micros> = 800_000..25_000_000; // µs of silence: share kept, then held dead
 const GOSSIP_EVERY: Micros = 200_000; // µs between messages at the least
@@ -36,7 +36,7 @@
 const TOLD_FOR: Micros = 1_000_000; // µs a customer stays in the messages; a few may be lost
 const COUNT_STEP: f64 = 1.0 / 8.0; // counts in messages are in this part of a unit, so that fractions add up
 const HOMES_FROM: f64 = 500_000.0; // µs between counts to all from which they tell too little: homes instead
-const HOME_RATE: f64 = 24.0; // units a second one home looks after: asks for them are half of its intake at most
+const HOME_SHARE: f64 = 0.6; // units a second one home looks after, a share of the words it takes in: asks fit in
 const HOMES: u32 = 2; // the most homes: what is left in one part is of no use to a try that asks the other
 const UNDERSTUDY: f64 = 0.3; // an understudy's part of a quota, on top, and of a ceiling, out of the homes'
 const ANSWER_IN: Micros = 90_000; // µs a home may take to answer, and its grant holds under a ceiling
@@ -64,7 +64,7 @@
 const FIRST_WAIT: f64 = 0.12; // expected wait before anything was seen, as a share of the shortest aim
 const JITTER: f64 = 0.1; // spread of the choice among equal servers, so that gateways do not move as one
 const CROSSING: f64 = 30.0; // places that count more in another zone, for each 1.0 that crossing costs
-const SUBSET: usize = 7; // servers a gateway of a wide fleet uses: few, to keep connections busy; enough to choose
+const SUBSET: f64 = 7.0; // servers a gateway of a wide fleet uses, few to keep connections busy, or gateways for each
 const AGAIN: f64 = 4.0; // places that count more at the server tried last
 const FAILING: f64 = 4.0; // times the wait counts more where all fails: failing fast must not look quick
 const CUT: (f64, f64) = (0.2, 20.0); // weight of an attempt in whether its zone is cut; what that adds
@@ -220,7 +220,7 @@
     fn finish(&mut self, now: Micros, id: &RequestId, out: &mut Out) {
         let Some(request) = self.requests.get(id) else { return };
         let (refused, id_told) = (self.permits(request, now, Step::Refuse), id.clone());
-        let retry_in = Some(self.advice(request));
+        let retry_in = self.settings.allowed.retry_after.map(|most| self.advice(request).min(most));
         let refusal = |id| Action::Refuse { id, retry_in };
         out.push(if refused { refusal(id_told) } else { Action::Fail { id: id_told } });
         self.forget(id, out);
@@ -228,7 +228,8 @@
 
     /// When a refused client may come back: once its store and ceiling are likely to hold what it asks for.
     fn advice(&self, request: &Request) -> Micros {
-        let Some(store) = self.stores.get(&request.customer) else { return ADVICE.0 };
+        let (least, most) = (self.shortest_aim * ADVICE.0, self.shortest_aim * ADVICE.1);
+        let Some(store) = self.stores.get(&request.customer) else { return least as Micros };
         let plan = &self.settings.plans[request.plan.0];
         let until =
             |short: f64, rate: f64| if short > 0.0 { short / rate.max(f64::EPSILON) * 1e6 } else { 0.0 };
@@ -237,7 +238,7 @@
         let over =
             |ceiling: &Ceiling| until(request.units - store.ceiling, ceiling.rate * store.ceiling_share);
         let ceiling = plan.ceiling.as_ref().map_or(0.0, over);
-        (quota.max(ceiling) as Micros).clamp(ADVICE.0, ADVICE.1)
+        quota.max(ceiling).clamp(least, most) as Micros
     }
 
     /// Drops a request. Its attempt may still be out: nobody waits for it, so it is called off.
@@ -522,8 +523,9 @@
     // gateway, their understudy, keeps a part like theirs. Danger: hundreds of gateways, each with its own
     // burst. It costs a round trip. With all silent the own store decides.
 
-    fn homes_of(plan: &Plan, spread: u32) -> u32 {
-        ((plan.rate / HOME_RATE).ceil() as u32).clamp(1, HOMES).min(spread)
+    fn homes_of(&self, plan: &Plan, spread: u32) -> u32 {
+        let one = HOME_SHARE * self.settings.peer_messages_per_s;
+        ((plan.rate / one).ceil() as u32).clamp(1, HOMES).min(spread)
     }
 
     /// The gateway that is one of the homes, or their understudy, by its number.
@@ -547,7 +549,7 @@
         let Some(request) = self.requests.get(&id) else { return };
         let Some(store) = self.stores.get(&request.customer) else { return };
         let (customer, first, spread) = (request.customer, store.first, store.spread as u32);
-        let homes = Self::homes_of(&self.settings.plans[request.plan.0], spread);
+        let homes = self.homes_of(&self.settings.plans[request.plan.0], spread);
         let fresh = request.asking.short + request.asking.missed == 0;
         let start = if fresh { self.random.u32(0..homes) } else { request.asking.home.0 + 1 };
         let at = |number: u32| self.home(customer, (first, spread), homes, number);
@@ -573,7 +575,7 @@
     fn grant(&mut self, now: Micros, from: GatewayId, ask: &Ask) -> Option<(Verdict, f64)> {
         let plan = self.settings.plans.get(ask.plan.0)?;
         let spread = ask.spread.clamp(1, self.settings.gateways);
-        let homes = Self::homes_of(plan, spread);
+        let homes = self.homes_of(plan, spread);
         let home = self.home(ask.customer, (ask.first, spread), homes, u32::from(ask.home));
         if home != self.settings.me || u32::from(ask.home) > homes {
             return None;
@@ -623,8 +625,9 @@
             }
             Verdict::Short => {
                 request.asking.short += 1;
-                let homes = Self::homes_of(&self.settings.plans[request.plan.0], self.settings.gateways);
-                if request.asking.short < homes && request.asking.home.0 < homes && said.1 >= 1.0 {
+                let (plan, short, home) = (request.plan, request.asking.short, request.asking.home.0);
+                let homes = self.homes_of(&self.settings.plans[plan.0], self.settings.gateways);
+                if short < homes && home < homes && said.1 >= 1.0 {
                     self.ask(now, id, out);
                 } else {
                     self.finish(now, &id, out);
@@ -855,11 +858,17 @@
         !cold && !dark && (server.open == 0 || wait() <= FIT * self.shortest_aim)
     }
 
+    /// How many servers a gateway uses. Danger: servers that no gateway uses, where these are few.
+    fn few(&self) -> usize {
+        let (servers, _) = self.in_health(self.lowest);
+        SUBSET.max(SUBSET * servers / f64::from(self.settings.gateways)).ceil() as usize
+    }
+
     /// This gateway's part of the servers that may be chosen, which are in the order of their ids. One that is out or
     /// full is passed over, and the next on the ring taken in its place.
     fn subset<'a>(&self, from: &[&'a Server]) -> Vec<&'a Server> {
         let place = |id| from.binary_search_by_key(&id, |server| server.entry.server).ok();
-        self.ring.from(self.settings.me).filter_map(place).map(|place| from[place]).take(SUBSET).collect()
+        self.ring.from(self.settings.me).filter_map(place).map(|place| from[place]).take(self.few()).collect()
     }
 
     /// The server with the least expected wait, of those healthy for the request's class.
@@ -1092,7 +1101,7 @@
         let gateways = f64::from(self.settings.gateways);
         let known = self.served / warm * COLD_SAFE * rules.fall_multiple;
         // Only a part of a wide fleet has a server in its subset, so each of these has a larger share of it.
-        let few = if self.wide { (warm / SUBSET as f64).max(1.0) } else { 1.0 };
+        let few = if self.wide { (warm / self.few() as f64).max(1.0) } else { 1.0 };
         let rate = known.max(COLD_BLIND / gateways) * few * TICK as f64 / 1e6;
         let kept = (COLD_KEEPERS / gateways).min(1.0);
         for server in self.servers.values_mut().filter(|server| server.warmth(&rules, now) < 1.0) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -143,6 +143,8 @@
     pub cancel: bool,
     /// Peers may be told.
     pub messages: bool,
+    /// Refused clients may be told when to come back: after so long at the most.
+    pub retry_after: Option<Micros>,
 }
 
 /// All that a gateway is told at its start.
--- a/src/message.rs
+++ b/src/message.rs
@@ -119,13 +119,14 @@
     bytes.push(small(news.served * PART));
     bytes.push(news.aims.len().min(CLASSES) as u8);
     bytes.extend(aims);
-    for rumour in &news.rumours {
+    // Of a class beyond those that a rumour can name nothing is told: it would pass for another's.
+    for rumour in news.rumours.iter().filter(|rumour| rumour.class.0 < CLASSES) {
         if bytes.len() + RUMOUR > SIZE {
             break;
         }
         bytes.extend_from_slice(&rumour.server.to_le_bytes());
         let level = (rumour.failing.clamp(0.0, 1.0) * f64::from(LEVELS)).round() as u8;
-        bytes.push((rumour.class.0 % CLASSES) as u8 * (LEVELS + 1) + level);
+        bytes.push(rumour.class.0 as u8 * (LEVELS + 1) + level);
         bytes.push(small(rumour.wait / WAIT_STEP));
         bytes.push(rumour.load.map_or(255, |load| small(load).min(254)));
         bytes.push((rumour.age / AGE_STEP).min(255) as u8);
@@ -210,3 +211,19 @@
         _ => return None,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_rumour_of_a_class_that_cannot_be_named_is_no_rumour_of_another() {
+        let rumour =
+            |class| Rumour { server: 9, class: ClassId(class), failing: 1.0, wait: 0.0, load: None, age: 0 };
+        let news = News { rumours: [1, CLASSES, CLASSES + 1].map(rumour).into(), ..News::default() };
+        let bytes = write(&Message::Answer(7, Verdict::Granted, 1.0, news));
+        let Some(Message::Answer(7, _, _, news)) = read(&bytes) else { panic!("an answer") };
+        let classes: Vec<_> = news.rumours.iter().map(|rumour| rumour.class.0).collect();
+        assert_eq!(classes, [1]);
+    }
+}
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -11,7 +11,9 @@
 struct Setup {
     balancers: u32,
     me: u32,
+    #[serde(default)]
     zone: String,
+    #[serde(default)]
     zones: Vec<String>,
     classes: Vec<WireClass>,
     packages: Vec<WirePlan>,
@@ -83,12 +85,24 @@
     send_cap: u32,
     cancel: bool,
     may_tell: bool,
+    #[serde(default = "told")]
+    retry_after: bool,
+    #[serde(default = "endless")]
+    max_retry_after_us: u64,
     #[serde(default = "default_idle")]
     conn_idle_us: u64,
     #[serde(default = "default_connect")]
     connect_timeout_us: u64,
 }
 
+fn told() -> bool {
+    true
+}
+
+fn endless() -> u64 {
+    u64::MAX
+}
+
 fn default_idle() -> u64 {
     15_000_000
 }
@@ -163,6 +177,8 @@
 pub fn read(text: &str) -> Result<Named, String> {
     let setup: Setup = serde_json::from_str(text).map_err(|error| error.to_string())?;
     let zone = setup.zones.iter().position(|name| *name == setup.zone);
+    // Without zones, whatever lists say of them is one and the same elsewhere.
+    let zone = if setup.zones.is_empty() { Some(0) } else { zone };
     let zone = ZoneId(zone.ok_or("zone is not among zones")? as u32);
     let classes = setup.classes.iter().map(class).collect::<Result<_, _>>()?;
     let settings = Settings {
@@ -181,6 +197,7 @@
             attempts: setup.ceilings.send_cap,
             cancel: setup.ceilings.cancel,
             messages: setup.ceilings.may_tell,
+            retry_after: setup.ceilings.retry_after.then_some(setup.ceilings.max_retry_after_us),
         },
         cross_zone: setup.deductions.cross_zone,
         discovery: match setup.discovery {
@@ -260,4 +277,14 @@
             assert_eq!(held(bad, '='), None, "{bad:?}");
         }
     }
+
+    const SETUP: &str = r#"{"balancers":2,"me":0,"periodUs":2000,"discovery":"automatic","ceilings":{"cancel":true,"mayTell":true,"sendCap":4,"retryAfter":false},"classes":[{"name":"read","aimUs":1,"worth":1,"repeat":"read_like"}],"packages":[{"name":"p","rate":1,"storeSize":1,"price":1}],"rules":{"coldFrom":0.2,"coldUs":1,"fallMultiple":3,"overloadForUs":1}}"#;
+
+    #[test]
+    fn a_deployment_may_have_no_zones() {
+        let named = read(SETUP).expect("sound settings");
+        assert!(named.zones.is_empty() && named.settings.allowed.retry_after.is_none());
+        let elsewhere = SETUP.replacen('{', r#"{"zones":["a"],"zone":"b","#, 1);
+        assert!(read(&elsewhere).is_err(), "a zone that is not among those there are");
+    }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -43,7 +43,7 @@
             Plan { rate: 1000.0, burst: 1000.0, at_once: Some(2), ..plan },
         ],
         rules: Rules { cold_from: 0.2, cold_for: 10 * S, fall_multiple: 3.0, fall_window: S },
-        allowed: Allowed { attempts: 3, cancel: true, messages: true },
+        allowed: Allowed { attempts: 3, cancel: true, messages: true, retry_after: Some(10 * S) },
         cross_zone: 0.0,
         discovery: Discovery::Pushed,
         period: 2 * MS,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -893,3 +893,40 @@
     }
     assert_eq!(met_by_all.len(), 60);
 }
+
+/// Where gateways are few for so many servers, each uses more of them, so that none is left out.
+#[test]
+fn no_server_is_in_no_gateways_subset() {
+    let mut met = std::collections::BTreeSet::new();
+    for me in 0..23 {
+        let mut stand = Stand::with_servers(u64::from(me), settings(me, 23), S, 200);
+        (stand.spread, stand.first) = (1, GatewayId(me));
+        for _ in 0..400 {
+            let id = stand.request(SAFE, 1, 7, 2 * S);
+            met.extend(stand.out.iter().map(|out| out.2));
+            stand.end(&id, Outcome::Ok);
+            stand.pass(10 * MS);
+        }
+    }
+    assert_eq!(met.len(), 200);
+}
+
+/// A refused client is told when to come back where the settings allow it, and no later than they allow.
+#[test]
+fn advice_keeps_to_the_settings() {
+    for (allowed, wanted) in [(None, None), (Some(5 * MS), Some(5 * MS)), (Some(10 * S), Some(100 * MS))] {
+        let mut settings = settings(0, 2);
+        settings.allowed.retry_after = allowed;
+        let mut stand = Stand::with_servers(1, settings, S, 2);
+        let mut told = Vec::new();
+        for _ in 0..20 {
+            let before = stand.log.len();
+            stand.request(SAFE, 0, 7, 2 * S);
+            told.extend(stand.log[before..].iter().filter_map(|action| match action {
+                Action::Refuse { retry_in, .. } => Some(*retry_in),
+                _ => None,
+            }));
+        }
+        assert_eq!(told.last(), Some(&wanted), "{allowed:?}");
+    }
+}
