Count what is turned away by rule and plan

Each final answer that no server made is now counted by its reason and plan (Gateway::turned_away), for logs, the lab and trials. No decision changes: the chance of a try is drawn once as before and only split by what it fell to. Test: what_is_turned_away_is_counted_by_reason.

--- a/src/control.rs
+++ b/src/control.rs
@@ -161,19 +161,20 @@
         store.used = now;
         // Danger: a client that waits so briefly that the next sweep would answer too late.
         let forgot = (now.saturating_sub(store.chance_at) as f64 / THIN_FOR).min(1.0);
-        let asks = (store.chance + (1.0 - store.chance) * forgot) * (1.0 - shed);
-        let thinned = self.wide && self.random.f64() > asks;
+        let asks = store.chance + (1.0 - store.chance) * forgot;
+        let draw = if self.wide { self.random.f64() } else { 0.0 };
         let hopeless = request.deadline <= now.saturating_add(LAST_CALL);
         let kept = (store.peers(now, HEARD_FOR) * LAG).min(plan.burst - store.depth).max(0.0);
         let short = plan.rate > 0.0 && store.level - kept < units;
         store.level -= units;
         self.requests.insert(id.clone(), request);
-        if hopeless || thinned || short && !self.wide {
-            self.finish(now, &id, out);
-        } else if self.wide {
-            self.ask(now, id, out);
-        } else {
-            self.waiting.push(id);
+        match () {
+            () if hopeless => self.finish(now, &id, Reason::Hopeless, out),
+            () if draw > asks => self.finish(now, &id, Reason::Thinned, out),
+            () if draw > asks * (1.0 - shed) => self.finish(now, &id, Reason::Shed, out),
+            () if self.wide => self.ask(now, id, out),
+            () if short => self.finish(now, &id, Reason::Short, out),
+            () => self.waiting.push(id),
         }
     }
 
@@ -217,8 +218,9 @@
     }
 
     /// Ends a request: refused where that promise holds, else failed.
-    fn finish(&mut self, now: Micros, id: &RequestId, out: &mut Out) {
+    fn finish(&mut self, now: Micros, id: &RequestId, reason: Reason, out: &mut Out) {
         let Some(request) = self.requests.get(id) else { return };
+        *self.turned_away.entry((reason, request.plan)).or_default() += 1;
         let (refused, id_told) = (self.permits(request, now, Step::Refuse), id.clone());
         let retry_in = self.settings.allowed.retry_after.map(|most| self.advice(request).min(most));
         let refusal = |id| Action::Refuse { id, retry_in };
@@ -267,13 +269,18 @@
             let worthless = class.late_value <= 0.0;
             let half = request.arrived + request.deadline.saturating_sub(request.arrived) / 2;
             let unsent = request.out.is_none() && !request.reached;
+            let reason = match () {
+                () if request.attempts > 0 => Reason::Spent,
+                () if self.wide && request.asking.granted.is_none() => Reason::Asking,
+                () => Reason::Waiting,
+            };
             if now + LAST_CALL >= if unsent { half } else { request.deadline } {
                 // Exception to the design, which refuses at the deadline: a client that is told by half of its
                 // time that nothing was sent can still try elsewhere. What was sent has until the deadline.
-                over.push(id.clone());
+                over.push((id.clone(), reason));
             } else if request.out.is_none() && worthless && now < aimed && now as f64 + soon > aimed as f64 {
                 // Exception to the design, which refuses at the deadline: no worth is left to wait for.
-                over.push(id.clone());
+                over.push((id.clone(), reason));
             } else if worthless && now > aimed && !request.cancelled && self.settings.allowed.cancel {
                 // Danger: servers busy with answers that are worth nothing any more.
                 let Some(attempt) = request.out else { continue };
@@ -281,7 +288,7 @@
                 out.push(Action::Cancel { id: id.clone(), attempt });
             }
         }
-        over.iter().for_each(|id| self.finish(now, id, out));
+        over.iter().for_each(|(id, reason)| self.finish(now, id, *reason, out));
         asking.into_iter().for_each(|id| self.unanswered(now, id, out));
         self.tick(now, out);
         self.gossip(now, out);
@@ -630,7 +637,7 @@
                 if short < homes && home < homes && said.1 >= 1.0 {
                     self.ask(now, id, out);
                 } else {
-                    self.finish(now, &id, out);
+                    self.finish(now, &id, Reason::Short, out);
                 }
             }
         }
@@ -661,7 +668,7 @@
                 (request.asking.granted, request.due) = (Some((self.settings.me, serial)), now);
                 self.waiting.extend(covered.then(|| id.clone()));
                 let over: &[RequestId] = if covered { &[] } else { &[id] };
-                return over.iter().for_each(|id| self.finish(now, id, out));
+                return over.iter().for_each(|id| self.finish(now, id, Reason::Silent, out));
             }
         }
         self.ask(now, id, out);
@@ -1083,7 +1090,7 @@
         let spent = request.attempts >= self.settings.allowed.attempts || self.retries < 1.0 && !free;
         let never = request.ran.is_some() && class.effect == Effect::Unsafe;
         if now >= request.deadline || spent || never {
-            self.finish(now, &id, out);
+            self.finish(now, &id, Reason::Spent, out);
         } else if worth {
             self.retries -= if free { 0.0 } else { 1.0 };
             self.waiting.push(id);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -329,6 +329,27 @@
     },
 }
 
+/// Why a try got no answer of a server's: which rule refused or failed it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Reason {
+    /// Its client waits too briefly for anything to be done.
+    Hopeless,
+    /// Its customer's bucket, or the part of it that its owner keeps, is short of units, places or ceiling.
+    Short,
+    /// So many of its customer's tries are refused that only a share of them may ask.
+    Thinned,
+    /// Its customer's owners kept silent, and what is kept here did not cover it.
+    Silent,
+    /// Shed by chance, least worth first, as the servers fill.
+    Shed,
+    /// It waited for its customer's bucket until half of its time was over.
+    Asking,
+    /// It waited for a place under the cap or at a server until half of its time was over.
+    Waiting,
+    /// Its attempts failed, and no further one was to be had or allowed.
+    Spent,
+}
+
 /// What a gateway does.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/src/state.rs
+++ b/src/state.rs
@@ -344,6 +344,8 @@
     pub(crate) served: f64,
     pub(crate) done: f64,
     pub(crate) retries: f64,
+    /// Final answers that no server made, by reason and plan.
+    pub(crate) turned_away: BTreeMap<(Reason, PlanId), u64>,
     /// When the next wake-up, gossip and tick are due.
     pub(crate) woken: Micros,
     pub(crate) next_gossip: Micros,
@@ -386,6 +388,7 @@
             served: 0.0,
             done: 0.0,
             retries: 0.0,
+            turned_away: BTreeMap::new(),
             woken: Micros::MAX,
             next_gossip: now,
             next_tick: now,
@@ -404,6 +407,11 @@
         Some(request)
     }
 
+    /// Final answers since the start that no server made, by the rule behind them and the plan.
+    pub fn turned_away(&self) -> impl Iterator<Item = (Reason, PlanId, u64)> + '_ {
+        self.turned_away.iter().map(|((reason, plan), count)| (*reason, *plan, *count))
+    }
+
     /// Takes an ended attempt off all lists.
     pub(crate) fn take_attempt(&mut self, key: &(RequestId, AttemptNo)) -> Option<Attempt> {
         let attempt = self.attempts.remove(key)?;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -930,3 +930,17 @@
         assert_eq!(told.last(), Some(&wanted), "{allowed:?}");
     }
 }
+
+/// Why tries are turned away is counted by rule and plan, so that a bad day can be split by cause.
+#[test]
+fn what_is_turned_away_is_counted_by_reason() {
+    let mut stand = Stand::new(1, settings(0, 2), S);
+    (0..5).for_each(|_| drop(stand.request(SAFE, 0, 7, 2 * S)));
+    stand.request(SAFE, 1, 8, 5 * MS);
+    stand.pass(2 * S);
+    let plans = (PlanId(0), PlanId(1));
+    let counted: Vec<_> = stand.gateway.turned_away().collect();
+    let expected =
+        [(Reason::Hopeless, plans.1, 1), (Reason::Short, plans.0, 1), (Reason::Waiting, plans.0, 4)];
+    assert_eq!(counted, expected);
+}
