A log of events is replayed and its actions compared with recorded digests

Cause: the servers' table is to be rebuilt, and in small fleets nothing that a gateway does may change. Change: tests/replay.rs plays a seeded farm (3, 30 and 300 gateways; 14, 60 and 200 servers) and hashes all actions.

--- /dev/null
+++ b/tests/replay.rs
@@ -0,0 +1,354 @@
+//! One seeded log of events, replayed through the module: the actions that come out are hashed, and compared with the
+//! digests of a version whose decisions are to be kept.
+//!
+//! To record the digests anew, where decisions are changed on purpose: run `cargo test --test replay` on the new
+//! version, put the lines of its message in place of [`RECORDED`], name the commit that gave them, and say in the
+//! message of the commit what changed.
+
+mod common;
+
+use common::*;
+use doordock::interface::*;
+use doordock::Gateway;
+use fastrand::Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::Hasher;
+
+/// Digests at commit 7621237, by gateways, servers and seed.
+const RECORDED: &[(u32, u64, u64, u64)] = &[
+    (3, 14, 1, 0x70f12132a101b10f),
+    (3, 14, 2, 0xed0a5e014fabbbbb),
+    (3, 60, 1, 0x4ee4fd487f0816b6),
+    (3, 60, 2, 0x73a396f1ac82a7ae),
+    (3, 200, 1, 0x82c12838faaf0916),
+    (3, 200, 2, 0x43d4fdf7b930a523),
+    (30, 200, 1, 0xdcfd2f8f28f328d0),
+    (30, 200, 2, 0xd38ac25c3c34826e),
+    (300, 14, 1, 0x4bf7178fd60bf058),
+    (300, 14, 2, 0xd07fb64b1403e458),
+    (300, 60, 1, 0x6c3504793d2b41de),
+    (300, 60, 2, 0xe683eb00bd02501c),
+    (300, 200, 1, 0x7c9f80e33612162b),
+    (300, 200, 2, 0xc271297e2156f238),
+];
+
+const SPAN: Micros = 30 * S;
+/// Gateways of a fleet that take part; messages to the others are lost.
+const PLAYED: u32 = 3;
+
+/// How a server of the farm fares.
+#[derive(Clone, Copy, PartialEq)]
+enum Mood {
+    Well,
+    Slow,
+    Failing,
+    Dark,
+    Hung,
+}
+
+struct Machine {
+    entry: ServerEntry,
+    mood: Mood,
+    open: u32,
+}
+
+/// What lies ahead, besides events for a gateway.
+enum Due {
+    Event(usize, Event),
+    Ended(usize, RequestId, AttemptNo, ServerId, Outcome),
+}
+
+struct Farm {
+    now: Micros,
+    random: Rng,
+    gateways: Vec<Gateway>,
+    wide: bool,
+    machines: BTreeMap<ServerId, Machine>,
+    due: BTreeMap<(Micros, u64), Due>,
+    serial: u64,
+    attempts: BTreeMap<(usize, RequestId), u32>,
+    out: BTreeMap<(usize, RequestId, AttemptNo), (Micros, u64)>,
+    digest: fnv::FnvHasher,
+    /// Names of all that occurred.
+    met: BTreeSet<String>,
+}
+
+impl Farm {
+    fn new(gateways: u32, servers: u64, seed: u64) -> Farm {
+        let gateway = |me: u32| {
+            let mut settings = settings(me, gateways);
+            settings.plans[0] = Plan { rate: 20.0, burst: 30.0, ..settings.plans[0].clone() };
+            settings.zone = ZoneId(me % 2);
+            settings.cross_zone = 0.02;
+            Gateway::new(seed + u64::from(me), settings, S).expect("sound settings")
+        };
+        let mut farm = Farm {
+            now: S,
+            random: Rng::with_seed(seed),
+            gateways: (0..PLAYED.min(gateways)).map(gateway).collect(),
+            wide: gateways > 20,
+            machines: BTreeMap::new(),
+            due: BTreeMap::new(),
+            serial: 0,
+            attempts: BTreeMap::new(),
+            out: BTreeMap::new(),
+            digest: fnv::FnvHasher::default(),
+            met: BTreeSet::new(),
+        };
+        for number in 0..servers {
+            let size = 1.0 + (number % 3) as f64;
+            let entry = ServerEntry { size, ..entry(number * 7919 + seed) };
+            farm.machines.insert(entry.server, Machine { entry, mood: Mood::Well, open: 0 });
+        }
+        farm.tell_list(ListKind::Complete, None);
+        farm
+    }
+
+    fn plan(&mut self, after: Micros, due: Due) -> (Micros, u64) {
+        self.serial += 1;
+        let key = (self.now + after, self.serial);
+        self.due.insert(key, due);
+        key
+    }
+
+    fn tell_list(&mut self, kind: ListKind, entries: Option<Vec<ServerEntry>>) {
+        let all = || self.machines.values().map(|machine| machine.entry).collect();
+        let entries: Vec<ServerEntry> = entries.unwrap_or_else(all);
+        for gateway in 0..self.gateways.len() {
+            // In order: a change that comes after a later whole list would list more servers than there are.
+            let after = 15 * MS * gateway as u64;
+            self.plan(after, Due::Event(gateway, Event::Servers { kind, entries: entries.clone() }));
+        }
+    }
+
+    fn some_server(&mut self) -> Option<ServerId> {
+        let place = self.random.usize(0..self.machines.len().max(1));
+        self.machines.keys().nth(place).copied()
+    }
+
+    /// Servers drain, go, start anew, are replaced; or the whole list is told again, without one.
+    fn change_list(&mut self) {
+        let mut changes = Vec::new();
+        for _ in 0..self.random.usize(1..5) {
+            let Some(server) = self.some_server() else { continue };
+            let Some(machine) = self.machines.get_mut(&server) else { continue };
+            match self.random.u8(0..10) {
+                0..=1 => machine.entry.standing = Standing::Draining,
+                2..=5 => {
+                    machine.entry.standing = Standing::Ready;
+                    machine.entry.started = Some(self.now);
+                    machine.mood = Mood::Well;
+                }
+                6..=8 => {
+                    let (gone, fresh) = (machine.entry, ServerId(server.0 + 1_000_003));
+                    self.machines.remove(&server);
+                    changes.push(ServerEntry { standing: Standing::Gone, ..gone });
+                    let entry = ServerEntry { server: fresh, started: Some(self.now), ..gone };
+                    let entry = ServerEntry { standing: Standing::Ready, ..entry };
+                    self.machines.insert(fresh, Machine { entry, mood: Mood::Well, open: 0 });
+                    changes.push(entry);
+                    continue;
+                }
+                _ => machine.entry.standing = Standing::Ready,
+            }
+            changes.push(machine.entry);
+        }
+        match self.random.u8(0..8) {
+            0 => self.tell_list(ListKind::Complete, None),
+            1 => {
+                let left_out = self.some_server();
+                let kept = self.machines.values().map(|machine| machine.entry);
+                let kept = kept.filter(|entry| Some(entry.server) != left_out).collect();
+                self.tell_list(ListKind::Complete, Some(kept));
+            }
+            _ => self.tell_list(ListKind::Changes, Some(changes)),
+        }
+    }
+
+    fn change_mood(&mut self) {
+        let mood = match self.random.u8(0..8) {
+            0 => Mood::Slow,
+            1 => Mood::Failing,
+            2 => Mood::Dark,
+            3 => Mood::Hung,
+            _ => Mood::Well,
+        };
+        for _ in 0..1 + self.machines.len() / 14 {
+            let Some(server) = self.some_server() else { continue };
+            self.machines.get_mut(&server).into_iter().for_each(|machine| machine.mood = mood);
+        }
+    }
+
+    fn request(&mut self, number: u64) {
+        let gateway = self.random.usize(0..self.gateways.len());
+        let customer = self.random.u64(0..40);
+        let spread = if self.wide && customer < 30 { PLAYED } else { self.gateways.len() as u32 };
+        let spread = if self.wide && customer >= 36 { 300 } else { spread };
+        let id = RequestId(format!("r{number}").into());
+        let event = Event::Request {
+            id: id.clone(),
+            class: ClassId(self.random.usize(0..4)),
+            plan: PlanId((customer % 4) as usize),
+            customer: CustomerId(customer),
+            units: 0.25 + self.random.f64() / 2.0,
+            first: GatewayId(0),
+            spread,
+            patience: self.random.u64(200 * MS..3 * S),
+        };
+        self.handle(gateway, event);
+        match self.random.u8(0..60) {
+            0 => self.handle(gateway, Event::Abandoned { id }),
+            1 => self.handle(gateway, Event::Started { id }),
+            2 => self.handle(gateway, Event::ListFailed),
+            3 => self.handle(gateway, Event::Peer { from: GatewayId(1), bytes: vec![3, 2, 9] }),
+            _ => {}
+        }
+    }
+
+    fn handle(&mut self, gateway: usize, event: Event) {
+        let name = |text: String| text.split([' ', '(']).next().unwrap_or_default().to_owned();
+        self.met.insert(name(format!("{event:?}")));
+        let mut actions = Vec::new();
+        self.gateways[gateway].handle(self.now, event, &mut actions);
+        for action in actions {
+            let text = format!("{gateway} {action:?}");
+            self.digest.write(text.as_bytes());
+            self.met.insert(name(format!("{action:?}")));
+            self.act(gateway, action);
+        }
+    }
+
+    fn act(&mut self, gateway: usize, action: Action) {
+        match action {
+            Action::Send { id, server, .. } => {
+                let count = self.attempts.entry((gateway, id.clone())).or_default();
+                let attempt = AttemptNo(*count);
+                *count += 1;
+                let (took, outcome) = self.served(server);
+                let due = Due::Ended(gateway, id.clone(), attempt, server, outcome);
+                let key = self.plan(took, due);
+                self.out.insert((gateway, id, attempt), key);
+            }
+            Action::Cancel { id, attempt } => {
+                let Some(key) = self.out.remove(&(gateway, id.clone(), attempt)) else { return };
+                let Some(Due::Ended(_, _, _, server, _)) = self.due.remove(&key) else { return };
+                let due = Due::Ended(gateway, id.clone(), attempt, server, Outcome::Cancelled);
+                let key = self.plan(MS, due);
+                self.out.insert((gateway, id, attempt), key);
+            }
+            Action::TellAll { bytes } => {
+                for to in (0..self.gateways.len()).filter(|to| *to != gateway) {
+                    self.tell(gateway, to, bytes.clone());
+                }
+            }
+            Action::Tell { to, bytes } => self.tell(gateway, to.0 as usize, bytes),
+            Action::Wake { after, token } => {
+                let late = if self.random.u8(0..200) == 0 { 80 * MS } else { 0 };
+                self.plan(after + late, Due::Event(gateway, Event::Woke { token }));
+            }
+            Action::Refuse { .. } | Action::Fail { .. } | Action::Follow | Action::Log(_) => {}
+        }
+    }
+
+    fn tell(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+        let lost = self.random.u8(0..20) == 0 || to >= self.gateways.len();
+        let after = self.random.u64(MS..25 * MS);
+        if !lost {
+            let event = Event::Peer { from: GatewayId(from as u32), bytes };
+            self.plan(after, Due::Event(to, event));
+        }
+    }
+
+    /// How long an attempt takes at a server, and how it ends.
+    fn served(&mut self, server: ServerId) -> (Micros, Outcome) {
+        let Some(machine) = self.machines.get_mut(&server) else { return (MS, Outcome::Unreachable) };
+        machine.open += 1;
+        let queue = f64::from(machine.open) / machine.entry.size;
+        let took = (20e3 * (0.5 + self.random.f64()) * queue.max(1.0)) as Micros;
+        let draw = self.random.u8(0..100);
+        match machine.mood {
+            _ if draw == 0 => (took, Outcome::Broken),
+            _ if draw == 1 => (MS, Outcome::NotSent),
+            Mood::Well if draw == 2 => (took, Outcome::Error),
+            Mood::Well => (took, Outcome::Ok),
+            Mood::Slow => (8 * took, if draw < 30 { Outcome::TimedOut } else { Outcome::Ok }),
+            Mood::Failing if draw < 40 => (took, Outcome::Error),
+            Mood::Failing if draw < 60 => (MS, Outcome::Full),
+            Mood::Failing if draw < 70 => (took, Outcome::Broken),
+            Mood::Failing => (took, Outcome::Ok),
+            Mood::Dark => (MS, Outcome::Unreachable),
+            Mood::Hung => (4 * S, Outcome::TimedOut),
+        }
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Event(gateway, event) => self.handle(gateway, event),
+            Due::Ended(gateway, id, attempt, server, outcome) => {
+                self.met.insert(format!("{outcome:?}"));
+                self.out.remove(&(gateway, id.clone(), attempt));
+                let machine = self.machines.get_mut(&server);
+                let held = machine.map_or(0, |machine| {
+                    machine.open = machine.open.saturating_sub(1);
+                    machine.open
+                });
+                let answered = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
+                let load = (answered && self.random.bool()).then_some(f64::from(held));
+                let closed = outcome == Outcome::Ok || self.random.u8(0..10) == 0;
+                self.handle(gateway, Event::Ended { id, attempt, outcome, closed, load });
+            }
+        }
+    }
+
+    /// Plays the whole span; calm and crowded by turns.
+    fn play(mut self) -> (u64, BTreeSet<String>) {
+        let (mut next_request, mut next_change, mut next_mood) = (S, 2 * S, 3 * S);
+        let mut number = 0;
+        while self.now < S + SPAN {
+            let first = self.due.keys().next().map_or(Micros::MAX, |key| key.0);
+            let next = first.min(next_request).min(next_change).min(next_mood);
+            self.now = self.now.max(next);
+            if next == first {
+                let taken = self.due.pop_first();
+                taken.into_iter().for_each(|(_, due)| self.due(due));
+            } else if next == next_request {
+                number += 1;
+                self.request(number);
+                let mean = if self.now / (5 * S) % 2 == 0 { 12 * MS } else { 3 * MS };
+                next_request = self.now + self.random.u64(0..2 * mean);
+            } else if next == next_change {
+                self.change_list();
+                next_change = self.now + self.random.u64(0..800 * MS);
+            } else {
+                self.change_mood();
+                next_mood = self.now + self.random.u64(0..3 * S);
+            }
+        }
+        (self.digest.finish(), self.met)
+    }
+}
+
+#[test]
+fn the_same_events_give_the_same_actions_as_the_version_that_was_recorded() {
+    let fleets = [(3, 14), (3, 60), (3, 200), (30, 200), (300, 14), (300, 60), (300, 200)];
+    let (mut played, mut met) = (Vec::new(), BTreeSet::new());
+    for (gateways, servers) in fleets {
+        for seed in [1, 2] {
+            let (digest, names) = Farm::new(gateways, servers, seed).play();
+            played.push((gateways, servers, seed, digest));
+            met.extend(names);
+        }
+    }
+    let all =
+        "Servers ListFailed Request Started Ended Abandoned Woke Peer Send Refuse Fail Cancel TellAll Tell \
+               Wake Log Ok Error Full TimedOut Unreachable Broken Cancelled NotSent";
+    let missing: Vec<_> = all.split_whitespace().filter(|name| !met.contains(*name)).collect();
+    assert!(missing.is_empty(), "the log holds none of {missing:?}");
+    let lines = |digests: &[(u32, u64, u64, u64)]| {
+        let line = |digest: &(u32, u64, u64, u64)| {
+            format!("    ({}, {}, {}, {:#018x}),", digest.0, digest.1, digest.2, digest.3)
+        };
+        digests.iter().map(line).collect::<Vec<_>>().join("\n")
+    };
+    assert!(played == RECORDED, "the actions differ; now they are\n{}", lines(&played));
+}
