A server table keeps its sums as entries change

Cause: a request walked every listed server several times, and each changed entry sorted the ring anew. Change: src/servers.rs keeps counts, trials, evidence, cells and the ring (src/ranked.rs, an ordered set that knows ranks) as entries change; with more than 200 servers ready a gateway of a wide fleet keeps only the entry of servers that it neither uses nor hears of, and each choice weighs 10 of its part of the ring, from a place by chance. Up to 200 servers all are walked as before. Gateway::visited counts the entries looked at. The ring's tests moved from subset.rs to tests/inside/subset.rs as they were, but for the second argument of Ring::from; the Stand takes a server's cell from the list instead of from its number, which is the same for its own entries. Seen failing with: no bound on walking (a second of requests visits little more), no search by cell (a repeat finds its cell), a restarted or forgotten server left in the sums, a warm one left among the cold, and chunks of the set put in the wrong order (the table against a naive one).

--- a/src/control.rs
+++ b/src/control.rs
@@ -4,6 +4,7 @@
 use crate::fuzzy::{chance_under, infer, mix, rank};
 use crate::interface::*;
 use crate::message::{self, Ask, Message, News, Rumour, Verdict};
+use crate::servers::Servers;
 use crate::state::{Attempt, AttemptKey, Fuzzy, Out, Ran, Request, Server, Step, Store};
 
 pub use crate::state::Gateway;
@@ -65,6 +66,9 @@
 const JITTER: f64 = 0.1; // spread of the choice among equal servers, so that gateways do not move as one
 const CROSSING: f64 = 30.0; // places that count more in another zone, for each 1.0 that crossing costs
 const SUBSET: f64 = 7.0; // servers a gateway of a wide fleet uses, few to keep connections busy, or gateways for each
+const WALKED: usize = 200; // servers up to which a gateway of a wide fleet walks all; beyond, looked at for a choice
+const WEIGHED: usize = 10; // servers of which one is chosen, where not all are walked; and evidence, for news
+const FADED: Micros = 4 * FADE as Micros; // µs without use or news after which it forgets one, where it may
 const AGAIN: f64 = 4.0; // places that count more at the server tried last
 const FAILING: f64 = 4.0; // times the wait counts more where all fails: failing fast must not look quick
 const CUT: (f64, f64) = (0.2, 20.0); // weight of an attempt in whether its zone is cut; what that adds
@@ -92,6 +96,8 @@
         let mut gateway = Gateway::blank(seed, settings, now);
         gateway.lowest = ClassId(lowest.unwrap_or(0));
         gateway.wide = (HOMES_FROM..f64::INFINITY).contains(&pace);
+        let walked = if gateway.wide { WALKED } else { usize::MAX }; // a gateway of a small fleet uses all
+        gateway.servers = Servers::new(&gateway.settings, walked);
         gateway.spoke[gateway.settings.me.0 as usize] = Micros::MAX;
         let first = gateway.shortest_aim * FIRST_WAIT;
         (gateway.latency, gateway.typical, gateway.retries) = (first, first, RETRY_MOST);
@@ -107,7 +113,7 @@
             out.extend(follow.clone());
         }
         match event {
-            Event::Servers { kind, entries } => self.listed(now, kind, entries),
+            Event::Servers { kind, entries } => self.servers.list(now, kind, entries),
             Event::ListFailed => out.extend(follow),
             Event::Request { id, class, plan, customer, units, first, spread, patience } => {
                 if self.settings.classes.len() <= class.0 || self.settings.plans.len() <= plan.0 {
@@ -318,7 +324,7 @@
                 (low, self.fuzzy.paced) = (low + 1.0, self.fuzzy.paced - 1.0);
             }
             self.send(now, id, server, out);
-            able = self.able(now);
+            able = if self.waiting.is_empty() { Vec::new() } else { self.able(now) };
         }
     }
 }
@@ -423,18 +429,12 @@
 }
 
 impl Gateway {
-    /// How many servers and customers are kept in mind.
-    pub fn kept(&self) -> usize {
-        self.servers.len() + self.names.len() + self.stores.len() + self.homes.len()
-    }
-
     /// Drops what tells nothing any more. Danger: memory that grows with every customer and server ever seen.
     fn tidy(&mut self, now: Micros) {
         let (plans, spoke) = (&self.settings.plans, &self.spoke);
         self.stores.retain(|_, store| !store.is_idle(now, &plans[store.plan.0], silent(spoke, store, now)));
         self.homes.retain(|_, store| !store.is_idle(now, &plans[store.plan.0], 0.0));
-        self.servers.retain(|_, server| server.open > 0 || server.entry.standing != Standing::Gone);
-        self.names.retain(|_, server| self.servers.contains_key(server));
+        self.servers.tidy(now, FADED);
     }
 
     /// Whether ceiling and attempts open at once let a first attempt out now; if not, it waits.
@@ -680,8 +680,10 @@
     /// What rides on a message: how this gateway's answers fare, bad servers, and what was seen last.
     fn news(&mut self, now: Micros) -> News {
         let typical = self.typical;
+        let most = if self.servers.all_walked() { usize::MAX } else { WEIGHED };
         let poor = |rumour: &Rumour| rumour.failing > OUT_AT / 2.0 || rumour.wait > 2.0 * typical;
-        let (mut bad, mut good): (Vec<_>, Vec<_>) = self.evidence(now, NEWS_FOR).into_iter().partition(poor);
+        let (mut bad, mut good): (Vec<_>, Vec<_>) =
+            self.evidence(now, NEWS_FOR, most).into_iter().partition(poor);
         self.random.shuffle(&mut bad);
         good.sort_by_key(|rumour| rumour.age);
         let rumours = bad.into_iter().take(RUMOURS.0).chain(good.into_iter().take(RUMOURS.1)).collect();
@@ -696,10 +698,11 @@
             mean.for_each(|mean| *mean += (aim - *mean) * if *mean < 0.0 { 1.0 } else { AIMS_WEIGHT });
         }
         for rumour in news.rumours {
-            let named = self.names.get(&rumour.server).copied();
-            let Some(server) = named.and_then(|id| self.servers.get_mut(&id)) else { continue };
-            if rumour.age < NEWS_FOR && server.hear(now, &rumour, HEARD_WEIGHT, self.typical) {
-                let id = server.entry.server;
+            let Some(id) = self.servers.named(rumour.server) else { continue };
+            let Some(mut server) = self.servers.get_mut(now, &id) else { continue };
+            let news = rumour.age < NEWS_FOR && server.hear(now, &rumour, HEARD_WEIGHT, self.typical);
+            drop(server);
+            if news {
                 self.judge(now, id, rumour.class);
             }
         }
@@ -836,20 +839,54 @@
         Some(self.service * crowd.max(1.0))
     }
 
-    /// Servers that may be chosen from now: listed and with room.
-    fn able(&self, now: Micros) -> Vec<ServerId> {
-        let ready: Vec<_> = self.servers.values().filter(|server| server.ready()).collect();
+    /// Servers that may be chosen from now: listed and with room. Of too many to be walked, some.
+    fn able(&mut self, now: Micros) -> Vec<ServerId> {
         // Danger: many gateways, each with one out at every server, overdrive them all (iac7c0b, i417db4).
-        let floor = (ALL_FLOOR * ready.len() as f64 / f64::from(self.settings.gateways)).max(1.0);
-        let parts = ready.iter().map(|server| self.shortest_aim / self.place_wait(server, now).max(1.0));
+        let ready = self.servers.ready() as f64;
+        let floor = (ALL_FLOOR * ready / f64::from(self.settings.gateways)).max(1.0);
         let out = self.attempts.len() as f64;
-        if out >= floor && out >= FIT_ALL * parts.sum::<f64>() {
+        if out >= floor && out >= FIT_ALL * self.room(now) {
             return Vec::new();
         }
-        let room = ready.into_iter().filter(|server| self.has_room(server, now));
+        if !self.servers.all_walked() {
+            return self.sample(now, None);
+        }
+        let room = self.servers.walk_ready().filter(|server| self.has_room(server, now));
         room.map(|server| server.entry.server).collect()
     }
 
+    /// Attempts that all servers together finish within the shortest aim. Where not all are walked it is summed anew
+    /// once a tick, and those not used count as the median one.
+    fn room(&mut self, now: Micros) -> f64 {
+        let all = self.servers.all_walked();
+        if !all && now < self.room.1 {
+            return self.room.0;
+        }
+        let part = |server| self.shortest_aim / self.place_wait(server, now).max(1.0);
+        let mut parts = 0;
+        let sum: f64 = self.servers.walk_ready().inspect(|_| parts += 1).map(part).sum();
+        let others = (self.servers.ready() - parts) as f64;
+        self.room = (sum + others * (self.shortest_aim / self.typical.max(1.0)), self.next_tick);
+        self.room.0
+    }
+
+    /// Some servers with room: whose trial is due, then this gateway's part of the ring from a place by chance, and
+    /// beyond that part where too few of it have room. For a request that must stay in its group, of these.
+    fn sample(&mut self, now: Micros, only: Option<&RequestId>) -> Vec<ServerId> {
+        let few = self.few().min(self.servers.ready());
+        let part = (self.settings.me, few, self.random.usize(0..few.max(1)));
+        let request = only.and_then(|id| self.requests.get(id));
+        let cell = request.filter(|request| self.group_of(request) == Some(Group::Cell));
+        let cell = cell.and_then(|request| request.ran).map(|ran| ran.place.cell);
+        let fits = |server: &Server| {
+            request.is_none_or(|request| self.permits(request, now, Step::Send(server)))
+                && self.has_room(server, now)
+        };
+        let found = self.servers.find(now, part, cell, (WALKED, WEIGHED), fits);
+        found.iter().filter(|(_, used)| !used).for_each(|(id, _)| self.servers.touch(now, id));
+        found.into_iter().map(|(id, _)| id).collect()
+    }
+
     /// A bound on what is open at a server: its expected wait must leave time within the shortest aim.
     fn has_room(&self, server: &Server, now: Micros) -> bool {
         let cold = server.warmth(&self.settings.rules, now) < 1.0 && server.cold_credit < 1.0;
@@ -867,12 +904,23 @@
     /// This gateway's part of the servers that may be chosen, which are in the order of their ids. One that is out or
     /// full is passed over, and the next on the ring taken in its place.
     fn subset<'a>(&self, from: &[&'a Server]) -> Vec<&'a Server> {
+        if !self.servers.all_walked() {
+            return from.to_vec(); // they were taken from it
+        }
         let place = |id| from.binary_search_by_key(&id, |server| server.entry.server).ok();
-        self.ring.from(self.settings.me).filter_map(place).map(|place| from[place]).take(self.few()).collect()
+        self.servers
+            .round(self.settings.me, 0)
+            .filter_map(place)
+            .map(|place| from[place])
+            .take(self.few())
+            .collect()
     }
 
     /// The server with the least expected wait, of those healthy for the request's class.
     fn choose(&mut self, now: Micros, id: &RequestId, able: &[ServerId]) -> Option<ServerId> {
+        let group = self.group_of(self.requests.get(id)?).filter(|group| *group != Group::All);
+        let own = (group.is_some() && !self.servers.all_walked()).then(|| self.sample(now, Some(id)));
+        let able = own.as_deref().unwrap_or(able);
         let request = self.requests.get(id)?;
         let class = request.class.0;
         let safe = self.settings.classes[class].effect == Effect::Safe;
@@ -930,7 +978,7 @@
     fn judge(&mut self, now: Micros, id: ServerId, class: ClassId) {
         let fleet = self.mean_failing(class);
         let next = now.saturating_add(self.trial_after());
-        let Some(server) = self.servers.get_mut(&id) else { return };
+        let Some(mut server) = self.servers.get_mut(now, &id) else { return };
         let health = &mut server.health[class.0];
         if health.failing > OUT_AT.max(2.0 * fleet) {
             health.trial = health.trial.or(Some(next));
@@ -941,7 +989,7 @@
 
     fn learn(&mut self, now: Micros, attempt: &Attempt, said: (Outcome, Option<f64>), stalled: bool) {
         let took = now.saturating_sub(attempt.sent) as f64;
-        let Some(server) = self.servers.get_mut(&attempt.server) else { return };
+        let Some(mut server) = self.servers.get_mut(now, &attempt.server) else { return };
         let (outcome, load) = said;
         server.holds(now, load);
         if let (Outcome::Ok, Some(load)) = said {
@@ -978,13 +1026,16 @@
         server.waited(now, took / attempt.places, WAIT_WEIGHT, unknown);
         // Danger: what is called off left out of the mean, so that a slow fleet looks fast and is ejected.
         self.latency += (took - self.latency) * LATENCY_WEIGHT;
-        let health = &mut server.health[class];
         if outcome == Outcome::Ok {
-            (server.answered, health.answered) = (now, now);
+            server.answered = now;
+            let health = &mut server.health[class];
+            health.answered = now;
             // Back in once few fail; until then a trial that was served is followed by the next at once.
             health.failing *= if health.trial.is_some() { 0.5 } else { 1.0 };
             health.trial = health.trial.filter(|_| health.failing >= OUT_AT / 2.0).map(|_| now);
-        } else if bad {
+        }
+        drop(server); // it is judged by sums that hold this too
+        if bad {
             self.judge(now, attempt.server, attempt.class);
         }
     }
@@ -1006,7 +1057,7 @@
         }
         for (id, attempt, server, class, sent) in silent {
             let next = now.saturating_add(self.trial_after());
-            let Some(server) = self.servers.get_mut(&server) else { continue };
+            let Some(mut server) = self.servers.get_mut(now, &server) else { continue };
             let whole = server.answered < sent;
             if server.health[class.0].trial.is_none() {
                 let line = || Action::Log(format!("server {} silent: on trial", server.entry.server.0));
@@ -1033,9 +1084,8 @@
 
     fn send(&mut self, now: Micros, id: RequestId, server: ServerId, out: &mut Out) {
         let next = self.trial_after();
-        let (Some(request), Some(to)) = (self.requests.get_mut(&id), self.servers.get_mut(&server)) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(mut to) = self.servers.get_mut(now, &server) else { return };
         let first = request.attempts == 0;
         self.stores.entry(request.customer).and_modify(|store| store.sent_on(now, request.units, first));
         self.retries = if first { (self.retries + RETRY_SHARE).min(RETRY_MOST) } else { self.retries };
@@ -1096,15 +1146,18 @@
     /// below one a tick is a chance, and many gateways save nothing up.
     fn credit(&mut self, now: Micros) {
         let rules = self.settings.rules;
-        let warm = |server: &&Server| server.ready() && server.warmth(&rules, now) >= 1.0;
-        let warm = self.servers.values().filter(warm).count().max(1) as f64;
+        let warm = |server: &&Server| server.warmth(&rules, now) >= 1.0;
+        let walked = self.servers.all_walked();
+        let warm =
+            if walked { self.servers.walk_ready().filter(warm).count() } else { self.servers.warm(now) };
+        let warm = warm.max(1) as f64;
         let gateways = f64::from(self.settings.gateways);
         let known = self.served / warm * COLD_SAFE * rules.fall_multiple;
         // Only a part of a wide fleet has a server in its subset, so each of these has a larger share of it.
         let few = if self.wide { (warm / self.few() as f64).max(1.0) } else { 1.0 };
         let rate = known.max(COLD_BLIND / gateways) * few * TICK as f64 / 1e6;
         let kept = (COLD_KEEPERS / gateways).min(1.0);
-        for server in self.servers.values_mut().filter(|server| server.warmth(&rules, now) < 1.0) {
+        for server in self.servers.walk_mut().filter(|server| server.warmth(&rules, now) < 1.0) {
             let gained = (rate * server.warmth(&rules, now) + self.random.f64()).floor();
             server.cold_credit = (server.cold_credit.max(0.0) * kept + gained).min(gained.max(COLD_SAVED));
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,8 @@
 mod fuzzy;
 pub mod interface;
 mod message;
+mod ranked;
+mod servers;
 pub mod setup;
 mod state;
 mod subset;
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::*;
 use crate::message::{self, Rumour};
-use crate::subset::Ring;
+use crate::servers::{Counted, Servers};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Where actions are gathered.
@@ -231,6 +231,8 @@
     /// How many attempts on end found no connection, and until when it is left alone for that.
     pub dark: u32,
     pub dark_until: Micros,
+    /// When it was last used or heard of.
+    pub met: Micros,
 }
 
 /// How a server fares with one class.
@@ -242,11 +244,19 @@
     pub trial: Option<Micros>,
     /// When the newest evidence was seen, here or elsewhere.
     pub seen: Micros,
+    /// What the table's sums hold of this.
+    pub counted: Counted,
 }
 
 impl Server {
     pub fn unknown(entry: ServerEntry, now: Micros, classes: usize) -> Self {
-        Server { entry, learned: now, health: vec![Health::default(); classes], ..Server::default() }
+        Server {
+            entry,
+            learned: now,
+            met: now,
+            health: vec![Health::default(); classes],
+            ..Server::default()
+        }
     }
 
     /// One more sample of its wait, seen at some time; `unknown` stands for none so far.
@@ -312,11 +322,9 @@
     pub(crate) requests: BTreeMap<RequestId, Request>,
     pub(crate) waiting: Vec<RequestId>,
     pub(crate) attempts: BTreeMap<(RequestId, AttemptNo), Attempt>,
-    pub(crate) servers: BTreeMap<ServerId, Server>,
-    /// The ready servers, in the order in which gateways share them out.
-    pub(crate) ring: Ring,
-    /// Servers by the short names of rumours.
-    pub(crate) names: BTreeMap<u16, ServerId>,
+    pub(crate) servers: Servers,
+    /// Attempts that all ready servers together may take at once, if it is kept, and until when it is.
+    pub(crate) room: (f64, Micros),
     pub(crate) stores: BTreeMap<CustomerId, Store>,
     /// Whether customers have homes; the stores kept here as a home; open asks and the number of the last;
     /// who did not answer so many asks on end, and until when it is passed over.
@@ -364,9 +372,8 @@
             requests: BTreeMap::new(),
             waiting: Vec::new(),
             attempts: BTreeMap::new(),
-            servers: BTreeMap::new(),
-            ring: Ring::default(),
-            names: BTreeMap::new(),
+            servers: Servers::default(),
+            room: (0.0, 0),
             stores: BTreeMap::new(),
             wide: false,
             homes: BTreeMap::new(),
@@ -407,51 +414,34 @@
     /// Takes an ended attempt off all lists.
     pub(crate) fn take_attempt(&mut self, key: &(RequestId, AttemptNo)) -> Option<Attempt> {
         let attempt = self.attempts.remove(key)?;
-        let (server, store) = (self.servers.get_mut(&attempt.server), self.stores.get_mut(&attempt.customer));
-        server.into_iter().for_each(|server| server.open = server.open.saturating_sub(1));
+        self.servers.release(&attempt.server);
+        let store = self.stores.get_mut(&attempt.customer);
         store.into_iter().for_each(|store| store.open = store.open.saturating_sub(1));
         Some(attempt)
     }
 
-    /// Follows the list of servers. One that started anew is unknown again.
-    pub(crate) fn listed(&mut self, now: Micros, kind: ListKind, entries: Vec<ServerEntry>) {
-        if kind == ListKind::Complete {
-            for server in self.servers.values_mut() {
-                server.entry.standing = Standing::Gone;
-            }
-        }
-        let classes = self.settings.classes.len();
-        for entry in entries {
-            let unknown = || Server::unknown(entry, now, classes);
-            let server = self.servers.entry(entry.server).or_insert_with(unknown);
-            if entry.standing != Standing::Ready {
-                // Who leaves stays where it was, for what it may have run.
-                server.entry.standing = entry.standing;
-                continue;
-            }
-            if server.entry.started != entry.started {
-                *server = Server { open: server.open, ..unknown() };
-            }
-            server.entry = entry;
-            self.names.insert(message::short(entry.server), entry.server);
-        }
-        let ready = self.servers.values().filter(|server| server.ready());
-        self.ring = Ring::new(ready.map(|server| server.entry.server));
-    }
-
-    /// All evidence on ready servers that is younger than a span.
-    pub(crate) fn evidence(&self, now: Micros, span: Micros) -> Vec<Rumour> {
-        let mut all = Vec::new();
-        for server in self.servers.values().filter(|server| server.ready()) {
-            for (class, health) in server.health.iter().enumerate().filter(|(_, health)| health.seen > 0) {
-                let (age, named) = (now.saturating_sub(health.seen), message::short(server.entry.server));
-                let (class, failing) = (ClassId(class), health.failing);
-                let rumour =
-                    Rumour { server: named, class, failing, wait: server.wait, load: server.load, age };
-                all.extend((age < span).then_some(rumour));
-            }
-        }
-        all
+    /// How many servers and customers are kept in mind.
+    pub fn kept(&self) -> usize {
+        self.servers.kept() + self.stores.len() + self.homes.len()
+    }
+
+    /// How many entries of servers were looked at since the start: work that can be counted.
+    pub fn visited(&self) -> u64 {
+        self.servers.visited()
+    }
+
+    /// Evidence on ready servers that is younger than a span: the newest `most` of it, in the order of the servers.
+    pub(crate) fn evidence(&self, now: Micros, span: Micros, most: usize) -> Vec<Rumour> {
+        let mut newest: Vec<_> = self.servers.seen_after(now.saturating_sub(span)).take(most).collect();
+        newest.sort_unstable();
+        let rumour = |(id, class): (ServerId, ClassId)| {
+            let server = self.servers.get(&id)?;
+            let health = server.health.get(class.0)?;
+            let (age, failing) = (now.saturating_sub(health.seen), health.failing);
+            let (wait, load) = (server.wait, server.load);
+            Some(Rumour { server: message::short(id), class, failing, wait, load, age })
+        };
+        newest.into_iter().filter_map(rumour).collect()
     }
 
     /// Running counts of what was sent on, in steps of a unit: customers with peers that were busy within a
@@ -477,15 +467,20 @@
 
     /// How many servers are ready, and how many of these are not out for a class.
     pub(crate) fn in_health(&self, class: ClassId) -> (f64, f64) {
-        let ready = || self.servers.values().filter(|server| server.ready());
-        let well = ready().filter(|server| server.health[class.0].trial.is_none());
-        (ready().count() as f64, well.count() as f64)
+        let ready = self.servers.ready();
+        (ready as f64, ready.saturating_sub(self.servers.out(class)) as f64)
     }
 
     pub(crate) fn mean_failing(&self, class: ClassId) -> f64 {
-        let ready = || self.servers.values().filter(|server| server.ready());
-        let sum = ready().map(|server| server.health[class.0].failing).sum::<f64>();
-        sum / ready().count().max(1) as f64
+        self.servers.failing(class) / self.servers.ready().max(1) as f64
+    }
+
+    /// Where a request must stay that may have run: none while it has not.
+    pub(crate) fn group_of(&self, request: &Request) -> Option<Group> {
+        match self.settings.classes[request.class.0].effect {
+            Effect::Keyed { group, .. } => request.ran.map(|_| group),
+            Effect::Safe | Effect::Unsafe => None,
+        }
     }
 
     pub(crate) fn open_of(&self, class: ClassId) -> f64 {
@@ -494,8 +489,7 @@
 
     /// The median of what the ready servers have shown.
     pub(crate) fn median(&self, of: impl Fn(&Server) -> Option<f64>) -> Option<f64> {
-        let mut all: Vec<f64> =
-            self.servers.values().filter(|server| server.ready()).filter_map(of).collect();
+        let mut all: Vec<f64> = self.servers.walk_ready().filter_map(of).collect();
         all.sort_by(f64::total_cmp);
         all.get(all.len() / 2).copied()
     }
--- a/src/subset.rs
+++ b/src/subset.rs
@@ -3,6 +3,7 @@
 
 use crate::fuzzy::mix;
 use crate::interface::{GatewayId, ServerId};
+use crate::ranked::Ranked;
 
 /// Step round the ring from one gateway to the next, as a part of 2^64: the golden section. Gateways of any run of
 /// numbers, as a customer's are, stand far apart and cover the servers evenly.
@@ -11,59 +12,37 @@
 /// Servers in an order that is the same at every gateway, whatever their ids: where one comes or goes, each
 /// gateway's part changes by one at the most.
 #[derive(Default)]
-pub(crate) struct Ring(Vec<ServerId>);
+pub(crate) struct Ring(Ranked<(u64, ServerId)>);
 
 impl Ring {
     pub fn new(servers: impl Iterator<Item = ServerId>) -> Ring {
-        let mut order: Vec<_> = servers.collect();
-        order.sort_by_key(|server| (mix(server.0 ^ (server.0 >> 32)), *server));
-        Ring(order)
+        Ring(servers.map(Self::key).collect())
     }
 
-    /// All servers once round, from this gateway's place on.
-    pub fn from(&self, me: GatewayId) -> impl Iterator<Item = ServerId> + '_ {
-        let turn = GOLDEN.wrapping_mul(u64::from(me.0));
-        let start = ((u128::from(turn) * self.0.len() as u128) >> 64) as usize;
-        self.0.iter().cycle().skip(start).take(self.0.len()).copied()
+    fn key(server: ServerId) -> (u64, ServerId) {
+        (mix(server.0 ^ (server.0 >> 32)), server)
     }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::collections::BTreeMap;
 
-    fn ring(servers: std::ops::Range<u64>) -> Ring {
-        Ring::new(servers.map(|number| ServerId(number * 7919)))
+    pub fn insert(&mut self, server: ServerId) {
+        self.0.insert(Self::key(server));
     }
 
-    #[test]
-    fn the_servers_are_covered_evenly_by_all_gateways_and_by_those_of_one_customer() {
-        for gateways in [0..100, 40..53] {
-            let mut met: BTreeMap<ServerId, u32> = BTreeMap::new();
-            let ring = ring(0..60);
-            for me in gateways.clone() {
-                ring.from(GatewayId(me)).take(12).for_each(|server| *met.entry(server).or_default() += 1);
-            }
-            let fair = gateways.len() as f64 * 12.0 / 60.0;
-            let most = met.values().max().copied().map_or(0.0, f64::from);
-            assert!(met.len() >= 58 && most <= fair * 1.2 + 1.5, "{gateways:?}: {} met, {most}", met.len());
-        }
+    pub fn remove(&mut self, server: ServerId) {
+        self.0.remove(&Self::key(server));
     }
 
-    #[test]
-    fn a_server_that_goes_changes_little() {
-        let (before, after) = (ring(0..60), ring(1..60));
-        for me in 0..100 {
-            let old: Vec<_> = before.from(GatewayId(me)).take(12).collect();
-            let kept = after.from(GatewayId(me)).take(12).filter(|server| old.contains(server)).count();
-            assert!(kept >= 10, "gateway {me} keeps {kept} of 12");
-        }
+    pub fn len(&self) -> usize {
+        self.0.len()
     }
 
-    #[test]
-    fn no_servers_are_no_ring() {
-        assert_eq!(ring(0..0).from(GatewayId(3)).count(), 0);
-        assert_eq!(ring(0..3).from(GatewayId(3)).count(), 3);
+    /// All servers once round, from so many places after this gateway's on.
+    pub fn from(&self, me: GatewayId, after: usize) -> impl Iterator<Item = ServerId> + '_ {
+        let turn = GOLDEN.wrapping_mul(u64::from(me.0));
+        let start = ((u128::from(turn) * self.len() as u128) >> 64) as usize;
+        self.0.round((start + after) % self.len().max(1)).map(|(_, server)| server)
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/inside/subset.rs"]
+mod tests;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -70,7 +70,9 @@
     open: bool,
     sent: u32,
     out: bool,
-    ran: Option<(u64, Micros)>,
+    /// The cell of the server it was last sent to.
+    cell: CellId,
+    ran: Option<(CellId, Micros)>,
 }
 
 /// One gateway with its own watch on rules 1 to 3.
@@ -150,7 +152,7 @@
         let told = self.told.get_mut(&id).expect("known");
         told.out = false;
         if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NotSent) {
-            told.ran.get_or_insert((server.0 % 2, self.now));
+            told.ran.get_or_insert((told.cell, self.now));
         }
         let closed = outcome == Outcome::Ok || !told.open;
         if outcome == Outcome::Ok {
@@ -200,11 +202,12 @@
                     (None, _) | (_, Effect::Safe) => {}
                     (Some(_), Effect::Unsafe) => panic!("rule 2: unsafe sent again"),
                     (Some((cell, _)), Effect::Keyed { group, .. }) => {
-                        assert!(group == Group::All || cell == server.0 % 2, "rule 2: left its group");
+                        let same = cell == self.list[server].cell;
+                        assert!(group == Group::All || same, "rule 2: left its group");
                     }
                 }
                 self.out.push((id.clone(), AttemptNo(told.sent), *server));
-                (told.out, told.sent) = (true, told.sent + 1);
+                (told.out, told.sent, told.cell) = (true, told.sent + 1, self.list[server].cell);
             }
             Action::Refuse { id, .. } | Action::Fail { id } => {
                 let told = self.told.get_mut(id).expect("rule: a known request");
--- /dev/null
+++ b/tests/pair/mod.rs
@@ -0,0 +1,120 @@
+//! Two gateways of a large fleet that are each other's home, and the servers they send to.
+
+use doordock::interface::*;
+use doordock::Gateway;
+use std::collections::{BTreeMap, VecDeque};
+
+const MS: Micros = 1_000;
+const GATEWAYS: u32 = 4_200;
+
+pub fn settings(me: u32) -> Settings {
+    let class = |worth, aim| Class { aim, late_value: 0.2, worth, effect: Effect::Safe };
+    let plan = Plan {
+        rate: 0.0,
+        burst: 9.0,
+        at_once: None,
+        price: 1.0,
+        over_worth: 0.0,
+        over_cost: 0.5,
+        ceiling: None,
+    };
+    Settings {
+        me: GatewayId(me),
+        gateways: GATEWAYS,
+        zone: ZoneId(0),
+        classes: vec![class(1.0, 800 * MS), class(4.0, 400 * MS)],
+        plans: vec![plan],
+        rules: Rules { cold_from: 0.2, cold_for: 10_000 * MS, fall_multiple: 3.0, fall_window: 1_000 * MS },
+        allowed: Allowed { attempts: 3, cancel: true, messages: true, retry_after: None },
+        cross_zone: 0.0,
+        discovery: Discovery::Pushed,
+        period: 2 * MS,
+        peer_messages_per_s: 60.0,
+        most_units: 1.0,
+    }
+}
+
+pub fn entry(number: u64) -> ServerEntry {
+    ServerEntry {
+        server: ServerId(number * 0x1_0000_0001),
+        zone: ZoneId((number % 4) as u32),
+        cell: CellId(number / 20),
+        standing: Standing::Ready,
+        size: 1.0,
+        started: None,
+    }
+}
+
+/// Two gateways, whose messages reach each other at once; servers take 20 ms.
+pub struct Pair {
+    pub now: Micros,
+    pub gateways: Vec<Gateway>,
+    due: BTreeMap<(Micros, u64), (usize, Event)>,
+    serial: u64,
+    /// What was sent, by which gateway.
+    pub sent: Vec<(usize, ServerId)>,
+}
+
+impl Pair {
+    pub fn new(servers: u64) -> anyhow::Result<Pair> {
+        let gateways: Result<_, _> =
+            (0..2).map(|me| Gateway::new(9 + u64::from(me), settings(me), MS)).collect();
+        let mut pair =
+            Pair { now: MS, gateways: gateways?, due: BTreeMap::new(), serial: 0, sent: Vec::new() };
+        for gateway in 0..2 {
+            pair.handle(gateway, whole(servers));
+        }
+        Ok(pair)
+    }
+
+    pub fn handle(&mut self, gateway: usize, event: Event) {
+        let mut events = VecDeque::from([(gateway, event)]);
+        while let Some((gateway, event)) = events.pop_front() {
+            let mut actions = Vec::new();
+            self.gateways[gateway].handle(self.now, event, &mut actions);
+            for action in actions {
+                self.serial += 1;
+                match action {
+                    Action::Send { id, server, .. } => {
+                        self.sent.push((gateway, server));
+                        let (attempt, outcome, load) = (AttemptNo(0), Outcome::Ok, Some(1.0));
+                        let ended = Event::Ended { id, attempt, outcome, closed: true, load };
+                        self.due.insert((self.now + 20 * MS, self.serial), (gateway, ended));
+                    }
+                    Action::Tell { to, bytes } if to.0 < 2 => {
+                        let from = GatewayId(gateway as u32);
+                        events.push_back((to.0 as usize, Event::Peer { from, bytes }));
+                    }
+                    Action::Wake { after, token } => {
+                        self.due.insert((self.now + after, self.serial), (gateway, Event::Woke { token }));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// One request, 5 ms after the last; and all that falls due until then.
+    pub fn request(&mut self, number: u64) {
+        self.now += 5 * MS;
+        while let Some(first) = self.due.first_entry().filter(|first| first.key().0 <= self.now) {
+            let (gateway, event) = first.remove();
+            self.handle(gateway, event);
+        }
+        let event = Event::Request {
+            id: RequestId(format!("r{number}").into()),
+            class: ClassId((number % 2) as usize),
+            plan: PlanId(0),
+            customer: CustomerId(number % 50),
+            units: 1.0,
+            first: GatewayId(0),
+            spread: 2,
+            patience: 2_000 * MS,
+        };
+        self.handle((number % 2) as usize, event);
+    }
+}
+
+pub fn whole(servers: u64) -> Event {
+    Event::Servers { kind: ListKind::Complete, entries: (0..servers).map(entry).collect() }
+}
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -314,7 +314,7 @@
             } else if next == next_request {
                 number += 1;
                 self.request(number);
-                let mean = if self.now / (5 * S) % 2 == 0 { 12 * MS } else { 3 * MS };
+                let mean = if (self.now / (5 * S)).is_multiple_of(2) { 12 * MS } else { 3 * MS };
                 next_request = self.now + self.random.u64(0..2 * mean);
             } else if next == next_change {
                 self.change_list();
