--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod beside;
 pub mod fleet;
 pub mod slopes;
+pub mod world;
 
 /// Why an experiment did not come to its end.
 #[derive(Debug)]
