--- a/lab/src/fleet/host.rs
+++ b/lab/src/fleet/host.rs
@@ -44,7 +44,11 @@
         if let Some(cpu) = cpu().zip(self.cpu).map(|(now, then)| now.saturating_sub(then)) {
             lines += &format!("\nhost: {:.1} s of CPU in all: {}", cpu.as_secs_f64(), each(cpu));
         }
-        lines += &format!("\nhost: {:.1} s on the clock inside the module: {}", deciding.as_secs_f64(), each(deciding));
+        lines += &format!(
+            "\nhost: {:.1} s on the clock inside the module: {}",
+            deciding.as_secs_f64(),
+            each(deciding)
+        );
         if let Some(peak) = peak() {
             lines += &format!("\nhost: {peak:.0} MiB of memory at the most");
         }
