Bound every path to the next call to discovery, and every wait of a start

Cause: waits for an answer, for a whole list and for the first list were parts of the settings' grace for drains alone (discovery.rs, Pace and first_word_in), so that with a long grace a call that hangs put off the next for longer than the 6 s after which a change counts as told, and a start could outlast the 10 s of the rule. Signs of life without a list kept a watch for ever. A process whose address was still held ended at once (main.rs, peers.rs).

Change: when the next call is made is decided by a core without sockets or a clock (src/reconnect.rs), which bounds each wait and pause and takes a list that begins again and again for one; a start waits 2 s at most for its first list and 3 s for each address. With a grace of 6 s or less nothing but the first pause (100 ms at most) and a watch without a list differ.

The test that stood in discovery.rs moved to tests/reconnect.rs as strict as it was.

--- a/src/bin/saffronpaddle/discovery.rs
+++ b/src/bin/saffronpaddle/discovery.rs
@@ -8,7 +8,8 @@
 use crate::node::Node;
 use anyhow::{anyhow, bail, ensure, Context, Result};
 use bytes::Bytes;
-use doordock::interface::{ListKind, Micros};
+use doordock::interface::ListKind;
+use doordock::reconnect::{Failure, Reconnect, Word};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -19,43 +20,11 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{timeout_at, Instant};
 
-/// A watch says something every 2 s; one that is this late is taken for dead. Guards drains: what discovery
-/// has to tell counts as told 6 s later, also on a watch that nobody serves any more.
-const SILENT_FOR: Duration = Duration::from_secs(3);
-/// The longest pause before one is opened again that was turned away or could not be read. Guards against a herd:
-/// a discovery that turns calls away goes on doing so for as long as they come back faster than it can serve them.
-const TURNED_AWAY_MOST: Duration = Duration::from_secs(1);
-
-/// How quickly a watch is opened again: in parts of the time that a drain leaves, which is counted from the moment
-/// at which the agent learns of it. The longest wait for an answer, pause and read after it fill under half of that.
-#[derive(Clone, Copy, Debug)]
-struct Pace {
-    /// The agent answers at once. One that has not by then is silent, and is asked again.
-    answer_in: Duration,
-    /// A list that has begun is whole by then.
-    whole_in: Duration,
-    /// The first pause, doubled each time, and the longest.
-    pauses: (Duration, Duration),
-}
-
-impl Pace {
-    fn within(drain_grace: Micros) -> Pace {
-        let grace = Duration::from_micros(drain_grace);
-        Pace { answer_in: grace / 4, whole_in: grace / 4, pauses: (grace / 40, grace / 16) }
-    }
-}
-
-/// For how long a new edge node may wait for its first list, by the time that a drain leaves.
-pub fn first_word_in(drain_grace: Micros) -> Duration {
-    Duration::from_micros(drain_grace) / 2
-}
-
 /// Why a watch is given up that discovery does serve; it is not asked again as quickly.
 #[derive(Debug)]
 enum Trouble {
@@ -82,13 +51,13 @@
     if let Some(known) = known {
         node.listed(ListKind::Complete, &known.hosts.read);
     }
-    let pace = Pace::within(node.named.drain_grace);
-    let mut follower = Follower { node, pace, heard: Some(heard) };
+    let reconnect = Reconnect::new(node.named.drain_grace);
+    let mut follower = Follower { node, reconnect, begun: Instant::now(), heard: Some(heard) };
     loop {
         let now = *address.borrow_and_update();
         tokio::select! {
             () = follower.stay(now) => {}
-            Ok(()) = address.changed() => {}
+            Ok(()) = address.changed() => follower.reconnect.moved(),
         }
     }
 }
@@ -104,7 +73,9 @@
 
 struct Follower {
     node: Rc<Node>,
-    pace: Pace,
+    /// When the next call is made. Its clock runs since `begun`.
+    reconnect: Reconnect,
+    begun: Instant,
     /// Whom to tell that a list has come, until one has.
     heard: Option<oneshot::Sender<()>>,
 }
@@ -112,39 +83,31 @@
 impl Follower {
     /// Follows the list at one address, for ever.
     async fn stay(&mut self, address: SocketAddr) {
-        let (first, longest) = self.pace.pauses;
-        let mut pause = first;
         let mut told = false;
         loop {
-            let opened = Instant::now();
+            self.reconnect.called(self.begun.elapsed());
             let Err(error) = self.watch(address).await;
-            // One that has stood for a while has served; this is a new trouble.
-            if opened.elapsed() > TURNED_AWAY_MOST {
-                (pause, told) = (first, false);
-            }
-            if !std::mem::replace(&mut told, true) {
+            let now = self.begun.elapsed();
+            if !std::mem::replace(&mut told, true) || self.reconnect.has_stood(now) {
                 eprintln!("discovery: {error:#}");
             }
-            let longest = if error.is::<Trouble>() { TURNED_AWAY_MOST } else { longest };
-            // Spread out, so that all edge nodes do not come back at one stroke.
-            tokio::time::sleep(pause.min(longest).mul_f64(0.5 + fastrand::f64())).await;
-            pause = (pause * 2).min(longest);
+            let failure = if error.is::<Trouble>() { Failure::Refused } else { Failure::Lost };
+            let next = self.reconnect.ended(now, failure, fastrand::f64());
+            tokio::time::sleep_until(self.begun + next).await;
         }
     }
 
     /// One watch, until it ends.
     async fn watch(&mut self, address: SocketAddr) -> Result<Infallible> {
-        let opened = Instant::now();
-        let answer_by = opened + self.pace.answer_in;
+        let answer_by = self.begun + self.reconnect.give_up();
         let (mut body, _driver) = timeout_at(answer_by, open(address)).await.context("no answer")??;
         let mut pieces = Pieces::default();
         // Versions are counted within one watch.
         let mut seq = None;
-        let mut until = answer_by;
         loop {
             // A silent machine keeps its connection open: only the missing signs of life tell, or a list that
             // stands still half-way.
-            let Ok(frame) = timeout_at(until, body.frame()).await else {
+            let Ok(frame) = timeout_at(self.begun + self.reconnect.give_up(), body.frame()).await else {
                 ensure!(pieces.is_within(), "the watch is silent");
                 self.pick(pieces.give_up());
                 bail!(Trouble::Spoilt);
@@ -157,14 +120,14 @@
                     return Err(error.unwrap_or_else(|| anyhow!("the watch ended")));
                 }
             };
-            let was_within = pieces.is_within();
             let came = pieces.feed(&data);
-            let now = Instant::now();
-            match (pieces.is_within(), came.is_empty()) {
-                (true, true) if was_within => {}
-                (true, _) => until = now + self.pace.whole_in,
-                (false, false) => until = now + SILENT_FOR,
-                (false, true) => {}
+            let now = self.begun.elapsed();
+            if !came.is_empty() {
+                let listed = came.iter().any(|piece| matches!(piece, Piece::List(_)));
+                self.reconnect.heard(now, if listed { Word::List } else { Word::Life });
+            }
+            if pieces.is_within() {
+                self.reconnect.heard(now, Word::Part);
             }
             let mut spoilt = false;
             for piece in came {
@@ -219,19 +182,3 @@
     }
     Ok((answer.into_body(), driver))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_watch_that_fails_is_read_again_in_half_the_time_that_a_drain_leaves() {
-        for grace in [100_000, 500_000, 2_000_000] {
-            let pace = Pace::within(grace);
-            // The pause is up to half as long again; the list comes within one answer.
-            let most = pace.answer_in + pace.pauses.1.mul_f64(1.5);
-            assert!(most < Duration::from_micros(grace) / 2, "{pace:?}");
-            assert!(first_word_in(grace) >= pace.answer_in, "one answer at the least is waited for");
-        }
-    }
-}
--- a/src/bin/saffronpaddle/main.rs
+++ b/src/bin/saffronpaddle/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod ahead;
+mod bind;
 mod clients;
 mod config;
 mod discovery;
@@ -13,6 +14,7 @@
 use anyhow::{Context, Result};
 use clients::Phase;
 use config::Config;
+use doordock::reconnect;
 use node::Node;
 use peers::Peers;
 use std::net::SocketAddr;
@@ -52,8 +54,8 @@
     let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
     // Guards against ending on SIGHUP, which is what it does to a process that does not ask for it.
     let hangup = signal(SignalKind::hangup()).context("SIGHUP")?;
-    let listener = TcpListener::bind(config.listen).await;
-    let listener = listener.with_context(|| format!("listen {}", config.listen))?;
+    let listener =
+        bind::when_free(format!("listen {}", config.listen), || TcpListener::bind(config.listen)).await?;
     let peers = match config.peers {
         Some(addresses) => Some(Peers::bind(addresses, config.named.settings.me).await?),
         None => None,
@@ -68,13 +70,13 @@
     let (phase, seen) = watch::channel(Phase::Serving);
     let (moved, discovery) = watch::channel(config.discovery);
     tokio::task::spawn_local(reload(hangup, config.path, moved));
-    let (heard, first_word) = oneshot::channel();
+    let (heard, first_list) = oneshot::channel();
     tokio::task::spawn_local(discovery::follow(Rc::clone(&node), discovery, config.known, heard));
     tokio::task::spawn_local(peers::listen(Rc::clone(&node)));
     tokio::task::spawn_local(retire(Rc::clone(&node)));
     // What discovery holds counts as told from the first moment, and the list that is known may be old. Clients wait
     // in the backlog for that; while discovery is silent, what is known has to do.
-    let _ = tokio::time::timeout(discovery::first_word_in(node.named.drain_grace), first_word).await;
+    let _ = tokio::time::timeout(reconnect::first_list_in(node.named.drain_grace), first_list).await;
     let clients = tokio::task::spawn_local(clients::serve(listener, node, each_side, seen));
 
     terminate.recv().await;
--- a/src/bin/saffronpaddle/peers.rs
+++ b/src/bin/saffronpaddle/peers.rs
@@ -1,8 +1,9 @@
 //! Datagrams between edge nodes. They may be late, lost or forged: what they say is the module's concern.
 
+use crate::bind;
 use crate::config::PeerAddresses;
 use crate::node::Node;
-use anyhow::{Context, Result};
+use anyhow::Result;
 use doordock::interface::{Event, GatewayId};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,7 +22,7 @@
 impl Peers {
     pub async fn bind(addresses: PeerAddresses, me: GatewayId) -> Result<Peers> {
         let PeerAddresses { listen, each, all } = addresses;
-        let socket = UdpSocket::bind(listen).await.with_context(|| format!("peer_listen {listen}"))?;
+        let socket = bind::when_free(format!("peer_listen {listen}"), || UdpSocket::bind(listen)).await?;
         Ok(Peers { socket, each, all, me: me.0 as usize })
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 mod fuzzy;
 pub mod interface;
 mod message;
+pub mod reconnect;
 pub mod setup;
 mod state;
 mod subset;
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -2,6 +2,10 @@
 //! on speed.
 
 mod stand;
+#[path = "edge/start.rs"]
+mod start;
+#[path = "edge/told.rs"]
+mod told;
 #[path = "edge/watch.rs"]
 mod watch;
 
--- /dev/null
+++ b/tests/edge/start.rs
@@ -0,0 +1,120 @@
+//! Starts: nine in ten restarted processes are ready within 10 s, whatever discovery does and whoever still holds
+//! their addresses.
+
+use super::stand::*;
+use std::io::Write;
+use std::net::TcpListener;
+use std::time::{Duration, Instant};
+
+/// The rule's own time.
+const READY_WITHIN: Duration = Duration::from_secs(10);
+/// Processes that start at once.
+const FEW: usize = 4;
+
+/// A discovery that does this with each connection, on a thread of its own.
+fn discovery(does: impl Fn(&mut std::net::TcpStream) + Clone + Send + 'static) -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let does = does.clone();
+            std::thread::spawn(move || does(&mut stream));
+        }
+    });
+    address
+}
+
+/// Asked at once, all are ready in the rule's time. The grace is so long that a part of it would outlast that.
+fn are_ready(tag: &str, discovery: std::net::SocketAddr) {
+    let servers = Servers::new();
+    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
+    let long = |config: String| config.replace(r#""drainGraceUs":20000000"#, r#""drainGraceUs":600000000"#);
+    let begun = Instant::now();
+    let start = |number| Node::with(&format!("{tag}-{number}"), discovery, &hosts, long);
+    let nodes: Vec<_> = (0..FEW).map(start).collect();
+    for node in &nodes {
+        let mut client = node.client();
+        client.stream.set_read_timeout(Some(READY_WITHIN)).expect("a time-out");
+        assert_eq!(client.ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200, "{tag}");
+    }
+    assert!(begun.elapsed() < READY_WITHIN, "{tag}: {:?}", begun.elapsed());
+}
+
+#[test]
+fn processes_are_ready_in_time_while_discovery_is_silent() {
+    are_ready("s-silent", discovery(|_| std::thread::sleep(PATIENCE)));
+}
+
+#[test]
+fn processes_are_ready_in_time_while_discovery_is_slow() {
+    are_ready(
+        "s-slow",
+        discovery(|stream| {
+            // A list that comes byte by byte for longer than any start may take.
+            let _ = stream.write_all(WATCH.as_bytes());
+            let text = list(2, true, &[]);
+            for byte in text.bytes() {
+                let _ = stream.write_all(&[b'1', b'\r', b'\n', byte, b'\r', b'\n']);
+                std::thread::sleep(PATIENCE / 60);
+            }
+        }),
+    );
+}
+
+#[test]
+fn processes_are_ready_in_time_while_discovery_refuses() {
+    let busy = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nRetry-After: 3600\r\n\r\n";
+    are_ready(
+        "s-busy",
+        discovery(|stream| {
+            let _ = Message::read(&mut std::io::BufReader::new(&*stream));
+            let _ = stream.write_all(busy);
+        }),
+    );
+    let nobody = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    are_ready("s-down", nobody.expect("an address"));
+}
+
+/// An address that is still held is waited for. Danger: a process that ends for it, which counts as a crash.
+#[test]
+fn a_process_waits_for_its_addresses() {
+    let servers = Servers::new();
+    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
+    let discovery = Discovery::start(&hosts);
+    let mut before = Node::start("s-before", discovery.address, &hosts);
+    let (listen, datagrams) = (before.address.to_string(), before.datagrams.to_string());
+    let taken = |config: String| {
+        let own = config.split(r#""peer_listen":""#).nth(1).and_then(|rest| rest.split('"').next());
+        let own = own.expect("an address").to_owned();
+        config.replace(&own, &datagrams).replace("127.0.0.1:0", &listen)
+    };
+    std::thread::scope(|scope| {
+        let after = scope.spawn(|| Node::with("s-after", discovery.address, &hosts, taken));
+        // By now the new one has tried in vain, or will only find what the old one leaves.
+        std::thread::sleep(Duration::from_millis(300));
+        before.terminate();
+        assert!(before.wait().success());
+        let after = after.join().expect("it listens");
+        assert_eq!(after.address.to_string(), listen);
+        assert_eq!(after.client().ask(&request("a", "pay", "20000m")).status(), 200);
+    });
+}
+
+/// One that is held for good is told of, in bounded time.
+#[test]
+fn an_address_that_stays_taken_ends_the_process_with_its_reason() {
+    let holds = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = holds.local_addr().expect("an address");
+    let servers = Servers::new();
+    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
+    let discovery = Discovery::start(&hosts);
+    let free = Node::start("s-free", discovery.address, &hosts);
+    let config = free.configuration().replace("127.0.0.1:0", &address.to_string());
+    drop(free);
+    let (child, path) = start("s-held", &config);
+    let output = child.wait_with_output().expect("it ends");
+    let _ = std::fs::remove_file(path);
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success() && error.lines().count() == 1, "{error}");
+    assert!(error.contains(&format!("listen {address}")), "{error}");
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -328,13 +328,18 @@
 
     /// Puts another text in place of its configuration, then has it read again.
     pub fn reload(&self, change: impl FnOnce(String) -> String) {
-        let text = std::fs::read_to_string(&self.config).expect("the configuration is there");
+        let text = self.configuration();
         let new = self.config.with_extension("new");
         std::fs::write(&new, change(text)).expect("the configuration is written");
         std::fs::rename(new, &self.config).expect("the configuration is replaced");
         self.signal("-HUP");
     }
 
+    /// The text of its configuration.
+    pub fn configuration(&self) -> String {
+        std::fs::read_to_string(&self.config).expect("the configuration is there")
+    }
+
     fn signal(&self, name: &str) {
         let kill = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(kill.expect("kill runs").success());
