See a client's close behind more than 16 KB of further requests

Cause: ahead.rs stops reading ahead of an open request after 16 KB (poll_end), and the close of a client that had sent more behind it showed only once that request was answered: attempts began for it long after it had gone.

Change: behind as much, the machine is asked every 20 ms whether it has seen the end (tokio's read-closed state, no further descriptor). Nothing changes on connections with less. Of a client that has sent more than the machine buffers the end still can't be seen.

Tests: tests/edge/gone.rs, with the three tests on clients that leave moved from tests/edge.rs; two of them now run with 0, 20 and 200 requests behind the first (as strict as before, and stricter), and new ones cover a wait for a place, for a place to try again, and for a connection that comes up late, first and further attempt, with and without calling off.

--- a/src/bin/saffronpaddle/ahead.rs
+++ b/src/bin/saffronpaddle/ahead.rs
@@ -3,17 +3,20 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
-use std::future::poll_fn;
+use std::future::{poll_fn, Future};
 use std::io::{self, IoSlice};
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
-use tokio::io::{AsyncRead, ReadBuf};
+use std::task::{ready, Context, Poll, Waker};
+use std::time::Duration;
+use tokio::io::{AsyncRead, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Most bytes read ahead of one request. Guards memory against clients that send at full speed; of one that has sent
-/// more, the end shows only once its request is answered.
+/// Most bytes read ahead of one request. Guards memory against clients that send at full speed.
 const AHEAD_MOST: usize = 16 * 1024;
+/// Behind more than that, the machine is asked so often whether it has seen the end. What it knows is enough: a
+/// client that has sent more than the machine buffers has not got its end through yet.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
 
 /// One connection, shared by who speaks on it and who watches for its end.
 #[derive(Clone)]
@@ -33,23 +36,41 @@
 
     /// Comes back once the client has ended the connection, or it broke.
     pub async fn end(&self) {
-        poll_fn(|context| self.0.borrow_mut().poll_end(context)).await;
+        loop {
+            let ended = poll_fn(|context| self.0.borrow_mut().poll_end(context)).await;
+            if ended || self.0.borrow().is_shut() {
+                return;
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
     }
 }
 
 impl Inner {
-    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<()> {
+    /// Reads ahead; whether it came to the end, or to the most that is held.
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<bool> {
         let mut buffer = [0; 1024];
         while !self.ended {
             if self.read.len() >= AHEAD_MOST {
-                return Poll::Pending;
+                return Poll::Ready(false);
             }
             let mut buffer = ReadBuf::new(&mut buffer);
             let came = ready!(Pin::new(self.stream.inner_mut()).poll_read(context, &mut buffer));
             self.ended = came.is_err() || buffer.filled().is_empty();
             self.read.extend_from_slice(buffer.filled());
         }
-        Poll::Ready(())
+        Poll::Ready(true)
+    }
+
+    /// Whether the machine has seen the end, behind whatever has not been read.
+    fn is_shut(&self) -> bool {
+        let stream = self.stream.inner();
+        // Asked for data out of line, which nobody sends, it speaks of the end alone.
+        let shut = pin!(stream.ready(Interest::PRIORITY));
+        match shut.poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(seen) => seen.is_ok_and(|seen| seen.is_read_closed()),
+            Poll::Pending => false,
+        }
     }
 }
 
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -1,6 +1,8 @@
 //! The edge node over loopback sockets. Each test stands for something that can go wrong there; none asserts
 //! on speed.
 
+#[path = "edge/gone.rs"]
+mod gone;
 mod stand;
 #[path = "edge/start.rs"]
 mod start;
@@ -282,79 +284,6 @@
     }
 }
 
-#[test]
-fn a_client_that_goes_away_ends_its_attempt() {
-    let (servers, _discovery, node) = with_one("gone", &[Does::IsSilent, SERVES]);
-    let mut client = node.client();
-    client.write(&request("a", "pay", "20000m"));
-    let got = servers.next();
-    drop(client);
-    assert!(closed(&got));
-    assert_eq!(node.client().ask(&request("b", "pay", "20000m")).status(), 200);
-}
-
-/// Clients that send much at once and go: nothing of it is worked on for them, and nothing more is begun.
-#[test]
-fn a_client_that_leaves_behind_further_requests_ends_its_attempt() {
-    let (servers, _discovery, node) = with_one("left", &[Does::IsSilent, SERVES]);
-    let mut client = node.client();
-    let further: String = (0..20).map(|number| request(&format!("b{number}"), "pay", "20000m")).collect();
-    client.write(&request("a", "pay", "20000m"));
-    let got = servers.next();
-    client.write(&further);
-    drop(client);
-    got.stream.set_read_timeout(Some(PATIENCE / 6)).expect("a time-out");
-    let ends = got.stream.peek(&mut [0]);
-    assert!(
-        !ends.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock),
-        "it is worked on still"
-    );
-    assert_eq!(node.client().ask(&request("c", "pay", "20000m")).status(), 200);
-    assert_eq!(servers.next().message.header("x-request-id"), "c");
-    servers.got_no_more();
-}
-
-/// In a wide fleet a try waits for a word of its customer's home. Its client leaves meanwhile; then the word comes.
-#[test]
-fn a_request_is_not_sent_on_once_its_client_has_left_while_it_waited() {
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
-    let discovery = Discovery::start(&hosts);
-    let wide = |config: String| config.replace(r#""balancers":2"#, r#""balancers":300"#);
-    let node = Node::with("waits", discovery.address, &hosts, wide);
-    // The peer, gateway 1, is the only one of the customer's set.
-    let of_peer = |id: &str| request(id, "pay", "20000m").replace("first=0", "first=1");
-    let asked = || {
-        let mut ask = [0; 2000];
-        node.peer.recv_from(&mut ask).expect("the home is asked");
-        assert_eq!(ask[..2], [3, 1], "an ask");
-        [ask[2], ask[3]]
-    };
-    let grant = |serial: [u8; 2]| {
-        let words = [3, 2, serial[0], serial[1], 0, 255, 0, 0];
-        node.peer.send_to(&words, node.datagrams).expect("sent");
-    };
-    let round = || assert_eq!(node.client().ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
-    let mut leaves = node.client();
-    leaves.write(&of_peer("a"));
-    let serial = asked();
-    drop(leaves);
-    // What came before this has been read by then.
-    round();
-    grant(serial);
-    round();
-    // Without a word a try of a plan without a ceiling goes by its own store, within this.
-    std::thread::sleep(std::time::Duration::from_millis(700));
-    servers.got_no_more();
-    let mut stays = node.client();
-    stays.write(&of_peer("b"));
-    // Should the word come late, its own store lets the try go.
-    grant(asked());
-    assert_eq!(stays.answer().expect("an answer").status(), 200);
-    assert_eq!(servers.next().message.header("x-request-id"), "b");
-    servers.got_no_more();
-}
-
 /// A connection that the server closed while it was idle is not written to: that would end as a reset.
 #[test]
 fn a_close_of_an_idle_connection_is_noticed() {
