Read what new clients have asked before one of them is shut for the next

Cause: Crowd::make_room shut the connection that had been idle longest at once. Of clients that come in one moment while all places are taken, the first ones were shut with their requests unread (clients.rs).

Change: the runtime gets one turn before one is chosen, so that a request which has come makes its connection busy.

--- a/src/bin/saffronpaddle/clients.rs
+++ b/src/bin/saffronpaddle/clients.rs
@@ -104,6 +104,8 @@
     /// that has stood longest without a request is closed.
     async fn make_room(&mut self) {
         while self.tasks.len() >= self.most {
+            // Danger: one that came in the same moment with a request, taken for idle before that is read.
+            tokio::task::yield_now().await;
             self.tidy();
             let idle = self.seats.iter().filter_map(|(seat, handle)| Some((seat.idle.get()?, handle)));
             if let Some((_, handle)) = idle.min_by_key(|(since, _)| *since) {
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -1,6 +1,8 @@
 //! The edge node over loopback sockets. Each test stands for something that can go wrong there; none asserts
 //! on speed.
 
+#[path = "edge/descriptors.rs"]
+mod descriptors;
 #[path = "edge/gone.rs"]
 mod gone;
 mod stand;
@@ -465,35 +467,3 @@
     }
     servers.got_no_more();
 }
-
-/// Clients that asked once and stay, and some that never ask, do not shut out another.
-#[test]
-fn a_crowd_shuts_out_nobody() {
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
-    let discovery = Discovery::start(&hosts);
-    let node = Node::with_sockets("crowd", discovery.address, &hosts, 64);
-    let mut crowd = Vec::new();
-    for number in 0..60 {
-        let mut client = node.client();
-        client.stream.set_read_timeout(Some(PATIENCE / 3)).expect("a time-out");
-        if number % 2 == 0 {
-            assert_eq!(client.ask(&request(&format!("r{number}"), "read", "20000m")).status(), 200);
-        }
-        crowd.push(client);
-    }
-}
-
-/// More clients than descriptors: the surplus waits, and is served once there is room.
-#[test]
-fn the_edge_node_outlives_a_lack_of_descriptors() {
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
-    let discovery = Discovery::start(&hosts);
-    let node = Node::with_sockets("sockets", discovery.address, &hosts, 64);
-    let idle: Vec<_> = (0..60).map(|_| node.client()).collect();
-    let mut last = node.client();
-    last.write(&request("a", "read", "20000m"));
-    drop(idle);
-    assert_eq!(last.answer().expect("an answer").status(), 200);
-}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -192,8 +192,16 @@
         Discovery::of(None)
     }
 
+    /// One that comes back at its old address, with a list that it holds.
+    pub fn back(address: SocketAddr, list: String) -> Discovery {
+        Discovery::on(TcpListener::bind(address).expect("its port"), Some(list))
+    }
+
     fn of(held: Option<String>) -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Discovery::on(TcpListener::bind("127.0.0.1:0").expect("a port"), held)
+    }
+
+    fn on(listener: TcpListener, held: Option<String>) -> Discovery {
         let address = listener.local_addr().expect("an address");
         let (tell, watches) = mpsc::channel();
         let held = Arc::new(Mutex::new(held));
@@ -262,10 +270,22 @@
 
 /// Starts the program with a configuration; it may fail.
 pub fn start(tag: &str, config: &str) -> (Child, std::path::PathBuf) {
+    launch(Command::new(PROGRAM), tag, config)
+}
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_saffronpaddle");
+
+/// The program under a limit on its descriptors that the machine enforces.
+fn limited(sockets: usize) -> Command {
+    let mut command = Command::new("/bin/sh");
+    command.args(["-c", &format!("ulimit -n {sockets} && exec \"$0\""), PROGRAM]);
+    command
+}
+
+fn launch(mut command: Command, tag: &str, config: &str) -> (Child, std::path::PathBuf) {
     let file = format!("saffronpaddle-{}-{tag}.json", std::process::id());
     let path = std::env::temp_dir().join(file);
     std::fs::write(&path, config).expect("the configuration is written");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_saffronpaddle"));
     for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
         command.env_remove(key);
     }
@@ -278,14 +298,23 @@
         Node::with(tag, discovery, hosts, |config| config)
     }
 
+    /// Starts one that may hold so many descriptors, by its configuration and by the machine.
     pub fn with_sockets(tag: &str, discovery: SocketAddr, hosts: &[String], sockets: usize) -> Node {
         let some = format!(r#""sockets":{sockets}"#);
-        Node::with(tag, discovery, hosts, |config| config.replace(r#""sockets":1024"#, &some))
+        let change = |config: String| config.replace(r#""sockets":1024"#, &some);
+        Node::run(limited(sockets), tag, discovery, hosts, change)
     }
 
     /// Starts one whose configuration is changed in its text.
     pub fn with(
         tag: &str, discovery: SocketAddr, hosts: &[String], change: impl FnOnce(String) -> String,
+    ) -> Node {
+        Node::run(Command::new(PROGRAM), tag, discovery, hosts, change)
+    }
+
+    fn run(
+        command: Command, tag: &str, discovery: SocketAddr, hosts: &[String],
+        change: impl FnOnce(String) -> String,
     ) -> Node {
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
         peer.set_read_timeout(Some(PATIENCE)).expect("a time-out");
@@ -297,7 +326,7 @@
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"peer_listen":"{datagrams}","peers":["{datagrams}","{peer_address}"],"known":{known},"settings":{SETTINGS}}}"#
         );
-        let (mut child, config) = start(tag, &change(config));
+        let (mut child, config) = launch(command, tag, &change(config));
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
         log.read_line(&mut line).expect("a line");
@@ -326,6 +355,15 @@
         self.signal("-TERM");
     }
 
+    /// Has the machine hold the process where it is; what comes meanwhile comes in one moment.
+    pub fn stop(&self) {
+        self.signal("-STOP");
+    }
+
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     /// Puts another text in place of its configuration, then has it read again.
     pub fn reload(&self, change: impl FnOnce(String) -> String) {
         let text = self.configuration();
