Answer what has come by the time that connections are closed after SIGTERM

Cause: clients.rs closed each connection in the moment in which the last phase began, without a look at what the machine held for it: requests on resting and fresh connections, and on those taken from the backlog just before, were reset unread. The backlog was taken whole, beyond the places for clients, so that no descriptor was left for servers.

Change: the runtime gets one turn between the word and the close; a connection from the backlog takes a place as any.

A request that has begun by then, and further ones behind an open one, were dealt with before too.

--- a/src/bin/saffronpaddle/clients.rs
+++ b/src/bin/saffronpaddle/clients.rs
@@ -143,6 +143,7 @@
     }
     // What the machine has accepted counts as taken. Guards against resetting it with the listener.
     while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
+        crowd.make_room().await;
         crowd.seat(stream, &node, &phase);
     }
     drop(listener);
@@ -171,9 +172,15 @@
     http.auto_date_header(false);
     let connection = http.serve_connection(stream, service);
     tokio::pin!(connection);
+    // The runtime gets one turn between the word and the close. Guards what has come by then against a close unread.
+    let told = async {
+        closing(phase).await;
+        tokio::task::yield_now().await;
+    };
     tokio::select! {
+        biased;
         _ = &mut connection => return,
-        () = closing(phase) => connection.as_mut().graceful_shutdown(),
+        () = told => connection.as_mut().graceful_shutdown(),
     }
     // A client that broke off has been told to the node by the request's guard.
     let _ = connection.await;
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -121,6 +121,11 @@
         got
     }
 
+    /// All that has come and was not looked at.
+    pub fn all_that_came(&self) -> Vec<Got> {
+        self.got.try_iter().collect()
+    }
+
     /// Fails if a request has come that was not looked at.
     pub fn got_no_more(&self) {
         assert!(self.got.try_recv().is_err(), "one attempt too many");
