Shut no connection for another while an answer is still written on it

Cause: a connection counts as idle once its answer is handed to hyper (Busy's end, clients.rs), also while the machine takes no more of it because the client reads slowly; with all places taken it was shut with half an answer written.

Change: a connection whose last write was held up is shut only if there is no idle one (ahead.rs notes it; the flag is apart from the connection, whose socket still closes with its task).

Test: tests/edge/descriptors.rs, a client with the least receive buffer and 12 MB of answers, and 64 others that ask later.

--- a/src/bin/saffronpaddle/ahead.rs
+++ b/src/bin/saffronpaddle/ahead.rs
@@ -2,7 +2,7 @@
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::io::{self, IoSlice};
 use std::pin::{pin, Pin};
@@ -27,11 +27,23 @@
     /// What was read ahead and not yet asked for.
     read: Vec<u8>,
     ended: bool,
+    /// Whether the machine took nothing of what was last written.
+    held_up: Rc<Cell<bool>>,
 }
 
 impl Ahead {
     pub fn new(stream: TcpStream) -> Ahead {
-        Ahead(Rc::new(RefCell::new(Inner { stream: TokioIo::new(stream), read: Vec::new(), ended: false })))
+        Ahead(Rc::new(RefCell::new(Inner {
+            stream: TokioIo::new(stream),
+            read: Vec::new(),
+            ended: false,
+            held_up: Rc::default(),
+        })))
+    }
+
+    /// Whether the client reads so slowly that the rest of an answer is still to be written; outlives the connection.
+    pub fn held_up(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.0.borrow().held_up)
     }
 
     /// Comes back once the client has ended the connection, or it broke.
@@ -47,6 +59,11 @@
 }
 
 impl Inner {
+    fn note<T>(&mut self, written: Poll<T>) -> Poll<T> {
+        self.held_up.set(written.is_pending());
+        written
+    }
+
     /// Reads ahead; whether it came to the end, or to the most that is held.
     fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<bool> {
         let mut buffer = [0; 1024];
@@ -91,13 +108,17 @@
 
 impl Write for Ahead {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_write(context, bytes)
+        let mut inner = self.0.borrow_mut();
+        let written = Pin::new(&mut inner.stream).poll_write(context, bytes);
+        inner.note(written)
     }
 
     fn poll_write_vectored(
         self: Pin<&mut Self>, context: &mut Context<'_>, parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_write_vectored(context, parts)
+        let mut inner = self.0.borrow_mut();
+        let written = Pin::new(&mut inner.stream).poll_write_vectored(context, parts);
+        inner.note(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/bin/saffronpaddle/clients.rs
+++ b/src/bin/saffronpaddle/clients.rs
@@ -61,6 +61,8 @@
 struct Seat {
     /// Since when it has no open request; `None` while it has one.
     idle: Cell<Option<Instant>>,
+    /// Whether an answer on it is still written.
+    held_up: Rc<Cell<bool>>,
 }
 
 /// A seat with an open request, for as long as that is being answered.
@@ -89,8 +91,11 @@
 impl Crowd {
     fn seat(&mut self, stream: TcpStream, node: &Rc<Node>, phase: &watch::Receiver<Phase>) {
         let now = Instant::now();
-        let seat = Rc::new(Seat { idle: Cell::new(Some(now.checked_sub(NEVER_ASKED).unwrap_or(now))) });
-        let talk = converse(stream, Rc::clone(node), phase.clone(), Rc::clone(&seat));
+        let idle = Cell::new(Some(now.checked_sub(NEVER_ASKED).unwrap_or(now)));
+        let _ = stream.set_nodelay(true);
+        let line = Ahead::new(stream);
+        let seat = Rc::new(Seat { idle, held_up: line.held_up() });
+        let talk = converse(line, Rc::clone(node), phase.clone(), Rc::clone(&seat));
         let handle = self.tasks.spawn_local(talk);
         self.seats.push((seat, handle));
     }
@@ -101,13 +106,15 @@
     }
 
     /// Makes room for one more. Guards against crowds that shut out others: where all seats are taken, the connection
-    /// that has stood longest without a request is closed.
+    /// that has stood longest without a request is closed; one on which an answer is still written only if there is no
+    /// other.
     async fn make_room(&mut self) {
         while self.tasks.len() >= self.most {
             // Danger: one that came in the same moment with a request, taken for idle before that is read.
             tokio::task::yield_now().await;
             self.tidy();
-            let idle = self.seats.iter().filter_map(|(seat, handle)| Some((seat.idle.get()?, handle)));
+            let since = |seat: &Seat| Some((seat.held_up.get(), seat.idle.get()?));
+            let idle = self.seats.iter().filter_map(|(seat, handle)| Some((since(seat)?, handle)));
             if let Some((_, handle)) = idle.min_by_key(|(since, _)| *since) {
                 handle.abort();
             }
@@ -150,10 +157,8 @@
     while crowd.tasks.join_next().await.is_some() {}
 }
 
-async fn converse(stream: TcpStream, node: Rc<Node>, phase: watch::Receiver<Phase>, seat: Rc<Seat>) {
-    let _ = stream.set_nodelay(true);
+async fn converse(stream: Ahead, node: Rc<Node>, phase: watch::Receiver<Phase>, seat: Rc<Seat>) {
     let seen = phase.clone();
-    let stream = Ahead::new(stream);
     let line = stream.clone();
     let service = service_fn(move |request| {
         let (node, seen, seat) = (Rc::clone(&node), seen.clone(), Rc::clone(&seat));
--- a/tests/edge/descriptors.rs
+++ b/tests/edge/descriptors.rs
@@ -2,6 +2,7 @@
 //! needs for discovery, loan servers and whoever asks whether it is ready.
 
 use super::stand::*;
+use socket2::{Domain, Socket, Type};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -10,6 +11,10 @@
 const SOCKETS: usize = 64;
 /// Connections that idle clients hold, or open again as soon as they are shut.
 const IDLE: usize = 100;
+/// Bytes of a large body, which is taken where memory allows.
+const LARGE: usize = 1_000_000;
+/// Answers of that size that are more than the machine buffers on a connection.
+const MANY: usize = 12;
 
 /// Clients that asked once and stay, and some that never ask, do not shut out another.
 #[test]
@@ -157,3 +162,35 @@
         self.0.store(true, Ordering::Relaxed);
     }
 }
+
+/// A client that reads slowly: the rest of its answer is kept back by the machine, far beyond what that buffers.
+#[test]
+fn a_connection_on_which_an_answer_is_still_written_is_not_shut_for_another() {
+    let servers = Servers::new();
+    let words = format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n{}", "r".repeat(LARGE));
+    let answers = Does::Answers(Box::leak(words.into_boxed_str()));
+    let hosts = [host("s-1", servers.start("s-1", &[answers]), 1, "ready")];
+    let discovery = Discovery::start(&hosts);
+    let node = Node::with_sockets("slowly", discovery.address, &hosts, SOCKETS);
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(1).expect("the least there is");
+    socket.connect(&node.address.into()).expect("the edge node accepts");
+    let mut slow = Client::on(socket.into());
+    let many: String = (0..MANY).map(|number| request(&format!("r{number}"), "read", "20000m")).collect();
+    slow.write(&many);
+    servers.next();
+    // Until the machine takes no more of what is written.
+    std::thread::sleep(Duration::from_millis(500));
+    // Others have asked later, and hold every place there is.
+    let asks = |_| {
+        let mut client = node.client();
+        assert_eq!(client.ask(READY).status(), 200);
+        client
+    };
+    let others: Vec<_> = (0..SOCKETS).map(asks).collect();
+    for number in 0..MANY {
+        let answer = slow.answer().map(|answer| (answer.status(), answer.body.len()));
+        assert_eq!(answer, Some((200, LARGE)), "{number}");
+    }
+    drop(others);
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -344,10 +344,7 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).expect("the edge node accepts");
-        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        let reader = BufReader::new(stream.try_clone().expect("a clone"));
-        Client { stream, reader }
+        Client::on(TcpStream::connect(self.address).expect("the edge node accepts"))
     }
 
     /// Waits until the edge node has logged these words.
@@ -426,6 +423,12 @@
 }
 
 impl Client {
+    pub fn on(stream: TcpStream) -> Client {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let reader = BufReader::new(stream.try_clone().expect("a clone"));
+        Client { stream, reader }
+    }
+
     pub fn write(&mut self, words: &str) {
         self.stream.write_all(words.as_bytes()).expect("the connection is open");
     }
