See that a client had gone before its connection was accepted

Cause: tokio takes a new socket for readable and reads it at once; the machine's word that the client has ended it comes with the runtime's next turn. An attempt began before that (traced: read_closed false on all three new connections, true on all three old ones), however long ago the client had gone. Ruled out: a process that was not really stopped, a full receive buffer, the runtime's budget.

Change: the first request of a connection waits for one turn. Kept connections are not touched.

Test: tests/edge/gone.rs, request and close come while the process is stopped, on three open connections and three that are not accepted yet, with 0, 20 and 200 requests behind.

--- a/src/bin/saffronpaddle/clients.rs
+++ b/src/bin/saffronpaddle/clients.rs
@@ -63,6 +63,8 @@
     idle: Cell<Option<Instant>>,
     /// Whether an answer on it is still written.
     held_up: Rc<Cell<bool>>,
+    /// Whether nothing has been asked on it yet.
+    fresh: Cell<bool>,
 }
 
 /// A seat with an open request, for as long as that is being answered.
@@ -94,7 +96,7 @@
         let idle = Cell::new(Some(now.checked_sub(NEVER_ASKED).unwrap_or(now)));
         let _ = stream.set_nodelay(true);
         let line = Ahead::new(stream);
-        let seat = Rc::new(Seat { idle, held_up: line.held_up() });
+        let seat = Rc::new(Seat { idle, held_up: line.held_up(), fresh: Cell::new(true) });
         let talk = converse(line, Rc::clone(node), phase.clone(), Rc::clone(&seat));
         let handle = self.tasks.spawn_local(talk);
         self.seats.push((seat, handle));
@@ -165,6 +167,11 @@
         let line = line.clone();
         async move {
             let _busy = Busy::new(&seat);
+            // Guards against work for nobody: what a new connection holds is read at once, but that its client had
+            // gone before it was accepted shows only in the runtime's next turn.
+            if seat.fresh.replace(false) {
+                tokio::task::yield_now().await;
+            }
             let mut reply = respond(&node, request, &seen, &line).await?;
             if *seen.borrow() > Phase::Serving {
                 reply.headers_mut().insert(CONNECTION, CLOSE);
--- a/tests/edge/gone.rs
+++ b/tests/edge/gone.rs
@@ -273,3 +273,24 @@
         }
     });
 }
+
+/// A request and the close behind it come in one moment, on a connection that is open or has yet to be accepted.
+#[test]
+fn nothing_is_sent_on_for_a_client_whose_request_and_close_come_together() {
+    let (servers, _discovery, node) = with_one("together", &[SERVES]);
+    let open: Vec<_> = BEHIND.iter().map(|_| node.client()).collect();
+    round(&node);
+    node.stop();
+    let new: Vec<_> = BEHIND.iter().map(|_| node.client()).collect();
+    for (number, mut client) in open.into_iter().chain(new).enumerate() {
+        client.write(&request(&format!("a{number}"), "pay", "20000m"));
+        client.write(&further(BEHIND[number % BEHIND.len()]).replace("Id: b", &format!("Id: b{number}-")));
+    }
+    // The machine has all of it.
+    std::thread::sleep(SHOWS_WITHIN);
+    node.go_on();
+    round(&node);
+    assert_eq!(node.client().ask(&request("stays", "pay", "20000m")).status(), 200);
+    assert_eq!(servers.next().message.header("x-request-id"), "stays");
+    servers.got_no_more();
+}
