Have the tests' clients close their connections for good

A client was dropped while another test of the process was starting a program, which holds a copy of every descriptor until it has begun: the machine said nothing of the close until then. A fault of the tests, not of the program.

Change: clients that leave shut their socket down, which no copy holds up. Nothing that is asked of the program changed.

--- a/tests/edge/gone.rs
+++ b/tests/edge/gone.rs
@@ -21,7 +21,7 @@
 
 /// A client closes its connection, with so many requests behind its first one, and the edge node has seen it.
 fn leave(client: Client, behind: usize, node: &Node) {
-    drop(client);
+    client.leave();
     if behind > BEHIND[1] {
         std::thread::sleep(SHOWS_WITHIN);
     }
@@ -39,7 +39,7 @@
     let mut client = node.client();
     client.write(&request("a", "pay", "20000m"));
     let got = servers.next();
-    drop(client);
+    client.leave();
     assert!(closed(&got));
     assert_eq!(node.client().ask(&request("b", "pay", "20000m")).status(), 200);
 }
@@ -51,7 +51,7 @@
     client.write(&request("a", "pay", "20000m"));
     let got = servers.next();
     client.write(&further(number));
-    drop(client);
+    client.leave();
     got.stream.set_read_timeout(Some(PATIENCE / 6)).expect("a time-out");
     let ends = got.stream.peek(&mut [0]);
     assert!(
@@ -231,7 +231,12 @@
                 client.write(&request("a", "pay", "20000m"));
                 round(&node);
                 // One that stays shows that the connection does come up, and what is written then.
-                let stayed = stays.then_some(client);
+                let stayed = if stays {
+                    Some(client)
+                } else {
+                    client.leave();
+                    None
+                };
                 round(&node);
                 let (written, came) = late.comes_up();
                 assert_eq!((!written.is_empty(), came > 0 || !stays), (stays, true), "{tag}");
@@ -264,7 +269,12 @@
                 got.stream.write_all(b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n").expect("it is out");
                 // Long enough for the answer to be read.
                 std::thread::sleep(Duration::from_millis(200));
-                let stayed = stays.then_some(client);
+                let stayed = if stays {
+                    Some(client)
+                } else {
+                    client.leave();
+                    None
+                };
                 round(&node);
                 let (written, came) = late.comes_up();
                 assert_eq!((!written.is_empty(), came > 0 || !stays), (stays, true), "{tag}");
@@ -285,6 +295,7 @@
     for (number, mut client) in open.into_iter().chain(new).enumerate() {
         client.write(&request(&format!("a{number}"), "pay", "20000m"));
         client.write(&further(BEHIND[number % BEHIND.len()]).replace("Id: b", &format!("Id: b{number}-")));
+        client.leave();
     }
     // The machine has all of it.
     std::thread::sleep(SHOWS_WITHIN);
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -443,6 +443,12 @@
         self.answer().expect("a whole answer")
     }
 
+    /// Closes the connection for good. Dropping it alone would leave it open for as long as another test, which starts a
+    /// program just now, holds a copy of it.
+    pub fn leave(self) {
+        self.stream.shutdown(Shutdown::Both).expect("the connection is open");
+    }
+
     /// Comes back once the edge node has closed the connection; nothing more may have come on it.
     pub fn ends(&mut self) {
         let mut rest = Vec::new();
