--- a/src/bin/saffronpaddle/clients.rs
+++ b/src/bin/saffronpaddle/clients.rs
@@ -61,6 +61,10 @@
 struct Seat {
     /// Since when it has no open request; `None` while it has one.
     idle: Cell<Option<Instant>>,
+    /// Whether an answer on it is still written.
+    held_up: Rc<Cell<bool>>,
+    /// Whether nothing has been asked on it yet.
+    fresh: Cell<bool>,
 }
 
 /// A seat with an open request, for as long as that is being answered.
@@ -89,8 +93,11 @@
 impl Crowd {
     fn seat(&mut self, stream: TcpStream, node: &Rc<Node>, phase: &watch::Receiver<Phase>) {
         let now = Instant::now();
-        let seat = Rc::new(Seat { idle: Cell::new(Some(now.checked_sub(NEVER_ASKED).unwrap_or(now))) });
-        let talk = converse(stream, Rc::clone(node), phase.clone(), Rc::clone(&seat));
+        let idle = Cell::new(Some(now.checked_sub(NEVER_ASKED).unwrap_or(now)));
+        let _ = stream.set_nodelay(true);
+        let line = Ahead::new(stream);
+        let seat = Rc::new(Seat { idle, held_up: line.held_up(), fresh: Cell::new(true) });
+        let talk = converse(line, Rc::clone(node), phase.clone(), Rc::clone(&seat));
         let handle = self.tasks.spawn_local(talk);
         self.seats.push((seat, handle));
     }
@@ -101,11 +108,15 @@
     }
 
     /// Makes room for one more. Guards against crowds that shut out others: where all seats are taken, the connection
-    /// that has stood longest without a request is closed.
+    /// that has stood longest without a request is closed; one on which an answer is still written only if there is no
+    /// other.
     async fn make_room(&mut self) {
         while self.tasks.len() >= self.most {
+            // Danger: one that came in the same moment with a request, taken for idle before that is read.
+            tokio::task::yield_now().await;
             self.tidy();
-            let idle = self.seats.iter().filter_map(|(seat, handle)| Some((seat.idle.get()?, handle)));
+            let since = |seat: &Seat| Some((seat.held_up.get(), seat.idle.get()?));
+            let idle = self.seats.iter().filter_map(|(seat, handle)| Some((since(seat)?, handle)));
             if let Some((_, handle)) = idle.min_by_key(|(since, _)| *since) {
                 handle.abort();
             }
@@ -141,22 +152,26 @@
     }
     // What the machine has accepted counts as taken. Guards against resetting it with the listener.
     while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
+        crowd.make_room().await;
         crowd.seat(stream, &node, &phase);
     }
     drop(listener);
     while crowd.tasks.join_next().await.is_some() {}
 }
 
-async fn converse(stream: TcpStream, node: Rc<Node>, phase: watch::Receiver<Phase>, seat: Rc<Seat>) {
-    let _ = stream.set_nodelay(true);
+async fn converse(stream: Ahead, node: Rc<Node>, phase: watch::Receiver<Phase>, seat: Rc<Seat>) {
     let seen = phase.clone();
-    let stream = Ahead::new(stream);
     let line = stream.clone();
     let service = service_fn(move |request| {
         let (node, seen, seat) = (Rc::clone(&node), seen.clone(), Rc::clone(&seat));
         let line = line.clone();
         async move {
             let _busy = Busy::new(&seat);
+            // Guards against work for nobody: what a new connection holds is read at once, but that its client had
+            // gone before it was accepted shows only in the runtime's next turn.
+            if seat.fresh.replace(false) {
+                tokio::task::yield_now().await;
+            }
             let mut reply = respond(&node, request, &seen, &line).await?;
             if *seen.borrow() > Phase::Serving {
                 reply.headers_mut().insert(CONNECTION, CLOSE);
@@ -169,9 +184,15 @@
     http.auto_date_header(false);
     let connection = http.serve_connection(stream, service);
     tokio::pin!(connection);
+    // The runtime gets one turn between the word and the close. Guards what has come by then against a close unread.
+    let told = async {
+        closing(phase).await;
+        tokio::task::yield_now().await;
+    };
     tokio::select! {
+        biased;
         _ = &mut connection => return,
-        () = closing(phase) => connection.as_mut().graceful_shutdown(),
+        () = told => connection.as_mut().graceful_shutdown(),
     }
     // A client that broke off has been told to the node by the request's guard.
     let _ = connection.await;
--- a/src/bin/saffronpaddle/upstream.rs
+++ b/src/bin/saffronpaddle/upstream.rs
@@ -94,6 +94,8 @@
     driver: JoinHandle<()>,
     wrote: Rc<Cell<bool>>,
     idle_since: Instant,
+    /// The last request that was answered on it.
+    last: Option<RequestId>,
 }
 
 impl Link {
@@ -232,13 +234,14 @@
         // The answer comes first. Guards against blaming a server for an answer that this node was late to read.
         let outcome = tokio::select! {
             biased;
-            answer = exchange(&mut link.sender, forward, link.dial, until, &self.room) => answer,
+            answer = exchange(&mut link, forward, until, &self.room) => answer,
             _ = &mut called_off => Err(Outcome::Cancelled),
             () = tokio::time::sleep_until(until) => Err(Outcome::TimedOut),
         };
         let never = !link.wrote.get();
         match outcome {
             Ok(ending) => {
+                link.last = Some(forward.id.clone());
                 self.keep(server, link);
                 ending
             }
@@ -305,7 +308,7 @@
             // How it ended shows in the exchange.
             let _ = connection.await;
         });
-        Ok(Link { dial, stream: seen, sender, driver, wrote, idle_since: Instant::now() })
+        Ok(Link { dial, stream: seen, sender, driver, wrote, idle_since: Instant::now(), last: None })
     }
 
     /// Closes the connection that has been idle longest; false if there is none.
@@ -335,20 +338,26 @@
 
 /// Writes the request and reads its whole answer. An error is an answer that did not come whole.
 async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>, forward: &Forward, dial: SocketAddr, until: Instant, room: &Room,
+    link: &mut Link, forward: &Forward, until: Instant, room: &Room,
 ) -> Result<Ending, Outcome> {
     let left = until.saturating_duration_since(Instant::now()).as_millis();
     let mut request = Request::builder()
         .method(&forward.method)
         .uri(&forward.target)
-        .header(HOST, dial.to_string())
+        .header(HOST, link.dial.to_string())
         .header("x-request-id", &*forward.id.0)
         .header("x-deadline", format!("{left}m"));
     if let Some(key) = &forward.key {
         request = request.header("idempotency-key", key);
     }
     let request = request.body(Full::new(forward.body.clone())).map_err(|_| Outcome::NotSent)?;
-    let answer = sender.send_request(request).await.map_err(|_| Outcome::Broken)?;
+    let answer = link.sender.send_request(request).await.map_err(|_| Outcome::Broken)?;
+    // Guards against a late copy of the answer before, where answers name their requests. A name that was never sent
+    // here is the server's own affair.
+    let (named, last) = (answer.headers().get("x-request-id"), link.last.as_ref());
+    if last.is_some_and(|last| named.is_some_and(|name| name.as_bytes() == last.0.as_bytes())) {
+        return Err(Outcome::Broken);
+    }
     // Guards against an answer that turns the connection into something else, or that never ends.
     let room = room.take(answer.body().size_hint().lower());
     let Some((most, _held)) = room.filter(|_| !answer.status().is_informational()) else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod interface;
 mod message;
 mod ranked;
+pub mod reconnect;
 mod servers;
 pub mod setup;
 mod state;
