Command line and a TOML configuration for people, with every fault told by key and line

Change: clap commands serve, check, keys, version, completions and man; exit codes 0, 1 and 2. One table of keys (schema.rs) reads people's TOML, which is translated into the platform's form and read as ever, and explains what is wrong with either form. Without a command the program serves under LB_CONFIG as before; no command and no LB_CONFIG ended with 1 and ends with 2 now. SIGHUP names the keys that wait for a restart.

--- a/src/bin/saffronpaddle/config.rs
+++ b/src/bin/saffronpaddle/config.rs
@@ -1,10 +1,13 @@
-//! What the edge node is told at its start: `LB_*` and the JSON of `LB_CONFIG`, as typed values.
+//! What the edge node is told at its start: `LB_*` and a configuration, the platform's or people's, as typed values.
 
+use crate::document::{self, Fault, Form};
 use crate::lists::List;
+use crate::schema::{self, Values};
 use anyhow::{ensure, Context, Result};
 use doordock::setup::{self, Named};
 use serde::Deserialize;
 use serde_json::value::RawValue;
+use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -24,8 +27,41 @@
     /// The list of app servers as it was last held. It may be old.
     pub known: Option<List>,
     pub named: Named,
+    /// What it was told under each key that waits for a restart.
+    pub values: Values,
 }
 
+/// A configuration that can't be used: all that is wrong with it, at the least one fault.
+#[derive(Debug)]
+pub struct Faulty {
+    pub path: PathBuf,
+    pub faults: Vec<Fault>,
+}
+
+impl Faulty {
+    /// Each fault in a line.
+    pub fn lines(&self) -> impl Iterator<Item = String> + '_ {
+        self.faults.iter().map(|fault| {
+            let mark = if fault.line.is_some() { "" } else { " " };
+            format!("{}:{mark}{fault}", self.path.display())
+        })
+    }
+}
+
+/// One line, whatever is wrong.
+impl fmt::Display for Faulty {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let first = self.lines().next().unwrap_or_default();
+        f.write_str(&first)?;
+        match self.faults.len().saturating_sub(1) {
+            0 => Ok(()),
+            more => write!(f, " (and {more} more, which `check` tells)"),
+        }
+    }
+}
+
+impl std::error::Error for Faulty {}
+
 /// Where datagrams arrive and go. Peers stand in the order of their numbers, this node among them.
 pub struct PeerAddresses {
     pub listen: SocketAddr,
@@ -76,10 +112,13 @@
 const FEWEST_SOCKETS: usize = 64;
 
 impl Config {
-    /// Reads the file that `LB_CONFIG` names; the other variables overrule what it says.
-    pub fn from_environment(variable: impl Fn(&str) -> Option<String>) -> Result<Config> {
-        let path = variable("LB_CONFIG").context("LB_CONFIG is not set")?;
-        let mut config = Config::read(Path::new(&path))?;
+    /// Reads the file that the command line or else `LB_CONFIG` names; the other variables overrule what it says.
+    pub fn from_environment(
+        path: Option<PathBuf>, variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Config> {
+        let path = path.or_else(|| variable("LB_CONFIG").map(PathBuf::from));
+        let path = path.context("no configuration: LB_CONFIG is not set, and there is no --config")?;
+        let mut config = Config::read(&path)?;
         if let Some(name) = variable("LB_NAME") {
             config.name = name;
         }
@@ -92,16 +131,33 @@
     }
 
     /// Reads the file alone.
+    ///
+    /// # Errors
+    /// [`Faulty`], unless the file can't be read at all.
     pub fn read(path: &Path) -> Result<Config> {
-        let text = std::fs::read_to_string(path).with_context(|| format!("LB_CONFIG: {}", path.display()))?;
-        Config::parse(path, &text).with_context(|| format!("LB_CONFIG: {}", path.display()))
+        let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+        let form = Form::of(path, &text);
+        let read = match form {
+            Form::Platform => Config::parse(path, form, &text).map_err(|error| explained(&text, &error)),
+            Form::People => document::read(form, &text).and_then(|root| {
+                let faults = schema::faults(form, &root);
+                if !faults.is_empty() {
+                    return Err(faults);
+                }
+                let text = schema::translated(&root).to_string();
+                Config::parse(path, form, &text).map_err(|error| vec![plain(&error)])
+            }),
+        };
+        read.map_err(|faults| Faulty { path: path.to_owned(), faults }.into())
     }
 
-    fn parse(path: &Path, text: &str) -> Result<Config> {
+    /// Reads the platform's form, which people's is translated into.
+    fn parse(path: &Path, form: Form, text: &str) -> Result<Config> {
         let file: File = serde_json::from_str(text)?;
         let named = setup::read(file.settings.get()).map_err(anyhow::Error::msg).context("settings")?;
         named.settings.check().context("settings")?;
         ensure!(file.limits.sockets >= FEWEST_SOCKETS, "limits.sockets: {FEWEST_SOCKETS} are needed");
+        let values = schema::values(form, &serde_json::from_str(text)?);
         let peers =
             file.peer_listen.map(|listen| PeerAddresses { listen, each: file.peers, all: file.peers_all });
         let seed = u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..));
@@ -109,6 +165,25 @@
         let sockets = file.limits.sockets;
         let memory = file.limits.memory_mb.saturating_mul(1024 * 1024);
         let path = path.to_owned();
-        Ok(Config { path, name, listen, discovery, seed, sockets, memory, peers, known: file.known, named })
+        let known = file.known;
+        Ok(Config { path, name, listen, discovery, seed, sockets, memory, peers, known, named, values })
+    }
+}
+
+/// All that is wrong with a configuration of the platform that was refused.
+fn explained(text: &str, error: &anyhow::Error) -> Vec<Fault> {
+    let faults = match document::read(Form::Platform, text) {
+        Ok(root) => schema::faults(Form::Platform, &root),
+        Err(faults) => faults,
+    };
+    // What refuses it has the last word on whether something is wrong.
+    if faults.is_empty() {
+        vec![plain(error)]
+    } else {
+        faults
     }
 }
+
+fn plain(error: &anyhow::Error) -> Fault {
+    Fault { line: None, path: String::new(), what: format!("{error:#}") }
+}
--- a/src/bin/saffronpaddle/main.rs
+++ b/src/bin/saffronpaddle/main.rs
@@ -3,11 +3,14 @@
 
 mod ahead;
 mod clients;
+mod command;
 mod config;
 mod discovery;
+mod document;
 mod lists;
 mod node;
 mod peers;
+mod schema;
 mod upstream;
 
 use anyhow::{Context, Result};
@@ -15,6 +18,7 @@
 use config::Config;
 use node::Node;
 use peers::Peers;
+use schema::Values;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -33,17 +37,11 @@
 const LARGE_SHARE: usize = 8;
 
 fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("saffronpaddle: {error:#}");
-            ExitCode::FAILURE
-        }
-    }
+    command::run()
 }
 
-fn run() -> Result<()> {
-    let config = Config::from_environment(|key| std::env::var(key).ok())?;
+/// Serves under a configuration until SIGTERM.
+pub fn run(config: Config) -> Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     tokio::task::LocalSet::new().block_on(&runtime, serve(config))
 }
@@ -67,7 +65,7 @@
 
     let (phase, seen) = watch::channel(Phase::Serving);
     let (moved, discovery) = watch::channel(config.discovery);
-    tokio::task::spawn_local(reload(hangup, config.path, moved));
+    tokio::task::spawn_local(reload(hangup, config.path, config.values, moved));
     let (heard, first_word) = oneshot::channel();
     tokio::task::spawn_local(discovery::follow(Rc::clone(&node), discovery, config.known, heard));
     tokio::task::spawn_local(peers::listen(Rc::clone(&node)));
@@ -86,14 +84,18 @@
     Ok(())
 }
 
-/// Rereads the configuration on each SIGHUP, for ever. Only discovery's address can change in service.
-async fn reload(mut hangup: Signal, path: PathBuf, discovery: watch::Sender<SocketAddr>) {
+/// Rereads the configuration on each SIGHUP, for ever: whole or not at all. Only discovery's address can change in
+/// service; of what else has changed the keys are told.
+async fn reload(mut hangup: Signal, path: PathBuf, values: Values, discovery: watch::Sender<SocketAddr>) {
     while hangup.recv().await.is_some() {
         match Config::read(&path) {
             Ok(config) => {
                 // Also when it is the same address as before: its numbering may have begun anew.
                 discovery.send_replace(config.discovery);
-                eprintln!("reloaded: discovery at {}", config.discovery);
+                let waits = schema::changed(&values, &config.values).join(", ");
+                let waits =
+                    if waits.is_empty() { waits } else { format!("; waiting for a restart: {waits}") };
+                eprintln!("reloaded: discovery at {}{waits}", config.discovery);
             }
             Err(error) => eprintln!("the old configuration stays: {error:#}"),
         }
--- /dev/null
+++ b/tests/command.rs
@@ -0,0 +1,107 @@
+//! The command line: what it prints, and with which code it ends.
+
+mod stand;
+
+use stand::*;
+use std::process::{Output, Stdio};
+
+fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
+    let Output { status, stdout, stderr } =
+        program(arguments).stdin(Stdio::null()).output().expect("it runs");
+    let text = |bytes| String::from_utf8(bytes).expect("it is text");
+    (status.code(), text(stdout), text(stderr))
+}
+
+const COMMANDS: [&str; 6] = ["serve", "check", "keys", "version", "completions", "man"];
+
+#[test]
+fn help_and_version_are_no_errors() {
+    for arguments in [&["--help"][..], &["-h"], &["help"]] {
+        let (code, out, err) = run(arguments);
+        assert_eq!((code, err.as_str()), (Some(0), ""), "{arguments:?}");
+        for word in COMMANDS.iter().chain(&["LB_CONFIG", "Exit codes"]) {
+            assert!(out.contains(word), "{arguments:?} tells nothing of {word}");
+        }
+    }
+    let version = format!("saffronpaddle {}\n", env!("CARGO_PKG_VERSION"));
+    for arguments in [&["version"][..], &["--version"], &["-V"]] {
+        assert_eq!(run(arguments), (Some(0), version.clone(), String::new()));
+    }
+    for command in COMMANDS {
+        assert_eq!(run(&[command, "--help"]).0, Some(0), "{command}");
+    }
+}
+
+#[test]
+fn a_bad_command_line_ends_with_2_and_says_why() {
+    let cases = [
+        (&[][..], "LB_CONFIG is not set"),
+        (&["sreve"], "serve"),
+        (&["check"], "<FILE>"),
+        (&["check", "a", "b"], "unexpected argument"),
+        (&["serve", "--port", "1"], "unexpected argument"),
+        (&["completions", "cmd"], "bash"),
+    ];
+    for (arguments, why) in cases {
+        let (code, out, err) = run(arguments);
+        assert_eq!((code, out.as_str()), (Some(2), ""), "{arguments:?}: {err}");
+        assert!(err.contains(why), "{arguments:?}: {err}");
+    }
+}
+
+#[test]
+fn no_configuration_ends_with_1_in_one_plain_line() {
+    for arguments in [&["serve"][..], &["serve", "--config", "/nowhere.toml"], &["check", "/nowhere.toml"]] {
+        let (code, out, err) = run(arguments);
+        assert_eq!((code, out.as_str(), err.lines().count()), (Some(1), "", 1), "{arguments:?}: {err}");
+    }
+}
+
+#[test]
+fn an_edge_node_that_cannot_listen_ends_with_1_in_one_plain_line() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("an address").to_string();
+    let output = program(&["serve", "--config", "rillbarrow.example.toml"])
+        .env("LB_LISTEN", &address)
+        .output()
+        .expect("it runs");
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert_eq!((output.status.code(), error.lines().count()), (Some(1), 1), "{error}");
+    assert!(error.contains(&address), "{error}");
+}
+
+#[test]
+fn completions_and_the_manual_know_every_command() {
+    for shell in ["bash", "zsh", "fish", "elvish", "powershell"] {
+        let (code, out, err) = run(&["completions", shell]);
+        assert_eq!((code, err.as_str()), (Some(0), ""), "{shell}");
+        COMMANDS.iter().for_each(|command| assert!(out.contains(command), "{shell}: {command}"));
+    }
+    let (code, out, _) = run(&["man"]);
+    assert_eq!(code, Some(0));
+    COMMANDS.iter().for_each(|command| assert!(out.contains(&format!("saffronpaddle\\-{command}(1)"))));
+    assert!(out.contains(".TH saffronpaddle 1") && out.contains("LB_DISCOVERY"), "{out}");
+}
+
+/// Whoever reads may have read enough.
+#[test]
+fn a_reader_that_leaves_early_is_no_error() {
+    let mut child = program(&["man"]).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("it runs");
+    drop(child.stdout.take());
+    let output = child.wait_with_output().expect("it ends");
+    assert!(output.status.success() && output.stderr.is_empty(), "{output:?}");
+}
+
+#[test]
+fn serve_ends_with_0_when_it_left_in_good_order() {
+    let discovery = Discovery::start(&[]);
+    let config = std::fs::read_to_string("rillbarrow.example.toml").expect("the example");
+    let config = config
+        .replace("127.0.0.1:8443", "127.0.0.1:0")
+        .replace("127.0.0.1:8500", &discovery.address.to_string())
+        .replace("127.0.0.1:7946", "127.0.0.1:0");
+    let mut node = Node::of_people("serve", &config);
+    assert_eq!(node.client().ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
+    node.terminate();
+    assert_eq!(node.wait().code(), Some(0));
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -1,4 +1,6 @@
-//! Stand-ins on loopback for what an edge node talks to: app servers, discovery, clients.
+//! Stand-ins on loopback for what an edge node talks to: app servers, discovery, clients. Each test file uses
+//! a part of them.
+#![allow(dead_code)]
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -260,16 +262,27 @@
     said: Receiver<String>,
 }
 
-/// Starts the program with a configuration; it may fail.
-pub fn start(tag: &str, config: &str) -> (Child, std::path::PathBuf) {
-    let file = format!("saffronpaddle-{}-{tag}.json", std::process::id());
-    let path = std::env::temp_dir().join(file);
-    std::fs::write(&path, config).expect("the configuration is written");
+/// The program with these arguments, and without any variable of the platform's.
+pub fn program(arguments: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_saffronpaddle"));
-    for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
+    for key in ["LB_CONFIG", "LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
         command.env_remove(key);
     }
-    let child = command.env("LB_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("it starts");
+    command.args(arguments);
+    command
+}
+
+/// A configuration as a file of its own; `name` ends with its extension.
+pub fn written(name: &str, config: &str) -> std::path::PathBuf {
+    let path = std::env::temp_dir().join(format!("saffronpaddle-{}-{name}", std::process::id()));
+    std::fs::write(&path, config).expect("the configuration is written");
+    path
+}
+
+/// Starts the program with a configuration; it may fail.
+pub fn start(tag: &str, config: &str) -> (Child, std::path::PathBuf) {
+    let path = written(&format!("{tag}.json"), config);
+    let child = program(&[]).env("LB_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("it starts");
     (child, path)
 }
 
@@ -297,7 +310,21 @@
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"peer_listen":"{datagrams}","peers":["{datagrams}","{peer_address}"],"known":{known},"settings":{SETTINGS}}}"#
         );
-        let (mut child, config) = start(tag, &change(config));
+        let (child, config) = start(tag, &change(config));
+        Node::of(child, config, peer, datagrams)
+    }
+
+    /// Starts one under a configuration of people, told by the command line. It has no peers.
+    pub fn of_people(tag: &str, config: &str) -> Node {
+        let path = written(&format!("{tag}.toml"), config);
+        let child = program(&["serve", "--config"]).arg(&path).stderr(Stdio::piped()).spawn();
+        let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        let datagrams = peer.local_addr().expect("an address");
+        Node::of(child.expect("it starts"), path, peer, datagrams)
+    }
+
+    /// One that was started just now, once it listens.
+    fn of(mut child: Child, config: std::path::PathBuf, peer: UdpSocket, datagrams: SocketAddr) -> Node {
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
         log.read_line(&mut line).expect("a line");
@@ -316,10 +343,14 @@
         Client { stream, reader }
     }
 
-    /// Waits until the edge node has logged these words.
-    pub fn says(&self, words: &str) {
-        let line = || self.said.recv_timeout(PATIENCE).expect("it says so");
-        while !line().contains(words) {}
+    /// Waits until the edge node has logged these words; the line with them.
+    pub fn says(&self, words: &str) -> String {
+        loop {
+            let line = self.said.recv_timeout(PATIENCE).expect("it says so");
+            if line.contains(words) {
+                return line;
+            }
+        }
     }
 
     pub fn terminate(&self) {
