Structured logs: a line, text or JSON, for each event that an operator acts on

Cause: the edge node logged by eprintln!, which ends the process if nobody reads standard error, told nothing of its start, lists and leaving, and could not be asked for more. Change: tracing, with a text form of its own that keeps the words of before and a JSON form with causes and ids; log.level and log.format in people's configuration, the level by SIGHUP; ten lines in ten seconds from one place in the program; a request can be followed by its id at debug, and has no line by default. docs/OPERATING.md has every event, which a test compares with the code. Seen failing: nobody_has_to_read_the_log without its mend (the watch is no longer opened); the JSON of 'applied' named its level twice at first, which the test of the levels showed. tests/stand: reads the address from a line of text or JSON, and ends a node whose line has none: one such outlived its test and held a run for 20 minutes.

--- a/src/bin/saffronpaddle/clients.rs
+++ b/src/bin/saffronpaddle/clients.rs
@@ -132,7 +132,10 @@
                     crowd.seat(stream, &node, &phase);
                 }
                 // Guards against running out of descriptors: the connection waits until there is one.
-                Err(_) => tokio::time::sleep(ACCEPT_AGAIN).await,
+                Err(error) => {
+                    node.not_accepted(&error);
+                    tokio::time::sleep(ACCEPT_AGAIN).await;
+                }
             },
             () = &mut closed => break,
         }
--- a/src/bin/saffronpaddle/config.rs
+++ b/src/bin/saffronpaddle/config.rs
@@ -2,6 +2,7 @@
 
 use crate::document::{self, Fault, Form};
 use crate::lists::List;
+use crate::log;
 use crate::schema::{self, Values};
 use anyhow::{ensure, Context, Result};
 use doordock::setup::{self, Named};
@@ -27,10 +28,17 @@
     /// The list of app servers as it was last held. It may be old.
     pub known: Option<List>,
     pub named: Named,
+    pub shell: Shell,
     /// What it was told under each key that waits for a restart.
     pub values: Values,
 }
 
+/// What only people's form has a place for; the platform's gets what stands for nothing.
+#[derive(Deserialize, Default)]
+pub struct Shell {
+    pub log: log::Options,
+}
+
 /// A configuration that can't be used: all that is wrong with it, at the least one fault.
 #[derive(Debug)]
 pub struct Faulty {
@@ -164,9 +172,26 @@
         let (name, listen, discovery) = (file.name, file.listen, file.discovery);
         let sockets = file.limits.sockets;
         let memory = file.limits.memory_mb.saturating_mul(1024 * 1024);
+        let shell = match form {
+            Form::People => serde_json::from_str(text)?,
+            Form::Platform => Shell::default(),
+        };
         let path = path.to_owned();
         let known = file.known;
-        Ok(Config { path, name, listen, discovery, seed, sockets, memory, peers, known, named, values })
+        Ok(Config {
+            path,
+            name,
+            listen,
+            discovery,
+            seed,
+            sockets,
+            memory,
+            peers,
+            known,
+            named,
+            shell,
+            values,
+        })
     }
 }
 
--- a/src/bin/saffronpaddle/discovery.rs
+++ b/src/bin/saffronpaddle/discovery.rs
@@ -123,7 +123,7 @@
                 (pause, told) = (first, false);
             }
             if !std::mem::replace(&mut told, true) {
-                eprintln!("discovery: {error:#}");
+                self.node.watch_lost(address, &error);
             }
             let longest = if error.is::<Trouble>() { TURNED_AWAY_MOST } else { longest };
             // Spread out, so that all edge nodes do not come back at one stroke.
@@ -187,6 +187,7 @@
         *seq = Some(list.seq);
         let kind = if list.whole { ListKind::Complete } else { ListKind::Changes };
         self.node.listed(kind, &list.hosts.read);
+        self.node.list_came(list);
         // Whoever waited may have waited long enough.
         if let Some(heard) = self.heard.take() {
             let _ = heard.send(());
--- a/src/bin/saffronpaddle/main.rs
+++ b/src/bin/saffronpaddle/main.rs
@@ -7,7 +7,9 @@
 mod config;
 mod discovery;
 mod document;
+mod limiter;
 mod lists;
+mod log;
 mod node;
 mod peers;
 mod schema;
@@ -16,6 +18,7 @@
 use anyhow::{Context, Result};
 use clients::Phase;
 use config::Config;
+use log::Log;
 use node::Node;
 use peers::Peers;
 use schema::Values;
@@ -27,8 +30,11 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{oneshot, watch};
+use tracing::{error, info, warn};
 use upstream::{Room, Upstream};
 
+const VERSION: &str = env!("CARGO_PKG_VERSION");
+
 /// After SIGTERM new connections go on coming for so long at the least.
 const LEAVING_FOR: Duration = Duration::from_millis(600);
 /// Descriptors for all but clients and app servers: listener, discovery, peers, the runtime's own.
@@ -42,11 +48,12 @@
 
 /// Serves under a configuration until SIGTERM.
 pub fn run(config: Config) -> Result<()> {
+    let log = Log::start(config.shell.log)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    tokio::task::LocalSet::new().block_on(&runtime, serve(config))
+    tokio::task::LocalSet::new().block_on(&runtime, serve(config, log))
 }
 
-async fn serve(config: Config) -> Result<()> {
+async fn serve(config: Config, log: Log) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
     // Guards against ending on SIGHUP, which is what it does to a process that does not ask for it.
     let hangup = signal(SignalKind::hangup()).context("SIGHUP")?;
@@ -61,43 +68,69 @@
     let room = Room::new(config.memory / LARGE_SHARE);
     let upstream = Upstream::new(room, each_side, config.named.conn_idle, config.named.connect_timeout);
     let node = Node::new(config.seed, config.named, upstream, peers)?;
-    eprintln!("{}: listening on {}", config.name, listener.local_addr().context("listen")?);
+    let (name, address) = (config.name, listener.local_addr().context("listen")?);
+    info!(event = "start", %name, %address, version = VERSION, "{name}: listening on {address}");
 
     let (phase, seen) = watch::channel(Phase::Serving);
     let (moved, discovery) = watch::channel(config.discovery);
-    tokio::task::spawn_local(reload(hangup, config.path, config.values, moved));
+    tokio::task::spawn_local(reload(hangup, config.path, config.values, moved, log));
     let (heard, first_word) = oneshot::channel();
     tokio::task::spawn_local(discovery::follow(Rc::clone(&node), discovery, config.known, heard));
     tokio::task::spawn_local(peers::listen(Rc::clone(&node)));
     tokio::task::spawn_local(retire(Rc::clone(&node)));
     // What discovery holds counts as told from the first moment, and the list that is known may be old. Clients wait
     // in the backlog for that; while discovery is silent, what is known has to do.
-    let _ = tokio::time::timeout(discovery::first_word_in(node.named.drain_grace), first_word).await;
-    let clients = tokio::task::spawn_local(clients::serve(listener, node, each_side, seen));
+    let heard = tokio::time::timeout(discovery::first_word_in(node.named.drain_grace), first_word).await;
+    let clients = tokio::task::spawn_local(clients::serve(listener, Rc::clone(&node), each_side, seen));
+    match heard {
+        Ok(_) => info!(event = "ready", cause = "a list has come", "ready: a list of servers has come"),
+        Err(_) => {
+            warn!(event = "ready", cause = "discovery is silent", "ready on an old list: discovery is silent")
+        }
+    }
 
     terminate.recv().await;
+    info!(
+        event = "leaving",
+        cause = "SIGTERM",
+        open = node.open(),
+        "leaving on SIGTERM: {} requests open",
+        node.open()
+    );
     phase.send_replace(Phase::Leaving);
     tokio::time::sleep(LEAVING_FOR).await;
     phase.send_replace(Phase::Closing);
     // All that was taken ends by its own deadline; a client that never reads must not hold up the exit.
-    let _ = tokio::time::timeout(longest, clients).await;
+    match tokio::time::timeout(longest, clients).await {
+        Ok(_) => info!(event = "left", "left: every client has its answer"),
+        Err(_) => warn!(
+            event = "left",
+            open = node.open(),
+            "left: {} requests open, past every deadline",
+            node.open()
+        ),
+    }
     Ok(())
 }
 
-/// Rereads the configuration on each SIGHUP, for ever: whole or not at all. Only discovery's address can change in
-/// service; of what else has changed the keys are told.
-async fn reload(mut hangup: Signal, path: PathBuf, values: Values, discovery: watch::Sender<SocketAddr>) {
+/// Rereads the configuration on each SIGHUP, for ever: whole or not at all. Discovery's address and the level of the
+/// log can change in service; of what else has changed the keys are told.
+async fn reload(
+    mut hangup: Signal, path: PathBuf, values: Values, discovery: watch::Sender<SocketAddr>, log: Log,
+) {
     while hangup.recv().await.is_some() {
-        match Config::read(&path) {
+        match Config::read(&path).and_then(|config| log.set_level(config.shell.log.level).map(|()| config)) {
             Ok(config) => {
+                let (address, level) = (config.discovery, config.shell.log.level);
                 // Also when it is the same address as before: its numbering may have begun anew.
-                discovery.send_replace(config.discovery);
+                discovery.send_replace(address);
                 let waits = schema::changed(&values, &config.values).join(", ");
-                let waits =
-                    if waits.is_empty() { waits } else { format!("; waiting for a restart: {waits}") };
-                eprintln!("reloaded: discovery at {}{waits}", config.discovery);
+                let more = if waits.is_empty() { "" } else { "; waiting for a restart: " };
+                info!(event = "applied", discovery = %address, log_level = %level, waits, "reloaded: log level {level}, discovery at {address}{more}{waits}");
+            }
+            Err(error) => {
+                error!(event = "not_applied", cause = %format_args!("{error:#}"), "the old configuration stays: {error:#}")
             }
-            Err(error) => eprintln!("the old configuration stays: {error:#}"),
         }
     }
 }
--- a/src/bin/saffronpaddle/node.rs
+++ b/src/bin/saffronpaddle/node.rs
@@ -1,7 +1,7 @@
 //! Owns the decision module and all that it speaks of: the clock, the open requests and their attempts.
 //! Only here is the module called; what it asks for is done in the order in which it asks.
 
-use crate::lists::{Health, Host};
+use crate::lists::{Health, Host, List};
 use crate::peers::Peers;
 use crate::upstream::{Ending, Forward, Upstream};
 use bytes::Bytes;
@@ -10,12 +10,14 @@
 };
 use doordock::setup::Named;
 use doordock::Gateway;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tracing::{debug, info, warn};
 
 /// The final answer to a client's request.
 #[derive(Debug)]
@@ -25,6 +27,16 @@
     Failed,
 }
 
+impl Answer {
+    fn word(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Refused(_) => "refused",
+            Answer::Failed => "failed",
+        }
+    }
+}
+
 /// A request that has no final answer yet.
 struct Pending {
     forward: Rc<Forward>,
@@ -58,6 +70,8 @@
     requests: RefCell<HashMap<RequestId, Pending>>,
     /// Attempts that are out, one of a request at the most; a word, or its loss, calls one off.
     out: RefCell<HashMap<RequestId, (AttemptNo, oneshot::Sender<()>)>>,
+    /// The watch on discovery was told to be lost, and no list has come since.
+    lost: Cell<bool>,
 }
 
 impl Node {
@@ -74,6 +88,7 @@
             gateway: RefCell::new(gateway),
             requests: RefCell::default(),
             out: RefCell::default(),
+            lost: Cell::default(),
         }))
     }
 
@@ -111,7 +126,7 @@
                 });
             }
             Action::Follow => {} // discovery is always followed
-            Action::Log(line) => eprintln!("{line}"),
+            Action::Log(line) => warn!(event = "decision", "{line}"),
         }
     }
 
@@ -122,6 +137,7 @@
         if self.is_open(&id) || self.out.borrow().contains_key(&id) {
             return None;
         }
+        debug!(event = "request", id = %id.0, target = forward.target, "request {}: {}", id.0, forward.target);
         let pending = Pending { forward: Rc::new(forward), answer, attempts: 0 };
         self.requests.borrow_mut().insert(id, pending);
         self.post(event);
@@ -131,10 +147,16 @@
     /// Nobody waits for this request any more: its client is gone, or its time is up.
     pub fn abandon(self: &Rc<Self>, id: &RequestId) {
         if self.requests.borrow_mut().remove(id).is_some() {
+            debug!(event = "abandoned", id = %id.0, "request {}: nobody waits any more", id.0);
             self.post(Event::Abandoned { id: id.clone() });
         }
     }
 
+    /// Requests that have no final answer yet.
+    pub fn open(&self) -> usize {
+        self.requests.borrow().len()
+    }
+
     fn is_open(&self, id: &RequestId) -> bool {
         self.requests.borrow().contains_key(id)
     }
@@ -142,6 +164,7 @@
     /// Answers a request, unless that has been done: the table entry is the right to answer.
     fn answer(&self, id: &RequestId, answer: Answer) {
         if let Some(pending) = self.requests.borrow_mut().remove(id) {
+            debug!(event = "answer", id = %id.0, answer = answer.word(), "request {}: {}", id.0, answer.word());
             // A client that has gone meanwhile takes no answer.
             let _ = pending.answer.send(answer);
         }
@@ -155,6 +178,7 @@
             pending.attempts += 1;
             (Rc::clone(&pending.forward), AttemptNo(pending.attempts - 1))
         };
+        debug!(event = "send", id = %id.0, attempt = attempt.0, server = server.0, "request {}: attempt {} to server {}", id.0, attempt.0, server.0);
         let limit = time_out.and_then(|span| Instant::now().checked_add(Duration::from_micros(span)));
         let until = limit.map_or(forward.deadline, |limit| limit.min(forward.deadline));
         let (call_off, called_off) = oneshot::channel();
@@ -170,6 +194,7 @@
     /// The connection of the attempt is closed or free again by now, so that no two attempts are ever out.
     fn ended(self: &Rc<Self>, id: RequestId, attempt: AttemptNo, ending: Ending) {
         let Ending { outcome, body, load } = ending;
+        debug!(event = "ended", id = %id.0, attempt = attempt.0, ?outcome, "request {}: attempt {} ended, {outcome:?}", id.0, attempt.0);
         self.out.borrow_mut().remove(&id);
         if let Some(body) = body {
             self.answer(&id, Answer::Served(body));
@@ -207,6 +232,35 @@
     }
 }
 
+impl Node {
+    /// A list from discovery has been applied.
+    pub fn list_came(&self, list: &List) {
+        let (seq, entries) = (list.seq, list.hosts.read.len());
+        if self.lost.take() {
+            info!(event = "watch_back", seq, "discovery: the watch is back");
+        }
+        let what = if list.whole { "the whole list" } else { "changes" };
+        info!(
+            event = "list",
+            seq,
+            entries,
+            whole = list.whole,
+            "list {seq} applied: {what}, {entries} entries"
+        );
+    }
+
+    /// A client's connection could not be accepted, and waits.
+    pub fn not_accepted(&self, error: &std::io::Error) {
+        warn!(event = "not_accepted", cause = %error, "a connection was not accepted: {error}");
+    }
+
+    /// A watch on discovery has ended, and its trouble is a new one.
+    pub fn watch_lost(&self, address: SocketAddr, error: &anyhow::Error) {
+        self.lost.set(true);
+        warn!(event = "watch_lost", %address, cause = %format_args!("{error:#}"), "discovery: {error:#}");
+    }
+}
+
 /// A server's id, the same at every edge node: FNV-1a of its name.
 fn server_id(host: &str) -> ServerId {
     let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
--- a/src/bin/saffronpaddle/schema.rs
+++ b/src/bin/saffronpaddle/schema.rs
@@ -43,6 +43,7 @@
 enum Platform {
     Needs,
     May,
+    Lacks,
 }
 
 /// What becomes of a change when the configuration is read again.
@@ -76,6 +77,10 @@
         }
     }
 
+    fn is_in(&self, form: Form) -> bool {
+        form == Form::People || self.presence != Lacks
+    }
+
     fn is_needed(&self, form: Form) -> bool {
         match form {
             Form::People => matches!(self.default, Default::Required),
@@ -106,7 +111,16 @@
 ]);
 const SCOPES: Takes = Takes::Choice(&[("all", "all"), ("zone", "zone"), ("cell", "cell")]);
 const CHANGES: Takes = Takes::Choice(&[("pushed", "automatic"), ("followed", "subscribe")]);
-use Platform::{May, Needs};
+const LEVELS: Takes = Takes::Choice(&[
+    ("off", "off"),
+    ("error", "error"),
+    ("warn", "warn"),
+    ("info", "info"),
+    ("debug", "debug"),
+]);
+const FORMATS: Takes = Takes::Choice(&[("text", "text"), ("json", "json")]);
+
+use Platform::{Lacks, May, Needs};
 use Takes::{Address, Addresses, Count, Figure, Flag, Millis, Text, Texts};
 
 /// All keys, in the order of the page.
@@ -118,6 +132,8 @@
     changing(key("seed", "seed", Text, Default::Nothing("random"), May, "Hex digits from which all chance is drawn."), Change::Passed),
     key("limits.file_descriptors", "limits.sockets", Count(64, 1 << 20), Default::Count(1024), May, "File descriptors that the process may hold."),
     key("limits.memory_mib", "limits.memory_mb", Count(16, 1 << 20), Default::Count(32), May, "Memory that it may use, in MiB; an eighth is for large bodies."),
+    changing(key("log.level", "log.level", LEVELS, Default::Word("info"), Lacks, "Least severity that is logged."), Change::Applied),
+    key("log.format", "log.format", FORMATS, Default::Word("text"), Lacks, "Lines for people, or a JSON object in each line."),
     key("fleet.gateways", "settings.balancers", Count(1, 100_000), Default::Required, Needs, "Edge nodes in the fleet."),
     key("fleet.number", "settings.me", Count(0, 99_999), Default::Required, Needs, "This one's number, from 0."),
     key("fleet.zones", "settings.zones", Texts, Default::Nothing("no zones"), May, "Names of all zones."),
@@ -211,7 +227,8 @@
             let (pattern, path) = (join(pattern), join(path));
             let (within, each) = (format!("{pattern}."), format!("{pattern}[]"));
             let form = self.form;
-            let keys = || KEYS.iter().map(move |key| (key, key.path(form)));
+            let keys =
+                || KEYS.iter().filter(move |key| key.is_in(form)).map(move |key| (key, key.path(form)));
             if seen.contains(&name) {
                 self.fault(Some(item.line), &path, "stands twice");
             } else if let Some((key, _)) = keys().find(|(_, name)| *name == pattern) {
@@ -294,7 +311,7 @@
 
     fn missing(&mut self) {
         let form = self.form;
-        for key in KEYS.iter().filter(|key| key.is_needed(form)) {
+        for key in KEYS.iter().filter(|key| key.is_in(form) && key.is_needed(form)) {
             for place in self.places(key.path(form)).into_iter().filter(|place| place.item.is_none()) {
                 self.fault(place.line, &place.path, "is missing");
             }
@@ -564,7 +581,7 @@
         });
         found.into_iter().cloned().collect()
     };
-    let keys = KEYS.iter().filter(|key| key.change == Change::Restart);
+    let keys = KEYS.iter().filter(|key| key.is_in(form) && key.change == Change::Restart);
     keys.map(|key| (key.path(form), of(key))).collect()
 }
 
@@ -601,8 +618,9 @@
             Default::Nothing(means) => means.to_owned(),
         };
         let change = if key.change == Change::Applied { "applied" } else { "at the next start" };
-        let Key { people, platform, means, .. } = key;
-        page += &format!("| `{people}` | {means} | {takes} | {default} | {change} | `{platform}` |\n");
+        let Key { people, means, .. } = key;
+        let platform = if key.is_in(Form::Platform) { format!("`{}`", key.platform) } else { "-".to_owned() };
+        page += &format!("| `{people}` | {means} | {takes} | {default} | {change} | {platform} |\n");
     }
     page
 }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -107,6 +107,11 @@
             "units_per_second = 50\nunits_per_s = 50",
             "plans[1].units_per_second: no such key; the nearest known name is plans[].units_per_s",
         ),
+        (
+            "[limits]",
+            "log.level = \"loud\"\n[limits]",
+            "log.level: has to be one of off, error, warn, info, debug",
+        ),
         ("[requests]", "[reqests]", "reqests: no such key; the nearest known name is requests"),
         ("[limits]", "qqq = 1\n[limits]", "qqq: no such key"),
     ];
--- /dev/null
+++ b/tests/log.rs
@@ -0,0 +1,175 @@
+//! The log: which events it tells of, in which form, and that it never gets in the way.
+
+#[path = "../src/bin/saffronpaddle/limiter.rs"]
+mod limiter;
+mod stand;
+
+use limiter::Limiter;
+use serde_json::Value;
+use stand::*;
+use std::io::{BufRead, BufReader};
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+
+/// The example under this discovery, with these keys of the log.
+fn config(discovery: &Discovery, log: &str) -> String {
+    std::fs::read_to_string("rillbarrow.example.toml")
+        .expect("the example")
+        .replace("127.0.0.1:8443", "127.0.0.1:0")
+        .replace("127.0.0.1:8500", &discovery.address.to_string())
+        .replacen("listen = \"127.0.0.1:7946\"", "listen = \"127.0.0.1:0\"", 1)
+        .replacen("[limits]", &format!("[log]\n{log}\n[limits]"), 1)
+}
+
+/// A request of the example's classes and plans.
+fn read(id: &str) -> String {
+    request(id, "balance-read", "4000m")
+        .replace("POST", "GET")
+        .replace("Tier: p", "Tier: premier")
+        .replace("Content-Length: 4\r\n\r\ntime", "\r\n")
+}
+
+/// Lines of a log of JSON.
+fn events(lines: &[String]) -> Vec<(String, Value)> {
+    let event = |line: &String| {
+        let value: Value = serde_json::from_str(line).unwrap_or_else(|_| panic!("no JSON: {line}"));
+        let word =
+            |name: &str| value[name].as_str().unwrap_or_else(|| panic!("no {name}: {line}")).to_owned();
+        assert!(["INFO", "WARN", "ERROR", "DEBUG"].contains(&word("level").as_str()), "{line}");
+        assert!(word("timestamp").ends_with('Z') && !word("message").is_empty(), "{line}");
+        (word("event"), value)
+    };
+    lines.iter().map(event).collect()
+}
+
+#[test]
+fn each_event_that_an_operator_acts_on_has_a_line_and_requests_have_none() {
+    let servers = Servers::new();
+    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
+    let discovery = Discovery::start(&hosts);
+    let mut node = Node::of_people("life", &config(&discovery, ""));
+    let first = discovery.watch().1;
+    node.says("list 1 applied: the whole list, 1 entries");
+    node.says("ready: a list of servers has come");
+    assert_eq!(node.client().ask(&read("quiet-1")).status(), 200);
+    first.shutdown(std::net::Shutdown::Both).expect("it is open");
+    assert!(node.says("discovery: ").contains("WARN"));
+    discovery.watch();
+    node.says("discovery: the watch is back");
+    node.reload(|text| text.replacen("attempts = 5", "attempts = 0", 1));
+    let said = node.says("the old configuration stays");
+    assert!(said.contains("ERROR") && said.contains("requests.max_attempts"), "{said}");
+    node.reload(|text| text.replacen("attempts = 0", "attempts = 5", 1));
+    let address = format!("reloaded: log level info, discovery at {}", discovery.address);
+    node.says(&address);
+    node.terminate();
+    node.says("leaving on SIGTERM: 0 requests open");
+    node.says("left: every client has its answer");
+    assert!(node.wait().success());
+    assert!(!node.said().iter().any(|line| line.contains("quiet-1")));
+}
+
+#[test]
+fn a_request_can_be_followed_by_its_id_once_the_level_is_debug() {
+    let servers = Servers::new();
+    let hosts = [host("s-1", servers.start("s-1", &[IS_FULL, SERVES]), 1, "ready")];
+    let discovery = Discovery::start(&hosts);
+    let mut node = Node::of_people("debug", &config(&discovery, "format = \"json\""));
+    assert_eq!(node.client().ask(&read("unseen")).status(), 200);
+    node.reload(|text| text.replacen("[log]", "[log]\nlevel = \"debug\"", 1));
+    let said = node.says("reloaded");
+    assert_eq!(node.client().ask(&read("seen")).status(), 200);
+    node.reload(|text| text.replacen("\"debug\"", "\"warn\"", 1));
+    // At this level no line tells of it; the watch that is opened anew does.
+    (0..3).for_each(|_| drop(discovery.watch()));
+    assert_eq!(node.client().ask(&read("hidden")).status(), 200);
+    node.terminate();
+    assert!(node.wait().success());
+    let all = events(&node.said());
+    let of = |id: &str| -> Vec<&str> {
+        all.iter().filter(|(_, value)| value["id"] == id).map(|(event, _)| event.as_str()).collect()
+    };
+    assert_eq!(of("seen"), ["request", "send", "ended", "answer"]);
+    assert_eq!((of("unseen").len(), of("hidden").len()), (0, 0));
+    assert!(!all.iter().any(|(event, _)| event == "left"), "that is not of level warn");
+    let applied = &events(&[said])[0];
+    assert_eq!((applied.0.as_str(), applied.1["level"].as_str()), ("applied", Some("INFO")));
+}
+
+/// What comes from elsewhere cannot make a line of its own.
+#[test]
+fn a_line_stays_one_line() {
+    let discovery = Discovery::start(&[]);
+    let path = written("forged.toml", &config(&discovery, ""));
+    let mut child = program(&["serve", "--config"])
+        .arg(&path)
+        .env("LB_NAME", "a\nb\x1b[31m")
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+    let first = lines.next().expect("a line").expect("it is read");
+    child.kill().expect("it runs");
+    child.wait().expect("it ends");
+    let _ = std::fs::remove_file(&path);
+    assert!(first.contains(r"a\nb\u{1b}[31m: listening on 127.0.0.1:"), "{first}");
+}
+
+/// Whoever reads the log may end; the edge node goes on.
+#[test]
+fn nobody_has_to_read_the_log() {
+    let discovery = Discovery::start(&[]);
+    let path = written("unread.toml", &config(&discovery, ""));
+    let mut child =
+        program(&["serve", "--config"]).arg(&path).stderr(Stdio::piped()).spawn().expect("it starts");
+    drop(child.stderr.take());
+    for _ in 0..3 {
+        let (_, watch) = discovery.watch();
+        // A watch that ends makes a line, and so does the signal; each opens the next watch.
+        drop(watch);
+        let (_, watch) = discovery.watch();
+        let hangup = std::process::Command::new("kill").args(["-HUP", &child.id().to_string()]).status();
+        assert!(hangup.expect("kill runs").success());
+        drop(watch);
+    }
+    assert!(child.try_wait().expect("its state is known").is_none(), "it has ended");
+    child.kill().expect("it runs");
+    child.wait().expect("it ends");
+    let _ = std::fs::remove_file(&path);
+}
+
+/// Each event in the code stands on the page, and the other way round.
+#[test]
+fn the_page_tells_every_event() {
+    let mut coded = std::collections::BTreeSet::new();
+    for file in std::fs::read_dir("src/bin/saffronpaddle").expect("the code") {
+        let text = std::fs::read_to_string(file.expect("a file").path()).expect("it is text");
+        let names = text.split("event = \"").skip(1).filter_map(|rest| rest.split('"').next());
+        coded.extend(names.map(str::to_owned));
+    }
+    let page = std::fs::read_to_string("docs/OPERATING.md").expect("the page");
+    let page = page.split("\n## ").find(|part| part.starts_with("The log")).expect("its part on the log");
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
+    let told = rows.filter(|name| *name != "event").map(str::to_owned);
+    let at_debug = page.split("followed by its id:").nth(1).and_then(|rest| rest.split(", each").next());
+    let words = at_debug.expect("events at debug").split('`').skip(1).step_by(2).map(str::to_owned);
+    let told: std::collections::BTreeSet<_> = told.chain(words).collect();
+    assert!(coded.len() > 10);
+    assert_eq!(coded, told);
+}
+
+#[test]
+fn so_many_lines_of_a_kind_pass_in_each_span() {
+    let span = Duration::from_secs(10);
+    let mut limiter = Limiter::new(3, span);
+    let begun = Instant::now();
+    let passed: Vec<_> =
+        (0..6).map(|second| limiter.pass("a", begun + Duration::from_secs(second))).collect();
+    assert_eq!(passed, [Some(0), Some(0), Some(0), None, None, None]);
+    assert_eq!(limiter.pass("b", begun), Some(0), "each kind has its own");
+    assert_eq!(limiter.pass("a", begun + span - Duration::from_nanos(1)), None);
+    assert_eq!(limiter.pass("a", begun + span), Some(4), "what was left out is told once");
+    assert_eq!(limiter.pass("a", begun + span), Some(0));
+    assert_eq!(limiter.pass("a", begun), Some(0), "a clock that goes back is no matter");
+    assert_eq!(limiter.pass("a", begun + span), None);
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -317,7 +317,8 @@
     /// Starts one under a configuration of people, told by the command line. It has no peers.
     pub fn of_people(tag: &str, config: &str) -> Node {
         let path = written(&format!("{tag}.toml"), config);
-        let child = program(&["serve", "--config"]).arg(&path).stderr(Stdio::piped()).spawn();
+        let child =
+            program(&["serve", "--config"]).arg(&path).stdout(Stdio::null()).stderr(Stdio::piped()).spawn();
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
         let datagrams = peer.local_addr().expect("an address");
         Node::of(child.expect("it starts"), path, peer, datagrams)
@@ -328,8 +329,13 @@
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
         log.read_line(&mut line).expect("a line");
-        let address = line.trim_end().rsplit(' ').next().and_then(|word| word.parse().ok());
-        let address = address.unwrap_or_else(|| panic!("it listens: {line}"));
+        // The line may be text or JSON.
+        let words = line.split(|letter: char| !letter.is_ascii_digit() && !".:".contains(letter));
+        let Some(address) = words.rev().find_map(|word| word.parse().ok()) else {
+            // Guards against one that outlives its test.
+            let _ = child.kill();
+            panic!("it listens: {line}")
+        };
         let (tell, said) = mpsc::channel();
         // Read to its end, whoever listens: a full pipe would stop the edge node.
         thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
@@ -353,6 +359,11 @@
         }
     }
 
+    /// What it has logged after its first line and was not looked at, once it has ended.
+    pub fn said(&self) -> Vec<String> {
+        self.said.iter().collect()
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
