Admin listener, off unless configured: metrics, health, readiness and state

Cause: an edge node told operators nothing of its requests, attempts, connections, lists and watches. Change: admin.listen in people's configuration (the platform's form has no such key). /metrics by prometheus-client, /healthz, /readyz, /debug/state; labels are classes, plans and outcomes only. A phase 'starting' stands before 'serving'. tests/stand: counts of descriptors and of watches that nobody looked at, for the new tests; nothing is checked less. The new test of the figures was wrong twice while it was written: it held a resting client for one that stays, and a watch that falls silent after 3 s for one that stands. It now waits for what must come, and bounds resets by the watches that were opened.

--- a/src/bin/saffronpaddle/clients.rs
+++ b/src/bin/saffronpaddle/clients.rs
@@ -43,6 +43,8 @@
 /// How far the edge node is on its way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
+    /// Clients wait in the backlog.
+    Starting,
     Serving,
     /// Not ready any more; all that comes is served, and each answer closes its connection.
     Leaving,
@@ -50,6 +52,17 @@
     Closing,
 }
 
+impl Phase {
+    pub fn word(self) -> &'static str {
+        match self {
+            Phase::Starting => "starting",
+            Phase::Serving => "serving",
+            Phase::Leaving => "leaving",
+            Phase::Closing => "closing",
+        }
+    }
+}
+
 type Reply = Response<Full<Bytes>>;
 
 /// Comes back when the edge node closes, or when nobody is left to say so.
@@ -151,6 +164,7 @@
 }
 
 async fn converse(stream: TcpStream, node: Rc<Node>, phase: watch::Receiver<Phase>, seat: Rc<Seat>) {
+    let _counted = node.connected();
     let _ = stream.set_nodelay(true);
     let seen = phase.clone();
     let stream = Ahead::new(stream);
--- a/src/bin/saffronpaddle/config.rs
+++ b/src/bin/saffronpaddle/config.rs
@@ -37,6 +37,14 @@
 #[derive(Deserialize, Default)]
 pub struct Shell {
     pub log: log::Options,
+    #[serde(default)]
+    pub admin: AdminAddress,
+}
+
+/// Where operators connect, if they may.
+#[derive(Deserialize, Default)]
+pub struct AdminAddress {
+    pub listen: Option<SocketAddr>,
 }
 
 /// A configuration that can't be used: all that is wrong with it, at the least one fault.
--- a/src/bin/saffronpaddle/discovery.rs
+++ b/src/bin/saffronpaddle/discovery.rs
@@ -118,6 +118,7 @@
         loop {
             let opened = Instant::now();
             let Err(error) = self.watch(address).await;
+            self.node.watch_ended();
             // One that has stood for a while has served; this is a new trouble.
             if opened.elapsed() > TURNED_AWAY_MOST {
                 (pause, told) = (first, false);
--- a/src/bin/saffronpaddle/main.rs
+++ b/src/bin/saffronpaddle/main.rs
@@ -1,6 +1,7 @@
 //! The edge node: a shell of sockets round the decision module. It makes no policy.
 #![forbid(unsafe_code)]
 
+mod admin;
 mod ahead;
 mod clients;
 mod command;
@@ -10,15 +11,18 @@
 mod limiter;
 mod lists;
 mod log;
+mod metrics;
 mod node;
 mod peers;
 mod schema;
 mod upstream;
 
+use admin::Admin;
 use anyhow::{Context, Result};
 use clients::Phase;
 use config::Config;
 use log::Log;
+use metrics::Metrics;
 use node::Node;
 use peers::Peers;
 use schema::Values;
@@ -26,7 +30,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{oneshot, watch};
@@ -67,11 +71,24 @@
     let longest = Duration::from_micros(config.named.longest_deadline);
     let room = Room::new(config.memory / LARGE_SHARE);
     let upstream = Upstream::new(room, each_side, config.named.conn_idle, config.named.connect_timeout);
-    let node = Node::new(config.seed, config.named, upstream, peers)?;
+    let admin = match config.shell.admin.listen {
+        Some(address) => {
+            Some(TcpListener::bind(address).await.with_context(|| format!("admin.listen {address}"))?)
+        }
+        None => None,
+    };
+    let metrics = admin.as_ref().map(|_| Rc::new(Metrics::new(&config.named)));
+    let node = Node::new(config.seed, config.named, upstream, peers, metrics.clone())?;
     let (name, address) = (config.name, listener.local_addr().context("listen")?);
     info!(event = "start", %name, %address, version = VERSION, "{name}: listening on {address}");
 
-    let (phase, seen) = watch::channel(Phase::Serving);
+    let (phase, seen) = watch::channel(Phase::Starting);
+    if let (Some(listener), Some(metrics)) = (admin, metrics) {
+        let address = listener.local_addr().context("admin.listen")?;
+        info!(event = "admin", %address, "admin listener on {address}");
+        let (node, phase, started) = (Rc::clone(&node), seen.clone(), Instant::now());
+        tokio::task::spawn_local(admin::serve(listener, Admin { name, node, metrics, phase, started }));
+    }
     let (moved, discovery) = watch::channel(config.discovery);
     tokio::task::spawn_local(reload(hangup, config.path, config.values, moved, log));
     let (heard, first_word) = oneshot::channel();
@@ -81,6 +98,7 @@
     // What discovery holds counts as told from the first moment, and the list that is known may be old. Clients wait
     // in the backlog for that; while discovery is silent, what is known has to do.
     let heard = tokio::time::timeout(discovery::first_word_in(node.named.drain_grace), first_word).await;
+    phase.send_replace(Phase::Serving);
     let clients = tokio::task::spawn_local(clients::serve(listener, Rc::clone(&node), each_side, seen));
     match heard {
         Ok(_) => info!(event = "ready", cause = "a list has come", "ready: a list of servers has come"),
--- a/src/bin/saffronpaddle/node.rs
+++ b/src/bin/saffronpaddle/node.rs
@@ -2,11 +2,13 @@
 //! Only here is the module called; what it asks for is done in the order in which it asks.
 
 use crate::lists::{Health, Host, List};
+use crate::metrics::{Final, Metrics, Now};
 use crate::peers::Peers;
 use crate::upstream::{Ending, Forward, Upstream};
 use bytes::Bytes;
 use doordock::interface::{
-    Action, AttemptNo, CellId, Event, ListKind, Micros, RequestId, ServerEntry, ServerId, Standing, ZoneId,
+    Action, AttemptNo, CellId, ClassId, Event, ListKind, Micros, PlanId, RequestId, ServerEntry, ServerId,
+    Standing, ZoneId,
 };
 use doordock::setup::Named;
 use doordock::Gateway;
@@ -35,6 +37,14 @@
             Answer::Failed => "failed",
         }
     }
+
+    fn outcome(&self) -> Final {
+        match self {
+            Answer::Served(_) => Final::Served,
+            Answer::Refused(_) => Final::Refused,
+            Answer::Failed => Final::Failed,
+        }
+    }
 }
 
 /// A request that has no final answer yet.
@@ -42,6 +52,9 @@
     forward: Rc<Forward>,
     answer: oneshot::Sender<Answer>,
     attempts: u32,
+    /// Of which class and plan, and when it was whole.
+    kind: Option<(ClassId, PlanId)>,
+    since: Instant,
 }
 
 /// Unix time in µs that never goes back: what discovery says of starts needs no conversion but of units.
@@ -72,11 +85,17 @@
     out: RefCell<HashMap<RequestId, (AttemptNo, oneshot::Sender<()>)>>,
     /// The watch on discovery was told to be lost, and no list has come since.
     lost: Cell<bool>,
+    /// Number of the last list that discovery told, and when.
+    list: Cell<Option<(u64, Instant)>>,
+    /// Clients' connections that are open.
+    clients: Rc<Cell<usize>>,
+    /// Figures for operators, where they are asked for.
+    metrics: Option<Rc<Metrics>>,
 }
 
 impl Node {
     pub fn new(
-        seed: u64, named: Named, upstream: Upstream, peers: Option<Peers>,
+        seed: u64, named: Named, upstream: Upstream, peers: Option<Peers>, metrics: Option<Rc<Metrics>>,
     ) -> anyhow::Result<Rc<Node>> {
         let clock = Clock::start();
         let gateway = Gateway::new(seed, named.settings.clone(), clock.now())?;
@@ -89,6 +108,9 @@
             requests: RefCell::default(),
             out: RefCell::default(),
             lost: Cell::default(),
+            list: Cell::default(),
+            clients: Rc::default(),
+            metrics,
         }))
     }
 
@@ -138,7 +160,11 @@
             return None;
         }
         debug!(event = "request", id = %id.0, target = forward.target, "request {}: {}", id.0, forward.target);
-        let pending = Pending { forward: Rc::new(forward), answer, attempts: 0 };
+        let kind = match &event {
+            Event::Request { class, plan, .. } => Some((*class, *plan)),
+            _ => None,
+        };
+        let pending = Pending { forward: Rc::new(forward), answer, attempts: 0, kind, since: Instant::now() };
         self.requests.borrow_mut().insert(id, pending);
         self.post(event);
         Some(answered)
@@ -146,7 +172,9 @@
 
     /// Nobody waits for this request any more: its client is gone, or its time is up.
     pub fn abandon(self: &Rc<Self>, id: &RequestId) {
-        if self.requests.borrow_mut().remove(id).is_some() {
+        let pending = self.requests.borrow_mut().remove(id);
+        if let Some(pending) = pending {
+            self.count(&pending, Final::Abandoned);
             debug!(event = "abandoned", id = %id.0, "request {}: nobody waits any more", id.0);
             self.post(Event::Abandoned { id: id.clone() });
         }
@@ -165,6 +193,7 @@
     fn answer(&self, id: &RequestId, answer: Answer) {
         if let Some(pending) = self.requests.borrow_mut().remove(id) {
             debug!(event = "answer", id = %id.0, answer = answer.word(), "request {}: {}", id.0, answer.word());
+            self.count(&pending, answer.outcome());
             // A client that has gone meanwhile takes no answer.
             let _ = pending.answer.send(answer);
         }
@@ -195,6 +224,7 @@
     fn ended(self: &Rc<Self>, id: RequestId, attempt: AttemptNo, ending: Ending) {
         let Ending { outcome, body, load } = ending;
         debug!(event = "ended", id = %id.0, attempt = attempt.0, ?outcome, "request {}: attempt {} ended, {outcome:?}", id.0, attempt.0);
+        self.metrics.iter().for_each(|metrics| metrics.attempt(outcome));
         self.out.borrow_mut().remove(&id);
         if let Some(body) = body {
             self.answer(&id, Answer::Served(body));
@@ -236,6 +266,7 @@
     /// A list from discovery has been applied.
     pub fn list_came(&self, list: &List) {
         let (seq, entries) = (list.seq, list.hosts.read.len());
+        self.list.set(Some((seq, Instant::now())));
         if self.lost.take() {
             info!(event = "watch_back", seq, "discovery: the watch is back");
         }
@@ -254,6 +285,13 @@
         warn!(event = "not_accepted", cause = %error, "a connection was not accepted: {error}");
     }
 
+    /// A watch on discovery has ended.
+    pub fn watch_ended(&self) {
+        if let Some(metrics) = &self.metrics {
+            metrics.watch_resets.inc();
+        }
+    }
+
     /// A watch on discovery has ended, and its trouble is a new one.
     pub fn watch_lost(&self, address: SocketAddr, error: &anyhow::Error) {
         self.lost.set(true);
@@ -261,6 +299,61 @@
     }
 }
 
+/// Counts one for as long as it lives.
+pub struct Counted(Rc<Cell<usize>>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+impl Node {
+    fn count(&self, pending: &Pending, outcome: Final) {
+        if let (Some(metrics), Some((class, plan))) = (&self.metrics, pending.kind) {
+            metrics.request(class, plan, outcome, pending.since.elapsed());
+        }
+    }
+
+    /// A client has connected, and stays for as long as this is kept.
+    pub fn connected(&self) -> Counted {
+        self.clients.set(self.clients.get() + 1);
+        Counted(Rc::clone(&self.clients))
+    }
+
+    /// What there is at this moment.
+    pub fn now(&self) -> Now {
+        let (datagrams_sent, datagrams_received) = self.peers.as_ref().map_or((0, 0), Peers::counted);
+        let list = self.list.get();
+        Now {
+            open_requests: self.open(),
+            client_connections: self.clients.get(),
+            server_connections: self.upstream.open_sockets(),
+            // The folder that is read is open itself.
+            descriptors: std::fs::read_dir("/proc/self/fd").map_or(0, |fds| fds.count().saturating_sub(1)),
+            servers_ready: self.upstream.known(),
+            kept: self.gateway.borrow().kept(),
+            list_age: list.map(|(_, since)| since.elapsed()),
+            list_sequence: list.map_or(0, |(seq, _)| seq),
+            datagrams_sent,
+            datagrams_received,
+        }
+    }
+
+    pub fn is_watch_lost(&self) -> bool {
+        self.lost.get()
+    }
+
+    /// The open requests that came first, with their age and attempts.
+    pub fn oldest(&self, most: usize) -> Vec<(RequestId, Duration, u32)> {
+        let requests = self.requests.borrow();
+        let mut all: Vec<_> = requests.iter().collect();
+        all.sort_by_key(|(_, pending)| pending.since);
+        let shown = all.into_iter().take(most);
+        shown.map(|(id, pending)| (id.clone(), pending.since.elapsed(), pending.attempts)).collect()
+    }
+}
+
 /// A server's id, the same at every edge node: FNV-1a of its name.
 fn server_id(host: &str) -> ServerId {
     let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
--- a/src/bin/saffronpaddle/peers.rs
+++ b/src/bin/saffronpaddle/peers.rs
@@ -4,6 +4,7 @@
 use crate::node::Node;
 use anyhow::{Context, Result};
 use doordock::interface::{Event, GatewayId};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -16,13 +17,21 @@
     each: Vec<SocketAddr>,
     all: Option<SocketAddr>,
     me: usize,
+    /// Datagrams that went out and came in, of peers alone.
+    sent: Cell<u64>,
+    received: Cell<u64>,
 }
 
 impl Peers {
     pub async fn bind(addresses: PeerAddresses, me: GatewayId) -> Result<Peers> {
         let PeerAddresses { listen, each, all } = addresses;
         let socket = UdpSocket::bind(listen).await.with_context(|| format!("peer_listen {listen}"))?;
-        Ok(Peers { socket, each, all, me: me.0 as usize })
+        Ok(Peers { socket, each, all, me: me.0 as usize, sent: Cell::default(), received: Cell::default() })
+    }
+
+    /// Datagrams sent and received.
+    pub fn counted(&self) -> (u64, u64) {
+        (self.sent.get(), self.received.get())
     }
 
     pub fn tell(&self, to: GatewayId, bytes: &[u8]) {
@@ -42,7 +51,8 @@
     fn send(&self, bytes: &[u8], to: SocketAddr) {
         if bytes.len() <= MOST {
             // Losing one is in the nature of datagrams.
-            let _ = self.socket.try_send_to(bytes, to);
+            let sent = self.socket.try_send_to(bytes, to).is_ok();
+            self.sent.set(self.sent.get() + u64::from(sent));
         }
     }
 
@@ -51,6 +61,7 @@
         let (length, from) = self.socket.recv_from(&mut buffer).await.ok()?;
         let sender = self.each.iter().position(|address| *address == from)?;
         let bytes = buffer.get(..length).filter(|bytes| bytes.len() <= MOST)?;
+        self.received.set(self.received.get() + 1);
         Some((GatewayId(sender as u32), bytes.to_vec()))
     }
 }
--- a/src/bin/saffronpaddle/schema.rs
+++ b/src/bin/saffronpaddle/schema.rs
@@ -134,6 +134,7 @@
     key("limits.memory_mib", "limits.memory_mb", Count(16, 1 << 20), Default::Count(32), May, "Memory that it may use, in MiB; an eighth is for large bodies."),
     changing(key("log.level", "log.level", LEVELS, Default::Word("info"), Lacks, "Least severity that is logged."), Change::Applied),
     key("log.format", "log.format", FORMATS, Default::Word("text"), Lacks, "Lines for people, or a JSON object in each line."),
+    key("admin.listen", "admin.listen", Address, Default::Nothing("no admin listener"), Lacks, "Where operators and their monitoring connect: metrics, health, state."),
     key("fleet.gateways", "settings.balancers", Count(1, 100_000), Default::Required, Needs, "Edge nodes in the fleet."),
     key("fleet.number", "settings.me", Count(0, 99_999), Default::Required, Needs, "This one's number, from 0."),
     key("fleet.zones", "settings.zones", Texts, Default::Nothing("no zones"), May, "Names of all zones."),
--- a/src/bin/saffronpaddle/upstream.rs
+++ b/src/bin/saffronpaddle/upstream.rs
@@ -168,6 +168,16 @@
         }
     }
 
+    /// Connections to servers that are open.
+    pub fn open_sockets(&self) -> usize {
+        self.sockets.get()
+    }
+
+    /// Servers that are ready.
+    pub fn known(&self) -> usize {
+        self.places.borrow().len()
+    }
+
     /// Follows the list: where each server that is ready is reached. Who is gone, or not on a whole list, and who
     /// moved, loses its idle connections.
     pub fn listed(&self, whole: bool, servers: impl Iterator<Item = (ServerId, Option<SocketAddr>)>) {
--- /dev/null
+++ b/tests/admin.rs
@@ -0,0 +1,252 @@
+//! The admin listener: what it tells, and that nothing that comes on it touches requests.
+
+mod stand;
+
+use serde_json::Value;
+use stand::*;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Instant;
+
+/// The example with an admin listener and clients of much patience.
+fn config(discovery: SocketAddr) -> String {
+    with_grace(discovery, 20_000)
+}
+
+/// The same with another grace for drains, half of which a first list is waited for.
+fn with_grace(discovery: SocketAddr, millis: u32) -> String {
+    std::fs::read_to_string("rillbarrow.example.toml")
+        .expect("the example")
+        .replace("127.0.0.1:8443", "127.0.0.1:0")
+        .replace("127.0.0.1:8500", &discovery.to_string())
+        .replacen("listen = \"127.0.0.1:7946\"", "listen = \"127.0.0.1:0\"", 1)
+        .replace("deadline_ms = 4_000", "deadline_ms = 60_000")
+        .replace("drain_grace_ms = 500", &format!("drain_grace_ms = {millis}"))
+        .replacen("[limits]", "admin.listen = \"127.0.0.1:0\"\n[limits]", 1)
+}
+
+/// A request of the example's classes and plans.
+fn read(id: &str) -> String {
+    request(id, "balance-read", "60000m")
+        .replace("POST", "GET")
+        .replace("Tier: p", "Tier: premier")
+        .replace("Content-Length: 4\r\n\r\ntime", "\r\n")
+}
+
+fn admin(node: &Node) -> SocketAddr {
+    let line = node.says("admin listener on ");
+    line.rsplit(' ').next().and_then(|word| word.parse().ok()).expect("an address")
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream
+}
+
+fn get(address: SocketAddr, path: &str) -> (u16, String) {
+    let mut stream = connect(address);
+    write!(stream, "GET {path} HTTP/1.1\r\nHost: a\r\n\r\n").expect("it is open");
+    let answer = Message::read(&mut BufReader::new(stream)).expect("an answer");
+    (answer.status(), String::from_utf8(answer.body).expect("it is text"))
+}
+
+/// The value of a series.
+fn figure(text: &str, series: &str) -> f64 {
+    let line = text.lines().find_map(|line| line.strip_prefix(series)?.strip_prefix(' '));
+    line.unwrap_or_else(|| panic!("no {series}: {text}")).parse().expect("a number")
+}
+
+/// Asks until there is something.
+fn until<T>(mut ask: impl FnMut() -> Option<T>) -> T {
+    let begun = Instant::now();
+    loop {
+        if let Some(found) = ask() {
+            return found;
+        }
+        assert!(begun.elapsed() < PATIENCE, "it never comes");
+    }
+}
+
+#[test]
+fn figures_follow_what_happens() {
+    let servers = Servers::new();
+    let hosts = [host("s-1", servers.start("s-1", &[SERVES, IS_FULL, SERVES, Does::IsSilent]), 1, "ready")];
+    let discovery = Discovery::start(&hosts);
+    let node = Node::of_people("figures", &config(discovery.address));
+    let address = admin(&node);
+    let (_, watch) = discovery.watch();
+    let mut client = node.client();
+    assert_eq!(client.ask(&read("a")).status(), 200);
+    assert_eq!(client.ask(&read("b")).status(), 200, "after one that was full");
+    (0..3).for_each(|_| drop(servers.next()));
+    let mut leaves = node.client();
+    leaves.write(&read("open"));
+    servers.next();
+    // Only the client that waits stays for as long as it likes.
+    drop(client);
+    let state = until(|| {
+        let (status, state) = get(address, "/debug/state");
+        assert_eq!(status, 200);
+        let state: Value = serde_json::from_str(&state).expect("it is JSON");
+        (state["connections"]["clients"] == 1).then_some(state)
+    });
+    assert_eq!(state["phase"], "serving");
+    assert_eq!(state["open_requests"], 1);
+    assert_eq!(state["oldest_requests"][0]["id"], "open");
+    assert_eq!((&state["list"]["sequence"], &state["list"]["servers_ready"]), (&1.into(), &1.into()));
+    drop(leaves);
+    (0..3).fold(watch, |watch, _| {
+        drop(watch);
+        discovery.watch().1
+    });
+    // The client's leaving and the new watch's list are told by what they change.
+    let series = |class: &str, plan: &str, outcome: &str| {
+        format!("edge_node_requests_total{{class=\"{class}\",plan=\"{plan}\",outcome=\"{outcome}\"}}")
+    };
+    let abandoned = series("balance-read", "premier", "abandoned");
+    let text = until(|| {
+        let (status, text) = get(address, "/metrics");
+        assert_eq!(status, 200);
+        let left = figure(&text, &abandoned) == 1.0 && figure(&text, "edge_node_client_connections") == 0.0;
+        left.then_some(text)
+    });
+    assert_eq!(figure(&text, &series("balance-read", "premier", "served")), 2.0);
+    assert_eq!(figure(&text, &series("post-payment", "basic", "refused")), 0.0);
+    assert_eq!(figure(&text, "edge_node_attempts_total{outcome=\"ok\"}"), 2.0);
+    assert_eq!(figure(&text, "edge_node_attempts_total{outcome=\"full\"}"), 1.0);
+    let latency = "edge_node_request_duration_seconds_count{class=\"balance-read\"}";
+    assert_eq!(figure(&text, latency), 2.0, "one that was abandoned has none");
+    // The last watch may have fallen silent by now, and so may those after it.
+    let opened = 4 + discovery.further();
+    let resets = figure(&text, "edge_node_watch_resets_total");
+    assert!(resets >= 3.0 && resets <= opened as f64, "{resets} resets of {opened} watches");
+    assert_eq!(figure(&text, "edge_node_open_requests"), 0.0);
+    assert!(figure(&text, "edge_node_open_descriptors") >= 8.0);
+    assert!(figure(&text, "edge_node_datagrams_sent_total") >= 1.0);
+    assert!(figure(&text, "edge_node_list_age_seconds") < 60.0);
+    assert!(text.ends_with("# EOF\n"));
+    for secret in ["b4d65521", "s-1", "\"a\""] {
+        assert!(!text.contains(secret), "{secret} among the labels");
+    }
+}
+
+#[test]
+fn it_is_ready_while_it_serves() {
+    let servers = Servers::new();
+    let hosts = [host("s-1", servers.start("s-1", &[Does::IsSilent]), 1, "ready")];
+    let discovery = Discovery::mute();
+    let mut node = Node::of_people("ready", &with_grace(discovery.address, 3_000_000));
+    let address = admin(&node);
+    assert_eq!(get(address, "/readyz"), (503, "starting\n".to_owned()));
+    assert_eq!(get(address, "/healthz").0, 200);
+    let (_, mut watch) = discovery.watch();
+    watch.write_all(WATCH.as_bytes()).expect("it is open");
+    write_list(&mut watch, &list(1, true, &hosts));
+    node.says("ready: ");
+    assert_eq!(get(address, "/readyz"), (200, "serving\n".to_owned()));
+    // An open request keeps it for as long as it likes.
+    node.client().write(&read("gone"));
+    let mut client = node.client();
+    client.write(&read("open"));
+    while servers.next().message.header("x-request-id") != "open" {}
+    node.terminate();
+    node.says("leaving on SIGTERM");
+    let (status, phase) = get(address, "/readyz");
+    assert!(status == 503 && ["leaving\n", "closing\n"].contains(&phase.as_str()), "{status} {phase}");
+    assert!(node.runs());
+}
+
+/// Noise, slow clients and crowds get 4xx or an end, and requests are served meanwhile.
+#[test]
+fn nothing_on_the_admin_port_touches_requests() {
+    let servers = Servers::new();
+    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
+    let discovery = Discovery::start(&hosts);
+    let mut node = Node::of_people("noise", &config(discovery.address));
+    let address = admin(&node);
+    let long = format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(100_000));
+    let noises: [&[u8]; 8] = [
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+        b"\r\n\r\n\r\n\r\n",
+        b"GET\r\n\r\n",
+        b"GET /metrics HTTP/9.9\r\n\r\n",
+        b"POST /metrics HTTP/1.1\r\nHost: a\r\nContent-Length: 900000000\r\n\r\nx",
+        b"GET /nothing HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"GET /metrics HTTP/1.1\r\nHost: a",
+        long.as_bytes(),
+    ];
+    let answers = noises.map(|noise| {
+        let mut stream = connect(address);
+        // It may have answered by then.
+        let _ = stream.write_all(noise);
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        let answer = String::from_utf8_lossy(&answer).into_owned();
+        assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 4"), "{answer}");
+        answer.split(' ').nth(1).unwrap_or("closed").to_owned()
+    });
+    assert_eq!((answers[4].as_str(), answers[5].as_str()), ("405", "404"));
+    // More than may be open, all silent.
+    let before = node.descriptors();
+    let crowd: Vec<_> = (0..40).map(|_| connect(address)).collect();
+    let mut client = node.client();
+    for number in 0..10 {
+        assert_eq!(client.ask(&read(&format!("r{number}"))).status(), 200);
+    }
+    // Eight of them, the client's, and some to the server.
+    assert!(node.descriptors() <= before + 20, "{} of {before}", node.descriptors());
+    for mut stream in crowd {
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest);
+        assert!(rest.is_empty() || rest.starts_with(b"HTTP/1.1 4"), "each ends by itself");
+    }
+    assert_eq!(get(address, "/healthz"), (200, "ok\n".to_owned()));
+    assert!(node.runs());
+}
+
+#[test]
+fn there_is_none_unless_people_configure_it() {
+    let discovery = Discovery::start(&[]);
+    let with = |config: String| config.replacen('{', r#"{"admin":{"listen":"127.0.0.1:0"},"#, 1);
+    let mut node = Node::with("off", discovery.address, &[], with);
+    node.says("ready");
+    node.terminate();
+    assert!(node.wait().success());
+    assert!(!node.said().iter().any(|line| line.contains("admin")), "the platform's form has no such key");
+}
+
+#[test]
+fn an_address_that_is_taken_ends_the_start_in_one_plain_line() {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("an address");
+    let discovery = Discovery::start(&[]);
+    let text = config(discovery.address).replacen(
+        "admin.listen = \"127.0.0.1:0\"",
+        &format!("admin.listen = \"{address}\""),
+        1,
+    );
+    let path = written("taken.toml", &text);
+    let output = program(&["serve", "--config"]).arg(&path).output().expect("it runs");
+    let _ = std::fs::remove_file(path);
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert_eq!((output.status.code(), error.lines().count()), (Some(1), 1), "{error}");
+    assert!(error.contains(&format!("admin.listen {address}")), "{error}");
+}
+
+#[test]
+fn the_page_tells_every_metric() {
+    let discovery = Discovery::start(&[]);
+    let node = Node::of_people("page", &config(discovery.address));
+    let (_, text) = get(admin(&node), "/metrics");
+    let typed = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let mut coded: Vec<_> = typed.map(|line| line.replace(' ', "` | ")).collect();
+    let page = std::fs::read_to_string("docs/OPERATING.md").expect("the page");
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `edge_node_"));
+    let first_two = |row: &str| row.split(" | ").take(2).collect::<Vec<_>>().join(" | ");
+    let mut told: Vec<_> = rows.map(|row| format!("edge_node_{}", first_two(row))).collect();
+    coded.sort();
+    told.sort();
+    assert!(coded.len() > 10);
+    assert_eq!(coded, told);
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -226,6 +226,11 @@
     pub fn watch(&self) -> (String, TcpStream) {
         self.watches.recv_timeout(PATIENCE).expect("a watch is opened")
     }
+
+    /// How many watches have been opened that nobody looked at.
+    pub fn further(&self) -> usize {
+        self.watches.try_iter().count()
+    }
 }
 
 /// A line of a watch, as a chunk.
@@ -382,6 +387,12 @@
         assert!(kill.expect("kill runs").success());
     }
 
+    /// How many descriptors it holds.
+    pub fn descriptors(&self) -> usize {
+        let held = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        held.expect("it runs").count()
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("it ends")
     }
