--- a/src/bin/saffronpaddle/discovery.rs
+++ b/src/bin/saffronpaddle/discovery.rs
@@ -87,9 +87,10 @@
         loop {
             self.reconnect.called(self.begun.elapsed());
             let Err(error) = self.watch(address).await;
+            self.node.watch_ended();
             let now = self.begun.elapsed();
             if !std::mem::replace(&mut told, true) || self.reconnect.has_stood(now) {
-                eprintln!("discovery: {error:#}");
+                self.node.watch_lost(address, &error);
             }
             let failure = if error.is::<Trouble>() { Failure::Refused } else { Failure::Lost };
             let next = self.reconnect.ended(now, failure, fastrand::f64());
@@ -150,6 +151,7 @@
         *seq = Some(list.seq);
         let kind = if list.whole { ListKind::Complete } else { ListKind::Changes };
         self.node.listed(kind, &list.hosts.read);
+        self.node.list_came(list);
         // Whoever waited may have waited long enough.
         if let Some(heard) = self.heard.take() {
             let _ = heard.send(());
--- a/src/bin/saffronpaddle/node.rs
+++ b/src/bin/saffronpaddle/node.rs
@@ -1,21 +1,25 @@
 //! Owns the decision module and all that it speaks of: the clock, the open requests and their attempts.
 //! Only here is the module called; what it asks for is done in the order in which it asks.
 
-use crate::lists::{Health, Host};
+use crate::lists::{Health, Host, List};
+use crate::metrics::{Final, Metrics, Now};
 use crate::peers::Peers;
 use crate::upstream::{Ending, Forward, Upstream};
 use bytes::Bytes;
 use doordock::interface::{
-    Action, AttemptNo, CellId, Event, ListKind, Micros, RequestId, ServerEntry, ServerId, Standing, ZoneId,
+    Action, AttemptNo, CellId, ClassId, Event, ListKind, Micros, PlanId, RequestId, ServerEntry, ServerId,
+    Standing, ZoneId,
 };
 use doordock::setup::Named;
 use doordock::Gateway;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tracing::{debug, info, warn};
 
 /// The final answer to a client's request.
 #[derive(Debug)]
@@ -25,11 +29,32 @@
     Failed,
 }
 
+impl Answer {
+    fn word(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Refused(_) => "refused",
+            Answer::Failed => "failed",
+        }
+    }
+
+    fn outcome(&self) -> Final {
+        match self {
+            Answer::Served(_) => Final::Served,
+            Answer::Refused(_) => Final::Refused,
+            Answer::Failed => Final::Failed,
+        }
+    }
+}
+
 /// A request that has no final answer yet.
 struct Pending {
     forward: Rc<Forward>,
     answer: oneshot::Sender<Answer>,
     attempts: u32,
+    /// Of which class and plan, and when it was whole.
+    kind: Option<(ClassId, PlanId)>,
+    since: Instant,
 }
 
 /// Unix time in µs that never goes back: what discovery says of starts needs no conversion but of units.
@@ -58,11 +83,19 @@
     requests: RefCell<HashMap<RequestId, Pending>>,
     /// Attempts that are out, one of a request at the most; a word, or its loss, calls one off.
     out: RefCell<HashMap<RequestId, (AttemptNo, oneshot::Sender<()>)>>,
+    /// The watch on discovery was told to be lost, and no list has come since.
+    lost: Cell<bool>,
+    /// Number of the last list that discovery told, and when.
+    list: Cell<Option<(u64, Instant)>>,
+    /// Clients' connections that are open.
+    clients: Rc<Cell<usize>>,
+    /// Figures for operators, where they are asked for.
+    metrics: Option<Rc<Metrics>>,
 }
 
 impl Node {
     pub fn new(
-        seed: u64, named: Named, upstream: Upstream, peers: Option<Peers>,
+        seed: u64, named: Named, upstream: Upstream, peers: Option<Peers>, metrics: Option<Rc<Metrics>>,
     ) -> anyhow::Result<Rc<Node>> {
         let clock = Clock::start();
         let gateway = Gateway::new(seed, named.settings.clone(), clock.now())?;
@@ -74,6 +107,10 @@
             gateway: RefCell::new(gateway),
             requests: RefCell::default(),
             out: RefCell::default(),
+            lost: Cell::default(),
+            list: Cell::default(),
+            clients: Rc::default(),
+            metrics,
         }))
     }
 
@@ -111,7 +148,7 @@
                 });
             }
             Action::Follow => {} // discovery is always followed
-            Action::Log(line) => eprintln!("{line}"),
+            Action::Log(line) => warn!(event = "decision", "{line}"),
         }
     }
 
@@ -122,7 +159,12 @@
         if self.is_open(&id) || self.out.borrow().contains_key(&id) {
             return None;
         }
-        let pending = Pending { forward: Rc::new(forward), answer, attempts: 0 };
+        debug!(event = "request", id = %id.0, target = forward.target, "request {}: {}", id.0, forward.target);
+        let kind = match &event {
+            Event::Request { class, plan, .. } => Some((*class, *plan)),
+            _ => None,
+        };
+        let pending = Pending { forward: Rc::new(forward), answer, attempts: 0, kind, since: Instant::now() };
         self.requests.borrow_mut().insert(id, pending);
         self.post(event);
         Some(answered)
@@ -130,11 +172,19 @@
 
     /// Nobody waits for this request any more: its client is gone, or its time is up.
     pub fn abandon(self: &Rc<Self>, id: &RequestId) {
-        if self.requests.borrow_mut().remove(id).is_some() {
+        let pending = self.requests.borrow_mut().remove(id);
+        if let Some(pending) = pending {
+            self.count(&pending, Final::Abandoned);
+            debug!(event = "abandoned", id = %id.0, "request {}: nobody waits any more", id.0);
             self.post(Event::Abandoned { id: id.clone() });
         }
     }
 
+    /// Requests that have no final answer yet.
+    pub fn open(&self) -> usize {
+        self.requests.borrow().len()
+    }
+
     fn is_open(&self, id: &RequestId) -> bool {
         self.requests.borrow().contains_key(id)
     }
@@ -142,6 +192,8 @@
     /// Answers a request, unless that has been done: the table entry is the right to answer.
     fn answer(&self, id: &RequestId, answer: Answer) {
         if let Some(pending) = self.requests.borrow_mut().remove(id) {
+            debug!(event = "answer", id = %id.0, answer = answer.word(), "request {}: {}", id.0, answer.word());
+            self.count(&pending, answer.outcome());
             // A client that has gone meanwhile takes no answer.
             let _ = pending.answer.send(answer);
         }
@@ -155,6 +207,7 @@
             pending.attempts += 1;
             (Rc::clone(&pending.forward), AttemptNo(pending.attempts - 1))
         };
+        debug!(event = "send", id = %id.0, attempt = attempt.0, server = server.0, "request {}: attempt {} to server {}", id.0, attempt.0, server.0);
         let limit = time_out.and_then(|span| Instant::now().checked_add(Duration::from_micros(span)));
         let until = limit.map_or(forward.deadline, |limit| limit.min(forward.deadline));
         let (call_off, called_off) = oneshot::channel();
@@ -170,6 +223,8 @@
     /// The connection of the attempt is closed or free again by now, so that no two attempts are ever out.
     fn ended(self: &Rc<Self>, id: RequestId, attempt: AttemptNo, ending: Ending) {
         let Ending { outcome, body, load } = ending;
+        debug!(event = "ended", id = %id.0, attempt = attempt.0, ?outcome, "request {}: attempt {} ended, {outcome:?}", id.0, attempt.0);
+        self.metrics.iter().for_each(|metrics| metrics.attempt(outcome));
         self.out.borrow_mut().remove(&id);
         if let Some(body) = body {
             self.answer(&id, Answer::Served(body));
@@ -207,6 +262,98 @@
     }
 }
 
+impl Node {
+    /// A list from discovery has been applied.
+    pub fn list_came(&self, list: &List) {
+        let (seq, entries) = (list.seq, list.hosts.read.len());
+        self.list.set(Some((seq, Instant::now())));
+        if self.lost.take() {
+            info!(event = "watch_back", seq, "discovery: the watch is back");
+        }
+        let what = if list.whole { "the whole list" } else { "changes" };
+        info!(
+            event = "list",
+            seq,
+            entries,
+            whole = list.whole,
+            "list {seq} applied: {what}, {entries} entries"
+        );
+    }
+
+    /// A client's connection could not be accepted, and waits.
+    pub fn not_accepted(&self, error: &std::io::Error) {
+        warn!(event = "not_accepted", cause = %error, "a connection was not accepted: {error}");
+    }
+
+    /// A watch on discovery has ended.
+    pub fn watch_ended(&self) {
+        if let Some(metrics) = &self.metrics {
+            metrics.watch_resets.inc();
+        }
+    }
+
+    /// A watch on discovery has ended, and its trouble is a new one.
+    pub fn watch_lost(&self, address: SocketAddr, error: &anyhow::Error) {
+        self.lost.set(true);
+        warn!(event = "watch_lost", %address, cause = %format_args!("{error:#}"), "discovery: {error:#}");
+    }
+}
+
+/// Counts one for as long as it lives.
+pub struct Counted(Rc<Cell<usize>>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+impl Node {
+    fn count(&self, pending: &Pending, outcome: Final) {
+        if let (Some(metrics), Some((class, plan))) = (&self.metrics, pending.kind) {
+            metrics.request(class, plan, outcome, pending.since.elapsed());
+        }
+    }
+
+    /// A client has connected, and stays for as long as this is kept.
+    pub fn connected(&self) -> Counted {
+        self.clients.set(self.clients.get() + 1);
+        Counted(Rc::clone(&self.clients))
+    }
+
+    /// What there is at this moment.
+    pub fn now(&self) -> Now {
+        let (datagrams_sent, datagrams_received) = self.peers.as_ref().map_or((0, 0), Peers::counted);
+        let list = self.list.get();
+        Now {
+            open_requests: self.open(),
+            client_connections: self.clients.get(),
+            server_connections: self.upstream.open_sockets(),
+            // The folder that is read is open itself.
+            descriptors: std::fs::read_dir("/proc/self/fd").map_or(0, |fds| fds.count().saturating_sub(1)),
+            servers_ready: self.upstream.known(),
+            kept: self.gateway.borrow().kept(),
+            list_age: list.map(|(_, since)| since.elapsed()),
+            list_sequence: list.map_or(0, |(seq, _)| seq),
+            datagrams_sent,
+            datagrams_received,
+        }
+    }
+
+    pub fn is_watch_lost(&self) -> bool {
+        self.lost.get()
+    }
+
+    /// The open requests that came first, with their age and attempts.
+    pub fn oldest(&self, most: usize) -> Vec<(RequestId, Duration, u32)> {
+        let requests = self.requests.borrow();
+        let mut all: Vec<_> = requests.iter().collect();
+        all.sort_by_key(|(_, pending)| pending.since);
+        let shown = all.into_iter().take(most);
+        shown.map(|(id, pending)| (id.clone(), pending.since.elapsed(), pending.attempts)).collect()
+    }
+}
+
 /// A server's id, the same at every edge node: FNV-1a of its name.
 fn server_id(host: &str) -> ServerId {
     let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -1,4 +1,6 @@
-//! Stand-ins on loopback for what an edge node talks to: app servers, discovery, clients.
+//! Stand-ins on loopback for what an edge node talks to: app servers, discovery, clients. Each test file uses
+//! a part of them.
+#![allow(dead_code)]
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -237,6 +239,11 @@
     pub fn watch(&self) -> (String, TcpStream) {
         self.watches.recv_timeout(PATIENCE).expect("a watch is opened")
     }
+
+    /// How many watches have been opened that nobody looked at.
+    pub fn further(&self) -> usize {
+        self.watches.try_iter().count()
+    }
 }
 
 /// A line of a watch, as a chunk.
@@ -273,27 +280,43 @@
     said: Receiver<String>,
 }
 
-/// Starts the program with a configuration; it may fail.
-pub fn start(tag: &str, config: &str) -> (Child, std::path::PathBuf) {
-    launch(Command::new(PROGRAM), tag, config)
-}
-
 const PROGRAM: &str = env!("CARGO_BIN_EXE_saffronpaddle");
 
+/// The program with these arguments, and without any variable of the platform's.
+pub fn program(arguments: &[&str]) -> Command {
+    let mut command = Command::new(PROGRAM);
+    command.args(arguments);
+    without_variables(command)
+}
+
 /// The program under a limit on its descriptors that the machine enforces.
 fn limited(sockets: usize) -> Command {
     let mut command = Command::new("/bin/sh");
     command.args(["-c", &format!("ulimit -n {sockets} && exec \"$0\""), PROGRAM]);
-    command
+    without_variables(command)
 }
 
-fn launch(mut command: Command, tag: &str, config: &str) -> (Child, std::path::PathBuf) {
-    let file = format!("saffronpaddle-{}-{tag}.json", std::process::id());
-    let path = std::env::temp_dir().join(file);
-    std::fs::write(&path, config).expect("the configuration is written");
-    for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
+fn without_variables(mut command: Command) -> Command {
+    for key in ["LB_CONFIG", "LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
         command.env_remove(key);
     }
+    command
+}
+
+/// A configuration as a file of its own; `name` ends with its extension.
+pub fn written(name: &str, config: &str) -> std::path::PathBuf {
+    let path = std::env::temp_dir().join(format!("saffronpaddle-{}-{name}", std::process::id()));
+    std::fs::write(&path, config).expect("the configuration is written");
+    path
+}
+
+/// Starts the program with a configuration; it may fail.
+pub fn start(tag: &str, config: &str) -> (Child, std::path::PathBuf) {
+    launch(program(&[]), tag, config)
+}
+
+fn launch(mut command: Command, tag: &str, config: &str) -> (Child, std::path::PathBuf) {
+    let path = written(&format!("{tag}.json"), config);
     let child = command.env("LB_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("it starts");
     (child, path)
 }
@@ -314,7 +337,7 @@
     pub fn with(
         tag: &str, discovery: SocketAddr, hosts: &[String], change: impl FnOnce(String) -> String,
     ) -> Node {
-        Node::run(Command::new(PROGRAM), tag, discovery, hosts, change)
+        Node::run(program(&[]), tag, discovery, hosts, change)
     }
 
     fn run(
@@ -331,12 +354,32 @@
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"peer_listen":"{datagrams}","peers":["{datagrams}","{peer_address}"],"known":{known},"settings":{SETTINGS}}}"#
         );
-        let (mut child, config) = launch(command, tag, &change(config));
+        let (child, config) = launch(command, tag, &change(config));
+        Node::of(child, config, peer, datagrams)
+    }
+
+    /// Starts one under a configuration of people, told by the command line. It has no peers.
+    pub fn of_people(tag: &str, config: &str) -> Node {
+        let path = written(&format!("{tag}.toml"), config);
+        let child =
+            program(&["serve", "--config"]).arg(&path).stdout(Stdio::null()).stderr(Stdio::piped()).spawn();
+        let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        let datagrams = peer.local_addr().expect("an address");
+        Node::of(child.expect("it starts"), path, peer, datagrams)
+    }
+
+    /// One that was started just now, once it listens.
+    fn of(mut child: Child, config: std::path::PathBuf, peer: UdpSocket, datagrams: SocketAddr) -> Node {
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
         log.read_line(&mut line).expect("a line");
-        let address = line.trim_end().rsplit(' ').next().and_then(|word| word.parse().ok());
-        let address = address.unwrap_or_else(|| panic!("it listens: {line}"));
+        // The line may be text or JSON.
+        let words = line.split(|letter: char| !letter.is_ascii_digit() && !".:".contains(letter));
+        let Some(address) = words.rev().find_map(|word| word.parse().ok()) else {
+            // Guards against one that outlives its test.
+            let _ = child.kill();
+            panic!("it listens: {line}")
+        };
         let (tell, said) = mpsc::channel();
         // Read to its end, whoever listens: a full pipe would stop the edge node.
         thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
@@ -347,10 +390,19 @@
         Client::on(TcpStream::connect(self.address).expect("the edge node accepts"))
     }
 
-    /// Waits until the edge node has logged these words.
-    pub fn says(&self, words: &str) {
-        let line = || self.said.recv_timeout(PATIENCE).expect("it says so");
-        while !line().contains(words) {}
+    /// Waits until the edge node has logged these words; the line with them.
+    pub fn says(&self, words: &str) -> String {
+        loop {
+            let line = self.said.recv_timeout(PATIENCE).expect("it says so");
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    /// What it has logged after its first line and was not looked at, once it has ended.
+    pub fn said(&self) -> Vec<String> {
+        self.said.iter().collect()
     }
 
     pub fn terminate(&self) {
@@ -385,6 +437,12 @@
         assert!(kill.expect("kill runs").success());
     }
 
+    /// How many descriptors it holds.
+    pub fn descriptors(&self) -> usize {
+        let held = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        held.expect("it runs").count()
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("it ends")
     }
