Know a peer by a map from its address, not by a walk over all peers

Of two peers that share an address it speaks for the first, as before.

The test asks from the first and the last of 300 peers and from a stranger; with a map whose numbers are off by one it fails.

--- a/src/bin/saffronpaddle/peers.rs
+++ b/src/bin/saffronpaddle/peers.rs
@@ -4,6 +4,7 @@
 use crate::node::Node;
 use anyhow::{Context, Result};
 use doordock::interface::{Event, GatewayId};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -14,6 +15,8 @@
 pub struct Peers {
     socket: UdpSocket,
     each: Vec<SocketAddr>,
+    /// Whose an address is. Danger: thousands of peers looked through for each datagram.
+    senders: HashMap<SocketAddr, GatewayId>,
     all: Option<SocketAddr>,
     me: usize,
 }
@@ -22,7 +25,10 @@
     pub async fn bind(addresses: PeerAddresses, me: GatewayId) -> Result<Peers> {
         let PeerAddresses { listen, each, all } = addresses;
         let socket = UdpSocket::bind(listen).await.with_context(|| format!("peer_listen {listen}"))?;
-        Ok(Peers { socket, each, all, me: me.0 as usize })
+        // Of two that share an address, it speaks for the first.
+        let senders = each.iter().enumerate().rev().map(|(number, peer)| (*peer, GatewayId(number as u32)));
+        let senders = senders.collect();
+        Ok(Peers { socket, each, senders, all, me: me.0 as usize })
     }
 
     pub fn tell(&self, to: GatewayId, bytes: &[u8]) {
@@ -49,9 +55,9 @@
     async fn receive(&self) -> Option<(GatewayId, Vec<u8>)> {
         let mut buffer = [0; MOST + 1];
         let (length, from) = self.socket.recv_from(&mut buffer).await.ok()?;
-        let sender = self.each.iter().position(|address| *address == from)?;
+        let sender = self.senders.get(&from)?;
         let bytes = buffer.get(..length).filter(|bytes| bytes.len() <= MOST)?;
-        Some((GatewayId(sender as u32), bytes.to_vec()))
+        Some((*sender, bytes.to_vec()))
     }
 }
 
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -471,6 +471,37 @@
     assert!(node.runs());
 }
 
+/// Of three hundred peers each is known by its address alone: an answer goes to whoever asked.
+#[test]
+fn each_peer_is_known_by_its_address_and_a_stranger_by_none() {
+    let socket = || std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let (last, stranger) = (socket(), socket());
+    last.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stranger.set_nonblocking(true).expect("it does not wait");
+    let address = last.local_addr().expect("an address");
+    // Numbers 2 to 298 are on a net where nobody is.
+    let nobody = (2..299).map(|number| format!(r#""127.1.{}.{}:9","#, number / 250, 1 + number % 250));
+    let peers = nobody.collect::<String>() + &format!(r#""{address}"],"known""#);
+    let many = |config: String| {
+        config.replace(r#""balancers":2"#, r#""balancers":300"#).replace(r#"],"known""#, &format!(",{peers}"))
+    };
+    let servers = Servers::new();
+    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
+    let node = Node::with("senders", Discovery::start(&hosts).address, &hosts, many);
+    // A try of a customer whose only gateway is the node: version, kind, serial, customer, plan, home, first, spread,
+    // units, and no news.
+    let ask = |serial: u8| [3, 1, serial, 0, 9, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 16, 0, 0, 0];
+    let mut answer = [0; 2000];
+    for (serial, asker) in [(2, &node.peer), (3, &last)] {
+        stranger.send_to(&ask(1), node.datagrams).expect("sent");
+        asker.send_to(&ask(serial), node.datagrams).expect("sent");
+        asker.recv_from(&mut answer).expect("the asker is answered");
+        assert_eq!(answer[..5], [3, 2, serial, 0, 0], "granted");
+        // The stranger's ask was read before the one that has been answered.
+        assert!(stranger.recv_from(&mut answer).is_err(), "nobody answers a stranger");
+    }
+}
+
 #[test]
 fn a_customer_beyond_its_quota_is_refused_at_once() {
     let (servers, _discovery, node) = with_one("quota", &[SERVES]);
