lab slopes: what the decision module costs as the fleet grows

Tests run the program: messages, bytes and allocations of a request are bounded, the JSON reads back, the same seed counts the same, bad arguments end with 2 and one plain line.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod beside;
 pub mod fleet;
+pub mod plots;
 pub mod slopes;
 
 /// Why an experiment did not come to its end.
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,8 +3,14 @@
 
 use clap::{Parser, Subcommand};
 use lab::{beside, fleet, slopes, Failure};
+use stats_alloc::{StatsAlloc, INSTRUMENTED_SYSTEM};
+use std::alloc::System;
 use std::process::ExitCode;
 
+/// Counts allocations for `lab slopes`, at the price of a few atomic additions each.
+#[global_allocator]
+static COUNTED: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
 /// Experiments on the gateway, in simulated time and on loopback.
 #[derive(Parser)]
 #[command(version)]
@@ -24,7 +30,17 @@
 }
 
 fn main() -> ExitCode {
-    let ended = match Line::parse().command {
+    let line = match Line::try_parse() {
+        Ok(line) => line,
+        Err(error) if error.use_stderr() => {
+            // The first line says what is wrong; the rest is advice.
+            let said = error.to_string();
+            eprintln!("lab: {}", said.lines().next().unwrap_or_default().trim_start_matches("error: "));
+            return ExitCode::from(2);
+        }
+        Err(help) => help.exit(),
+    };
+    let ended = match line.command {
         Command::Slopes(args) => slopes::run(&args),
         Command::Fleet(args) => fleet::run(&args),
         Command::Beside(args) => beside::run(&args),
--- /dev/null
+++ b/lab/tests/slopes.rs
@@ -0,0 +1,131 @@
+//! `lab slopes` from outside: what it counts is bounded, what it writes reads back, what makes no sense ends with 2.
+
+use lab::slopes::{Over, Report, Slope};
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+fn lab(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_lab")).arg("slopes").args(args).output().expect("the lab runs")
+}
+
+/// A file of this test alone.
+fn file(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name)
+}
+
+/// Runs the lab and reads what it wrote.
+fn report(name: &str, args: &[&str]) -> Report {
+    let file = file(name);
+    let json = file.to_str().expect("a plain path");
+    let run = lab(&[args, &["--json", json]].concat());
+    assert!(run.status.success(), "{}", String::from_utf8_lossy(&run.stderr));
+    let text = std::fs::read_to_string(&file).expect("the file is written");
+    serde_json::from_str(&text).expect("it reads back")
+}
+
+fn slope<'a>(report: &'a Report, name: &str, over: Over) -> &'a Slope {
+    let named = |slope: &&Slope| slope.name == name && slope.over == over;
+    report.slopes.iter().find(named).expect("it was measured")
+}
+
+/// The most of a figure over all sizes and repeats.
+fn most(slope: &Slope, figure: &str) -> f64 {
+    slope.points.iter().map(|point| point.figures[figure].max).fold(0.0, f64::max)
+}
+
+#[test]
+fn a_request_in_a_large_fleet_costs_one_ask_and_one_answer_whatever_the_size() {
+    let what = ["--only", "request", "--only", "datagram", "--repeats", "2", "--most", "1000"];
+    let over = ["--over", "servers", "--over", "gateways", "--customers", "100", "--spread", "12"];
+    let report = report("large.json", &[what, over].concat());
+    for (name, least) in [("request", 19.0), ("datagram", 7.0)] {
+        let over = slope(&report, name, Over::Servers);
+        assert_eq!(over.points.len(), 4, "14, 60, 200 and 1,000 servers");
+        for point in &over.points {
+            let messages = point.figures["messages"];
+            assert_eq!((messages.min, messages.max), (1.0, 1.0), "{name}, {} servers", point.size);
+            assert!(point.figures["sent_bytes"].min >= least, "{name}, {} servers", point.size);
+        }
+        assert!(most(over, "longest_bytes") <= 256.0, "a datagram has room for 256 bytes");
+        assert!(most(over, "sent_bytes") <= 64.0, "an ask or its answer, with six rumours");
+        assert!(most(over, "allocations") <= 32.0, "{}", most(over, "allocations"));
+    }
+    // Small fleets ask nobody; what they tell is told to all, when it is due.
+    let over = slope(&report, "request", Over::Gateways);
+    for point in &over.points {
+        let asks = if point.size < 60 { 0.0 } else { 1.0 };
+        assert_eq!(point.figures["messages"].median, asks, "{} gateways", point.size);
+    }
+}
+
+#[test]
+fn memory_grows_in_step_and_reads_back_with_its_spread() {
+    let args = ["--only", "memory-customers", "--only", "memory-servers", "--repeats", "3", "--most", "1000"];
+    let report = report("memory.json", &args);
+    assert_eq!((report.seed, report.repeats), (1, 3));
+    assert_eq!(report.slopes.len(), 2);
+    for slope in &report.slopes {
+        for point in &slope.points {
+            let each = point.figures["each_bytes"];
+            assert!(each.min <= each.median && each.median <= each.max);
+            assert!((64.0..1024.0).contains(&each.median), "{} bytes each of {}", each.median, slope.name);
+        }
+    }
+}
+
+#[test]
+fn a_plot_is_an_svg_with_a_panel_for_each_slope() {
+    let file = file("plot.svg");
+    let path = file.to_str().expect("a plain path");
+    let run = lab(&["--only", "entry", "--only", "list", "--repeats", "1", "--most", "200", "--plot", path]);
+    assert!(run.status.success(), "{}", String::from_utf8_lossy(&run.stderr));
+    let svg = std::fs::read_to_string(file).expect("the file is written");
+    assert!(svg.starts_with("<svg") && svg.trim_end().ends_with("</svg>"));
+    for panel in ["entry over servers", "list over servers"] {
+        assert!(svg.contains(panel), "{panel}");
+    }
+}
+
+#[test]
+fn the_same_seed_counts_the_same() {
+    let args = ["--only", "request", "--repeats", "1", "--most", "60", "--seed", "7", "--customers", "100"];
+    let counted = |report: Report| -> Vec<_> {
+        let points = report.slopes.into_iter().flat_map(|slope| slope.points);
+        let figures = points.flat_map(|point| point.figures);
+        figures.filter(|(name, _)| name != "time_us").collect()
+    };
+    let (one, two) = (report("one.json", &args), report("two.json", &args));
+    assert_eq!(counted(one), counted(two));
+}
+
+#[test]
+fn arguments_that_make_no_sense_end_with_2_and_one_plain_line() {
+    let senseless: [&[&str]; 11] = [
+        &["--only", "colour"],
+        &["--repeats", "0"],
+        &["--repeats", "many"],
+        &["--gateways", "1"],
+        &["--gateways", "70000"],
+        &["--servers", "0"],
+        &["--customers", "3"],
+        &["--only", "entry", "--most", "2"],
+        &["--sped", "3"],
+        &["--over", "colours"],
+        &["--only", "list", "--over", "customers"],
+    ];
+    for args in senseless {
+        let run = lab(args);
+        let said = String::from_utf8_lossy(&run.stderr);
+        assert_eq!(run.status.code(), Some(2), "{args:?}: {said}");
+        assert!(said.starts_with("lab: ") && said.lines().count() == 1, "{args:?}: {said}");
+        assert!(run.stdout.is_empty(), "{args:?}");
+    }
+}
+
+#[test]
+fn a_plot_of_what_has_no_time_fails_with_1() {
+    let file = file("none.svg");
+    let path = file.to_str().expect("a plain path");
+    let run = lab(&["--only", "memory-gateways", "--repeats", "1", "--most", "60", "--plot", path]);
+    assert_eq!(run.status.code(), Some(1), "{}", String::from_utf8_lossy(&run.stderr));
+}
