--- a/lab/src/slopes/measure.rs
+++ b/lab/src/slopes/measure.rs
@@ -8,6 +8,7 @@
 use doordock::Gateway;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use std::net::{Ipv4Addr, SocketAddr};
 
 /// Something that costs.
 pub struct Measured {
@@ -20,7 +21,7 @@
 }
 
 /// All costs.
-pub const COSTS: [Measured; 9] = [
+pub const COSTS: [Measured; 10] = [
     Measured {
         name: "request",
         over: &[Over::Servers, Over::Customers, Over::Gateways, Over::Spread, Over::Open],
@@ -39,6 +40,7 @@
         over: &[Over::Servers, Over::Customers, Over::Gateways, Over::Spread],
         run: tick,
     },
+    Measured { name: "feed", over: &[Over::Servers], run: feed },
     Measured { name: "memory-servers", over: &[Over::Servers], run: memory_of_servers },
     Measured { name: "memory-customers", over: &[Over::Customers], run: memory_of_customers },
     Measured { name: "memory-gateways", over: &[Over::Gateways], run: memory_of_gateways },
@@ -105,6 +107,50 @@
     Ok(silent(cost, TIMES))
 }
 
+/// A server as a list of the protocol page writes it.
+#[derive(serde::Serialize)]
+struct Host {
+    host: String,
+    dial: SocketAddr,
+    site: String,
+    class: &'static str,
+    block: u64,
+    health: &'static str,
+    share: f64,
+    born_ms: u64,
+}
+
+/// A list of servers, or changes to it.
+#[derive(serde::Serialize)]
+struct Told<'a> {
+    seq: u64,
+    whole: bool,
+    hosts: &'a [Host],
+}
+
+/// What a list is as text, whole and of one changed entry: bytes alone.
+fn feed(seed: u64, sizes: Sizes) -> Result<Vec<Figure>> {
+    // Unix time in ms has thirteen digits.
+    let (net, born_ms) = (u32::from(Ipv4Addr::new(10, 0, 0, 0)), 1_700_000_000_000);
+    let host = |(number, entry): (usize, ServerEntry)| Host {
+        host: format!("s-{:08x}", entry.server.0 >> 32),
+        dial: SocketAddr::from((Ipv4Addr::from(net + number as u32), 8443)),
+        site: format!("z{:02}", entry.zone.0),
+        class: "m2",
+        block: entry.cell.0,
+        health: "ready",
+        share: entry.size,
+        born_ms,
+    };
+    let entries = entries(&mut ChaCha8Rng::seed_from_u64(seed), sizes.servers);
+    let hosts: Vec<_> = entries.into_iter().enumerate().map(host).collect();
+    let bytes = |whole, hosts: &[Host]| -> Result<f64> {
+        Ok(serde_json::to_vec(&Told { seq: sizes.servers, whole, hosts })?.len() as f64)
+    };
+    let (all, one) = (bytes(true, &hosts)?, bytes(false, &hosts[..1])?);
+    Ok(vec![("list_bytes", all), ("each_bytes", all / sizes.servers as f64), ("entry_bytes", one)])
+}
+
 /// A wake between two ticks, while requests are open.
 fn sweep(seed: u64, sizes: Sizes) -> Result<Vec<Figure>> {
     // One more stays open than are measured against elsewhere: none comes in here.
--- a/lab/tests/slopes.rs
+++ b/lab/tests/slopes.rs
@@ -73,6 +73,17 @@
     }
 }
 
+#[test]
+fn a_list_as_text_grows_in_step() {
+    let report = report("feed.json", &["--only", "feed", "--repeats", "1", "--most", "1000"]);
+    for point in &slope(&report, "feed", Over::Servers).points {
+        let (list, entry) = (point.figures["list_bytes"].median, point.figures["entry_bytes"].median);
+        // All but the first entry share the words around them.
+        let (least, most) = (0.7 * entry * point.size as f64, entry * point.size as f64);
+        assert!((least..most).contains(&list), "{list} bytes of {} servers", point.size);
+    }
+}
+
 #[test]
 fn a_plot_is_an_svg_with_a_panel_for_each_slope() {
     let file = file("plot.svg");
