--- a/lab/src/slopes.rs
+++ b/lab/src/slopes.rs
@@ -153,7 +153,13 @@
                 points.push(Point { size: *size, figures: report::figures(&runs) });
             }
             if !points.is_empty() {
-                report.slopes.push(Slope { name: cost.name.to_owned(), over: *over, points });
+                let slope = Slope { name: cost.name.to_owned(), over: *over, points };
+                progress("");
+                if report.slopes.is_empty() {
+                    println!("{report}");
+                }
+                println!("{slope}");
+                report.slopes.push(slope);
             }
         }
     }
@@ -161,7 +167,6 @@
     if report.slopes.is_empty() {
         return Err(Failure::Senseless(format!("nothing that was named has a size of {most} or less")));
     }
-    print!("{report}");
     if let Some(file) = &args.json {
         let text = serde_json::to_string_pretty(&report)?;
         std::fs::write(file, text + "\n").with_context(|| format!("{}", file.display()))?;
--- a/lab/src/slopes/report.rs
+++ b/lab/src/slopes/report.rs
@@ -70,6 +70,7 @@
     }
 }
 
+/// What all slopes have in common; each prints itself.
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Sizes { servers, customers, gateways, spread, open } = self.base;
@@ -79,14 +80,13 @@
             "seed {}, {} repeats; where they don't grow: {servers} servers, {customers} customers, {gateways} \
              gateways, {spread} of them for each customer, {open} open requests",
             self.seed, self.repeats
-        )?;
-        self.slopes.iter().try_for_each(|slope| slope.fmt(f))
+        )
     }
 }
 
 impl fmt::Display for Slope {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "\n{} over {}", self.name, self.over)?;
+        writeln!(f, "{} over {}", self.name, self.over)?;
         writeln!(
             f,
             "{:>10}  {:<18} {:>14} {:>14} {:>14}  power",
