--- a/lab/src/slopes/measure.rs
+++ b/lab/src/slopes/measure.rs
@@ -53,7 +53,7 @@
 
 fn each(cost: Cost, of: u64) -> Vec<Figure> {
     let part = |sum: u64| sum as f64 / of.max(1) as f64;
-    let mut figures = vec![("time_us", cost.time / of.max(1) as f64)];
+    let mut figures = vec![("time_us", cost.time / of.max(1) as f64), ("visited", part(cost.visited))];
     if counts_allocations() {
         figures.push(("allocations", part(cost.allocations)));
     }
@@ -62,9 +62,12 @@
     figures
 }
 
-/// The time and allocations of what sends nothing.
+/// Time, allocations and entries looked at of what sends nothing.
 fn silent(cost: Cost, of: u64) -> Vec<Figure> {
-    each(cost, of).into_iter().filter(|(name, _)| ["time_us", "allocations"].contains(name)).collect()
+    each(cost, of)
+        .into_iter()
+        .filter(|(name, _)| ["time_us", "allocations", "visited"].contains(name))
+        .collect()
 }
 
 /// A request at the gateway that took it: the try, the owner's answer, one attempt and its answer.
--- a/lab/src/slopes/stand.rs
+++ b/lab/src/slopes/stand.rs
@@ -38,6 +38,8 @@
     pub time: f64,
     /// Allocations.
     pub allocations: u64,
+    /// Server entries that the gateway looked at.
+    pub visited: u64,
     /// Datagrams sent; one to all peers counts once for each.
     pub messages: u64,
     /// Bytes of these, without headers.
@@ -53,6 +55,7 @@
     pub fn add(&mut self, other: Cost) {
         self.time += other.time;
         self.allocations += other.allocations;
+        self.visited += other.visited;
         self.messages += other.messages;
         self.bytes += other.bytes;
         self.longest = self.longest.max(other.longest);
@@ -316,12 +319,15 @@
     fn post(&mut self, side: usize, event: Event) -> (Cost, Cost) {
         let unasked = matches!(&event, Event::Peer { bytes, .. } if !is_answer(bytes));
         let mut out = Vec::with_capacity(8);
+        let gateway = &mut self.sides[side].gateway;
+        let visited = gateway.visited();
         let before = INSTRUMENTED_SYSTEM.stats().allocations;
         let begun = ThreadTime::now();
-        self.sides[side].gateway.handle(self.now, event, &mut out);
+        gateway.handle(self.now, event, &mut out);
         let time = begun.elapsed().as_nanos() as f64 / 1e3;
+        let visited = gateway.visited() - visited;
         let allocations = (INSTRUMENTED_SYSTEM.stats().allocations - before) as u64;
-        let mut cost = Cost { time, allocations, events: 1, ..Cost::default() };
+        let mut cost = Cost { time, allocations, visited, events: 1, ..Cost::default() };
         for action in out {
             self.apply(side, action, &mut cost);
         }
--- a/lab/tests/slopes.rs
+++ b/lab/tests/slopes.rs
@@ -58,6 +58,28 @@
     }
 }
 
+/// Looked at are the servers that the gateway uses or hears of, seven in so large a fleet, not all that are listed.
+#[test]
+fn a_request_and_a_changed_entry_look_at_no_more_servers_where_more_are_listed() {
+    let what =
+        ["--only", "request", "--only", "datagram", "--only", "entry", "--only", "tick", "--over", "servers"];
+    let sizes =
+        ["--gateways", "4200", "--repeats", "1", "--most", "5000", "--customers", "100", "--spread", "12"];
+    let report = report("visited.json", &[&what[..], &sizes].concat());
+    for (name, bound) in [("request", 100.0), ("datagram", 50.0), ("entry", 2.0), ("tick", 200.0)] {
+        let points = &slope(&report, name, Over::Servers).points;
+        let visited =
+            |size| points.iter().find(|point| point.size == size).expect("it").figures["visited"].max;
+        assert!(
+            visited(1_000) <= bound && visited(5_000) <= bound,
+            "{name}: {} {}",
+            visited(1_000),
+            visited(5_000)
+        );
+        assert!(visited(5_000) > 0.0, "{name}: it is counted");
+    }
+}
+
 #[test]
 fn memory_grows_in_step_and_reads_back_with_its_spread() {
     let args = ["--only", "memory-customers", "--only", "memory-servers", "--repeats", "3", "--most", "1000"];
