--- a/src/bin/saffronpaddle/peers.rs
+++ b/src/bin/saffronpaddle/peers.rs
@@ -6,6 +6,7 @@
 use anyhow::Result;
 use doordock::interface::{Event, GatewayId};
 use std::cell::Cell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -16,6 +17,8 @@
 pub struct Peers {
     socket: UdpSocket,
     each: Vec<SocketAddr>,
+    /// Whose an address is. Danger: thousands of peers looked through for each datagram.
+    senders: HashMap<SocketAddr, GatewayId>,
     all: Option<SocketAddr>,
     me: usize,
     /// Datagrams that went out and came in, of peers alone.
@@ -27,7 +30,11 @@
     pub async fn bind(addresses: PeerAddresses, me: GatewayId) -> Result<Peers> {
         let PeerAddresses { listen, each, all } = addresses;
         let socket = bind::when_free(format!("peer_listen {listen}"), || UdpSocket::bind(listen)).await?;
-        Ok(Peers { socket, each, all, me: me.0 as usize, sent: Cell::default(), received: Cell::default() })
+        // Of two that share an address, it speaks for the first.
+        let senders = each.iter().enumerate().rev().map(|(number, peer)| (*peer, GatewayId(number as u32)));
+        let senders = senders.collect();
+        let (sent, received) = (Cell::default(), Cell::default());
+        Ok(Peers { socket, each, senders, all, me: me.0 as usize, sent, received })
     }
 
     /// Datagrams sent and received.
@@ -60,10 +67,10 @@
     async fn receive(&self) -> Option<(GatewayId, Vec<u8>)> {
         let mut buffer = [0; MOST + 1];
         let (length, from) = self.socket.recv_from(&mut buffer).await.ok()?;
-        let sender = self.each.iter().position(|address| *address == from)?;
+        let sender = self.senders.get(&from)?;
         let bytes = buffer.get(..length).filter(|bytes| bytes.len() <= MOST)?;
         self.received.set(self.received.get() + 1);
-        Some((GatewayId(sender as u32), bytes.to_vec()))
+        Some((*sender, bytes.to_vec()))
     }
 }
 
