Tests of late servers share one end; a comment on what was drawn of late says its span

Found on reading the whole change: two tests of clients that left wrote the same end, and a comment said that Store's recent is a mean over a lease's term, where a ceiling makes terms shorter and the mean stays that of the longest. Nothing that runs in the program changes. The assertion is the same one.

--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -51,7 +51,8 @@
     pub doubts: u32,
     /// When a try last drew on it.
     pub used: Micros,
-    /// Units that tries drew of late: those of one lease's term in the mean.
+    /// Units that tries drew of late: those of the longest term of a lease in the mean, also where a ceiling makes it
+    /// shorter.
     pub recent: f64,
     /// Units that an owner has let go ahead of the tries that will use them.
     pub lease: Lease,
--- a/tests/edge/gone.rs
+++ b/tests/edge/gone.rs
@@ -217,6 +217,21 @@
     config.replace(r#""cancel":true"#, &format!(r#""cancel":{cancel}"#))
 }
 
+/// The client stays or leaves, then the server comes up: what is written to it, and whether that is owed to a client that
+/// is still there.
+fn written_only_if_it(stays: bool, client: Client, node: &Node, late: Late, tag: &str) {
+    let stayed = if stays {
+        Some(client)
+    } else {
+        client.leave();
+        None
+    };
+    round(node);
+    let (written, came) = late.comes_up();
+    assert_eq!((!written.is_empty(), came > 0 || !stays), (stays, true), "{tag}");
+    drop(stayed);
+}
+
 #[test]
 fn nothing_is_written_to_a_server_that_comes_up_once_the_client_has_left() {
     std::thread::scope(|scope| {
@@ -231,16 +246,7 @@
                 client.write(&request("a", "pay", "20000m"));
                 round(&node);
                 // One that stays shows that the connection does come up, and what is written then.
-                let stayed = if stays {
-                    Some(client)
-                } else {
-                    client.leave();
-                    None
-                };
-                round(&node);
-                let (written, came) = late.comes_up();
-                assert_eq!((!written.is_empty(), came > 0 || !stays), (stays, true), "{tag}");
-                drop(stayed);
+                written_only_if_it(stays, client, &node, late, &tag);
             });
         }
     });
@@ -269,16 +275,7 @@
                 got.stream.write_all(b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n").expect("it is out");
                 // Long enough for the answer to be read.
                 std::thread::sleep(Duration::from_millis(200));
-                let stayed = if stays {
-                    Some(client)
-                } else {
-                    client.leave();
-                    None
-                };
-                round(&node);
-                let (written, came) = late.comes_up();
-                assert_eq!((!written.is_empty(), came > 0 || !stays), (stays, true), "{tag}");
-                drop(stayed);
+                written_only_if_it(stays, client, &node, late, &tag);
             });
         }
     });
