Packages, programs, files and tests get names that say what they do

Seen: three invented names for the package and its programs, and test folders that a newcomer can't place.

Files move, paths and names follow; no code beyond them.

One check of the manual page reads edge\-node\-NAME(1), as roff escapes each hyphen of the new name.

--- a/examples/server_table.rs
+++ b/examples/server_table.rs
@@ -5,12 +5,12 @@
 //!
 //! `cargo run --release --example server_table`
 
-use doordock::interface::*;
-use pair::{entry, whole, Pair};
+use edge_node::interface::*;
+use gateway_pair::{entry, whole, Pair};
 use std::time::Instant;
 
-#[path = "../tests/pair/mod.rs"]
-mod pair;
+#[path = "../tests/gateway_pair/mod.rs"]
+mod gateway_pair;
 
 const ROUNDS: usize = 5;
 /// Requests of one round, a second's: so that each round holds the work of ticks.
--- a/lab/src/beside/discovery.rs
+++ b/fleet-lab/src/hybrid/discovery.rs
@@ -1,10 +1,10 @@
 //! The stand-in for discovery: the list of loan servers, and an agent beside each real node that tells it by watches.
 
-use super::scene::Listed;
+use super::scenario::Listed;
 use super::world::World;
 use anyhow::Result;
 use bytes::Bytes;
-use doordock::interface::{CellId, GatewayId, Micros, ServerEntry, ServerId, Standing, ZoneId};
+use edge_node::interface::{CellId, GatewayId, Micros, ServerEntry, ServerId, Standing, ZoneId};
 use http_body_util::channel::Sender;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Channel, Empty};
--- a/lab/src/beside/hollow.rs
+++ b/fleet-lab/src/hybrid/hollow.rs
@@ -2,14 +2,14 @@
 //! other nodes, real ones too, by datagrams.
 
 use super::ledger::Answer;
-use super::scene::{Wish, DEADLINE};
+use super::scenario::{Wish, DEADLINE};
 use super::servers::{Reply, Status};
 use super::world::World;
 use anyhow::{Context, Result};
-use doordock::interface::{
+use edge_node::interface::{
     Action, AttemptNo, ClassId, Event, GatewayId, ListKind, Micros, Outcome, RequestId, ServerId,
 };
-use doordock::Gateway;
+use edge_node::Gateway;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -38,7 +38,7 @@
     /// Starts one, which hears of the servers and of its peers from now on.
     pub fn start(world: &Rc<World>, number: GatewayId, seed: u64) -> Result<Rc<Hollow>> {
         let settings = world.scene.settings(number).to_string();
-        let named = doordock::setup::read(&settings).map_err(anyhow::Error::msg).context("settings")?;
+        let named = edge_node::setup::read(&settings).map_err(anyhow::Error::msg).context("settings")?;
         let gateway = Gateway::new(seed, named.settings, world.clock.now()).context("settings")?;
         let node = Rc::new(Hollow {
             number,
--- a/lab/src/beside/mod.rs
+++ b/fleet-lab/src/hybrid/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod ledger;
 pub mod report;
-pub mod scene;
+pub mod scenario;
 
 mod datagrams;
 mod discovery;
@@ -16,14 +16,14 @@
 use anyhow::{Context, Result};
 use datagrams::Datagrams;
 use discovery::Roster;
-use doordock::interface::{GatewayId, RequestId};
+use edge_node::interface::{GatewayId, RequestId};
 use hollow::Hollow;
 use ledger::{Ledger, Try};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use real::Real;
 use report::{Report, Tally};
-use scene::{Scene, Trouble, Wish, DEADLINE, DRAIN_GRACE};
+use scenario::{Scene, Trouble, Wish, DEADLINE, DRAIN_GRACE};
 use servers::Server;
 use std::cell::RefCell;
 use std::io::Write;
@@ -114,7 +114,7 @@
         if !(0.0..=1.0).contains(&self.doubt) {
             return Err(format!("--doubt {}: a share is from 0 to 1", self.doubt));
         }
-        let beside = || Some(std::env::current_exe().ok()?.parent()?.join("saffronpaddle"));
+        let beside = || Some(std::env::current_exe().ok()?.parent()?.join("edge-node"));
         let program = self.program.clone().or_else(beside).unwrap_or_default();
         if !program.is_file() {
             return Err(format!("no program at {}: `cargo build --release` builds it", program.display()));
--- a/lab/src/beside/real.rs
+++ b/fleet-lab/src/hybrid/real.rs
@@ -2,11 +2,11 @@
 
 use super::discovery;
 use super::ledger::{Answer, LOST_AFTER};
-use super::scene::{Wish, CLASSES, DEADLINE};
+use super::scenario::{Wish, CLASSES, DEADLINE};
 use super::world::World;
 use anyhow::{bail, Context, Result};
 use bytes::Bytes;
-use doordock::interface::{GatewayId, Micros, RequestId};
+use edge_node::interface::{GatewayId, Micros, RequestId};
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::connect::HttpConnector;
--- a/lab/src/beside/scene.rs
+++ b/fleet-lab/src/hybrid/scenario.rs
@@ -1,7 +1,7 @@
 //! The scene of a run: who asks for what, the settings that all nodes are told, and the troubles of the servers.
 
 use super::ledger::Quota;
-use doordock::interface::{CustomerId, GatewayId, Micros, PlanId};
+use edge_node::interface::{CustomerId, GatewayId, Micros, PlanId};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
--- a/lab/src/beside/servers.rs
+++ b/fleet-lab/src/hybrid/servers.rs
@@ -1,10 +1,10 @@
 //! Stand-ins for the loan servers. Attempts of hollow nodes come by a call, those of real ones over HTTP; both meet
 //! the same queue.
 
-use super::scene::{Mode, SERVERS, WORK};
+use super::scenario::{Mode, SERVERS, WORK};
 use super::world::World;
 use bytes::Bytes;
-use doordock::interface::ServerId;
+use edge_node::interface::ServerId;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
--- a/lab/src/beside/world.rs
+++ b/fleet-lab/src/hybrid/world.rs
@@ -3,9 +3,9 @@
 use super::datagrams::Datagrams;
 use super::discovery::Roster;
 use super::ledger::Ledger;
-use super::scene::Scene;
+use super::scenario::Scene;
 use super::servers::Server;
-use doordock::interface::{GatewayId, Micros, ServerEntry, Standing};
+use edge_node::interface::{GatewayId, Micros, ServerEntry, Standing};
 use std::cell::RefCell;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
--- a/lab/src/lib.rs
+++ b/fleet-lab/src/lib.rs
@@ -2,10 +2,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod beside;
-pub mod fleet;
+pub mod hybrid;
 pub mod plots;
-pub mod slopes;
+pub mod scaling;
+pub mod simulate;
 pub mod world;
 
 /// Why an experiment did not come to its end.
--- a/lab/src/main.rs
+++ b/fleet-lab/src/main.rs
@@ -2,12 +2,12 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
-use lab::{beside, fleet, slopes, Failure};
+use fleet_lab::{hybrid, scaling, simulate, Failure};
 use stats_alloc::{StatsAlloc, INSTRUMENTED_SYSTEM};
 use std::alloc::System;
 use std::process::ExitCode;
 
-/// Counts allocations for `lab slopes`, at the price of a few atomic additions each.
+/// Counts allocations for `fleet-lab scaling`, at the price of a few atomic additions each.
 #[global_allocator]
 static COUNTED: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
@@ -22,11 +22,11 @@
 #[derive(Subcommand)]
 enum Command {
     /// Measures what a request, a changed entry and a list cost as servers, customers and gateways grow.
-    Slopes(slopes::Args),
+    Scaling(scaling::Args),
     /// Plays a fleet of hollow nodes in simulated time.
-    Fleet(fleet::Args),
+    Simulate(simulate::Args),
     /// Plays real processes on loopback beside hollow nodes.
-    Beside(beside::Args),
+    Hybrid(hybrid::Args),
 }
 
 fn main() -> ExitCode {
@@ -35,24 +35,24 @@
         Err(error) if error.use_stderr() => {
             // The first line says what is wrong; the rest is advice.
             let said = error.to_string();
-            eprintln!("lab: {}", said.lines().next().unwrap_or_default().trim_start_matches("error: "));
+            eprintln!("fleet-lab: {}", said.lines().next().unwrap_or_default().trim_start_matches("error: "));
             return ExitCode::from(2);
         }
         Err(help) => help.exit(),
     };
     let ended = match line.command {
-        Command::Slopes(args) => slopes::run(&args),
-        Command::Fleet(args) => fleet::run(&args),
-        Command::Beside(args) => beside::run(&args),
+        Command::Scaling(args) => scaling::run(&args),
+        Command::Simulate(args) => simulate::run(&args),
+        Command::Hybrid(args) => hybrid::run(&args),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(Failure::Senseless(why)) => {
-            eprintln!("lab: {why}");
+            eprintln!("fleet-lab: {why}");
             ExitCode::from(2)
         }
         Err(Failure::Failed(error)) => {
-            eprintln!("lab: {error:#}");
+            eprintln!("fleet-lab: {error:#}");
             ExitCode::FAILURE
         }
     }
--- a/lab/src/slopes.rs
+++ b/fleet-lab/src/scaling.rs
@@ -3,9 +3,9 @@
 //! Processor time is that of the measuring thread alone, so that other work on the machine moves it little. What can
 //! be counted without a clock is counted as well: messages, bytes, allocations, live memory.
 
+mod fixture;
 mod measure;
 mod report;
-mod stand;
 
 pub use report::{Figure, Point, Report, Slope, Spread};
 
@@ -190,7 +190,7 @@
     let least = [
         ("repeats", args.repeats, 1),
         ("servers", args.servers, 1),
-        ("customers", args.customers, stand::ACTIVE),
+        ("customers", args.customers, fixture::ACTIVE),
         ("spread", args.spread.unwrap_or(1), 1),
         ("open", args.open, 1),
     ];
--- a/lab/src/slopes/stand.rs
+++ b/fleet-lab/src/scaling/fixture.rs
@@ -4,8 +4,8 @@
 use super::Sizes;
 use anyhow::{bail, Context, Result};
 use cpu_time::ThreadTime;
-use doordock::interface::*;
-use doordock::Gateway;
+use edge_node::interface::*;
+use edge_node::Gateway;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use stats_alloc::INSTRUMENTED_SYSTEM;
--- a/lab/src/slopes/measure.rs
+++ b/fleet-lab/src/scaling/measure.rs
@@ -1,11 +1,11 @@
 //! The costs that are measured. Each run builds a stand of its own, so that repeats share nothing.
 
+use super::fixture::{counts_allocations, entries, live_bytes, settings, Cost, Stand, MS, TICK};
 use super::report::Figure;
-use super::stand::{counts_allocations, entries, live_bytes, settings, Cost, Stand, MS, TICK};
 use super::{Over, Sizes};
 use anyhow::{ensure, Result};
-use doordock::interface::*;
-use doordock::Gateway;
+use edge_node::interface::*;
+use edge_node::Gateway;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::net::{Ipv4Addr, SocketAddr};
--- a/lab/src/fleet/engine/attempts.rs
+++ b/fleet-lab/src/simulate/engine/attempts.rs
@@ -2,10 +2,10 @@
 
 use super::queue::What;
 use super::Engine;
-use crate::world::referee::{Rule, Verdict};
+use crate::world::invariant_checker::{Rule, Verdict};
 use crate::world::servers::{Effect, Job, Server};
 use crate::world::RequestNo;
-use doordock::interface::{
+use edge_node::interface::{
     AttemptNo, Event, GatewayId, Micros, Outcome, RequestId, ServerEntry, ServerId, Standing,
 };
 use rand::Rng as _;
--- a/lab/src/fleet/engine/mod.rs
+++ b/fleet-lab/src/simulate/engine/mod.rs
@@ -4,20 +4,20 @@
 mod queue;
 
 use super::experiment::Experiment;
+use super::faults::Step;
 use super::report::Report;
-use super::troubles::Step;
 use crate::world::clients::{Clients, Demand, Heard, Try};
 use crate::world::datagrams::{Datagrams, Weather};
 use crate::world::discovery::{Discovery, Told};
-use crate::world::referee::{Referee, Verdict, ANSWER_GRACE};
+use crate::world::invariant_checker::{Referee, Verdict, ANSWER_GRACE};
 use crate::world::servers::{Effect, Server};
 use crate::world::{stream, RequestNo, Rng, START};
 use crate::Failure;
-use doordock::interface::{
+use edge_node::interface::{
     Action, Event, GatewayId, Micros, Outcome, RequestId, ServerEntry, ServerId, Settings, SettingsError,
     Standing, ZoneId,
 };
-use doordock::Gateway;
+use edge_node::Gateway;
 use queue::{Queue, What};
 use rand::Rng as _;
 use std::collections::BTreeMap;
--- a/lab/src/fleet/engine/queue.rs
+++ b/fleet-lab/src/simulate/engine/queue.rs
@@ -1,10 +1,10 @@
 //! The one queue of events of a play.
 
-use crate::fleet::troubles::Step;
+use crate::simulate::faults::Step;
 use crate::world::clients::Try;
 use crate::world::servers::Job;
 use crate::world::RequestNo;
-use doordock::interface::{AttemptNo, Micros, Outcome};
+use edge_node::interface::{AttemptNo, Micros, Outcome};
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
 
--- a/lab/src/fleet/experiment.rs
+++ b/fleet-lab/src/simulate/experiment.rs
@@ -1,11 +1,11 @@
 //! What is to be played, worked out of the arguments.
 
-use super::troubles::{self, Timeline, Trouble};
+use super::faults::{self, Timeline, Trouble};
 use crate::world::servers::Machine;
 use crate::world::{micros, stream};
 use crate::Failure;
-use doordock::interface::{CellId, Micros, ServerEntry, ServerId, Settings, Standing, ZoneId};
-use doordock::setup::{self, Named};
+use edge_node::interface::{CellId, Micros, ServerEntry, ServerId, Settings, Standing, ZoneId};
+use edge_node::setup::{self, Named};
 use rand::Rng as _;
 use std::collections::BTreeSet;
 
@@ -123,7 +123,7 @@
             return senseless("a cut needs settings with two zones or more");
         }
         let machine = machine(&named.settings);
-        let mut rng = stream(asked.seed, troubles::STREAM);
+        let mut rng = stream(asked.seed, faults::STREAM);
         let mut taken = BTreeSet::new();
         let mut entry = |zone: u32, started: Option<Micros>| {
             // Ids tell nothing, and no two are alike.
@@ -139,7 +139,7 @@
         };
         let list: Vec<ServerEntry> = (0..servers).map(|number| entry(number, None)).collect();
         let span = micros(f64::from(asked.seconds));
-        let mut draw = stream(asked.seed, troubles::STREAM + 1);
+        let mut draw = stream(asked.seed, faults::STREAM + 1);
         let timeline = Timeline::new(&mut draw, &chosen, span, asked.nodes, zones, &list, &mut entry);
         Ok(Experiment {
             seed: asked.seed,
--- a/lab/src/fleet/troubles.rs
+++ b/fleet-lab/src/simulate/faults.rs
@@ -4,7 +4,7 @@
 use crate::world::datagrams::{Cut, Cuts};
 use crate::world::{micros, Rng, Span, START};
 use crate::Failure;
-use doordock::interface::{GatewayId, Micros, ServerEntry, ServerId, ZoneId};
+use edge_node::interface::{GatewayId, Micros, ServerEntry, ServerId, ZoneId};
 use rand::seq::SliceRandom;
 use rand::Rng as _;
 use std::collections::BTreeSet;
--- a/lab/src/fleet/mod.rs
+++ b/fleet-lab/src/simulate/mod.rs
@@ -1,11 +1,11 @@
-//! `lab fleet`: a fleet of hollow nodes, each the real decision module, in one process and in simulated time.
+//! `fleet-lab simulate`: a fleet of hollow nodes, each the real decision module, in one process and in simulated time.
 
 mod engine;
 mod experiment;
+mod faults;
 mod host;
 mod plot;
 mod report;
-mod troubles;
 
 pub use engine::{play, Decides, Played};
 pub use experiment::{Asked, Experiment};
@@ -13,7 +13,7 @@
 
 use crate::Failure;
 use anyhow::Context;
-use doordock::Gateway;
+use edge_node::Gateway;
 use std::fs::{self, File};
 use std::io::Write;
 use std::path::PathBuf;
--- a/lab/src/fleet/plot.rs
+++ b/fleet-lab/src/simulate/plot.rs
@@ -1,7 +1,7 @@
 //! A play over time, as an SVG picture.
 
 use super::report::Report;
-use crate::world::referee::Second;
+use crate::world::invariant_checker::Second;
 use plotters::prelude::*;
 
 /// A line of the plot: its name, its colour, and its value of a second.
--- a/lab/src/fleet/report.rs
+++ b/fleet-lab/src/simulate/report.rs
@@ -2,10 +2,10 @@
 
 use super::experiment::Experiment;
 use crate::world::datagrams::Traffic;
-use crate::world::referee::{Breaks, Referee, Rule, Second, Tally};
+use crate::world::invariant_checker::{Breaks, Referee, Rule, Second, Tally};
 use crate::world::servers::{Pressure, Server};
 use crate::world::START;
-use doordock::interface::Micros;
+use edge_node::interface::Micros;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::fmt::Write;
--- a/lab/src/world/clients.rs
+++ b/fleet-lab/src/world/clients.rs
@@ -2,7 +2,7 @@
 //! quotas; deadlines, retries by advice, and clients who leave.
 
 use super::{micros, until_next, Rng, Span};
-use doordock::interface::{ClassId, CustomerId, Effect, GatewayId, Micros, PlanId, Settings};
+use edge_node::interface::{ClassId, CustomerId, Effect, GatewayId, Micros, PlanId, Settings};
 use rand::Rng as _;
 
 /// Share of the requests of the first class; the others have even parts of the rest.
--- a/lab/src/world/discovery.rs
+++ b/fleet-lab/src/world/discovery.rs
@@ -2,7 +2,7 @@
 //! delay of its own; while discovery is silent, or a gateway cut off from it, nothing comes, and later all at once.
 
 use super::{Rng, Span};
-use doordock::interface::{Event, GatewayId, ListKind, Micros, ServerEntry, ServerId, Standing};
+use edge_node::interface::{Event, GatewayId, ListKind, Micros, ServerEntry, ServerId, Standing};
 use rand::Rng as _;
 use std::collections::BTreeMap;
 use std::ops::Range;
--- a/lab/src/world/referee.rs
+++ b/fleet-lab/src/world/invariant_checker.rs
@@ -4,7 +4,7 @@
 use super::clients::Try;
 use super::servers::Pressure;
 use super::{Bucket, RequestNo, START};
-use doordock::interface::{
+use edge_node::interface::{
     AttemptNo, CustomerId, Effect, GatewayId, Group, Micros, Outcome, PlanId, ServerEntry, ServerId, Settings,
 };
 use hdrhistogram::Histogram;
--- a/lab/src/world/mod.rs
+++ b/fleet-lab/src/world/mod.rs
@@ -4,10 +4,10 @@
 pub mod clients;
 pub mod datagrams;
 pub mod discovery;
-pub mod referee;
+pub mod invariant_checker;
 pub mod servers;
 
-use doordock::interface::{Micros, RequestId};
+use edge_node::interface::{Micros, RequestId};
 use rand::Rng as _;
 use rand::SeedableRng;
 
--- a/lab/src/world/servers.rs
+++ b/fleet-lab/src/world/servers.rs
@@ -2,7 +2,7 @@
 //! hangs, slowness and drains.
 
 use super::{RequestNo, Rng};
-use doordock::interface::{AttemptNo, GatewayId, Micros, Outcome, Rules, ServerEntry};
+use edge_node::interface::{AttemptNo, GatewayId, Micros, Outcome, Rules, ServerEntry};
 use rand::Rng as _;
 use std::collections::{BTreeMap, VecDeque};
 use std::ops::Range;
--- a/lab/tests/beside.rs
+++ b/fleet-lab/tests/hybrid.rs
@@ -1,8 +1,8 @@
-//! `lab beside`: its rules on scripted runs, and short runs with the edge node's real program.
+//! `fleet-lab hybrid`: its rules on scripted runs, and short runs with the edge node's real program.
 
-use doordock::interface::{CustomerId, GatewayId, Micros, ServerId};
-use lab::beside::ledger::{Answer, Ledger, Quota, Rule, Try, LOST_AFTER, SLACK};
-use lab::beside::report::{Report, Tally};
+use edge_node::interface::{CustomerId, GatewayId, Micros, ServerId};
+use fleet_lab::hybrid::ledger::{Answer, Ledger, Quota, Rule, Try, LOST_AFTER, SLACK};
+use fleet_lab::hybrid::report::{Report, Tally};
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
@@ -149,7 +149,7 @@
 fn program() -> PathBuf {
     let test = std::env::current_exe().expect("this test's own path");
     let target = test.ancestors().nth(3).expect("a target folder");
-    let program = target.join("release/saffronpaddle");
+    let program = target.join("release/edge-node");
     assert!(program.is_file(), "{} is missing: `cargo build --release` builds it", program.display());
     program
 }
@@ -157,8 +157,8 @@
 fn lab(arguments: &[&str]) -> Output {
     let program = program();
     let program = program.to_str().expect("a plain path");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_lab"));
-    command.args(["beside", "--program", program]).args(arguments).output().expect("it runs")
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fleet-lab"));
+    command.args(["hybrid", "--program", program]).args(arguments).output().expect("it runs")
 }
 
 /// Plays a short run. Returns its figures; its exit status has to go with these.
@@ -256,8 +256,8 @@
         assert_eq!(output.status.code(), Some(2), "{arguments:?}: {said}");
         assert!(output.stdout.is_empty(), "{arguments:?}");
     }
-    let missing = Command::new(env!("CARGO_BIN_EXE_lab"))
-        .args(["beside", "--program", "/nowhere/saffronpaddle"])
+    let missing = Command::new(env!("CARGO_BIN_EXE_fleet-lab"))
+        .args(["hybrid", "--program", "/nowhere/edge-node"])
         .output()
         .expect("it runs");
     let said = String::from_utf8_lossy(&missing.stderr);
@@ -266,9 +266,9 @@
 
 #[test]
 fn a_program_that_does_not_serve_fails_the_run() {
-    let other = env!("CARGO_BIN_EXE_lab");
+    let other = env!("CARGO_BIN_EXE_fleet-lab");
     let output =
-        Command::new(other).args(["beside", "--program", other, "--seconds", "1"]).output().expect("it runs");
+        Command::new(other).args(["hybrid", "--program", other, "--seconds", "1"]).output().expect("it runs");
     let said = String::from_utf8_lossy(&output.stderr);
     assert_eq!((output.status.code(), said.lines().count()), (Some(1), 1), "{said}");
     assert!(said.contains("does not listen"), "{said}");
--- a/lab/tests/slopes.rs
+++ b/fleet-lab/tests/scaling.rs
@@ -1,11 +1,11 @@
-//! `lab slopes` from outside: what it counts is bounded, what it writes reads back, what makes no sense ends with 2.
+//! `fleet-lab scaling` from outside: what it counts is bounded, what it writes reads back, what makes no sense ends with 2.
 
-use lab::slopes::{Over, Report, Slope};
+use fleet_lab::scaling::{Over, Report, Slope};
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
 fn lab(args: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_lab")).arg("slopes").args(args).output().expect("the lab runs")
+    Command::new(env!("CARGO_BIN_EXE_fleet-lab")).arg("scaling").args(args).output().expect("the lab runs")
 }
 
 /// A file of this test alone.
@@ -161,7 +161,7 @@
         let run = lab(args);
         let said = String::from_utf8_lossy(&run.stderr);
         assert_eq!(run.status.code(), Some(2), "{args:?}: {said}");
-        assert!(said.starts_with("lab: ") && said.lines().count() == 1, "{args:?}: {said}");
+        assert!(said.starts_with("fleet-lab: ") && said.lines().count() == 1, "{args:?}: {said}");
         assert!(run.stdout.is_empty(), "{args:?}");
     }
 }
--- a/lab/tests/fleet.rs
+++ b/fleet-lab/tests/simulate.rs
@@ -1,11 +1,11 @@
-//! `lab fleet`: the same seed gives the same bytes, a calm fleet keeps all rules, and the referee catches a gateway
+//! `fleet-lab simulate`: the same seed gives the same bytes, a calm fleet keeps all rules, and the referee catches a gateway
 //! that breaks one on purpose.
 
-use doordock::interface::*;
-use doordock::Gateway;
-use lab::fleet::{play, Asked, Decides, Experiment, Report};
-use lab::world::referee::Rule;
-use lab::Failure;
+use edge_node::interface::*;
+use edge_node::Gateway;
+use fleet_lab::simulate::{play, Asked, Decides, Experiment, Report};
+use fleet_lab::world::invariant_checker::Rule;
+use fleet_lab::Failure;
 use std::collections::{BTreeMap, BTreeSet};
 use std::process::Command;
 
@@ -213,7 +213,7 @@
 
 #[test]
 fn senseless_experiments_are_refused_in_one_line() {
-    let one_zone = include_str!("../src/fleet/settings.json").replace(r#""a", "b", "c""#, r#""a""#);
+    let one_zone = include_str!("../src/simulate/settings.json").replace(r#""a", "b", "c""#, r#""a""#);
     let cases: [(Asked, &str); 9] = [
         (Asked { nodes: 0, ..asked(&[]) }, "nodes"),
         (Asked { servers: Some(0), ..asked(&[]) }, "servers"),
@@ -234,7 +234,11 @@
 #[test]
 fn the_command_ends_with_2_and_one_line_on_bad_arguments() {
     for bad in [["--trouble", "storm"], ["--nodes", "0"], ["--settings", "no/such/file"], ["--json", "."]] {
-        let ran = Command::new(env!("CARGO_BIN_EXE_lab")).arg("fleet").args(bad).output().expect("it starts");
+        let ran = Command::new(env!("CARGO_BIN_EXE_fleet-lab"))
+            .arg("simulate")
+            .args(bad)
+            .output()
+            .expect("it starts");
         let said = String::from_utf8(ran.stderr).expect("text");
         assert_eq!((ran.status.code(), said.lines().count()), (Some(2), 1), "{bad:?}: {said}");
         assert!(ran.stdout.is_empty());
@@ -243,12 +247,12 @@
 
 #[test]
 fn the_command_writes_its_report_and_a_plot_and_both_are_the_same_again() {
-    let folder = std::env::temp_dir().join(format!("lab-fleet-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("fleet-lab-simulate-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
     let run = |name: &str| {
         let file = |end: &str| folder.join(format!("{name}.{end}"));
-        let ran = Command::new(env!("CARGO_BIN_EXE_lab"))
-            .args(["fleet", "--nodes", "4", "--servers", "3", "--seconds", "3", "--trouble", "hang"])
+        let ran = Command::new(env!("CARGO_BIN_EXE_fleet-lab"))
+            .args(["simulate", "--nodes", "4", "--servers", "3", "--seconds", "3", "--trouble", "hang"])
             .arg("--json")
             .arg(file("json"))
             .arg("--plot")
--- a/lab/tests/world.rs
+++ b/fleet-lab/tests/world.rs
@@ -1,19 +1,20 @@
 //! The lab's model of the world, part by part.
 
-use doordock::interface::*;
-use lab::world::clients::{Clients, Demand, Heard};
-use lab::world::datagrams::{Cut, Cuts, Datagrams, Weather};
-use lab::world::discovery::{Discovery, Told};
-use lab::world::referee::{Referee, Rule, Tally, Verdict};
-use lab::world::servers::{Effect as Does, Job, Machine, Pressure, Server};
-use lab::world::{micros, stream, Bucket, RequestNo, Span, START};
+use edge_node::interface::*;
+use fleet_lab::world::clients::{Clients, Demand, Heard};
+use fleet_lab::world::datagrams::{Cut, Cuts, Datagrams, Weather};
+use fleet_lab::world::discovery::{Discovery, Told};
+use fleet_lab::world::invariant_checker::{Referee, Rule, Tally, Verdict};
+use fleet_lab::world::servers::{Effect as Does, Job, Machine, Pressure, Server};
+use fleet_lab::world::{micros, stream, Bucket, RequestNo, Span, START};
 
 const S: Micros = 1_000_000;
 const RULES: Rules = Rules { cold_from: 0.25, cold_for: 10 * S, fall_multiple: 2.0, fall_window: 2 * S };
 
 fn settings() -> Settings {
-    let text = include_str!("../src/fleet/settings.json").replace(r#""balancers": 1"#, r#""balancers": 6"#);
-    doordock::setup::read(&text).expect("sound settings").settings
+    let text =
+        include_str!("../src/simulate/settings.json").replace(r#""balancers": 1"#, r#""balancers": 6"#);
+    edge_node::setup::read(&text).expect("sound settings").settings
 }
 
 fn entry(server: u64, started: Option<Micros>) -> ServerEntry {
--- a/src/bin/saffronpaddle/command.rs
+++ b/src/bin/edge-node/command.rs
@@ -15,7 +15,7 @@
 /// An edge node (a gateway): holds customers to their quotas before a shared fleet of servers.
 #[derive(Parser)]
 #[command(
-    name = "saffronpaddle",
+    name = "edge-node",
     version,
     subcommand_required = false,
     after_help = "Without a command it serves under LB_CONFIG.\n\n\
@@ -73,7 +73,7 @@
     let done = match line.command {
         None if std::env::var_os("LB_CONFIG").is_none() => {
             let help = Line::command().render_help();
-            eprint!("saffronpaddle: no command, and LB_CONFIG is not set\n\n{help}");
+            eprint!("edge-node: no command, and LB_CONFIG is not set\n\n{help}");
             return USAGE.into();
         }
         None => serve(None),
@@ -83,7 +83,7 @@
         Some(Command::Version) => print(Line::command().render_version().as_bytes()),
         Some(Command::Completions { shell }) => {
             let mut script = Vec::new();
-            clap_complete::generate(shell, &mut Line::command(), "saffronpaddle", &mut script);
+            clap_complete::generate(shell, &mut Line::command(), "edge-node", &mut script);
             print(&script)
         }
         Some(Command::Man) => {
@@ -97,7 +97,7 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("saffronpaddle: {error:#}");
+            eprintln!("edge-node: {error:#}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/saffronpaddle/config.rs
+++ b/src/bin/edge-node/config.rs
@@ -5,7 +5,7 @@
 use crate::log;
 use crate::schema::{self, Values};
 use anyhow::{ensure, Context, Result};
-use doordock::setup::{self, Named};
+use edge_node::setup::{self, Named};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::fmt;
--- a/src/bin/saffronpaddle/main.rs
+++ b/src/bin/edge-node/main.rs
@@ -22,7 +22,7 @@
 use anyhow::{Context, Result};
 use clients::Phase;
 use config::Config;
-use doordock::reconnect;
+use edge_node::reconnect;
 use log::Log;
 use metrics::Metrics;
 use node::Node;
--- a/src/bin/saffronpaddle/metrics.rs
+++ b/src/bin/edge-node/metrics.rs
@@ -1,8 +1,8 @@
 //! What the edge node counts, for operators. Labels are names from the settings and outcomes: no customer, server or
 //! request is among them, so that the number of series is bounded.
 
-use doordock::interface::{ClassId, Outcome, PlanId};
-use doordock::setup::Named;
+use edge_node::interface::{ClassId, Outcome, PlanId};
+use edge_node::setup::Named;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
--- a/src/bin/saffronpaddle/node.rs
+++ b/src/bin/edge-node/node.rs
@@ -6,12 +6,12 @@
 use crate::peers::Peers;
 use crate::upstream::{Ending, Forward, Upstream};
 use bytes::Bytes;
-use doordock::interface::{
+use edge_node::interface::{
     Action, AttemptNo, CellId, ClassId, Event, ListKind, Micros, PlanId, RequestId, ServerEntry, ServerId,
     Standing, ZoneId,
 };
-use doordock::setup::Named;
-use doordock::Gateway;
+use edge_node::setup::Named;
+use edge_node::Gateway;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/src/bin/saffronpaddle/peers.rs
+++ b/src/bin/edge-node/peers.rs
@@ -4,7 +4,7 @@
 use crate::config::PeerAddresses;
 use crate::node::Node;
 use anyhow::Result;
-use doordock::interface::{Event, GatewayId};
+use edge_node::interface::{Event, GatewayId};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/src/bin/saffronpaddle/upstream.rs
+++ b/src/bin/edge-node/upstream.rs
@@ -1,8 +1,8 @@
 //! Connections to app servers, the attempts on them and how these end.
 
 use bytes::Bytes;
-use doordock::interface::{Micros, Outcome, RequestId, ServerId};
-use doordock::setup;
+use edge_node::interface::{Micros, Outcome, RequestId, ServerId};
+use edge_node::setup;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
--- a/src/bin/doordock-benchlink/main.rs
+++ b/src/bin/simulator-adapter/main.rs
@@ -2,11 +2,11 @@
 
 mod wire;
 
-use doordock::interface::{
+use edge_node::interface::{
     Action, AttemptNo, CellId, ClassId, CustomerId, Event, GatewayId, ListKind, Outcome, PlanId, RequestId,
     ServerEntry, ServerId, Standing, ZoneId,
 };
-use doordock::{setup, Gateway};
+use edge_node::{setup, Gateway};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
@@ -34,7 +34,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("doordock-benchlink: {fault}");
+            eprintln!("simulator-adapter: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,4 +1,4 @@
-//! The decisions of a doordock gateway, all of them. The types, events and actions that they work on are
+//! The decisions of an edge node, all of them. The types, events and actions that they work on are
 //! in `src/interface.rs`; what was added to the design is marked as an exception to it, or by its danger.
 
 use crate::bucket::{Lease, Store, HEARD_FOR};
--- a/src/ranked.rs
+++ b/src/ranked.rs
@@ -80,5 +80,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/inside/ranked.rs"]
+#[path = "../tests/unit/ranked.rs"]
 mod tests;
--- a/src/servers.rs
+++ b/src/servers.rs
@@ -426,5 +426,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/inside/servers.rs"]
+#[path = "../tests/unit/servers.rs"]
 mod tests;
--- a/src/subset.rs
+++ b/src/subset.rs
@@ -44,5 +44,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/inside/subset.rs"]
+#[path = "../tests/unit/subset.rs"]
 mod tests;
--- a/tests/link.rs
+++ b/tests/adapter.rs
@@ -6,7 +6,7 @@
 const SETUP: &str = r#"{"balancers":2,"me":0,"zone":"a","zones":["a"],"unknown":[1],"periodUs":2000,"discovery":"automatic","ceilings":{"cancel":true,"probes":false,"mayTell":true,"secondCopies":false,"sendCap":3},"classes":[{"name":"read","aimUs":800000,"deadlineUs":3000000,"lateValue":0.0,"worth":3.0,"repeat":"read_like"}],"packages":[{"name":"p","rate":1.0,"storeSize":4.0,"price":1.0}],"rules":{"coldFrom":0.2,"coldUs":1000000,"fallMultiple":3.0,"overloadForUs":1000000},"extra":{"peerInPerS":60.0,"maxUnits":1}}"#;
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_doordock-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -1,12 +1,12 @@
 //! The admin listener: what it tells, and that nothing that comes on it touches requests.
 
-mod stand;
+mod support;
 
 use serde_json::Value;
-use stand::*;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Instant;
+use support::*;
 
 /// The example with an admin listener and clients of much patience.
 fn config(discovery: SocketAddr) -> String {
@@ -15,7 +15,7 @@
 
 /// The same with another grace for drains, half of which a first list is waited for.
 fn with_grace(discovery: SocketAddr, millis: u32) -> String {
-    std::fs::read_to_string("rillbarrow.example.toml")
+    std::fs::read_to_string("edge-node.example.toml")
         .expect("the example")
         .replace("127.0.0.1:8443", "127.0.0.1:0")
         .replace("127.0.0.1:8500", &discovery.to_string())
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -1,9 +1,9 @@
 //! The command line: what it prints, and with which code it ends.
 
-mod stand;
+mod support;
 
-use stand::*;
 use std::process::{Output, Stdio};
+use support::*;
 
 fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
     let Output { status, stdout, stderr } =
@@ -23,7 +23,7 @@
             assert!(out.contains(word), "{arguments:?} tells nothing of {word}");
         }
     }
-    let version = format!("saffronpaddle {}\n", env!("CARGO_PKG_VERSION"));
+    let version = format!("edge-node {}\n", env!("CARGO_PKG_VERSION"));
     for arguments in [&["version"][..], &["--version"], &["-V"]] {
         assert_eq!(run(arguments), (Some(0), version.clone(), String::new()));
     }
@@ -61,7 +61,7 @@
 fn an_edge_node_that_cannot_listen_ends_with_1_in_one_plain_line() {
     let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = taken.local_addr().expect("an address").to_string();
-    let output = program(&["serve", "--config", "rillbarrow.example.toml"])
+    let output = program(&["serve", "--config", "edge-node.example.toml"])
         .env("LB_LISTEN", &address)
         .output()
         .expect("it runs");
@@ -79,8 +79,8 @@
     }
     let (code, out, _) = run(&["man"]);
     assert_eq!(code, Some(0));
-    COMMANDS.iter().for_each(|command| assert!(out.contains(&format!("saffronpaddle\\-{command}(1)"))));
-    assert!(out.contains(".TH saffronpaddle 1") && out.contains("LB_DISCOVERY"), "{out}");
+    COMMANDS.iter().for_each(|command| assert!(out.contains(&format!("edge\\-node\\-{command}(1)"))));
+    assert!(out.contains(".TH edge-node 1") && out.contains("LB_DISCOVERY"), "{out}");
 }
 
 /// Whoever reads may have read enough.
@@ -95,7 +95,7 @@
 #[test]
 fn serve_ends_with_0_when_it_left_in_good_order() {
     let discovery = Discovery::start(&[]);
-    let config = std::fs::read_to_string("rillbarrow.example.toml").expect("the example");
+    let config = std::fs::read_to_string("edge-node.example.toml").expect("the example");
     let config = config
         .replace("127.0.0.1:8443", "127.0.0.1:0")
         .replace("127.0.0.1:8500", &discovery.address.to_string())
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -1,7 +1,7 @@
 //! Many gateways on one clock, with lossy, late, repeated and reordered messages between them.
 
 use super::{settings, Stand, MS, S, SAFE};
-use doordock::interface::*;
+use edge_node::interface::*;
 use std::collections::BTreeMap;
 
 /// Many gateways with lossy, late, repeated and reordered messages between them.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 pub mod fleet;
 
-use doordock::interface::*;
-use doordock::Gateway;
+use edge_node::interface::*;
+use edge_node::Gateway;
 use std::collections::BTreeMap;
 
 pub const MS: Micros = 1_000;
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -1,11 +1,11 @@
 //! Configurations: what is read, what is refused and how that is told, and what a change does in service.
 
-mod stand;
+mod support;
 
-use stand::*;
 use std::process::Stdio;
+use support::*;
 
-const EXAMPLE: &str = "rillbarrow.example.toml";
+const EXAMPLE: &str = "edge-node.example.toml";
 
 fn example() -> String {
     std::fs::read_to_string(EXAMPLE).expect("the example")
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -1,25 +1,25 @@
 //! The edge node over loopback sockets. Each test stands for something that can go wrong there; none asserts
 //! on speed.
 
+#[path = "edge/client_disconnect.rs"]
+mod client_disconnect;
 #[path = "edge/descriptors.rs"]
 mod descriptors;
-#[path = "edge/gone.rs"]
-mod gone;
-#[path = "edge/late.rs"]
-mod late;
-#[path = "edge/shut.rs"]
-mod shut;
-mod stand;
+#[path = "edge/discovery_deadline.rs"]
+mod discovery_deadline;
+#[path = "edge/shutdown.rs"]
+mod shutdown;
+#[path = "edge/slow_server.rs"]
+mod slow_server;
 #[path = "edge/start.rs"]
 mod start;
-#[path = "edge/told.rs"]
-mod told;
+mod support;
 #[path = "edge/watch.rs"]
 mod watch;
 
-use stand::*;
 use std::io::Write;
 use std::time::Instant;
+use support::*;
 
 /// An edge node that knows one app server, which does this.
 fn with_one(tag: &str, does: &[Does]) -> (Servers, Discovery, Node) {
--- a/tests/edge/gone.rs
+++ b/tests/edge/client_disconnect.rs
@@ -1,7 +1,7 @@
 //! A client that closes its connection has gone: no attempt, first or further, begins for it, whatever its request
 //! waits for and whatever it has sent behind it.
 
-use super::stand::*;
+use super::support::*;
 use super::with_one;
 use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
--- a/tests/edge/descriptors.rs
+++ b/tests/edge/descriptors.rs
@@ -1,7 +1,7 @@
 //! Descriptors: clients may fill those that are theirs, with requests or without, and never those that the edge node
 //! needs for discovery, loan servers and whoever asks whether it is ready.
 
-use super::stand::*;
+use super::support::*;
 use socket2::{Domain, Socket, Type};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/tests/edge/told.rs
+++ b/tests/edge/discovery_deadline.rs
@@ -1,7 +1,7 @@
 //! What discovery has counts as told 6 s later, whatever failed in between. The grace for drains is so long here that
 //! a part of it outlasts the tests' patience: nothing but the bounds themselves brings the next call.
 
-use super::stand::*;
+use super::support::*;
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 
--- a/tests/edge/shut.rs
+++ b/tests/edge/shutdown.rs
@@ -1,7 +1,7 @@
 //! SIGTERM: clients send on every connection that stays open, up to the end. Each request gets its final answer or a
 //! close, what is sent on is answered, and whoever comes new is answered.
 
-use super::stand::*;
+use super::support::*;
 use super::with_one;
 use std::io::Write;
 use std::time::Duration;
--- a/tests/edge/late.rs
+++ b/tests/edge/slow_server.rs
@@ -1,7 +1,7 @@
 //! What an app server sends beyond the answer to a request: right behind it, on the resting connection, or while the
 //! next request is out.
 
-use super::stand::*;
+use super::support::*;
 use super::with_one;
 use std::io::Write;
 
--- a/tests/edge/start.rs
+++ b/tests/edge/start.rs
@@ -1,7 +1,7 @@
 //! Starts: nine in ten restarted processes are ready within 10 s, whatever discovery does and whoever still holds
 //! their addresses.
 
-use super::stand::*;
+use super::support::*;
 use std::io::Write;
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
--- a/tests/edge/watch.rs
+++ b/tests/edge/watch.rs
@@ -1,7 +1,7 @@
 //! The edge node and discovery over loopback sockets: what is told must be known in time, however a watch fails. What
 //! the agent holds counts as told at once; the time that is left then is the settings' grace for drains.
 
-use super::stand::*;
+use super::support::*;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr};
 use std::time::Instant;
--- a/tests/pair/mod.rs
+++ b/tests/gateway_pair/mod.rs
@@ -1,7 +1,7 @@
 //! Two gateways of a large fleet that are each other's home, and the servers they send to.
 
-use doordock::interface::*;
-use doordock::Gateway;
+use edge_node::interface::*;
+use edge_node::Gateway;
 use std::collections::{BTreeMap, VecDeque};
 
 const MS: Micros = 1_000;
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -4,7 +4,7 @@
 
 use common::fleet::Fleet;
 use common::*;
-use doordock::interface::*;
+use edge_node::interface::*;
 
 /// Mostly one gateway, as customers' tries come unevenly.
 fn mostly_one(random: &mut fastrand::Rng, gateways: usize) -> usize {
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -1,19 +1,19 @@
 //! The log: which events it tells of, in which form, and that it never gets in the way.
 
-#[path = "../src/bin/saffronpaddle/limiter.rs"]
+#[path = "../src/bin/edge-node/limiter.rs"]
 mod limiter;
-mod stand;
+mod support;
 
 use limiter::Limiter;
 use serde_json::Value;
-use stand::*;
 use std::io::{BufRead, BufReader};
 use std::process::Stdio;
 use std::time::{Duration, Instant};
+use support::*;
 
 /// The example under this discovery, with these keys of the log.
 fn config(discovery: &Discovery, log: &str) -> String {
-    std::fs::read_to_string("rillbarrow.example.toml")
+    std::fs::read_to_string("edge-node.example.toml")
         .expect("the example")
         .replace("127.0.0.1:8443", "127.0.0.1:0")
         .replace("127.0.0.1:8500", &discovery.address.to_string())
@@ -142,7 +142,7 @@
 #[test]
 fn the_page_tells_every_event() {
     let mut coded = std::collections::BTreeSet::new();
-    for file in std::fs::read_dir("src/bin/saffronpaddle").expect("the code") {
+    for file in std::fs::read_dir("src/bin/edge-node").expect("the code") {
         let text = std::fs::read_to_string(file.expect("a file").path()).expect("it is text");
         let names = text.split("event = \"").skip(1).filter_map(|rest| rest.split('"').next());
         coded.extend(names.map(str::to_owned));
--- a/tests/module.rs
+++ b/tests/policy.rs
@@ -4,9 +4,9 @@
 
 use common::fleet::Fleet;
 use common::*;
-use doordock::control::inferred;
-use doordock::interface::*;
-use doordock::Gateway;
+use edge_node::control::inferred;
+use edge_node::interface::*;
+use edge_node::Gateway;
 
 fn change_of(error: f64, change: f64) -> f64 {
     inferred(error, change).0
--- a/tests/reconnect.rs
+++ b/tests/reconnect.rs
@@ -1,7 +1,7 @@
 //! When discovery is called again, without sockets or a clock: every path that can put the next call off, and what
 //! a change that discovery has waits for on it.
 
-use doordock::reconnect::{first_list_in, Failure, Reconnect, Word};
+use edge_node::reconnect::{first_list_in, Failure, Reconnect, Word};
 use std::time::Duration;
 
 /// What discovery has to tell counts as told by then.
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use doordock::interface::*;
+use edge_node::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 const SERVERS: u64 = 8;
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -9,8 +9,8 @@
 mod common;
 
 use common::*;
-use doordock::interface::*;
-use doordock::Gateway;
+use edge_node::interface::*;
+use edge_node::Gateway;
 use fastrand::Rng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
--- a/tests/servers.rs
+++ b/tests/server_table.rs
@@ -1,11 +1,11 @@
 //! What a gateway of a large fleet looks at: counted, not timed.
 
 mod common;
-mod pair;
+mod gateway_pair;
 
 use common::{settings, Stand, KEYED, S};
-use doordock::interface::*;
-use pair::{entry, whole, Pair};
+use edge_node::interface::*;
+use gateway_pair::{entry, whole, Pair};
 use std::collections::BTreeSet;
 
 const MANY: u64 = 110_000;
--- a/tests/stand/mod.rs
+++ b/tests/support/mod.rs
@@ -280,7 +280,7 @@
     said: Receiver<String>,
 }
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_saffronpaddle");
+const PROGRAM: &str = env!("CARGO_BIN_EXE_edge-node");
 
 /// The program with these arguments, and without any variable of the platform's.
 pub fn program(arguments: &[&str]) -> Command {
@@ -305,7 +305,7 @@
 
 /// A configuration as a file of its own; `name` ends with its extension.
 pub fn written(name: &str, config: &str) -> std::path::PathBuf {
-    let path = std::env::temp_dir().join(format!("saffronpaddle-{}-{name}", std::process::id()));
+    let path = std::env::temp_dir().join(format!("edge-node-{}-{name}", std::process::id()));
     std::fs::write(&path, config).expect("the configuration is written");
     path
 }
