--- a/src/message.rs
+++ b/src/message.rs
@@ -235,18 +235,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_rumour_of_a_class_that_cannot_be_named_is_no_rumour_of_another() {
-        let rumour =
-            |class| Rumour { server: 9, class: ClassId(class), failing: 1.0, wait: 0.0, load: None, age: 0 };
-        let news = News { rumours: [1, CLASSES, CLASSES + 1].map(rumour).into(), ..News::default() };
-        let grant = Grant { verdict: Verdict::Granted, chance: 1.0, lease: 0.0 };
-        let bytes = write(&Message::Answer(7, grant, news));
-        let Some(Message::Answer(7, _, news)) = read(&bytes) else { panic!("an answer") };
-        let classes: Vec<_> = news.rumours.iter().map(|rumour| rumour.class.0).collect();
-        assert_eq!(classes, [1]);
-    }
-}
+#[path = "../tests/inside/message.rs"]
+mod tests;
