Configurations of today as fixtures, each value of which is asserted

Cause: names in settings and configuration files have to stay while the code is renamed, and no test held what a whole configuration reads to.

Change: tests/fixtures has a rich configuration of the platform (every key, zones, two plans, a ceiling, a keyed class of each scope, a list of servers) and a copy of the example. tests/fixtures.rs holds each value that they read to: the settings through setup::read, all else through the program's own configuration modules, which the test takes in by path; and, under today's key names, what SIGHUP compares. The structs of configuration and of its settings are taken apart by field, so that a new field has to be asserted, too.

--- /dev/null
+++ b/tests/fixtures.rs
@@ -0,0 +1,275 @@
+//! Configurations that operators and the platform have in use, kept as files: each has to read to the same values
+//! for as long as its form is supported. The files and the values expected here don't change with the code's names.
+
+// The program's own modules: the library does not have the reading of whole configurations.
+#[allow(dead_code)]
+#[path = "../src/bin/saffronpaddle/config.rs"]
+mod config;
+#[allow(dead_code)]
+#[path = "../src/bin/saffronpaddle/document.rs"]
+mod document;
+#[allow(dead_code)]
+#[path = "../src/bin/saffronpaddle/limiter.rs"]
+mod limiter;
+#[allow(dead_code)]
+#[path = "../src/bin/saffronpaddle/lists.rs"]
+mod lists;
+#[allow(dead_code)]
+#[path = "../src/bin/saffronpaddle/log.rs"]
+mod log;
+#[allow(dead_code)]
+#[path = "../src/bin/saffronpaddle/schema.rs"]
+mod schema;
+
+use config::{AdminAddress, Config, PeerAddresses, Shell};
+use doordock::interface::{
+    Allowed, Ceiling, Class, Discovery, Effect, GatewayId, Group, Plan, Rules, Settings, ZoneId,
+};
+use doordock::setup::{self, Named};
+use lists::{Health, Host, Hosts, List};
+use std::net::SocketAddr;
+use std::path::Path;
+
+const PLATFORM: &str = "tests/fixtures/platform-config.json";
+const EXAMPLE: &str = "tests/fixtures/example-config.toml";
+/// What each file says under the keys of which a change waits for a restart, by their names in its form.
+const PLATFORM_VALUES: &str = include_str!("fixtures/platform-restart-values.json");
+const EXAMPLE_VALUES: &str = include_str!("fixtures/example-restart-values.json");
+
+const MIB: usize = 1024 * 1024;
+
+fn address(text: &str) -> SocketAddr {
+    text.parse().expect("an address")
+}
+
+fn addresses(texts: &[&str]) -> Vec<SocketAddr> {
+    texts.iter().map(|text| address(text)).collect()
+}
+
+/// Takes each field by name, so that a new one can't be forgotten here.
+fn assert_same_resolved_settings(read: Named, expected: Named) {
+    let Named { settings, classes, plans, zones, longest_deadline, drain_grace, conn_idle, connect_timeout } =
+        read;
+    assert_eq!(settings, expected.settings);
+    assert_eq!(classes, expected.classes);
+    assert_eq!(plans, expected.plans);
+    assert_eq!(zones, expected.zones);
+    assert_eq!(longest_deadline, expected.longest_deadline);
+    assert_eq!(drain_grace, expected.drain_grace);
+    assert_eq!(conn_idle, expected.conn_idle);
+    assert_eq!(connect_timeout, expected.connect_timeout);
+}
+
+fn assert_same_peers(read: Option<PeerAddresses>, expected: PeerAddresses) {
+    let PeerAddresses { listen, each, all } = read.expect("addresses of peers");
+    assert_eq!((listen, each, all), (expected.listen, expected.each, expected.all));
+}
+
+/// The default log, and no admin listener.
+fn assert_default_shell(read: Shell) {
+    let Shell { log: log::Options { level, format }, admin: AdminAddress { listen } } = read;
+    assert_eq!(level, log::Severity::Info);
+    assert!(matches!(format, log::Format::Text));
+    assert_eq!(listen, None);
+}
+
+fn assert_same_values(read: schema::Values, expected: &str) {
+    let read = serde_json::to_value(read).expect("it can be written");
+    let expected: serde_json::Value = serde_json::from_str(expected).expect("it is JSON");
+    assert_eq!(read, expected, "{read:#}");
+}
+
+fn keyed(group: Group, window: u64) -> Effect {
+    Effect::Keyed { group, window }
+}
+
+fn platform_classes() -> Vec<Class> {
+    vec![
+        Class { aim: 1_000_000, late_value: 0.25, worth: 3.0, effect: Effect::Safe },
+        Class { aim: 1_100_000, late_value: 0.5, worth: 2.5, effect: keyed(Group::Cell, 60_000_000) },
+        Class { aim: 1_200_000, late_value: 0.75, worth: 2.0, effect: keyed(Group::Zone, 61_000_000) },
+        Class { aim: 1_300_000, late_value: 1.0, worth: 1.5, effect: keyed(Group::All, 62_000_000) },
+        Class { aim: 1_400_000, late_value: 0.125, worth: 5.0, effect: Effect::Unsafe },
+    ]
+}
+
+fn platform_plans() -> Vec<Plan> {
+    vec![
+        Plan {
+            rate: 2.5,
+            burst: 10.0,
+            at_once: None,
+            price: 0.72,
+            over_worth: 0.0,
+            over_cost: 0.0,
+            ceiling: None,
+        },
+        Plan {
+            rate: 50.0,
+            burst: 100.0,
+            at_once: Some(12),
+            price: 1.8,
+            over_worth: 0.2,
+            over_cost: 0.8,
+            ceiling: Some(Ceiling { rate: 110.0, depth: 220.0 }),
+        },
+    ]
+}
+
+fn platform_settings() -> Named {
+    Named {
+        settings: Settings {
+            me: GatewayId(2),
+            gateways: 3,
+            zone: ZoneId(1),
+            classes: platform_classes(),
+            plans: platform_plans(),
+            rules: Rules {
+                cold_from: 0.27,
+                cold_for: 16_000_000,
+                fall_multiple: 2.5,
+                fall_window: 3_000_000,
+            },
+            allowed: Allowed { attempts: 6, cancel: false, messages: true, retry_after: Some(30_000_000) },
+            cross_zone: 0.05,
+            discovery: Discovery::Followed,
+            period: 2_500,
+            peer_messages_per_s: 40.0,
+            most_units: 8.0,
+        },
+        classes: ["balance-read", "submit-loan", "renew-loan", "close-loan", "post-payment"]
+            .map(String::from)
+            .into(),
+        plans: ["basic", "premier"].map(String::from).into(),
+        zones: ["block-a", "block-b", "block-c"].map(String::from).into(),
+        longest_deadline: 5_000_000,
+        drain_grace: 450_000,
+        conn_idle: 14_000_000,
+        connect_timeout: 270_000,
+    }
+}
+
+fn platform_endpoints() -> List {
+    let host = |name: &str, dial: Option<&str>, site: &str, block, health, share, born_ms| Host {
+        host: name.to_owned(),
+        dial: dial.map(address),
+        site: site.to_owned(),
+        block,
+        health,
+        share,
+        born_ms,
+    };
+    let read = vec![
+        host("s-1", Some("127.0.2.1:9000"), "block-a", 7, Health::Ready, 0.5, 1200),
+        host("s-2", Some("127.0.2.2:9000"), "block-b", 8, Health::Draining, 1.5, 0),
+        host("s-3", None, "", 0, Health::Gone, 1.0, 0),
+    ];
+    List { seq: 41, whole: true, hosts: Hosts { read, spoilt: false } }
+}
+
+#[test]
+fn the_platform_s_settings_read_to_the_same_values() {
+    let text = std::fs::read_to_string(PLATFORM).expect("the fixture");
+    let file: serde_json::Value = serde_json::from_str(&text).expect("it is JSON");
+    let read = setup::read(&file["settings"].to_string()).expect("sound settings");
+    assert_same_resolved_settings(read, platform_settings());
+}
+
+#[test]
+fn the_platform_s_configuration_reads_to_the_same_values() {
+    let Config { path, name, listen, discovery, seed, sockets, memory, peers, known, named, shell, values } =
+        Config::read(Path::new(PLATFORM)).expect("a sound configuration");
+    assert_eq!(path, Path::new(PLATFORM));
+    assert_eq!(name, "n3");
+    assert_eq!(listen, address("127.0.0.4:8443"));
+    assert_eq!(discovery, address("127.0.1.1:8500"));
+    assert_eq!(seed, 0x8c1f_30d2_7a5b_e964);
+    assert_eq!((sockets, memory), (1000, 192 * MIB));
+    let each = addresses(&["127.0.0.2:7946", "127.0.0.3:7946", "127.0.0.4:7946"]);
+    let all = Some(address("127.0.0.255:7946"));
+    assert_same_peers(peers, PeerAddresses { listen: address("127.0.0.4:7946"), each, all });
+    assert_eq!(known, Some(platform_endpoints()));
+    assert_same_resolved_settings(named, platform_settings());
+    assert_default_shell(shell);
+    assert_same_values(values, PLATFORM_VALUES);
+}
+
+fn example_settings() -> Named {
+    let class = |worth, effect| Class { aim: 1_000_000, late_value: 0.2, worth, effect };
+    let basic = Plan {
+        rate: 2.5,
+        burst: 10.0,
+        at_once: None,
+        price: 0.72,
+        over_worth: 0.2,
+        over_cost: 0.0,
+        ceiling: None,
+    };
+    let premier = Plan {
+        rate: 50.0,
+        burst: 100.0,
+        at_once: None,
+        price: 1.8,
+        over_worth: 0.0,
+        over_cost: 0.8,
+        ceiling: Some(Ceiling { rate: 100.0, depth: 200.0 }),
+    };
+    Named {
+        settings: Settings {
+            me: GatewayId(0),
+            gateways: 3,
+            zone: ZoneId(0),
+            classes: vec![class(3.0, Effect::Safe), class(5.0, Effect::Unsafe)],
+            plans: vec![basic, premier],
+            rules: Rules {
+                cold_from: 0.27,
+                cold_for: 16_000_000,
+                fall_multiple: 2.5,
+                fall_window: 3_000_000,
+            },
+            allowed: Allowed { attempts: 5, cancel: true, messages: true, retry_after: Some(u64::MAX) },
+            cross_zone: 0.0,
+            discovery: Discovery::Pushed,
+            period: 2_000,
+            peer_messages_per_s: 40.0,
+            most_units: 8.0,
+        },
+        classes: ["balance-read", "post-payment"].map(String::from).into(),
+        plans: ["basic", "premier"].map(String::from).into(),
+        zones: ["block-a", "block-b", "block-c"].map(String::from).into(),
+        longest_deadline: 4_000_000,
+        drain_grace: 500_000,
+        conn_idle: 15_000_000,
+        connect_timeout: 250_000,
+    }
+}
+
+/// Its seed is left out, and drawn anew at each reading.
+#[test]
+fn the_example_reads_to_the_same_values() {
+    let Config {
+        path,
+        name,
+        listen,
+        discovery,
+        seed: _,
+        sockets,
+        memory,
+        peers,
+        known,
+        named,
+        shell,
+        values,
+    } = Config::read(Path::new(EXAMPLE)).expect("a sound configuration");
+    assert_eq!(path, Path::new(EXAMPLE));
+    assert_eq!(name, "edge-0");
+    assert_eq!(listen, address("127.0.0.1:8443"));
+    assert_eq!(discovery, address("127.0.0.1:8500"));
+    assert_eq!((sockets, memory), (1024, 192 * MIB));
+    let each = addresses(&["127.0.0.1:7946", "127.0.0.2:7946", "127.0.0.3:7946"]);
+    assert_same_peers(peers, PeerAddresses { listen: address("127.0.0.1:7946"), each, all: None });
+    assert_eq!(known, None);
+    assert_same_resolved_settings(named, example_settings());
+    assert_default_shell(shell);
+    assert_same_values(values, EXAMPLE_VALUES);
+}
