--- a/examples/server_table.rs
+++ b/examples/server_table.rs
@@ -5,7 +5,7 @@
 //!
 //! `cargo run --release --example server_table`
 
-use edge_node::interface::*;
+use edge_node::*;
 use gateway_pair::{entry, whole, Pair};
 use std::time::Instant;
 
@@ -53,9 +53,10 @@
         let mut changed = 0;
         let change = |number: u64| {
             let entry = entry(number * 7919 % servers);
-            let standing = if number.is_multiple_of(2) { Standing::Draining } else { Standing::Ready };
-            let entries = vec![ServerEntry { standing, ..entry }];
-            Event::Servers { kind: ListKind::Changes, entries }
+            let standing =
+                if number.is_multiple_of(2) { EndpointState::Draining } else { EndpointState::Ready };
+            let entries = vec![Endpoint { state: standing, ..entry }];
+            Event::EndpointsUpdated { kind: EndpointUpdate::Delta, endpoints: entries }
         };
         let a_change = least(|| {
             let events: Vec<_> = (0..20).map(|step| change((changed + step) / 2 * 2 + step % 2)).collect();
--- a/fleet-lab/src/hybrid/datagrams.rs
+++ b/fleet-lab/src/hybrid/datagrams.rs
@@ -2,7 +2,7 @@
 //! there itself, and what comes for a real one is counted and passed on, so that real nodes can be seen to speak.
 
 use anyhow::{Context, Result};
-use edge_node::interface::GatewayId;
+use edge_node::GatewayId;
 use std::cell::Cell;
 use std::net::{Ipv4Addr, SocketAddr};
 use tokio::net::UdpSocket;
--- a/fleet-lab/src/hybrid/discovery.rs
+++ b/fleet-lab/src/hybrid/discovery.rs
@@ -4,7 +4,7 @@
 use super::world::World;
 use anyhow::Result;
 use bytes::Bytes;
-use edge_node::interface::{CellId, GatewayId, Micros, ServerEntry, ServerId, Standing, ZoneId};
+use edge_node::{CellId, Endpoint, EndpointState, GatewayId, Micros, ServerId, ZoneId};
 use http_body_util::channel::Sender;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Channel, Empty};
@@ -32,7 +32,7 @@
     name: String,
     id: ServerId,
     dial: SocketAddr,
-    standing: Standing,
+    state: EndpointState,
     born: Option<Micros>,
     changed: u64,
 }
@@ -47,7 +47,7 @@
     /// A list of servers that have run for long.
     pub fn new(servers: impl Iterator<Item = (String, ServerId, SocketAddr)>) -> Roster {
         let host =
-            |(name, id, dial)| Host { name, id, dial, standing: Standing::Ready, born: None, changed: 1 };
+            |(name, id, dial)| Host { name, id, dial, state: EndpointState::Ready, born: None, changed: 1 };
         Roster { hosts: RefCell::new(servers.map(host).collect()), version: watch::Sender::new(1) }
     }
 
@@ -56,10 +56,10 @@
         let version = *self.version.borrow() + 1;
         if let Some(host) = self.hosts.borrow_mut().get_mut(server) {
             host.changed = version;
-            (host.standing, host.born) = match listed {
-                Listed::Draining => (Standing::Draining, host.born),
-                Listed::Gone => (Standing::Gone, host.born),
-                Listed::Ready => (Standing::Ready, Some(now)),
+            (host.state, host.born) = match listed {
+                Listed::Draining => (EndpointState::Draining, host.born),
+                Listed::Gone => (EndpointState::Gone, host.born),
+                Listed::Ready => (EndpointState::Ready, Some(now)),
             };
         }
         self.version.send_replace(version);
@@ -71,16 +71,16 @@
     }
 
     /// What has changed after a version, for a hollow node.
-    pub fn since(&self, version: u64) -> Vec<ServerEntry> {
+    pub fn since(&self, version: u64) -> Vec<Endpoint> {
         let hosts = self.hosts.borrow();
         let changed = hosts.iter().filter(|host| host.changed > version);
-        let entry = |host: &Host| ServerEntry {
+        let entry = |host: &Host| Endpoint {
             server: host.id,
             zone: ZoneId(0),
             cell: CellId(0),
-            standing: host.standing,
-            size: 1.0,
-            started: host.born,
+            state: host.state,
+            weight: 1.0,
+            started_at: host.born,
         };
         changed.map(entry).collect()
     }
@@ -88,14 +88,15 @@
     /// The same as a line of a watch. From version 0 on, it is the whole list, on which nobody stands who is gone.
     fn line(&self, version: u64) -> String {
         let hosts = self.hosts.borrow();
-        let told = |host: &&Host| host.changed > version && (version > 0 || host.standing != Standing::Gone);
+        let told =
+            |host: &&Host| host.changed > version && (version > 0 || host.state != EndpointState::Gone);
         let host = |host: &Host| {
             json!({"host": host.name, "dial": host.dial, "site": "a", "class": "std", "block": 0, "share": 1.0,
             "born_ms": host.born.unwrap_or(0) / 1000,
-            "health": match host.standing {
-                Standing::Ready => "ready",
-                Standing::Draining => "draining",
-                Standing::Gone => "gone",
+            "health": match host.state {
+                EndpointState::Ready => "ready",
+                EndpointState::Draining => "draining",
+                EndpointState::Gone => "gone",
             }})
         };
         let hosts: Vec<_> = hosts.iter().filter(told).map(host).collect();
--- a/fleet-lab/src/hybrid/hollow.rs
+++ b/fleet-lab/src/hybrid/hollow.rs
@@ -6,10 +6,11 @@
 use super::servers::{Reply, Status};
 use super::world::World;
 use anyhow::{Context, Result};
-use edge_node::interface::{
-    Action, AttemptNo, ClassId, Event, GatewayId, ListKind, Micros, Outcome, RequestId, ServerId,
-};
 use edge_node::Gateway;
+use edge_node::{
+    Action, AttemptNumber, AttemptOutcome, ClassId, EndpointUpdate, Event, GatewayId, GatewaySet, Micros,
+    RequestId, ServerId,
+};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -29,7 +30,7 @@
     gateway: RefCell<Gateway>,
     open: RefCell<HashMap<RequestId, Open>>,
     /// Dropping it calls the attempt off.
-    out: RefCell<HashMap<(RequestId, AttemptNo), oneshot::Sender<()>>>,
+    out: RefCell<HashMap<(RequestId, AttemptNumber), oneshot::Sender<()>>>,
     /// Time spent deciding.
     spent: Cell<Duration>,
 }
@@ -38,7 +39,7 @@
     /// Starts one, which hears of the servers and of its peers from now on.
     pub fn start(world: &Rc<World>, number: GatewayId, seed: u64) -> Result<Rc<Hollow>> {
         let settings = world.scene.settings(number).to_string();
-        let named = edge_node::setup::read(&settings).map_err(anyhow::Error::msg).context("settings")?;
+        let named = edge_node::settings::parse(&settings).context("settings")?;
         let gateway = Gateway::new(seed, named.settings, world.clock.now()).context("settings")?;
         let node = Rc::new(Hollow {
             number,
@@ -63,11 +64,11 @@
         let mut told = 0;
         loop {
             let version = *changes.borrow_and_update();
-            let kind = if told == 0 { ListKind::Complete } else { ListKind::Changes };
+            let kind = if told == 0 { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
             let entries = self.world.roster.since(told);
             told = version;
             self.world.tell(self.world.clock.now(), self.number, &entries);
-            self.post(Event::Servers { kind, entries });
+            self.post(Event::EndpointsUpdated { kind, endpoints: entries });
             if changes.changed().await.is_err() {
                 return;
             }
@@ -77,7 +78,7 @@
     async fn hear(self: Rc<Self>) {
         loop {
             if let Some((from, bytes)) = self.world.datagrams.next(self.number).await {
-                self.post(Event::Peer { from, bytes });
+                self.post(Event::PeerMessage { from, bytes });
             }
         }
     }
@@ -92,21 +93,21 @@
 
     fn act(self: &Rc<Self>, action: Action) {
         match action {
-            Action::Send { id, server, .. } => self.send(id, server),
-            Action::Refuse { id, .. } => self.say(&id, Answer::Refused),
+            Action::SendAttempt { id, server, .. } => self.send(id, server),
+            Action::Reject { id, .. } => self.say(&id, Answer::Refused),
             Action::Fail { id } => self.say(&id, Answer::Failed),
-            Action::Cancel { id, attempt } => drop(self.out.borrow_mut().remove(&(id, attempt))),
-            Action::TellAll { bytes } => self.world.datagrams.tell_all(self.number, &bytes),
-            Action::Tell { to, bytes } => self.world.datagrams.tell(self.number, to, &bytes),
-            Action::Wake { after, token } => {
+            Action::CancelAttempt { id, attempt } => drop(self.out.borrow_mut().remove(&(id, attempt))),
+            Action::Broadcast { bytes } => self.world.datagrams.tell_all(self.number, &bytes),
+            Action::SendToPeer { to, bytes } => self.world.datagrams.tell(self.number, to, &bytes),
+            Action::SetTimer { after, token } => {
                 let node = Rc::clone(self);
                 tokio::task::spawn_local(async move {
                     tokio::time::sleep(Duration::from_micros(after)).await;
-                    node.post(Event::Woke { token });
+                    node.post(Event::TimerFired { token });
                 });
             }
             // The list comes by itself.
-            Action::Follow | Action::Log(_) => {}
+            Action::WatchEndpoints | Action::Log(_) => {}
         }
     }
 
@@ -123,21 +124,20 @@
     pub async fn ask(self: &Rc<Self>, id: &RequestId, wish: &Wish, until: Micros) -> Option<Answer> {
         let (word, told) = oneshot::channel();
         self.open.borrow_mut().insert(id.clone(), Open { word, attempts: 0 });
-        self.post(Event::Request {
+        self.post(Event::RequestReceived {
             id: id.clone(),
             class: ClassId(wish.class),
             plan: wish.customer.plan,
             customer: wish.customer.id,
             units: f64::from(wish.units),
-            first: wish.customer.first,
-            spread: wish.customer.spread,
-            patience: DEADLINE,
+            gateways: GatewaySet { first: wish.customer.first, count: wish.customer.spread },
+            client_timeout: DEADLINE,
         });
         let left = Duration::from_micros(until.saturating_sub(self.world.clock.now()));
         let answer = tokio::time::timeout(left, told).await.ok().and_then(Result::ok);
         if answer.is_none() {
             self.open.borrow_mut().remove(id);
-            self.post(Event::Abandoned { id: id.clone() });
+            self.post(Event::ClientDisconnected { id: id.clone() });
         }
         answer
     }
@@ -147,7 +147,7 @@
             let mut open = self.open.borrow_mut();
             let Some(open) = open.get_mut(&id) else { return };
             open.attempts += 1;
-            AttemptNo(open.attempts - 1)
+            AttemptNumber(open.attempts - 1)
         };
         let (call_off, called_off) = oneshot::channel();
         self.out.borrow_mut().insert((id.clone(), attempt), call_off);
@@ -170,20 +170,20 @@
         Some(server.attempt(world, &id.0).await)
     }
 
-    fn ended(self: &Rc<Self>, id: RequestId, attempt: AttemptNo, reply: Option<Reply>) {
+    fn ended(self: &Rc<Self>, id: RequestId, attempt: AttemptNumber, reply: Option<Reply>) {
         self.out.borrow_mut().remove(&(id.clone(), attempt));
         let outcome = match reply.map(|reply| reply.status) {
-            Some(Status::Done) => Outcome::Ok,
-            Some(Status::Error) => Outcome::Error,
-            Some(Status::NotRun) => Outcome::Full,
-            None => Outcome::Cancelled,
+            Some(Status::Done) => AttemptOutcome::Success,
+            Some(Status::Error) => AttemptOutcome::ServerError,
+            Some(Status::NotRun) => AttemptOutcome::Overloaded,
+            None => AttemptOutcome::Cancelled,
         };
         // An answer that comes after the last word goes to nobody.
-        if outcome == Outcome::Ok && self.open.borrow().contains_key(&id) {
+        if outcome == AttemptOutcome::Success && self.open.borrow().contains_key(&id) {
             self.say(&id, Answer::Served);
         }
         let closed = !self.open.borrow().contains_key(&id);
         let load = reply.map(|reply| reply.holds as f64);
-        self.post(Event::Ended { id, attempt, outcome, closed, load });
+        self.post(Event::AttemptFinished { id, attempt, outcome, closed, reported_load: load });
     }
 }
--- a/fleet-lab/src/hybrid/ledger.rs
+++ b/fleet-lab/src/hybrid/ledger.rs
@@ -1,6 +1,6 @@
 //! What was asked, sent on and answered, and whether the rules held. No input, no output, no clock.
 
-use edge_node::interface::{CustomerId, GatewayId, Micros, ServerId};
+use edge_node::{CustomerId, GatewayId, Micros, ServerId};
 use serde::Serialize;
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/fleet-lab/src/hybrid/mod.rs
+++ b/fleet-lab/src/hybrid/mod.rs
@@ -16,7 +16,7 @@
 use anyhow::{Context, Result};
 use datagrams::Datagrams;
 use discovery::Roster;
-use edge_node::interface::{GatewayId, RequestId};
+use edge_node::{GatewayId, RequestId};
 use hollow::Hollow;
 use ledger::{Ledger, Try};
 use rand::{Rng, SeedableRng};
--- a/fleet-lab/src/hybrid/real.rs
+++ b/fleet-lab/src/hybrid/real.rs
@@ -6,7 +6,7 @@
 use super::world::World;
 use anyhow::{bail, Context, Result};
 use bytes::Bytes;
-use edge_node::interface::{GatewayId, Micros, RequestId};
+use edge_node::{GatewayId, Micros, RequestId};
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::connect::HttpConnector;
--- a/fleet-lab/src/hybrid/report.rs
+++ b/fleet-lab/src/hybrid/report.rs
@@ -1,7 +1,7 @@
 //! What real and hollow nodes cost and sent, side by side, and whether it agrees.
 
 use super::ledger::{Answer, Rule};
-use edge_node::interface::Micros;
+use edge_node::Micros;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::fmt;
--- a/fleet-lab/src/hybrid/scenario.rs
+++ b/fleet-lab/src/hybrid/scenario.rs
@@ -1,7 +1,7 @@
 //! The scene of a run: who asks for what, the settings that all nodes are told, and the troubles of the servers.
 
 use super::ledger::Quota;
-use edge_node::interface::{CustomerId, GatewayId, Micros, PlanId};
+use edge_node::{CustomerId, GatewayId, Micros, PlanId};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
@@ -41,13 +41,13 @@
     name: &'static str,
     share: f64,
     spread: u32,
-    price: f64,
+    weight: f64,
 }
 
 const PLANS: [Plan; 3] = [
-    Plan { name: "basic", share: 0.28, spread: 2, price: 0.7 },
-    Plan { name: "standard", share: 0.38, spread: 3, price: 1.1 },
-    Plan { name: "premier", share: 0.34, spread: 4, price: 1.8 },
+    Plan { name: "basic", share: 0.28, spread: 2, weight: 0.7 },
+    Plan { name: "standard", share: 0.38, spread: 3, weight: 1.1 },
+    Plan { name: "premier", share: 0.34, spread: 4, weight: 1.8 },
 ];
 
 /// Names of the classes: one that may be repeated, and one that may not.
@@ -191,7 +191,7 @@
         let class = |name, worth, repeat| json!({"name": name, "aimUs": AIM, "deadlineUs": DEADLINE, "lateValue": 0.2, "worth": worth, "repeat": repeat});
         let plans = PLANS.iter().enumerate().map(|(place, plan)| {
             json!({"name": plan.name, "rate": self.quotas[place], "storeSize": self.burst(place),
-                   "price": plan.price, "overWorth": 0.0, "overrunCost": 1.0})
+                   "price": plan.weight, "overWorth": 0.0, "overrunCost": 1.0})
         });
         json!({
             "balancers": self.fleet, "me": me.0, "zone": "a", "zones": ["a"], "periodUs": 2000,
--- a/fleet-lab/src/hybrid/servers.rs
+++ b/fleet-lab/src/hybrid/servers.rs
@@ -4,7 +4,7 @@
 use super::scenario::{Mode, SERVERS, WORK};
 use super::world::World;
 use bytes::Bytes;
-use edge_node::interface::ServerId;
+use edge_node::ServerId;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
--- a/fleet-lab/src/hybrid/world.rs
+++ b/fleet-lab/src/hybrid/world.rs
@@ -5,7 +5,7 @@
 use super::ledger::Ledger;
 use super::scenario::Scene;
 use super::servers::Server;
-use edge_node::interface::{GatewayId, Micros, ServerEntry, Standing};
+use edge_node::{Endpoint, EndpointState, GatewayId, Micros};
 use std::cell::RefCell;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
@@ -46,8 +46,9 @@
 
 impl World {
     /// Notes that a node is told of these servers now, in µs.
-    pub fn tell(&self, now: Micros, node: GatewayId, news: &[ServerEntry]) {
+    pub fn tell(&self, now: Micros, node: GatewayId, news: &[Endpoint]) {
         let mut ledger = self.ledger.borrow_mut();
-        news.iter().for_each(|entry| ledger.told(now, node, entry.server, entry.standing == Standing::Ready));
+        news.iter()
+            .for_each(|entry| ledger.told(now, node, entry.server, entry.state == EndpointState::Ready));
     }
 }
--- a/fleet-lab/src/scaling/fixture.rs
+++ b/fleet-lab/src/scaling/fixture.rs
@@ -4,8 +4,8 @@
 use super::Sizes;
 use anyhow::{bail, Context, Result};
 use cpu_time::ThreadTime;
-use edge_node::interface::*;
 use edge_node::Gateway;
+use edge_node::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use stats_alloc::INSTRUMENTED_SYSTEM;
@@ -78,42 +78,57 @@
 
 /// Settings of a fleet with two classes of requests and one plan, which no customer here uses up.
 pub fn settings(me: GatewayId, gateways: u32) -> Settings {
-    let class = |worth, effect| Class { aim: 1_000 * MS, late_value: 0.2, worth, effect };
+    let class = |worth, effect| Class {
+        latency_objective: 1_000 * MS,
+        late_weight: 0.2,
+        priority_weight: worth,
+        idempotency: effect,
+    };
     let plan = Plan {
         // One owner looks after it.
         rate: 20.0,
         burst: 100.0,
-        at_once: None,
-        price: 1.0,
-        over_worth: 0.2,
-        over_cost: 0.0,
-        ceiling: None,
+        max_concurrent: None,
+        weight: 1.0,
+        over_quota_weight: 0.2,
+        over_quota_cost: 0.0,
+        hard_limit: None,
     };
     Settings {
-        me,
-        gateways,
+        gateway_id: me,
+        gateway_count: gateways,
         zone: ZoneId(0),
-        classes: vec![class(3.0, Effect::Safe), class(5.0, Effect::Unsafe)],
+        classes: vec![class(3.0, Idempotency::Idempotent), class(5.0, Idempotency::NonIdempotent)],
         plans: vec![plan],
-        rules: Rules { cold_from: 0.27, cold_for: 16_000 * MS, fall_multiple: 2.5, fall_window: 3_000 * MS },
-        allowed: Allowed { attempts: 5, cancel: true, messages: true, retry_after: Some(10_000 * MS) },
-        cross_zone: 0.0,
-        discovery: Discovery::Pushed,
-        period: 2 * MS,
-        peer_messages_per_s: 40.0,
-        most_units: 8.0,
+        rules: Rules {
+            warm_up_from: 0.27,
+            warm_up_period: 16_000 * MS,
+            overload_multiple: 2.5,
+            overload_window: 3_000 * MS,
+        },
+        permissions: Permissions {
+            max_attempts: 5,
+            cancel_attempts: true,
+            peer_messages: true,
+            max_retry_after: Some(10_000 * MS),
+        },
+        cross_zone_cost: 0.0,
+        discovery: EndpointDiscovery::Pushed,
+        event_period: 2 * MS,
+        peer_messages_per_second: 40.0,
+        max_request_units: 8.0,
     }
 }
 
 /// A list of servers with names as random as hashes, spread over all zones.
-pub fn entries(rng: &mut ChaCha8Rng, servers: u64) -> Vec<ServerEntry> {
-    let entry = |number: u64| ServerEntry {
+pub fn entries(rng: &mut ChaCha8Rng, servers: u64) -> Vec<Endpoint> {
+    let entry = |number: u64| Endpoint {
         server: ServerId(rng.random()),
         zone: ZoneId((number % u64::from(ZONES)) as u32),
         cell: CellId(number % u64::from(ZONES)),
-        standing: Standing::Ready,
-        size: 1.0,
-        started: None,
+        state: EndpointState::Ready,
+        weight: 1.0,
+        started_at: None,
     };
     (0..servers).map(entry).collect()
 }
@@ -137,7 +152,7 @@
     /// The time.
     pub now: Micros,
     /// What the first was told of servers.
-    pub list: Vec<ServerEntry>,
+    pub list: Vec<Endpoint>,
     rng: ChaCha8Rng,
     sizes: Sizes,
     sides: [Side; 2],
@@ -170,7 +185,7 @@
         let mut stand = Stand { now, list, rng, sizes, sides, mail, serial: 0, own, asked, served: 0 };
         for side in 0..2 {
             let entries = stand.list.clone();
-            stand.post(side, Event::Servers { kind: ListKind::Complete, entries });
+            stand.post(side, Event::EndpointsUpdated { kind: EndpointUpdate::Snapshot, endpoints: entries });
         }
         stand.meet();
         (0..stand.warm_up()).try_for_each(|_| stand.request())?;
@@ -213,7 +228,7 @@
             self.mail.push_back((0, event));
             while let Some((side, event)) = self.mail.pop_front() {
                 // Its server answers nothing while this is looked at.
-                if !matches!(event, Event::Ended { .. }) {
+                if !matches!(event, Event::AttemptFinished { .. }) {
                     self.post(side, event);
                 }
             }
@@ -227,15 +242,14 @@
 
     fn try_of(&mut self, customer: Customer, patience: Micros) -> Event {
         self.serial += 1;
-        Event::Request {
+        Event::RequestReceived {
             id: RequestId(format!("{:016x}", self.serial).into()),
             class: ClassId((self.serial / 3 % 2) as usize),
             plan: PlanId(0),
             customer: customer.id,
             units: 1.0,
-            first: customer.first,
-            spread: self.sizes.spread.min(self.sizes.gateways),
-            patience,
+            gateways: GatewaySet { first: customer.first, count: self.sizes.spread.min(self.sizes.gateways) },
+            client_timeout: patience,
         }
     }
 
@@ -262,7 +276,7 @@
     /// Does what is under way, with the time that servers take.
     fn deliver(&mut self) {
         while let Some((side, event)) = self.mail.pop_front() {
-            if matches!(event, Event::Ended { .. }) && side == 0 {
+            if matches!(event, Event::AttemptFinished { .. }) && side == 0 {
                 self.now += SERVED_IN;
             }
             let cost = self.post(side, event);
@@ -292,7 +306,7 @@
     /// Wakes a gateway now; its cost.
     pub fn wake(&mut self, side: usize) -> Cost {
         self.sides[side].wake = Micros::MAX;
-        self.post(side, Event::Woke { token: 0 }).0
+        self.post(side, Event::TimerFired { token: 0 }).0
     }
 
     /// When the first gateway wants to be woken.
@@ -301,31 +315,31 @@
     }
 
     /// A whole list, or changes to it, told to the first gateway; its cost.
-    pub fn told(&mut self, kind: ListKind, entries: Vec<ServerEntry>) -> Cost {
-        self.post(0, Event::Servers { kind, entries }).0
+    pub fn told(&mut self, kind: EndpointUpdate, entries: Vec<Endpoint>) -> Cost {
+        self.post(0, Event::EndpointsUpdated { kind, endpoints: entries }).0
     }
 
     /// A server that drains, or is ready again, picked at random.
-    pub fn change(&mut self) -> ServerEntry {
+    pub fn change(&mut self) -> Endpoint {
         let place = self.rng.random_range(0..self.list.len());
         let entry = &mut self.list[place];
-        let ready = entry.standing == Standing::Ready;
-        entry.standing = if ready { Standing::Draining } else { Standing::Ready };
+        let ready = entry.state == EndpointState::Ready;
+        entry.state = if ready { EndpointState::Draining } else { EndpointState::Ready };
         *entry
     }
 
     /// Gives a gateway an event and does what it asks for. The cost is that of the first gateway alone: of its own
     /// work, and of a message that its peer sent unasked.
     fn post(&mut self, side: usize, event: Event) -> (Cost, Cost) {
-        let unasked = matches!(&event, Event::Peer { bytes, .. } if !is_answer(bytes));
+        let unasked = matches!(&event, Event::PeerMessage { bytes, .. } if !is_answer(bytes));
         let mut out = Vec::with_capacity(8);
         let gateway = &mut self.sides[side].gateway;
-        let visited = gateway.visited();
+        let visited = gateway.entries_visited();
         let before = INSTRUMENTED_SYSTEM.stats().allocations;
         let begun = ThreadTime::now();
         gateway.handle(self.now, event, &mut out);
         let time = begun.elapsed().as_nanos() as f64 / 1e3;
-        let visited = gateway.visited() - visited;
+        let visited = gateway.entries_visited() - visited;
         let allocations = (INSTRUMENTED_SYSTEM.stats().allocations - before) as u64;
         let mut cost = Cost { time, allocations, visited, events: 1, ..Cost::default() };
         for action in out {
@@ -341,29 +355,32 @@
     fn apply(&mut self, side: usize, action: Action, cost: &mut Cost) {
         let other = 1 - side;
         match action {
-            Action::Send { id, .. } => {
+            Action::SendAttempt { id, .. } => {
                 self.served += u64::from(side == 0);
                 let load = Some(f64::from(self.rng.random_range(0..4u8)));
-                let (attempt, outcome) = (AttemptNo(0), Outcome::Ok);
-                self.mail.push_back((side, Event::Ended { id, attempt, outcome, closed: true, load }));
+                let (attempt, outcome) = (AttemptNumber(0), AttemptOutcome::Success);
+                self.mail.push_back((
+                    side,
+                    Event::AttemptFinished { id, attempt, outcome, closed: true, reported_load: load },
+                ));
             }
-            Action::Tell { to, bytes } => {
+            Action::SendToPeer { to, bytes } => {
                 self.sent(1, &bytes, cost);
                 if to == PAIR[other] {
-                    self.mail.push_back((other, Event::Peer { from: PAIR[side], bytes }));
+                    self.mail.push_back((other, Event::PeerMessage { from: PAIR[side], bytes }));
                 }
             }
-            Action::TellAll { bytes } => {
+            Action::Broadcast { bytes } => {
                 self.sent(u64::from(self.sizes.gateways) - 1, &bytes, cost);
-                self.mail.push_back((other, Event::Peer { from: PAIR[side], bytes }));
+                self.mail.push_back((other, Event::PeerMessage { from: PAIR[side], bytes }));
             }
-            Action::Wake { after, .. } => {
+            Action::SetTimer { after, .. } => {
                 self.sides[side].wake = self.sides[side].wake.min(self.now + after);
             }
-            Action::Refuse { .. }
+            Action::Reject { .. }
             | Action::Fail { .. }
-            | Action::Cancel { .. }
-            | Action::Follow
+            | Action::CancelAttempt { .. }
+            | Action::WatchEndpoints
             | Action::Log(_) => {}
         }
     }
@@ -400,10 +417,18 @@
     let mut out = Vec::new();
     let id = RequestId("probe".into());
     let (class, plan, units, first) = (ClassId(0), PlanId(0), 1.0, PAIR[0]);
-    let event = Event::Request { id, class, plan, customer, units, first, spread, patience: PATIENCE };
+    let event = Event::RequestReceived {
+        id,
+        class,
+        plan,
+        customer,
+        units,
+        gateways: GatewaySet { first, count: spread },
+        client_timeout: PATIENCE,
+    };
     scratch.handle(10 * TICK, event, &mut out);
     let to = out.iter().find_map(|action| match action {
-        Action::Tell { to, .. } => Some(to.0),
+        Action::SendToPeer { to, .. } => Some(to.0),
         _ => None,
     });
     Ok(to.unwrap_or(0))
--- a/fleet-lab/src/scaling/measure.rs
+++ b/fleet-lab/src/scaling/measure.rs
@@ -4,8 +4,8 @@
 use super::report::Figure;
 use super::{Over, Sizes};
 use anyhow::{ensure, Result};
-use edge_node::interface::*;
 use edge_node::Gateway;
+use edge_node::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -93,7 +93,7 @@
     let mut cost = Cost::default();
     for _ in 0..TIMES {
         let entry = stand.change();
-        cost.add(stand.told(ListKind::Changes, vec![entry]));
+        cost.add(stand.told(EndpointUpdate::Delta, vec![entry]));
     }
     Ok(silent(cost, TIMES))
 }
@@ -105,7 +105,7 @@
     for _ in 0..TIMES {
         stand.change();
         let entries = stand.list.clone();
-        cost.add(stand.told(ListKind::Complete, entries));
+        cost.add(stand.told(EndpointUpdate::Snapshot, entries));
     }
     Ok(silent(cost, TIMES))
 }
@@ -135,14 +135,14 @@
 fn feed(seed: u64, sizes: Sizes) -> Result<Vec<Figure>> {
     // Unix time in ms has thirteen digits.
     let (net, born_ms) = (u32::from(Ipv4Addr::new(10, 0, 0, 0)), 1_700_000_000_000);
-    let host = |(number, entry): (usize, ServerEntry)| Host {
+    let host = |(number, entry): (usize, Endpoint)| Host {
         host: format!("s-{:08x}", entry.server.0 >> 32),
         dial: SocketAddr::from((Ipv4Addr::from(net + number as u32), 8443)),
         site: format!("z{:02}", entry.zone.0),
         class: "m2",
         block: entry.cell.0,
         health: "ready",
-        share: entry.size,
+        share: entry.weight,
         born_ms,
     };
     let entries = entries(&mut ChaCha8Rng::seed_from_u64(seed), sizes.servers);
@@ -196,7 +196,11 @@
     let mut out = Vec::new();
     let before = live_bytes();
     // The copy is the event's own and is freed with it.
-    gateway.handle(TICK, Event::Servers { kind: ListKind::Complete, entries: entries.clone() }, &mut out);
+    gateway.handle(
+        TICK,
+        Event::EndpointsUpdated { kind: EndpointUpdate::Snapshot, endpoints: entries.clone() },
+        &mut out,
+    );
     out.clear();
     out.shrink_to_fit();
     Ok(memory(live_bytes().saturating_sub(before), sizes.servers))
@@ -207,15 +211,14 @@
     let before = live_bytes();
     for number in 0..sizes.customers {
         let mut out = Vec::new();
-        let event = Event::Request {
+        let event = Event::RequestReceived {
             id: RequestId(format!("{number:016x}").into()),
             class: ClassId(0),
             plan: PlanId(0),
             customer: CustomerId(number),
             units: 1.0,
-            first: GatewayId(0),
-            spread: sizes.spread.min(sizes.gateways),
-            patience: 0,
+            gateways: GatewaySet { first: GatewayId(0), count: sizes.spread.min(sizes.gateways) },
+            client_timeout: 0,
         };
         gateway.handle(TICK, event, &mut out);
     }
--- a/fleet-lab/src/simulate/engine/mod.rs
+++ b/fleet-lab/src/simulate/engine/mod.rs
@@ -10,14 +10,14 @@
 use crate::world::datagrams::{Datagrams, Weather};
 use crate::world::discovery::{Discovery, Told};
 use crate::world::invariant_checker::{Referee, Verdict, ANSWER_GRACE};
-use crate::world::servers::{Effect, Server};
+use crate::world::servers::{Server, ServerEvent};
 use crate::world::{stream, RequestNo, Rng, START};
 use crate::Failure;
-use edge_node::interface::{
-    Action, Event, GatewayId, Micros, Outcome, RequestId, ServerEntry, ServerId, Settings, SettingsError,
-    Standing, ZoneId,
-};
 use edge_node::Gateway;
+use edge_node::{
+    Action, AttemptOutcome, Endpoint, EndpointState, Event, GatewayId, GatewaySet, Micros, RequestId,
+    ServerId, Settings, SettingsError, ZoneId,
+};
 use queue::{Queue, What};
 use rand::Rng as _;
 use std::collections::BTreeMap;
@@ -92,7 +92,7 @@
     open: BTreeMap<RequestNo, Open>,
     rng: Rng,
     actions: Vec<Action>,
-    effects: Vec<Effect>,
+    effects: Vec<ServerEvent>,
     deciding: Duration,
     make: &'a mut Make<'a>,
     log: &'a mut dyn FnMut(&str),
@@ -144,13 +144,13 @@
             delay: 1_500..10_000,
             loss: 0.03,
             lossy: timeline.lossy,
-            intake: settings.peer_messages_per_s,
+            intake: settings.peer_messages_per_second,
         };
         let clients = Clients::new(stream(*seed, 1), START, settings, &demand);
         let customers = clients.customers.iter().map(|customer| (customer.id, customer.plan));
         let referee = Referee::new(settings.clone(), named.drain_grace, customers)?;
         let mut rng = stream(*seed, 0);
-        let server = |entry: &ServerEntry| Server::new(&mut rng, *entry, machine.clone(), settings.rules);
+        let server = |entry: &Endpoint| Server::new(&mut rng, *entry, machine.clone(), settings.rules);
         let servers: Vec<Server> = experiment.servers.iter().map(server).collect();
         let place = |(place, server): (usize, &Server)| (server.entry.server, place);
         let list = experiment.servers.clone();
@@ -197,7 +197,7 @@
     /// Starts a gateway, which knows the list it last had.
     fn start(&mut self, me: GatewayId) -> Result<(), Failure> {
         let zone = self.nodes[me.0 as usize].zone;
-        let settings = Settings { me, zone, ..self.experiment.named.settings.clone() };
+        let settings = Settings { gateway_id: me, zone, ..self.experiment.named.settings.clone() };
         let seed = self.rng.random();
         let decides = (self.make)(seed, settings, self.now);
         let decides = decides.map_err(|error| Failure::Senseless(format!("settings: {error}")))?;
@@ -226,14 +226,14 @@
             What::Again(again) => self.comes(*again),
             What::Wake { node, life, token } => {
                 if self.nodes[node as usize].life == life {
-                    self.post(node, Event::Woke { token });
+                    self.post(node, Event::TimerFired { token });
                 }
             }
             What::Datagram { from, to, bytes } => {
                 if self.nodes[to as usize].decides.is_some()
                     && self.datagrams.takes(now, GatewayId(to), bytes.len())
                 {
-                    self.post(to, Event::Peer { from: GatewayId(from), bytes });
+                    self.post(to, Event::PeerMessage { from: GatewayId(from), bytes });
                 }
             }
             What::Reaches { server, job } => {
@@ -257,7 +257,7 @@
             What::Poll { node, asked } => self.poll(node, asked),
             What::CallFails { node, life } => {
                 if self.nodes[node as usize].life == life {
-                    self.post(node, Event::ListFailed);
+                    self.post(node, Event::WatchFailed);
                 }
             }
             What::Step(step) => self.step(step)?,
@@ -283,15 +283,14 @@
         self.put(deadline + ANSWER_GRACE, What::Overdue(no));
         of.leaves.filter(|at| *at < deadline).into_iter().for_each(|at| self.put(at, What::Leaves(no)));
         let customer = &self.clients.customers[of.customer];
-        let event = Event::Request {
+        let event = Event::RequestReceived {
             id: no.id(),
             class: of.class,
             plan: customer.plan,
             customer: customer.id,
             units: of.units,
-            first: customer.first,
-            spread: customer.spread,
-            patience,
+            gateways: GatewaySet { first: customer.first, count: customer.spread },
+            client_timeout: patience,
         };
         let life = self.nodes[node.0 as usize].life;
         let open = Open { node: node.0, life, of, deadline, answered: false, attempts: Vec::new() };
@@ -312,7 +311,7 @@
         let (node, life) = (open.node, open.life);
         self.tidy(no);
         if self.nodes[node as usize].life == life {
-            self.post(node, Event::Abandoned { id: no.id() });
+            self.post(node, Event::ClientDisconnected { id: no.id() });
         }
     }
 
@@ -339,31 +338,31 @@
     fn act(&mut self, node: u32, action: Action) {
         let now = self.now;
         match action {
-            Action::Send { id, server, time_out } => self.send(node, &id, server, time_out),
-            Action::Refuse { id, retry_in } => {
-                let most = self.experiment.named.settings.allowed.retry_after;
-                let advice = retry_in.zip(most).map(|(advice, most)| advice.min(most));
+            Action::SendAttempt { id, server, timeout } => self.send(node, &id, server, timeout),
+            Action::Reject { id, retry_after } => {
+                let most = self.experiment.named.settings.permissions.max_retry_after;
+                let advice = retry_after.zip(most).map(|(advice, most)| advice.min(most));
                 self.answer(&id, Verdict::Refused, Heard::Refused(advice));
             }
             Action::Fail { id } => self.answer(&id, Verdict::Failed, Heard::Failed),
-            Action::Cancel { id, attempt } => {
+            Action::CancelAttempt { id, attempt } => {
                 let Some(no) = RequestNo::read(&id) else { return };
                 let out = self.open.get(&no).and_then(|open| open.attempts.get(attempt.0 as usize));
                 let Some((server, true)) = out.copied() else { return };
                 let way = self.way(node, server);
                 self.put(now + way, What::CalledOff { server, no, attempt });
-                self.put(now, What::Ends { no, attempt, outcome: Outcome::Cancelled, load: None });
+                self.put(now, What::Ends { no, attempt, outcome: AttemptOutcome::Cancelled, load: None });
             }
-            Action::TellAll { bytes } => {
+            Action::Broadcast { bytes } => {
                 let others = (0..self.experiment.nodes()).filter(|other| *other != node);
                 others.for_each(|other| self.tell(node, other, bytes.clone()));
             }
-            Action::Tell { to, bytes } => self.tell(node, to.0, bytes),
-            Action::Wake { after, token } => {
+            Action::SendToPeer { to, bytes } => self.tell(node, to.0, bytes),
+            Action::SetTimer { after, token } => {
                 let life = self.nodes[node as usize].life;
                 self.put(now + after, What::Wake { node, life, token });
             }
-            Action::Follow => self.put(now + ASKED, What::Poll { node, asked: true }),
+            Action::WatchEndpoints => self.put(now + ASKED, What::Poll { node, asked: true }),
             Action::Log(line) => {
                 let at = (now - START) as f64 / 1e6;
                 (self.log)(&format!("{at:.3} s gateway {node}: {line}"));
@@ -404,7 +403,7 @@
     }
 
     /// The list changes, and every gateway hears of it late.
-    fn list(&mut self, entry: ServerEntry) {
+    fn list(&mut self, entry: Endpoint) {
         self.discovery.publish(entry);
         for node in 0..self.experiment.nodes() {
             let delay = self.discovery.delay();
@@ -432,14 +431,14 @@
             Step::Drain(id) => {
                 if let Some(place) = place(&id) {
                     let entry = self.servers[place].entry;
-                    self.list(ServerEntry { standing: Standing::Draining, ..entry });
+                    self.list(Endpoint { state: EndpointState::Draining, ..entry });
                 }
             }
             Step::Stop(id) => {
                 if let Some(place) = place(&id) {
                     self.at_server(place, |server, out| server.stop(out));
                     let entry = self.servers[place].entry;
-                    self.list(ServerEntry { standing: Standing::Gone, ..entry });
+                    self.list(Endpoint { state: EndpointState::Gone, ..entry });
                 }
             }
             Step::Restart(id) => {
--- a/fleet-lab/src/simulate/engine/queue.rs
+++ b/fleet-lab/src/simulate/engine/queue.rs
@@ -4,7 +4,7 @@
 use crate::world::clients::Try;
 use crate::world::servers::Job;
 use crate::world::RequestNo;
-use edge_node::interface::{AttemptNo, Micros, Outcome};
+use edge_node::{AttemptNumber, AttemptOutcome, Micros};
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
 
@@ -23,9 +23,9 @@
     /// A running request is due.
     Done { server: usize, serial: u64 },
     /// A server hears that nobody waits for an attempt.
-    CalledOff { server: usize, no: RequestNo, attempt: AttemptNo },
+    CalledOff { server: usize, no: RequestNo, attempt: AttemptNumber },
     /// A gateway sees how an attempt ended.
-    Ends { no: RequestNo, attempt: AttemptNo, outcome: Outcome, load: Option<f64> },
+    Ends { no: RequestNo, attempt: AttemptNumber, outcome: AttemptOutcome, load: Option<f64> },
     /// A client leaves.
     Leaves(RequestNo),
     /// The time for a final answer is over.
--- a/fleet-lab/src/simulate/experiment.rs
+++ b/fleet-lab/src/simulate/experiment.rs
@@ -4,8 +4,8 @@
 use crate::world::servers::Machine;
 use crate::world::{micros, stream};
 use crate::Failure;
-use edge_node::interface::{CellId, Micros, ServerEntry, ServerId, Settings, Standing, ZoneId};
-use edge_node::setup::{self, Named};
+use edge_node::settings::{self, ResolvedSettings};
+use edge_node::{CellId, Endpoint, EndpointState, Micros, ServerId, Settings, ZoneId};
 use rand::Rng as _;
 use std::collections::BTreeSet;
 
@@ -45,11 +45,11 @@
     /// Span in which clients come, µs.
     pub span: Micros,
     /// The settings, as the first gateway has them.
-    pub named: Named,
+    pub named: ResolvedSettings,
     /// Zones; one if the settings name none.
     pub zones: u32,
     /// The servers at the start.
-    pub servers: Vec<ServerEntry>,
+    pub servers: Vec<Endpoint>,
     /// What kind of machine they are.
     pub machine: Machine,
     /// Requests a second inside the quotas.
@@ -72,7 +72,7 @@
 }
 
 /// Reads settings for so many gateways.
-fn settings(text: &str, nodes: u32) -> Result<Named, Failure> {
+fn settings(text: &str, nodes: u32) -> Result<ResolvedSettings, Failure> {
     let whole: Result<serde_json::Value, _> = serde_json::from_str(text);
     let mut whole = match whole {
         Ok(whole) if whole.is_object() => whole,
@@ -81,14 +81,16 @@
     };
     whole["balancers"] = nodes.into();
     whole["me"] = 0.into();
-    let named = match setup::read(&whole.to_string()) {
+    let named = match settings::parse(&whole.to_string()) {
         Ok(named) => named,
         Err(what) => return senseless(format!("settings: {what}")),
     };
-    if let Err(error) = named.settings.check() {
+    if let Err(error) = named.settings.validate() {
         return senseless(format!("settings: {error}"));
     }
-    if named.longest_deadline == 0 || named.settings.classes.iter().any(|class| class.aim < 1_000) {
+    if named.longest_deadline == 0
+        || named.settings.classes.iter().any(|class| class.latency_objective < 1_000)
+    {
         return senseless("settings: each class needs an aim of 1 ms or more, and one of them a deadline");
     }
     Ok(named)
@@ -118,7 +120,7 @@
         if chosen.len() > 1 && chosen.contains(&Trouble::Calm) {
             return senseless("calm goes with no other trouble");
         }
-        let zones = named.zones.len().max(1) as u32;
+        let zones = named.zone_names.len().max(1) as u32;
         if chosen.contains(&Trouble::Cut) && zones < 2 {
             return senseless("a cut needs settings with two zones or more");
         }
@@ -128,16 +130,16 @@
         let mut entry = |zone: u32, started: Option<Micros>| {
             // Ids tell nothing, and no two are alike.
             let id = std::iter::repeat_with(|| rng.random_range(1..1 << 32)).find(|id| taken.insert(*id));
-            ServerEntry {
+            Endpoint {
                 server: ServerId(id.unwrap_or_default()),
                 zone: ZoneId(zone % zones),
                 cell: CellId(u64::from(zone % zones)),
-                standing: Standing::Ready,
-                size: 1.0,
-                started,
+                state: EndpointState::Ready,
+                weight: 1.0,
+                started_at: started,
             }
         };
-        let list: Vec<ServerEntry> = (0..servers).map(|number| entry(number, None)).collect();
+        let list: Vec<Endpoint> = (0..servers).map(|number| entry(number, None)).collect();
         let span = micros(f64::from(asked.seconds));
         let mut draw = stream(asked.seed, faults::STREAM + 1);
         let timeline = Timeline::new(&mut draw, &chosen, span, asked.nodes, zones, &list, &mut entry);
@@ -156,13 +158,13 @@
 
     /// Gateways.
     pub fn nodes(&self) -> u32 {
-        self.named.settings.gateways
+        self.named.settings.gateway_count
     }
 }
 
 /// The servers' kind, for settings of any pace.
 fn machine(settings: &Settings) -> Machine {
-    let aim = settings.classes.iter().map(|class| class.aim).min().unwrap_or(1) as f64;
+    let aim = settings.classes.iter().map(|class| class.latency_objective).min().unwrap_or(1) as f64;
     let (mean, around) = WORK;
     let work = (aim * mean * (1.0 - around)) as Micros..(aim * mean * (1.0 + around)) as Micros + 1;
     Machine { cores: 4, slots: 64, work, refresh: 110_000..540_000 }
--- a/fleet-lab/src/simulate/faults.rs
+++ b/fleet-lab/src/simulate/faults.rs
@@ -4,7 +4,7 @@
 use crate::world::datagrams::{Cut, Cuts};
 use crate::world::{micros, Rng, Span, START};
 use crate::Failure;
-use edge_node::interface::{GatewayId, Micros, ServerEntry, ServerId, ZoneId};
+use edge_node::{Endpoint, GatewayId, Micros, ServerId, ZoneId};
 use rand::seq::SliceRandom;
 use rand::Rng as _;
 use std::collections::BTreeSet;
@@ -73,7 +73,7 @@
     /// A server takes so many times longer.
     Slow(ServerId, f64),
     /// A server starts cold.
-    Start(ServerEntry),
+    Start(Endpoint),
     /// A server takes nothing new.
     Drain(ServerId),
     /// A server's process ends.
@@ -107,7 +107,7 @@
     /// Draws what happens; `fresh` makes the entry of a new server in a zone, which starts then.
     pub fn new(
         rng: &mut Rng, troubles: &BTreeSet<Trouble>, span: Micros, nodes: u32, zones: u32,
-        servers: &[ServerEntry], fresh: &mut dyn FnMut(u32, Option<Micros>) -> ServerEntry,
+        servers: &[Endpoint], fresh: &mut dyn FnMut(u32, Option<Micros>) -> Endpoint,
     ) -> Timeline {
         let mut line = Timeline::default();
         let at = |share: f64| START + (span as f64 * share) as Micros;
@@ -116,9 +116,8 @@
         let mut order = servers.to_vec();
         order.shuffle(rng);
         let mut order = order.into_iter();
-        let mut some = |parts: usize| -> Vec<ServerEntry> {
-            order.by_ref().take(servers.len().div_ceil(parts)).collect()
-        };
+        let mut some =
+            |parts: usize| -> Vec<Endpoint> { order.by_ref().take(servers.len().div_ceil(parts)).collect() };
         for trouble in troubles {
             match trouble {
                 Trouble::Calm => {}
--- a/fleet-lab/src/simulate/host.rs
+++ b/fleet-lab/src/simulate/host.rs
@@ -2,7 +2,7 @@
 
 use super::report::Report;
 use crate::world::START;
-use edge_node::interface::Micros;
+use edge_node::Micros;
 use std::fs;
 use std::io::{stderr, IsTerminal, Write};
 use std::time::{Duration, Instant};
--- a/fleet-lab/src/simulate/report.rs
+++ b/fleet-lab/src/simulate/report.rs
@@ -5,7 +5,7 @@
 use crate::world::invariant_checker::{Breaks, Referee, Rule, Second, Tally};
 use crate::world::servers::{Pressure, Server};
 use crate::world::START;
-use edge_node::interface::Micros;
+use edge_node::Micros;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -120,8 +120,8 @@
         let Experiment { seed, named, troubles, .. } = experiment;
         let played_s = (now - START) as f64 / 1e6;
         let (mut all, mut parts) = (Tally::default(), Vec::new());
-        for (class, plans) in named.classes.iter().zip(&referee.tallies) {
-            for (plan, tries) in named.plans.iter().zip(plans) {
+        for (class, plans) in named.class_names.iter().zip(&referee.tallies) {
+            for (plan, tries) in named.plan_names.iter().zip(plans) {
                 all.add(tries);
                 parts.push(Part { class: class.clone(), plan: plan.clone(), tries: *tries });
             }
--- a/fleet-lab/src/world/clients.rs
+++ b/fleet-lab/src/world/clients.rs
@@ -2,7 +2,7 @@
 //! quotas; deadlines, retries by advice, and clients who leave.
 
 use super::{micros, until_next, Rng, Span};
-use edge_node::interface::{ClassId, CustomerId, Effect, GatewayId, Micros, PlanId, Settings};
+use edge_node::{ClassId, CustomerId, GatewayId, Idempotency, Micros, PlanId, Settings};
 use rand::Rng as _;
 
 /// Share of the requests of the first class; the others have even parts of the rest.
@@ -80,7 +80,7 @@
     /// The customers.
     pub customers: Vec<Customer>,
     safe: Vec<bool>,
-    most_units: f64,
+    max_request_units: f64,
     longest: Micros,
     surges: Vec<(Span, f64)>,
     floods: Option<Span>,
@@ -103,7 +103,7 @@
 impl Clients {
     /// Customers of each plan, as many as ask for an even part of the demand inside their quotas.
     pub fn new(mut rng: Rng, now: Micros, settings: &Settings, demand: &Demand) -> Clients {
-        let mean_units = mean(settings.most_units);
+        let mean_units = mean(settings.max_request_units);
         let mut customers = Vec::new();
         for (place, plan) in settings.plans.iter().enumerate() {
             let rate = if plan.rate > 0.0 { plan.rate / mean_units } else { 5.0 };
@@ -117,11 +117,11 @@
                     chance if chance < 0.42 => Habit::Bursty(rng.random_range(2.0..7.6)),
                     _ => Habit::Steady(rng.random_range(0.1..0.6)),
                 };
-                let most = settings.gateways.min((settings.gateways / 20).clamp(4, 24));
+                let most = settings.gateway_count.min((settings.gateway_count / 20).clamp(4, 24));
                 customers.push(Customer {
                     id,
                     plan: PlanId(place),
-                    first: GatewayId(rng.random_range(0..settings.gateways)),
+                    first: GatewayId(rng.random_range(0..settings.gateway_count)),
                     spread: rng.random_range(most.min(2)..=most),
                     whole: rate,
                     habit,
@@ -142,10 +142,11 @@
                 customers[place].flood += demand.rate * share / 2.0;
             }
         }
-        let safe = settings.classes.iter().map(|class| class.effect == Effect::Safe).collect();
+        let safe =
+            settings.classes.iter().map(|class| class.idempotency == Idempotency::Idempotent).collect();
         let floods = demand.floods.map(|flood| flood.0);
-        let (most_units, surges) = (settings.most_units, demand.surges.clone());
-        Clients { customers, safe, most_units, longest: demand.longest, surges, floods, rng }
+        let (max_request_units, surges) = (settings.max_request_units, demand.surges.clone());
+        Clients { customers, safe, max_request_units, longest: demand.longest, surges, floods, rng }
     }
 
     /// When a customer's next try comes, if one does.
@@ -179,9 +180,9 @@
         let chance = self.rng.random::<f64>();
         let class = if chance < FIRST_CLASS { 0 } else { 1 + ((chance - FIRST_CLASS) / rest) as usize };
         let class = ClassId(class.min(self.safe.len() - 1));
-        let units = size(&mut self.rng, self.most_units);
+        let units = size(&mut self.rng, self.max_request_units);
         let misjudged = self.rng.random::<f64>() < MISJUDGED;
-        let true_units = if misjudged { size(&mut self.rng, self.most_units) } else { units };
+        let true_units = if misjudged { size(&mut self.rng, self.max_request_units) } else { units };
         let leaves = (self.rng.random::<f64>() < LEAVING)
             .then(|| now + self.rng.random_range(0..self.longest / 2 + 1));
         Try { customer, class, units, true_units, deadline: now + self.longest, leaves, before: 0 }
--- a/fleet-lab/src/world/datagrams.rs
+++ b/fleet-lab/src/world/datagrams.rs
@@ -1,7 +1,7 @@
 //! Messages between gateways: delay, loss, what a gateway takes in, and cuts between parts of the network.
 
 use super::{Bucket, Rng, Span};
-use edge_node::interface::{GatewayId, Micros, ZoneId};
+use edge_node::{GatewayId, Micros, ZoneId};
 use rand::Rng as _;
 use std::ops::Range;
 
--- a/fleet-lab/src/world/discovery.rs
+++ b/fleet-lab/src/world/discovery.rs
@@ -2,7 +2,7 @@
 //! delay of its own; while discovery is silent, or a gateway cut off from it, nothing comes, and later all at once.
 
 use super::{Rng, Span};
-use edge_node::interface::{Event, GatewayId, ListKind, Micros, ServerEntry, ServerId, Standing};
+use edge_node::{Endpoint, EndpointState, EndpointUpdate, Event, GatewayId, Micros, ServerId};
 use rand::Rng as _;
 use std::collections::BTreeMap;
 use std::ops::Range;
@@ -21,7 +21,7 @@
 
 /// The list, its history, and how far each gateway has come in that.
 pub struct Discovery {
-    log: Vec<ServerEntry>,
+    log: Vec<Endpoint>,
     /// Where in the log a server was first named, and where it was last said to be ready.
     named: BTreeMap<ServerId, (usize, usize)>,
     /// By gateway: how much of the log it has been told.
@@ -36,7 +36,7 @@
 impl Discovery {
     /// One that has told every gateway the first list.
     pub fn new(
-        rng: Rng, first: Vec<ServerEntry>, gateways: usize, delay: Range<Micros>, silent: Vec<Span>,
+        rng: Rng, first: Vec<Endpoint>, gateways: usize, delay: Range<Micros>, silent: Vec<Span>,
     ) -> Self {
         let named = first.iter().enumerate().map(|(place, entry)| (entry.server, (place, place))).collect();
         let (seen, leaving) = (vec![first.len(); gateways], vec![BTreeMap::new(); gateways]);
@@ -44,10 +44,10 @@
     }
 
     /// The list changes. Each gateway should be polled at the time that [`Discovery::delay`] gives.
-    pub fn publish(&mut self, entry: ServerEntry) {
+    pub fn publish(&mut self, entry: Endpoint) {
         let place = self.log.len();
         let named = self.named.entry(entry.server).or_insert((place, place));
-        if entry.standing == Standing::Ready {
+        if entry.state == EndpointState::Ready {
             named.1 = place;
         }
         self.log.push(entry);
@@ -79,8 +79,8 @@
         for entry in &self.log[..self.seen[node.0 as usize]] {
             known.insert(entry.server, *entry);
         }
-        known.retain(|_, entry| entry.standing != Standing::Gone);
-        Event::Servers { kind: ListKind::Complete, entries: known.into_values().collect() }
+        known.retain(|_, entry| entry.state != EndpointState::Gone);
+        Event::EndpointsUpdated { kind: EndpointUpdate::Snapshot, endpoints: known.into_values().collect() }
     }
 
     /// A gateway is due to be told what is new; `cut` says until when it is cut off from discovery. One that has
@@ -96,14 +96,14 @@
         let entries = self.log[std::mem::replace(seen, self.log.len())..].to_vec();
         let leaving = &mut self.leaving[node.0 as usize];
         for entry in &entries {
-            match entry.standing {
-                Standing::Ready => leaving.remove(&entry.server),
+            match entry.state {
+                EndpointState::Ready => leaving.remove(&entry.server),
                 _ => Some(*leaving.entry(entry.server).or_insert(now)),
             };
         }
         match entries.is_empty() && !asked {
             true => Told::Nothing,
-            false => Told::Event(Event::Servers { kind: ListKind::Changes, entries }),
+            false => Told::Event(Event::EndpointsUpdated { kind: EndpointUpdate::Delta, endpoints: entries }),
         }
     }
 }
--- a/fleet-lab/src/world/invariant_checker.rs
+++ b/fleet-lab/src/world/invariant_checker.rs
@@ -4,8 +4,9 @@
 use super::clients::Try;
 use super::servers::Pressure;
 use super::{Bucket, RequestNo, START};
-use edge_node::interface::{
-    AttemptNo, CustomerId, Effect, GatewayId, Group, Micros, Outcome, PlanId, ServerEntry, ServerId, Settings,
+use edge_node::{
+    AttemptNumber, AttemptOutcome, CustomerId, DeduplicationScope, Endpoint, GatewayId, Idempotency, Micros,
+    PlanId, ServerId, Settings,
 };
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -111,7 +112,7 @@
 
 /// What was sent, of a request.
 struct Attempt {
-    server: ServerEntry,
+    server: Endpoint,
     sent: Micros,
     out: bool,
     /// Proved never to have run.
@@ -167,7 +168,8 @@
         let account = |(id, plan): (CustomerId, PlanId)| {
             let figures = &settings.plans[plan.0];
             let quota = Bucket::full(START, figures.rate, figures.burst);
-            let ceiling = figures.ceiling.map(|ceiling| Bucket::full(START, ceiling.rate, ceiling.depth));
+            let ceiling =
+                figures.hard_limit.map(|ceiling| Bucket::full(START, ceiling.rate, ceiling.capacity));
             Account { id, plan, quota, ceiling, out: 0 }
         };
         let accounts = customers.map(account).collect();
@@ -225,13 +227,13 @@
     /// A gateway sends an attempt on; `leaving` is since when it has been told that the server leaves. Whether
     /// the request was open, so that it may be carried out.
     pub fn sent(
-        &mut self, now: Micros, node: GatewayId, no: RequestNo, server: ServerEntry, leaving: Option<Micros>,
+        &mut self, now: Micros, node: GatewayId, no: RequestNo, server: Endpoint, leaving: Option<Micros>,
     ) -> bool {
         let Some(docket) = self.dockets.get(no.0 as usize) else {
             self.broke(now, Rule::SentAfterEnd, format!("gateway {} sent what no client asked", node.0));
             return false;
         };
-        if !docket.open || docket.attempts.len() >= self.settings.allowed.attempts as usize {
+        if !docket.open || docket.attempts.len() >= self.settings.permissions.max_attempts as usize {
             let what = if docket.open { "too often" } else { "after its end" };
             self.broke(now, Rule::SentAfterEnd, format!("gateway {} sent request {} {what}", node.0, no.0));
             return false;
@@ -262,13 +264,13 @@
 
     /// A try's first attempt draws on its customer's quota and ceiling.
     fn takes_units(&mut self, now: Micros, of: &Try) {
-        let most = self.settings.most_units;
+        let most = self.settings.max_request_units;
         let account = &mut self.accounts[of.customer];
         let plan = &self.settings.plans[account.plan.0];
-        let full = plan.at_once.is_some_and(|most| account.out >= most);
+        let full = plan.max_concurrent.is_some_and(|most| account.out >= most);
         let inside = !full && (plan.rate <= 0.0 || account.quota.try_take(now, of.units));
         let left = account.ceiling.as_mut().map(|ceiling| ceiling.take(now, of.units));
-        let slack = plan.ceiling.map_or(0.0, |ceiling| (ceiling.depth * CEILING_SLACK).max(most));
+        let slack = plan.hard_limit.map_or(0.0, |ceiling| (ceiling.capacity * CEILING_SLACK).max(most));
         let id = account.id;
         let second = self.second(now);
         second.sent_units += of.units;
@@ -283,17 +285,20 @@
     pub fn ran(&mut self, now: Micros, no: RequestNo) {
         let docket = &mut self.dockets[no.0 as usize];
         docket.ran += 1;
-        let harmful = self.settings.classes[docket.of.class.0].effect == Effect::Unsafe;
+        let harmful = self.settings.classes[docket.of.class.0].idempotency == Idempotency::NonIdempotent;
         if harmful && docket.ran > 1 {
             self.broke(now, Rule::Effects, format!("request {} ran twice", no.0));
         }
     }
 
     /// An attempt ended, as its gateway is about to be told.
-    pub fn ended(&mut self, no: RequestNo, number: AttemptNo, outcome: Outcome) {
+    pub fn ended(&mut self, no: RequestNo, number: AttemptNumber, outcome: AttemptOutcome) {
         let docket = &mut self.dockets[no.0 as usize];
         let Some(attempt) = docket.attempts.get_mut(number.0 as usize) else { return };
-        attempt.proved = matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NotSent);
+        attempt.proved = matches!(
+            outcome,
+            AttemptOutcome::Overloaded | AttemptOutcome::Unreachable | AttemptOutcome::NotSent
+        );
         if std::mem::replace(&mut attempt.out, false) {
             let account = &mut self.accounts[docket.of.customer];
             account.out = account.out.saturating_sub(1);
@@ -312,7 +317,7 @@
         }
         let docket = &self.dockets[no.0 as usize];
         let (of, class) = (docket.of.clone(), &self.settings.classes[docket.of.class.0]);
-        let in_aim = now <= docket.arrived + class.aim;
+        let in_aim = now <= docket.arrived + class.latency_objective;
         let harmless = permits(&self.settings, docket, now, None);
         let unsent = docket.attempts.is_empty();
         let account = &mut self.accounts[of.customer];
@@ -376,18 +381,18 @@
 }
 
 /// Whether a request may be sent to a server, or refused where none is given, after what was sent before.
-fn permits(settings: &Settings, docket: &Docket, now: Micros, to: Option<&ServerEntry>) -> bool {
-    let effect = settings.classes[docket.of.class.0].effect;
+fn permits(settings: &Settings, docket: &Docket, now: Micros, to: Option<&Endpoint>) -> bool {
+    let effect = settings.classes[docket.of.class.0].idempotency;
     let Some(ran) = docket.attempts.iter().find(|attempt| !attempt.proved) else { return true };
     match (effect, to) {
-        (Effect::Safe, _) => true,
-        (Effect::Unsafe, _) => false,
-        (Effect::Keyed { group, .. }, None) => group == Group::All,
-        (Effect::Keyed { group, window }, Some(to)) => {
+        (Idempotency::Idempotent, _) => true,
+        (Idempotency::NonIdempotent, _) => false,
+        (Idempotency::Keyed { scope: group, .. }, None) => group == DeduplicationScope::AllServers,
+        (Idempotency::Keyed { scope: group, window }, Some(to)) => {
             let inside = match group {
-                Group::All => true,
-                Group::Zone => to.zone == ran.server.zone,
-                Group::Cell => to.cell == ran.server.cell,
+                DeduplicationScope::AllServers => true,
+                DeduplicationScope::Zone => to.zone == ran.server.zone,
+                DeduplicationScope::Cell => to.cell == ran.server.cell,
             };
             inside && now <= ran.sent + window
         }
--- a/fleet-lab/src/world/mod.rs
+++ b/fleet-lab/src/world/mod.rs
@@ -7,7 +7,7 @@
 pub mod invariant_checker;
 pub mod servers;
 
-use edge_node::interface::{Micros, RequestId};
+use edge_node::{Micros, RequestId};
 use rand::Rng as _;
 use rand::SeedableRng;
 
--- a/fleet-lab/src/world/servers.rs
+++ b/fleet-lab/src/world/servers.rs
@@ -2,7 +2,7 @@
 //! hangs, slowness and drains.
 
 use super::{RequestNo, Rng};
-use edge_node::interface::{AttemptNo, GatewayId, Micros, Outcome, Rules, ServerEntry};
+use edge_node::{AttemptNumber, AttemptOutcome, Endpoint, GatewayId, Micros, Rules};
 use rand::Rng as _;
 use std::collections::{BTreeMap, VecDeque};
 use std::ops::Range;
@@ -38,7 +38,7 @@
     /// The try.
     pub request: RequestNo,
     /// Which attempt of it.
-    pub attempt: AttemptNo,
+    pub attempt: AttemptNumber,
     /// The gateway that waits for the answer.
     pub node: GatewayId,
     /// What is still queued then is dropped, µs.
@@ -51,7 +51,7 @@
 
 /// What a server does.
 #[derive(Debug)]
-pub enum Effect {
+pub enum ServerEvent {
     /// A request begins to run; it is done then, unless the server hangs meanwhile.
     Runs {
         /// For [`Server::done`].
@@ -73,7 +73,7 @@
         /// Which.
         job: Job,
         /// How.
-        outcome: Outcome,
+        outcome: AttemptOutcome,
         /// The load report, if it answers.
         load: Option<f64>,
     },
@@ -107,7 +107,7 @@
 /// One server.
 pub struct Server {
     /// As the list has it.
-    pub entry: ServerEntry,
+    pub entry: Endpoint,
     machine: Machine,
     rules: Rules,
     process: Process,
@@ -127,7 +127,7 @@
 
 impl Server {
     /// One that holds nothing.
-    pub fn new(rng: &mut Rng, entry: ServerEntry, machine: Machine, rules: Rules) -> Server {
+    pub fn new(rng: &mut Rng, entry: Endpoint, machine: Machine, rules: Rules) -> Server {
         let refresh = rng.random_range(machine.refresh.clone());
         Server {
             entry,
@@ -153,7 +153,7 @@
 
     /// The hardest that it was driven while it was cold; `None` for one that never was.
     pub fn pressure(&self) -> Option<Pressure> {
-        self.entry.started.map(|_| self.pressure)
+        self.entry.started_at.map(|_| self.pressure)
     }
 
     /// Whether it was pushed over.
@@ -163,9 +163,9 @@
 
     /// Share of its capacity that it has.
     fn warmth(&self, now: Micros) -> f64 {
-        let Some(started) = self.entry.started else { return 1.0 };
-        let age = now.saturating_sub(started) as f64 / self.rules.cold_for.max(1) as f64;
-        (self.rules.cold_from + (1.0 - self.rules.cold_from) * age).min(1.0)
+        let Some(started) = self.entry.started_at else { return 1.0 };
+        let age = now.saturating_sub(started) as f64 / self.rules.warm_up_period.max(1) as f64;
+        (self.rules.warm_up_from + (1.0 - self.rules.warm_up_from) * age).min(1.0)
     }
 
     /// From now on all work that begins takes so many times longer.
@@ -180,22 +180,26 @@
 
     /// Its process starts anew, cold.
     pub fn restart(&mut self, now: Micros) {
-        (self.process, self.entry.started) = (Process::Up, Some(now));
+        (self.process, self.entry.started_at) = (Process::Up, Some(now));
         (self.hung, self.slow, self.report) = (None, 1.0, (now, 0.0));
         self.calls.clear();
     }
 
     /// Its process ends: what it holds is broken off.
-    pub fn stop(&mut self, out: &mut Vec<Effect>) {
+    pub fn stop(&mut self, out: &mut Vec<ServerEvent>) {
         if self.is_up() {
             self.end(Process::Stopped, out);
         }
     }
 
-    fn end(&mut self, process: Process, out: &mut Vec<Effect>) {
+    fn end(&mut self, process: Process, out: &mut Vec<ServerEvent>) {
         self.process = process;
         let held = std::mem::take(&mut self.running).into_values().chain(self.queue.drain(..));
-        out.extend(held.map(|job| Effect::Ends { job, outcome: Outcome::Broken, load: None }));
+        out.extend(held.map(|job| ServerEvent::Ends {
+            job,
+            outcome: AttemptOutcome::ConnectionLost,
+            load: None,
+        }));
     }
 
     fn held(&self) -> usize {
@@ -217,41 +221,41 @@
             return false;
         }
         self.calls.push_back((now, job.work as f64 / self.machine.mean_work(), job.told));
-        while self.calls.front().is_some_and(|call| call.0 + self.rules.fall_window <= now) {
+        while self.calls.front().is_some_and(|call| call.0 + self.rules.overload_window <= now) {
             self.calls.pop_front();
         }
         let calls: f64 = self.calls.iter().map(|call| call.1).sum();
         let told: f64 = self.calls.iter().filter(|call| call.2).map(|call| call.1).sum();
-        let window = self.rules.fall_window as f64 / 1e6;
-        let allowed = self.rules.fall_multiple * self.machine.capacity() * warmth * window;
+        let window = self.rules.overload_window as f64 / 1e6;
+        let allowed = self.rules.overload_multiple * self.machine.capacity() * warmth * window;
         let budget = allowed + 2.0 * allowed.sqrt() + 2.0;
         if calls / budget > self.pressure.calls / self.pressure.budget.max(f64::MIN_POSITIVE) {
-            let age = now.saturating_sub(self.entry.started.unwrap_or(now));
+            let age = now.saturating_sub(self.entry.started_at.unwrap_or(now));
             self.pressure = Pressure { calls, allowed, budget, told: told / calls, age };
         }
         calls > budget
     }
 
     /// An attempt comes in.
-    pub fn arrive(&mut self, now: Micros, job: Job, out: &mut Vec<Effect>) {
+    pub fn arrive(&mut self, now: Micros, job: Job, out: &mut Vec<ServerEvent>) {
         if !self.is_up() {
-            return out.push(Effect::Ends { job, outcome: Outcome::Unreachable, load: None });
+            return out.push(ServerEvent::Ends { job, outcome: AttemptOutcome::Unreachable, load: None });
         }
         if self.falls(now, &job) {
             self.queue.push_back(job);
             self.end(Process::Fallen, out);
-            return out.push(Effect::Fell(self.pressure));
+            return out.push(ServerEvent::Fell(self.pressure));
         }
         if self.held() >= self.machine.slots {
             let load = self.load(now);
-            return out.push(Effect::Ends { job, outcome: Outcome::Full, load });
+            return out.push(ServerEvent::Ends { job, outcome: AttemptOutcome::Overloaded, load });
         }
         self.queue.push_back(job);
         self.begin(now, out);
     }
 
     /// Takes up queued work, as far as there are cores.
-    fn begin(&mut self, now: Micros, out: &mut Vec<Effect>) {
+    fn begin(&mut self, now: Micros, out: &mut Vec<ServerEvent>) {
         while self.running.len() < self.machine.cores as usize {
             let Some(job) = self.queue.pop_front() else { return };
             if job.until <= now {
@@ -261,26 +265,26 @@
             let from = self.hung.map_or(now, |(_, until)| until.max(now));
             self.serial += 1;
             self.running.insert(self.serial, job);
-            out.push(Effect::Runs { serial: self.serial, done: from + takes, job });
+            out.push(ServerEvent::Runs { serial: self.serial, done: from + takes, job });
         }
     }
 
     /// A running request is due; it ends now, or later if the server hung meanwhile.
-    pub fn done(&mut self, now: Micros, serial: u64, out: &mut Vec<Effect>) {
+    pub fn done(&mut self, now: Micros, serial: u64, out: &mut Vec<ServerEvent>) {
         if let Some((from, until)) = self.hung.filter(|(from, until)| (*from..*until).contains(&now)) {
             if self.running.contains_key(&serial) {
-                out.push(Effect::Later { serial, done: until + (now - from) });
+                out.push(ServerEvent::Later { serial, done: until + (now - from) });
             }
             return;
         }
         let Some(job) = self.running.remove(&serial) else { return };
         let load = self.load(now);
-        out.push(Effect::Ends { job, outcome: Outcome::Ok, load });
+        out.push(ServerEvent::Ends { job, outcome: AttemptOutcome::Success, load });
         self.begin(now, out);
     }
 
     /// Nobody waits for an attempt any more: it is dropped if it is still queued.
-    pub fn call_off(&mut self, request: RequestNo, attempt: AttemptNo) {
+    pub fn call_off(&mut self, request: RequestNo, attempt: AttemptNumber) {
         self.queue.retain(|job| (job.request, job.attempt) != (request, attempt));
     }
 }
--- a/fleet-lab/tests/hybrid.rs
+++ b/fleet-lab/tests/hybrid.rs
@@ -1,6 +1,6 @@
 //! `fleet-lab hybrid`: its rules on scripted runs, and short runs with the edge node's real program.
 
-use edge_node::interface::{CustomerId, GatewayId, Micros, ServerId};
+use edge_node::{CustomerId, GatewayId, Micros, ServerId};
 use fleet_lab::hybrid::ledger::{Answer, Ledger, Quota, Rule, Try, LOST_AFTER, SLACK};
 use fleet_lab::hybrid::report::{Report, Tally};
 use std::path::PathBuf;
--- a/fleet-lab/tests/simulate.rs
+++ b/fleet-lab/tests/simulate.rs
@@ -1,8 +1,8 @@
 //! `fleet-lab simulate`: the same seed gives the same bytes, a calm fleet keeps all rules, and the referee catches a gateway
 //! that breaks one on purpose.
 
-use edge_node::interface::*;
 use edge_node::Gateway;
+use edge_node::*;
 use fleet_lab::simulate::{play, Asked, Decides, Experiment, Report};
 use fleet_lab::world::invariant_checker::Rule;
 use fleet_lab::Failure;
@@ -52,7 +52,7 @@
     inner: Gateway,
     settings: Settings,
     fault: Fault,
-    known: BTreeMap<ServerId, (ServerEntry, Micros)>,
+    known: BTreeMap<ServerId, (Endpoint, Micros)>,
     classes: BTreeMap<RequestId, ClassId>,
     /// Requests that were sent against the module's word: it does not know them any more.
     own: BTreeSet<RequestId>,
@@ -66,60 +66,61 @@
 
     fn hears(&mut self, now: Micros, event: &Event) {
         match event {
-            Event::Servers { entries, .. } => {
+            Event::EndpointsUpdated { endpoints: entries, .. } => {
                 for entry in entries {
                     self.known.insert(entry.server, (*entry, now));
                 }
             }
-            Event::Request { id, class, .. } => {
+            Event::RequestReceived { id, class, .. } => {
                 self.classes.insert(id.clone(), *class);
             }
             _ => {}
         }
     }
 
-    fn standing(&self, standing: Standing) -> impl Iterator<Item = &(ServerEntry, Micros)> {
-        self.known.values().filter(move |(entry, _)| entry.standing == standing)
+    fn standing(&self, state: EndpointState) -> impl Iterator<Item = &(Endpoint, Micros)> {
+        self.known.values().filter(move |(entry, _)| entry.state == state)
     }
 
     /// Where a send goes in place of the module's choice.
     fn led_astray(&self, now: Micros) -> Option<ServerId> {
-        let drained = || self.standing(Standing::Draining).find(|(_, told)| *told + 600_000 < now);
-        let newest = || self.standing(Standing::Ready).max_by_key(|(entry, _)| entry.started);
+        let drained = || self.standing(EndpointState::Draining).find(|(_, told)| *told + 600_000 < now);
+        let newest = || self.standing(EndpointState::Ready).max_by_key(|(entry, _)| entry.started_at);
         let to = match self.fault {
             Fault::Drained => drained(),
-            Fault::Topple => newest().filter(|(entry, _)| entry.started.is_some()),
+            Fault::Topple => newest().filter(|(entry, _)| entry.started_at.is_some()),
             _ => None,
         };
         to.map(|(entry, _)| entry.server)
     }
 
     fn tamper(&mut self, now: Micros, action: Action, out: &mut Vec<Action>) {
-        let class = |id| self.classes.get(id).map(|class| self.settings.classes[class.0].effect);
+        let class = |id| self.classes.get(id).map(|class| self.settings.classes[class.0].idempotency);
         match (self.fault, action) {
-            (Fault::Drained | Fault::Topple, Action::Send { id, server, time_out }) => {
+            (Fault::Drained | Fault::Topple, Action::SendAttempt { id, server, timeout }) => {
                 let server = self.led_astray(now).unwrap_or(server);
-                out.push(Action::Send { id, server, time_out });
+                out.push(Action::SendAttempt { id, server, timeout });
             }
-            (Fault::Overrun, Action::Refuse { id, .. }) => {
-                let ready: Vec<_> = self.standing(Standing::Ready).map(|(entry, _)| entry.server).collect();
+            (Fault::Overrun, Action::Reject { id, .. }) => {
+                let ready: Vec<_> =
+                    self.standing(EndpointState::Ready).map(|(entry, _)| entry.server).collect();
                 let server = ready[now as usize % ready.len()];
                 self.own.insert(id.clone());
-                out.push(Action::Send { id, server, time_out: None });
+                out.push(Action::SendAttempt { id, server, timeout: None });
             }
-            (Fault::AnswerTwice, refuse @ Action::Refuse { .. }) => out.extend([refuse.clone(), refuse]),
-            (Fault::RunTwice, Action::Send { id, server, time_out }) => {
-                let twice = class(&id) == Some(Effect::Unsafe);
-                out.push(Action::Send { id: id.clone(), server, time_out });
-                let other = self.standing(Standing::Ready).map(|(entry, _)| entry.server);
+            (Fault::AnswerTwice, refuse @ Action::Reject { .. }) => out.extend([refuse.clone(), refuse]),
+            (Fault::RunTwice, Action::SendAttempt { id, server, timeout }) => {
+                let twice = class(&id) == Some(Idempotency::NonIdempotent);
+                out.push(Action::SendAttempt { id: id.clone(), server, timeout });
+                let other = self.standing(EndpointState::Ready).map(|(entry, _)| entry.server);
                 let other = other.filter(|_| twice).find(|other| *other != server);
-                out.extend(other.map(|server| Action::Send { id, server, time_out }));
+                out.extend(other.map(|server| Action::SendAttempt { id, server, timeout }));
             }
-            (Fault::Silent, Action::Refuse { .. } | Action::Fail { .. }) => {}
-            (Fault::SendLate, Action::Refuse { id, retry_in }) => {
-                out.push(Action::Refuse { id: id.clone(), retry_in });
-                let ready = self.standing(Standing::Ready).next().map(|(entry, _)| entry.server);
-                out.extend(ready.map(|server| Action::Send { id, server, time_out: None }));
+            (Fault::Silent, Action::Reject { .. } | Action::Fail { .. }) => {}
+            (Fault::SendLate, Action::Reject { id, retry_after }) => {
+                out.push(Action::Reject { id: id.clone(), retry_after });
+                let ready = self.standing(EndpointState::Ready).next().map(|(entry, _)| entry.server);
+                out.extend(ready.map(|server| Action::SendAttempt { id, server, timeout: None }));
             }
             (_, action) => out.push(action),
         }
@@ -129,7 +130,7 @@
 impl Decides for Faulty {
     fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.hears(now, &event);
-        if let Event::Ended { id, closed, .. } = &event {
+        if let Event::AttemptFinished { id, closed, .. } = &event {
             if self.own.remove(id) && !closed {
                 out.push(Action::Fail { id: id.clone() });
             }
--- a/fleet-lab/tests/world.rs
+++ b/fleet-lab/tests/world.rs
@@ -1,25 +1,33 @@
 //! The lab's model of the world, part by part.
 
-use edge_node::interface::*;
+use edge_node::*;
 use fleet_lab::world::clients::{Clients, Demand, Heard};
 use fleet_lab::world::datagrams::{Cut, Cuts, Datagrams, Weather};
 use fleet_lab::world::discovery::{Discovery, Told};
 use fleet_lab::world::invariant_checker::{Referee, Rule, Tally, Verdict};
-use fleet_lab::world::servers::{Effect as Does, Job, Machine, Pressure, Server};
+use fleet_lab::world::servers::{Job, Machine, Pressure, Server, ServerEvent as Does};
 use fleet_lab::world::{micros, stream, Bucket, RequestNo, Span, START};
 
 const S: Micros = 1_000_000;
-const RULES: Rules = Rules { cold_from: 0.25, cold_for: 10 * S, fall_multiple: 2.0, fall_window: 2 * S };
+const RULES: Rules =
+    Rules { warm_up_from: 0.25, warm_up_period: 10 * S, overload_multiple: 2.0, overload_window: 2 * S };
 
 fn settings() -> Settings {
     let text =
         include_str!("../src/simulate/settings.json").replace(r#""balancers": 1"#, r#""balancers": 6"#);
-    edge_node::setup::read(&text).expect("sound settings").settings
+    edge_node::settings::parse(&text).expect("sound settings").settings
 }
 
-fn entry(server: u64, started: Option<Micros>) -> ServerEntry {
+fn entry(server: u64, started: Option<Micros>) -> Endpoint {
     let (zone, cell) = (ZoneId(server as u32 % 3), CellId(server % 3));
-    ServerEntry { server: ServerId(server), zone, cell, standing: Standing::Ready, size: 1.0, started }
+    Endpoint {
+        server: ServerId(server),
+        zone,
+        cell,
+        state: EndpointState::Ready,
+        weight: 1.0,
+        started_at: started,
+    }
 }
 
 /// Every request takes 100 ms on one of two cores.
@@ -28,7 +36,7 @@
 }
 
 fn job(request: u64, told: bool) -> Job {
-    let (attempt, node) = (AttemptNo(0), GatewayId(0));
+    let (attempt, node) = (AttemptNumber(0), GatewayId(0));
     Job { request: RequestNo(request), attempt, node, until: Micros::MAX, work: 100_000, told }
 }
 
@@ -36,7 +44,7 @@
     Server::new(&mut stream(1, 1), entry(1, started), machine(), RULES)
 }
 
-fn ends(effects: &[Does]) -> Vec<(u64, Outcome, Option<f64>)> {
+fn ends(effects: &[Does]) -> Vec<(u64, AttemptOutcome, Option<f64>)> {
     let end = |effect: &Does| match effect {
         Does::Ends { job, outcome, load } => Some((job.request.0, *outcome, *load)),
         _ => None,
@@ -57,12 +65,12 @@
     let (mut server, mut out) = (server(None), Vec::new());
     (0..11).for_each(|number| server.arrive(START, job(number, true), &mut out));
     assert_eq!(due(&out), [(1, START + 100_000), (2, START + 100_000)]);
-    assert_eq!(ends(&out), [(10, Outcome::Full, Some(10.0))]);
+    assert_eq!(ends(&out), [(10, AttemptOutcome::Overloaded, Some(10.0))]);
     out.clear();
     server.done(START + 100_000, 1, &mut out);
-    assert_eq!(ends(&out), [(0, Outcome::Ok, Some(9.0))]);
+    assert_eq!(ends(&out), [(0, AttemptOutcome::Success, Some(9.0))]);
     assert_eq!(due(&out), [(3, START + 200_000)]);
-    server.call_off(RequestNo(3), AttemptNo(0));
+    server.call_off(RequestNo(3), AttemptNumber(0));
     out.clear();
     server.done(START + 100_000, 2, &mut out);
     assert!(matches!(&out[1], Does::Runs { job, .. } if job.request == RequestNo(4)), "{out:?}");
@@ -100,10 +108,10 @@
     assert!((by.budget - 30.94).abs() < 0.01 && by.calls == 31.0, "{by:?}");
     assert!((by.told - 25.0 / 31.0).abs() < 1e-9, "{by:?}");
     // All that it held is broken off, and nothing comes up any more.
-    assert_eq!(ends(&out).iter().filter(|end| end.1 == Outcome::Broken).count(), 11);
+    assert_eq!(ends(&out).iter().filter(|end| end.1 == AttemptOutcome::ConnectionLost).count(), 11);
     out.clear();
     server.arrive(START + S, job(31, true), &mut out);
-    assert_eq!(ends(&out), [(31, Outcome::Unreachable, None)]);
+    assert_eq!(ends(&out), [(31, AttemptOutcome::Unreachable, None)]);
 }
 
 #[test]
@@ -156,13 +164,13 @@
 
 #[test]
 fn an_unsafe_request_goes_out_again_only_once_it_is_proved_not_to_have_run() {
-    for (outcome, breaks) in [(Outcome::Full, false), (Outcome::Broken, true)] {
+    for (outcome, breaks) in [(AttemptOutcome::Overloaded, false), (AttemptOutcome::ConnectionLost, true)] {
         let mut referee = referee();
         let mut of = clients(50.0).fresh(START, 0);
         (of.customer, of.class) = (0, ClassId(1));
         let no = referee.came(START, of);
         assert!(referee.sent(START, GatewayId(0), no, entry(1, None), None));
-        referee.ended(no, AttemptNo(0), outcome);
+        referee.ended(no, AttemptNumber(0), outcome);
         assert!(referee.sent(START, GatewayId(0), no, entry(2, None), None));
         assert_eq!(referee.broken.contains_key(&Rule::Effects), breaks, "{outcome:?}");
         assert!(referee.answered(START, no, Verdict::Failed) && !referee.overdue(START, no));
@@ -191,16 +199,18 @@
     let list = vec![entry(1, None), entry(2, None)];
     let mut discovery = Discovery::new(stream(1, 2), list, 2, 0..4, vec![silent]);
     let (me, other) = (GatewayId(0), GatewayId(1));
-    discovery.publish(ServerEntry { standing: Standing::Draining, ..entry(1, None) });
+    discovery.publish(Endpoint { state: EndpointState::Draining, ..entry(1, None) });
     discovery.publish(entry(3, Some(START)));
     assert!(!discovery.knows(me, ServerId(3)) && discovery.told_leaving(me, ServerId(1)).is_none());
     let Told::Later(until) = discovery.poll(START + 2 * S, me, None, false) else { panic!("silent") };
     assert!((silent.to..silent.to + 4).contains(&until));
     assert!(matches!(discovery.poll(START + 2 * S, me, None, true), Told::Fails));
-    let Told::Event(Event::Servers { kind, entries }) = discovery.poll(until, me, None, false) else {
+    let Told::Event(Event::EndpointsUpdated { kind, endpoints: entries }) =
+        discovery.poll(until, me, None, false)
+    else {
         panic!("told")
     };
-    assert_eq!((kind, entries.len()), (ListKind::Changes, 2));
+    assert_eq!((kind, entries.len()), (EndpointUpdate::Delta, 2));
     assert_eq!(discovery.told_leaving(me, ServerId(1)), Some(until));
     assert!(discovery.knows(me, ServerId(3)) && !discovery.knows(other, ServerId(3)));
     assert!(matches!(discovery.poll(until, me, None, false), Told::Nothing));
@@ -214,7 +224,9 @@
     discovery.poll(until, me, None, false);
     assert!(discovery.knows_start(me, ServerId(1)) && discovery.told_leaving(me, ServerId(1)).is_none());
     // One that starts anew has the list it had.
-    let Event::Servers { kind: ListKind::Complete, entries } = discovery.known(other) else {
+    let Event::EndpointsUpdated { kind: EndpointUpdate::Snapshot, endpoints: entries } =
+        discovery.known(other)
+    else {
         panic!("a list")
     };
     assert_eq!(entries.len(), 2);
--- a/src/bin/edge-node/clients.rs
+++ b/src/bin/edge-node/clients.rs
@@ -4,8 +4,10 @@
 use crate::node::{Answer, Node};
 use crate::upstream::Forward;
 use bytes::Bytes;
-use edge_node::interface::{ClassId, CustomerId, Effect, Event, GatewayId, PlanId, RequestId, Settings};
-use edge_node::setup::Named;
+use edge_node::settings::ResolvedSettings;
+use edge_node::{
+    ClassId, CustomerId, Event, GatewayId, GatewaySet, Idempotency, PlanId, RequestId, Settings,
+};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
@@ -293,9 +295,9 @@
     };
     Ok(match answered {
         Ok(Ok(Answer::Served(body))) => Response::new(Full::new(body)),
-        Ok(Ok(Answer::Refused(retry_in))) => {
+        Ok(Ok(Answer::Refused(retry_after))) => {
             let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "");
-            let seconds = retry_in.map(|span| format!("{:.3}", span.as_secs_f64()));
+            let seconds = retry_after.map(|span| format!("{:.3}", span.as_secs_f64()));
             if let Some(value) = seconds.and_then(|seconds| HeaderValue::try_from(seconds).ok()) {
                 reply.headers_mut().insert(RETRY_AFTER, value);
             }
@@ -328,7 +330,7 @@
 
 /// Reads the head of a client's request. Nothing has been touched by then: what is wrong with it is told, and that
 /// is all.
-fn read(named: &Named, head: &hyper::http::request::Parts) -> Result<Asked, Bad> {
+fn read(named: &ResolvedSettings, head: &hyper::http::request::Parts) -> Result<Asked, Bad> {
     let bad = |what| (StatusCode::BAD_REQUEST, what);
     let headers = &head.headers;
     // Guards against a request that hides another in its body: of a length and an encoding, hyper drops one unseen.
@@ -343,8 +345,8 @@
     let id = RequestId(id.ok_or(bad("X-Request-Id: missing, or no word of 1 to 64 bytes\n"))?.into());
     let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
     let class = text(headers, "x-class").ok_or(bad("X-Class: missing\n"))?;
-    let number = place(&named.classes, class).ok_or(bad("X-Class: unknown\n"))?;
-    let plan = text(headers, "x-tier").and_then(|plan| place(&named.plans, plan));
+    let number = place(&named.class_names, class).ok_or(bad("X-Class: unknown\n"))?;
+    let plan = text(headers, "x-tier").and_then(|plan| place(&named.plan_names, plan));
     let plan = PlanId(plan.ok_or(bad("X-Tier: missing or unknown\n"))?);
     let mut path = head.uri.path().trim_start_matches('/').split('/');
     if path.next() != Some(class) {
@@ -357,14 +359,14 @@
     let patience = patience.ok_or(bad("X-Deadline: missing or bad\n"))?;
     let terms = text(headers, "x-call-terms").and_then(|text| Terms::read(text, &named.settings));
     let terms = terms.ok_or(bad("X-Call-Terms: missing or bad\n"))?;
-    let effect = named.settings.classes[number].effect;
+    let effect = named.settings.classes[number].idempotency;
     match (effect, &head.method) {
-        (Effect::Safe, &Method::GET) | (Effect::Unsafe, &Method::POST) => {}
-        (Effect::Keyed { .. }, &Method::POST) if headers.contains_key(KEY) => {}
-        (Effect::Keyed { .. }, &Method::POST) => return Err(bad("Idempotency-Key: missing\n")),
+        (Idempotency::Idempotent, &Method::GET) | (Idempotency::NonIdempotent, &Method::POST) => {}
+        (Idempotency::Keyed { .. }, &Method::POST) if headers.contains_key(KEY) => {}
+        (Idempotency::Keyed { .. }, &Method::POST) => return Err(bad("Idempotency-Key: missing\n")),
         _ => return Err(bad("this class takes another method\n")),
     }
-    let takes_body = effect != Effect::Safe;
+    let takes_body = effect != Idempotency::Idempotent;
     Ok(Asked { id, class: ClassId(number), plan, customer, terms, patience, takes_body })
 }
 
@@ -373,15 +375,14 @@
     fn arrived(self, head: hyper::http::request::Parts, body: Bytes) -> (Event, Forward) {
         let patience = self.patience.saturating_sub(DELIVERY);
         let deadline = Instant::now() + patience;
-        let event = Event::Request {
+        let event = Event::RequestReceived {
             id: self.id.clone(),
             class: self.class,
             plan: self.plan,
             customer: self.customer,
             units: self.terms.units,
-            first: self.terms.first,
-            spread: self.terms.spread,
-            patience: patience.as_micros() as u64,
+            gateways: GatewaySet { first: self.terms.first, count: self.terms.spread },
+            client_timeout: patience.as_micros() as u64,
         };
         let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
         let key = head.headers.get(KEY).cloned();
@@ -438,7 +439,7 @@
         let (mut units, mut spread, mut first) = (None, None, None);
         let whole =
             |value: &str| value.bytes().all(|byte| byte.is_ascii_digit()).then(|| value.parse().ok())?;
-        let most = if settings.most_units > 0.0 { settings.most_units } else { f64::MAX };
+        let most = if settings.max_request_units > 0.0 { settings.max_request_units } else { f64::MAX };
         for term in text.split(',') {
             let (name, value) = term.trim().split_once('=')?;
             let again = match name {
@@ -446,10 +447,12 @@
                     units.replace(number(value).filter(|units| *units > 0.0 && *units <= most)?).is_some()
                 }
                 "spread" => {
-                    let fits = |spread: &u32| (1..=settings.gateways).contains(spread);
+                    let fits = |spread: &u32| (1..=settings.gateway_count).contains(spread);
                     spread.replace(whole(value).filter(fits)?).is_some()
                 }
-                "first" => first.replace(whole(value).filter(|first| *first < settings.gateways)?).is_some(),
+                "first" => {
+                    first.replace(whole(value).filter(|first| *first < settings.gateway_count)?).is_some()
+                }
                 _ => false,
             };
             if again {
--- a/src/bin/edge-node/config.rs
+++ b/src/bin/edge-node/config.rs
@@ -5,7 +5,7 @@
 use crate::log;
 use crate::schema::{self, Values};
 use anyhow::{ensure, Context, Result};
-use edge_node::setup::{self, Named};
+use edge_node::settings::{self, ResolvedSettings};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::fmt;
@@ -27,7 +27,7 @@
     pub peers: Option<PeerAddresses>,
     /// The list of app servers as it was last held. It may be old.
     pub known: Option<List>,
-    pub named: Named,
+    pub named: ResolvedSettings,
     pub shell: Shell,
     /// What it was told under each key that waits for a restart.
     pub values: Values,
@@ -170,8 +170,8 @@
     /// Reads the platform's form, which people's is translated into.
     fn parse(path: &Path, form: Form, text: &str) -> Result<Config> {
         let file: File = serde_json::from_str(text)?;
-        let named = setup::read(file.settings.get()).map_err(anyhow::Error::msg).context("settings")?;
-        named.settings.check().context("settings")?;
+        let named = settings::parse(file.settings.get()).context("settings")?;
+        named.settings.validate().context("settings")?;
         ensure!(file.limits.sockets >= FEWEST_SOCKETS, "limits.sockets: {FEWEST_SOCKETS} are needed");
         let values = schema::values(form, &serde_json::from_str(text)?);
         let peers =
--- a/src/bin/edge-node/discovery.rs
+++ b/src/bin/edge-node/discovery.rs
@@ -8,8 +8,8 @@
 use crate::node::Node;
 use anyhow::{anyhow, bail, ensure, Context, Result};
 use bytes::Bytes;
-use edge_node::interface::ListKind;
 use edge_node::reconnect::{Failure, Reconnect, Word};
+use edge_node::EndpointUpdate;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -49,7 +49,7 @@
     node: Rc<Node>, mut address: watch::Receiver<SocketAddr>, known: Option<List>, heard: oneshot::Sender<()>,
 ) {
     if let Some(known) = known {
-        node.listed(ListKind::Complete, &known.hosts.read);
+        node.listed(EndpointUpdate::Snapshot, &known.hosts.read);
     }
     let reconnect = Reconnect::new(node.named.drain_grace);
     let mut follower = Follower { node, reconnect, begun: Instant::now(), heard: Some(heard) };
@@ -149,7 +149,7 @@
             return;
         }
         *seq = Some(list.seq);
-        let kind = if list.whole { ListKind::Complete } else { ListKind::Changes };
+        let kind = if list.whole { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
         self.node.listed(kind, &list.hosts.read);
         self.node.list_came(list);
         // Whoever waited may have waited long enough.
@@ -162,7 +162,7 @@
     fn pick(&mut self, piece: Piece) -> bool {
         let Piece::Spoilt(hosts) = piece else { return false };
         if !hosts.is_empty() {
-            self.node.listed(ListKind::Changes, &hosts);
+            self.node.listed(EndpointUpdate::Delta, &hosts);
         }
         true
     }
--- a/src/bin/edge-node/main.rs
+++ b/src/bin/edge-node/main.rs
@@ -66,13 +66,14 @@
     let listener =
         bind::when_free(format!("listen {}", config.listen), || TcpListener::bind(config.listen)).await?;
     let peers = match config.peers {
-        Some(addresses) => Some(Peers::bind(addresses, config.named.settings.me).await?),
+        Some(addresses) => Some(Peers::bind(addresses, config.named.settings.gateway_id).await?),
         None => None,
     };
     let each_side = (config.sockets - RESERVED) / 2;
     let longest = Duration::from_micros(config.named.longest_deadline);
     let room = Room::new(config.memory / LARGE_SHARE);
-    let upstream = Upstream::new(room, each_side, config.named.conn_idle, config.named.connect_timeout);
+    let upstream =
+        Upstream::new(room, each_side, config.named.connection_idle_timeout, config.named.connect_timeout);
     let admin = match config.shell.admin.listen {
         Some(address) => {
             Some(TcpListener::bind(address).await.with_context(|| format!("admin.listen {address}"))?)
--- a/src/bin/edge-node/metrics.rs
+++ b/src/bin/edge-node/metrics.rs
@@ -1,8 +1,8 @@
 //! What the edge node counts, for operators. Labels are names from the settings and outcomes: no customer, server or
 //! request is among them, so that the number of series is bounded.
 
-use edge_node::interface::{ClassId, Outcome, PlanId};
-use edge_node::setup::Named;
+use edge_node::settings::ResolvedSettings;
+use edge_node::{AttemptOutcome, ClassId, PlanId};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -30,15 +30,15 @@
     (Final::Abandoned, "abandoned"),
 ];
 
-const OUTCOMES: [(Outcome, &str); 8] = [
-    (Outcome::Ok, "ok"),
-    (Outcome::Error, "error"),
-    (Outcome::Full, "full"),
-    (Outcome::TimedOut, "timed_out"),
-    (Outcome::Unreachable, "unreachable"),
-    (Outcome::Broken, "broken"),
-    (Outcome::Cancelled, "cancelled"),
-    (Outcome::NotSent, "not_sent"),
+const OUTCOMES: [(AttemptOutcome, &str); 8] = [
+    (AttemptOutcome::Success, "ok"),
+    (AttemptOutcome::ServerError, "error"),
+    (AttemptOutcome::Overloaded, "full"),
+    (AttemptOutcome::TimedOut, "timed_out"),
+    (AttemptOutcome::Unreachable, "unreachable"),
+    (AttemptOutcome::ConnectionLost, "broken"),
+    (AttemptOutcome::Cancelled, "cancelled"),
+    (AttemptOutcome::NotSent, "not_sent"),
 ];
 
 /// What is only known when it is asked for.
@@ -83,7 +83,7 @@
 }
 
 impl Metrics {
-    pub fn new(named: &Named) -> Metrics {
+    pub fn new(named: &ResolvedSettings) -> Metrics {
         let mut registry = Registry::with_prefix("edge_node");
         let requests = Family::<Labels, Counter>::default();
         registry.register("requests", "Requests of clients that have ended", requests.clone());
@@ -93,14 +93,14 @@
                 requests.get_or_create_owned(&labels.to_vec())
             })
         };
-        let each = |class: &String| named.plans.iter().map(|plan| of(class, plan)).collect();
-        let counted = named.classes.iter().map(each).collect();
+        let each = |class: &String| named.plan_names.iter().map(|plan| of(class, plan)).collect();
+        let counted = named.class_names.iter().map(each).collect();
         let buckets: fn() -> Histogram = || Histogram::new(exponential_buckets(0.001, 2.0, 14));
         let latency = Family::<Labels, Histogram>::new_with_constructor(buckets);
         let help = "Seconds from a request that is whole to its final answer";
         registry.register("request_duration_seconds", help, latency.clone());
         let observed = |class: &String| latency.get_or_create_owned(&vec![("class", class.clone())]);
-        let observed = named.classes.iter().map(observed).collect();
+        let observed = named.class_names.iter().map(observed).collect();
         let attempts = Family::<Labels, Counter>::default();
         registry.register("attempts", "Attempts at servers that have ended", attempts.clone());
         let tried =
@@ -149,7 +149,7 @@
         }
     }
 
-    pub fn attempt(&self, outcome: Outcome) {
+    pub fn attempt(&self, outcome: AttemptOutcome) {
         let place = OUTCOMES.iter().position(|(known, _)| *known == outcome);
         if let Some(counter) = place.and_then(|place| self.attempts.get(place)) {
             counter.inc();
--- a/src/bin/edge-node/node.rs
+++ b/src/bin/edge-node/node.rs
@@ -6,12 +6,12 @@
 use crate::peers::Peers;
 use crate::upstream::{Ending, Forward, Upstream};
 use bytes::Bytes;
-use edge_node::interface::{
-    Action, AttemptNo, CellId, ClassId, Event, ListKind, Micros, PlanId, RequestId, ServerEntry, ServerId,
-    Standing, ZoneId,
-};
-use edge_node::setup::Named;
+use edge_node::settings::ResolvedSettings;
 use edge_node::Gateway;
+use edge_node::{
+    Action, AttemptNumber, CellId, ClassId, Endpoint, EndpointState, EndpointUpdate, Event, Micros, PlanId,
+    RequestId, ServerId, ZoneId,
+};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -75,14 +75,14 @@
 }
 
 pub struct Node {
-    pub named: Named,
+    pub named: ResolvedSettings,
     pub upstream: Upstream,
     pub peers: Option<Peers>,
     clock: Clock,
     gateway: RefCell<Gateway>,
     requests: RefCell<HashMap<RequestId, Pending>>,
     /// Attempts that are out, one of a request at the most; a word, or its loss, calls one off.
-    out: RefCell<HashMap<RequestId, (AttemptNo, oneshot::Sender<()>)>>,
+    out: RefCell<HashMap<RequestId, (AttemptNumber, oneshot::Sender<()>)>>,
     /// The watch on discovery was told to be lost, and no list has come since.
     lost: Cell<bool>,
     /// Number of the last list that discovery told, and when.
@@ -95,7 +95,8 @@
 
 impl Node {
     pub fn new(
-        seed: u64, named: Named, upstream: Upstream, peers: Option<Peers>, metrics: Option<Rc<Metrics>>,
+        seed: u64, named: ResolvedSettings, upstream: Upstream, peers: Option<Peers>,
+        metrics: Option<Rc<Metrics>>,
     ) -> anyhow::Result<Rc<Node>> {
         let clock = Clock::start();
         let gateway = Gateway::new(seed, named.settings.clone(), clock.now())?;
@@ -124,30 +125,30 @@
 
     fn apply(self: &Rc<Self>, action: Action) {
         match action {
-            Action::Send { id, server, time_out } => self.send(id, server, time_out),
-            Action::Refuse { id, retry_in } => {
-                self.answer(&id, Answer::Refused(retry_in.map(Duration::from_micros)));
+            Action::SendAttempt { id, server, timeout } => self.send(id, server, timeout),
+            Action::Reject { id, retry_after } => {
+                self.answer(&id, Answer::Refused(retry_after.map(Duration::from_micros)));
             }
             Action::Fail { id } => {
                 self.answer(&id, Answer::Failed);
             }
-            Action::Cancel { id, attempt } => {
+            Action::CancelAttempt { id, attempt } => {
                 // Dropping the sender is the word; the attempt closes its connection, then reports.
                 let mut out = self.out.borrow_mut();
                 if out.get(&id).is_some_and(|(number, _)| *number == attempt) {
                     out.remove(&id);
                 }
             }
-            Action::TellAll { bytes } => self.peers.iter().for_each(|peers| peers.tell_all(&bytes)),
-            Action::Tell { to, bytes } => self.peers.iter().for_each(|peers| peers.tell(to, &bytes)),
-            Action::Wake { after, token } => {
+            Action::Broadcast { bytes } => self.peers.iter().for_each(|peers| peers.tell_all(&bytes)),
+            Action::SendToPeer { to, bytes } => self.peers.iter().for_each(|peers| peers.tell(to, &bytes)),
+            Action::SetTimer { after, token } => {
                 let node = Rc::clone(self);
                 tokio::task::spawn_local(async move {
                     tokio::time::sleep(Duration::from_micros(after)).await;
-                    node.post(Event::Woke { token });
+                    node.post(Event::TimerFired { token });
                 });
             }
-            Action::Follow => {} // discovery is always followed
+            Action::WatchEndpoints => {} // discovery is always followed
             Action::Log(line) => warn!(event = "decision", "{line}"),
         }
     }
@@ -161,7 +162,7 @@
         }
         debug!(event = "request", id = %id.0, target = forward.target, "request {}: {}", id.0, forward.target);
         let kind = match &event {
-            Event::Request { class, plan, .. } => Some((*class, *plan)),
+            Event::RequestReceived { class, plan, .. } => Some((*class, *plan)),
             _ => None,
         };
         let pending = Pending { forward: Rc::new(forward), answer, attempts: 0, kind, since: Instant::now() };
@@ -176,7 +177,7 @@
         if let Some(pending) = pending {
             self.count(&pending, Final::Abandoned);
             debug!(event = "abandoned", id = %id.0, "request {}: nobody waits any more", id.0);
-            self.post(Event::Abandoned { id: id.clone() });
+            self.post(Event::ClientDisconnected { id: id.clone() });
         }
     }
 
@@ -199,16 +200,16 @@
         }
     }
 
-    fn send(self: &Rc<Self>, id: RequestId, server: ServerId, time_out: Option<Micros>) {
+    fn send(self: &Rc<Self>, id: RequestId, server: ServerId, timeout: Option<Micros>) {
         let (forward, attempt) = {
             let mut requests = self.requests.borrow_mut();
             // The module hears at once of each request that is answered or abandoned, and sends no such one.
             let Some(pending) = requests.get_mut(&id) else { return };
             pending.attempts += 1;
-            (Rc::clone(&pending.forward), AttemptNo(pending.attempts - 1))
+            (Rc::clone(&pending.forward), AttemptNumber(pending.attempts - 1))
         };
         debug!(event = "send", id = %id.0, attempt = attempt.0, server = server.0, "request {}: attempt {} to server {}", id.0, attempt.0, server.0);
-        let limit = time_out.and_then(|span| Instant::now().checked_add(Duration::from_micros(span)));
+        let limit = timeout.and_then(|span| Instant::now().checked_add(Duration::from_micros(span)));
         let until = limit.map_or(forward.deadline, |limit| limit.min(forward.deadline));
         let (call_off, called_off) = oneshot::channel();
         self.out.borrow_mut().insert(id.clone(), (attempt, call_off));
@@ -221,7 +222,7 @@
     }
 
     /// The connection of the attempt is closed or free again by now, so that no two attempts are ever out.
-    fn ended(self: &Rc<Self>, id: RequestId, attempt: AttemptNo, ending: Ending) {
+    fn ended(self: &Rc<Self>, id: RequestId, attempt: AttemptNumber, ending: Ending) {
         let Ending { outcome, body, load } = ending;
         debug!(event = "ended", id = %id.0, attempt = attempt.0, ?outcome, "request {}: attempt {} ended, {outcome:?}", id.0, attempt.0);
         self.metrics.iter().for_each(|metrics| metrics.attempt(outcome));
@@ -230,35 +231,35 @@
             self.answer(&id, Answer::Served(body));
         }
         let closed = !self.is_open(&id);
-        self.post(Event::Ended { id, attempt, outcome, closed, load });
+        self.post(Event::AttemptFinished { id, attempt, outcome, closed, reported_load: load });
     }
 
     /// Follows discovery: the addresses first, so that nothing waiting for a connection goes to who left.
-    pub fn listed(self: &Rc<Self>, kind: ListKind, hosts: &[Host]) {
-        let zones = &self.named.zones;
+    pub fn listed(self: &Rc<Self>, kind: EndpointUpdate, hosts: &[Host]) {
+        let zones = &self.named.zone_names;
         let zone = |name: &String| match zones.iter().position(|zone| zone == name) {
             Some(place) => place as u32,
             // Where there are no zones, nothing crosses them.
             None if zones.is_empty() => 0,
             None => u32::MAX,
         };
-        let entries = hosts.iter().map(|host| ServerEntry {
+        let entries = hosts.iter().map(|host| Endpoint {
             server: server_id(&host.host),
             zone: ZoneId(zone(&host.site)),
             cell: CellId(host.block),
-            standing: match host.health {
-                Health::Ready => Standing::Ready,
-                Health::Draining => Standing::Draining,
-                Health::Gone => Standing::Gone,
+            state: match host.health {
+                Health::Ready => EndpointState::Ready,
+                Health::Draining => EndpointState::Draining,
+                Health::Gone => EndpointState::Gone,
             },
-            size: host.share,
-            started: (host.born_ms > 0).then_some(host.born_ms.saturating_mul(1000)),
+            weight: host.share,
+            started_at: (host.born_ms > 0).then_some(host.born_ms.saturating_mul(1000)),
         });
         let entries = entries.collect();
         let ready = |host: &Host| host.dial.filter(|_| host.health == Health::Ready);
         let dials = hosts.iter().map(|host| (server_id(&host.host), ready(host)));
-        self.upstream.listed(kind == ListKind::Complete, dials);
-        self.post(Event::Servers { kind, entries });
+        self.upstream.listed(kind == EndpointUpdate::Snapshot, dials);
+        self.post(Event::EndpointsUpdated { kind, endpoints: entries });
     }
 }
 
@@ -332,7 +333,7 @@
             // The folder that is read is open itself.
             descriptors: std::fs::read_dir("/proc/self/fd").map_or(0, |fds| fds.count().saturating_sub(1)),
             servers_ready: self.upstream.known(),
-            kept: self.gateway.borrow().kept(),
+            kept: self.gateway.borrow().tracked_entries(),
             list_age: list.map(|(_, since)| since.elapsed()),
             list_sequence: list.map_or(0, |(seq, _)| seq),
             datagrams_sent,
--- a/src/bin/edge-node/peers.rs
+++ b/src/bin/edge-node/peers.rs
@@ -4,7 +4,7 @@
 use crate::config::PeerAddresses;
 use crate::node::Node;
 use anyhow::Result;
-use edge_node::interface::{Event, GatewayId};
+use edge_node::{Event, GatewayId};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -80,7 +80,7 @@
     let Some(peers) = &node.peers else { return };
     loop {
         if let Some((from, bytes)) = peers.receive().await {
-            node.post(Event::Peer { from, bytes });
+            node.post(Event::PeerMessage { from, bytes });
         }
     }
 }
--- a/src/bin/edge-node/upstream.rs
+++ b/src/bin/edge-node/upstream.rs
@@ -1,8 +1,8 @@
 //! Connections to app servers, the attempts on them and how these end.
 
 use bytes::Bytes;
-use edge_node::interface::{Micros, Outcome, RequestId, ServerId};
-use edge_node::setup;
+use edge_node::load_report;
+use edge_node::{AttemptOutcome, Micros, RequestId, ServerId};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -135,15 +135,15 @@
 /// How an attempt ended.
 #[derive(Debug, PartialEq)]
 pub struct Ending {
-    pub outcome: Outcome,
+    pub outcome: AttemptOutcome,
     /// The body of a good answer.
     pub body: Option<Bytes>,
     /// How many requests the server said it holds.
     pub load: Option<f64>,
 }
 
-impl From<Outcome> for Ending {
-    fn from(outcome: Outcome) -> Ending {
+impl From<AttemptOutcome> for Ending {
+    fn from(outcome: AttemptOutcome) -> Ending {
         Ending { outcome, body: None, load: None }
     }
 }
@@ -159,13 +159,15 @@
 }
 
 impl Upstream {
-    pub fn new(room: Room, most: usize, conn_idle: Micros, connect_timeout: Micros) -> Upstream {
+    pub fn new(
+        room: Room, most: usize, connection_idle_timeout: Micros, connect_timeout: Micros,
+    ) -> Upstream {
         Upstream {
             room,
             places: RefCell::default(),
             sockets: Rc::default(),
             most,
-            idle_for: Duration::from_micros(conn_idle).mul_f64(IDLE_SHARE),
+            idle_for: Duration::from_micros(connection_idle_timeout).mul_f64(IDLE_SHARE),
             connect_timeout: Duration::from_micros(connect_timeout),
         }
     }
@@ -222,8 +224,8 @@
             None => {
                 let connected = tokio::select! {
                     biased;
-                    _ = &mut called_off => return Outcome::NotSent.into(),
-                    () = tokio::time::sleep_until(until) => return Outcome::Unreachable.into(),
+                    _ = &mut called_off => return AttemptOutcome::NotSent.into(),
+                    () = tokio::time::sleep_until(until) => return AttemptOutcome::Unreachable.into(),
                     connected = self.connect(server) => connected,
                 };
                 match connected {
@@ -237,7 +239,7 @@
         let wanted = open() && Instant::now() < until;
         if !wanted || !self.leads_to(server, &link) {
             self.keep(server, link);
-            return Outcome::NotSent.into();
+            return AttemptOutcome::NotSent.into();
         }
         let mut link = link;
         link.wrote.set(false);
@@ -245,8 +247,8 @@
         let outcome = tokio::select! {
             biased;
             answer = exchange(&mut link, forward, until, &self.room) => answer,
-            _ = &mut called_off => Err(Outcome::Cancelled),
-            () = tokio::time::sleep_until(until) => Err(Outcome::TimedOut),
+            _ = &mut called_off => Err(AttemptOutcome::Cancelled),
+            () = tokio::time::sleep_until(until) => Err(AttemptOutcome::TimedOut),
         };
         let never = !link.wrote.get();
         match outcome {
@@ -291,10 +293,11 @@
         }
     }
 
-    async fn connect(&self, server: ServerId) -> Result<Link, Outcome> {
-        let dial = self.places.borrow().get(&server).map(|place| place.dial).ok_or(Outcome::NotSent)?;
+    async fn connect(&self, server: ServerId) -> Result<Link, AttemptOutcome> {
+        let dial =
+            self.places.borrow().get(&server).map(|place| place.dial).ok_or(AttemptOutcome::NotSent)?;
         if self.sockets.get() >= self.most && !self.spare_one().await {
-            return Err(Outcome::NotSent);
+            return Err(AttemptOutcome::NotSent);
         }
         let slot = Slot::take(&self.sockets);
         let stream = tokio::time::timeout(self.connect_timeout, TcpStream::connect(dial)).await;
@@ -302,9 +305,9 @@
             Ok(Ok(stream)) => stream,
             // Guards against blaming a server for what is lacking here.
             Ok(Err(error)) if error.raw_os_error().is_some_and(|code| OWN_LACK.contains(&code)) => {
-                return Err(Outcome::NotSent);
+                return Err(AttemptOutcome::NotSent);
             }
-            _ => return Err(Outcome::Unreachable),
+            _ => return Err(AttemptOutcome::Unreachable),
         };
         // Without it a request in two pieces would wait for an acknowledgement; it works all the same.
         let _ = stream.set_nodelay(true);
@@ -313,7 +316,7 @@
         let seen = Rc::downgrade(&stream);
         let io = Watched { stream, wrote: Rc::clone(&wrote), _slot: slot };
         let handshake = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(io).await;
-        let Ok((sender, connection)) = handshake else { return Err(Outcome::Unreachable) };
+        let Ok((sender, connection)) = handshake else { return Err(AttemptOutcome::Unreachable) };
         let driver = tokio::task::spawn_local(async move {
             // How it ended shows in the exchange.
             let _ = connection.await;
@@ -339,17 +342,17 @@
 }
 
 /// How an attempt ended of which nothing was written: it never ran.
-fn unwritten(outcome: Outcome) -> Outcome {
+fn unwritten(outcome: AttemptOutcome) -> AttemptOutcome {
     match outcome {
-        Outcome::Broken | Outcome::TimedOut => Outcome::Unreachable,
-        _ => Outcome::NotSent,
+        AttemptOutcome::ConnectionLost | AttemptOutcome::TimedOut => AttemptOutcome::Unreachable,
+        _ => AttemptOutcome::NotSent,
     }
 }
 
 /// Writes the request and reads its whole answer. An error is an answer that did not come whole.
 async fn exchange(
     link: &mut Link, forward: &Forward, until: Instant, room: &Room,
-) -> Result<Ending, Outcome> {
+) -> Result<Ending, AttemptOutcome> {
     let left = until.saturating_duration_since(Instant::now()).as_millis();
     let mut request = Request::builder()
         .method(&forward.method)
@@ -360,37 +363,43 @@
     if let Some(key) = &forward.key {
         request = request.header("idempotency-key", key);
     }
-    let request = request.body(Full::new(forward.body.clone())).map_err(|_| Outcome::NotSent)?;
-    let answer = link.sender.send_request(request).await.map_err(|_| Outcome::Broken)?;
+    let request = request.body(Full::new(forward.body.clone())).map_err(|_| AttemptOutcome::NotSent)?;
+    let answer = link.sender.send_request(request).await.map_err(|_| AttemptOutcome::ConnectionLost)?;
     // Guards against a late copy of the answer before, where answers name their requests. A name that was never sent
     // here is the server's own affair.
     let (named, last) = (answer.headers().get("x-request-id"), link.last.as_ref());
     if last.is_some_and(|last| named.is_some_and(|name| name.as_bytes() == last.0.as_bytes())) {
-        return Err(Outcome::Broken);
+        return Err(AttemptOutcome::ConnectionLost);
     }
     // Guards against an answer that turns the connection into something else, or that never ends.
     let room = room.take(answer.body().size_hint().lower());
     let Some((most, _held)) = room.filter(|_| !answer.status().is_informational()) else {
-        return Err(Outcome::Broken);
+        return Err(AttemptOutcome::ConnectionLost);
     };
     let outcome = outcome(&answer);
     // Guards against an answer that ends with its connection: nobody could tell whether it is whole.
     let framed = [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| answer.headers().contains_key(name));
     if !framed {
-        return Err(Outcome::Broken);
+        return Err(AttemptOutcome::ConnectionLost);
     }
-    let load = answer.headers().get("x-load").and_then(|value| setup::held(value.to_str().ok()?, '='));
+    let load = answer
+        .headers()
+        .get("x-load")
+        .and_then(|value| load_report::parse_in_flight(value.to_str().ok()?, '='));
     // Buffered whole, so that a client never gets an answer that was cut.
-    let body = Limited::new(answer.into_body(), most).collect().await.map_err(|_| Outcome::Broken)?;
-    Ok(Ending { outcome, body: (outcome == Outcome::Ok).then(|| body.to_bytes()), load })
+    let body =
+        Limited::new(answer.into_body(), most).collect().await.map_err(|_| AttemptOutcome::ConnectionLost)?;
+    Ok(Ending { outcome, body: (outcome == AttemptOutcome::Success).then(|| body.to_bytes()), load })
 }
 
-fn outcome<B>(answer: &Response<B>) -> Outcome {
+fn outcome<B>(answer: &Response<B>) -> AttemptOutcome {
     let not_run = answer.headers().get("x-not-run").is_some_and(|value| value == "1");
     match answer.status() {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Outcome::Full,
-        _ => Outcome::Error,
+        StatusCode::OK => AttemptOutcome::Success,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => {
+            AttemptOutcome::Overloaded
+        }
+        _ => AttemptOutcome::ServerError,
     }
 }
 
@@ -469,7 +478,7 @@
 
     /// An attempt whose request or server changes as its connection comes up: how it ends, and what was
     /// written before the connection was closed.
-    async fn changed(change: impl Fn(&Upstream, SocketAddr) -> bool) -> (Outcome, Vec<u8>) {
+    async fn changed(change: impl Fn(&Upstream, SocketAddr) -> bool) -> (AttemptOutcome, Vec<u8>) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let dial = listener.local_addr().expect("an address");
         let (server, wait) = (ServerId(1), Duration::from_secs(60));
@@ -496,18 +505,18 @@
     }
 
     async fn all_end_unsent() {
-        assert_eq!(changed(|_, _| false).await, (Outcome::NotSent, Vec::new()), "answered meanwhile");
+        assert_eq!(changed(|_, _| false).await, (AttemptOutcome::NotSent, Vec::new()), "answered meanwhile");
         let drains = |upstream: &Upstream, _| {
             upstream.listed(false, [(ServerId(1), None)].into_iter());
             true
         };
-        assert_eq!(changed(drains).await, (Outcome::NotSent, Vec::new()), "drains meanwhile");
+        assert_eq!(changed(drains).await, (AttemptOutcome::NotSent, Vec::new()), "drains meanwhile");
         let moves = |upstream: &Upstream, dial: SocketAddr| {
             let elsewhere = SocketAddr::new(dial.ip(), dial.port() ^ 1);
             upstream.listed(false, [(ServerId(1), Some(elsewhere))].into_iter());
             true
         };
-        assert_eq!(changed(moves).await, (Outcome::NotSent, Vec::new()), "moves meanwhile");
+        assert_eq!(changed(moves).await, (AttemptOutcome::NotSent, Vec::new()), "moves meanwhile");
     }
 
     #[test]
--- a/src/bin/simulator-adapter/main.rs
+++ b/src/bin/simulator-adapter/main.rs
@@ -2,11 +2,11 @@
 
 mod wire;
 
-use edge_node::interface::{
-    Action, AttemptNo, CellId, ClassId, CustomerId, Event, GatewayId, ListKind, Outcome, PlanId, RequestId,
-    ServerEntry, ServerId, Standing, ZoneId,
+use edge_node::{load_report, settings, Gateway};
+use edge_node::{
+    Action, AttemptNumber, AttemptOutcome, CellId, ClassId, CustomerId, Endpoint, EndpointState,
+    EndpointUpdate, Event, GatewayId, GatewaySet, PlanId, RequestId, ServerId, ZoneId,
 };
-use edge_node::{setup, Gateway};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
@@ -15,12 +15,12 @@
 /// An entry as listed; its zone gets a number only by an instance's settings.
 struct Item {
     campus: String,
-    entry: ServerEntry,
+    entry: Endpoint,
 }
 
 struct Instance {
     gateway: Gateway,
-    named: setup::Named,
+    named: settings::ResolvedSettings,
 }
 
 #[derive(Default)]
@@ -121,18 +121,18 @@
     let size = line.measure("capacityHint")?;
     Ok(Item {
         campus: line.text("campus")?.to_owned(),
-        entry: ServerEntry {
+        entry: Endpoint {
             server: ServerId(line.number("server")?),
             zone: ZoneId(0),
             cell: CellId(line.number("bay")?),
-            standing: match line.text("readiness")? {
-                "Ready" => Standing::Ready,
-                "Terminating" => Standing::Draining,
-                "Gone" => Standing::Gone,
+            state: match line.text("readiness")? {
+                "Ready" => EndpointState::Ready,
+                "Terminating" => EndpointState::Draining,
+                "Gone" => EndpointState::Gone,
                 _ => return line.bad("readiness"),
             },
-            size,
-            started: match line.number_or("cameUpUs", 0)? {
+            weight: size,
+            started_at: match line.number_or("cameUpUs", 0)? {
                 0 => None,
                 at => Some(at),
             },
@@ -147,16 +147,16 @@
     }
 }
 
-fn outcome(line: &Line) -> Result<Outcome> {
+fn outcome(line: &Line) -> Result<AttemptOutcome> {
     Ok(match line.number("ending")? {
-        100 => Outcome::Ok,
-        301 => Outcome::Error,
-        302 => Outcome::Full,
-        303 => Outcome::TimedOut,
-        304 => Outcome::Unreachable,
-        305 => Outcome::Broken,
-        306 => Outcome::Cancelled,
-        307 => Outcome::NotSent,
+        100 => AttemptOutcome::Success,
+        301 => AttemptOutcome::ServerError,
+        302 => AttemptOutcome::Overloaded,
+        303 => AttemptOutcome::TimedOut,
+        304 => AttemptOutcome::Unreachable,
+        305 => AttemptOutcome::ConnectionLost,
+        306 => AttemptOutcome::Cancelled,
+        307 => AttemptOutcome::NotSent,
         _ => return line.bad("ending"),
     })
 }
@@ -175,7 +175,7 @@
         match line.name {
             "hello" => {
                 let seed: i128 = line.number("randomSeed")?;
-                let named = match setup::read(line.tail("setup")?) {
+                let named = match settings::parse(line.tail("setup")?) {
                     Ok(named) => named,
                     Err(what) => return line.fault(format!("hello: field setup: {what}")),
                 };
@@ -211,13 +211,15 @@
     }
 }
 
-fn translate(line: &Line, named: &setup::Named, lists: &BTreeMap<u8, Vec<Item>>) -> Result<Option<Event>> {
+fn translate(
+    line: &Line, named: &settings::ResolvedSettings, lists: &BTreeMap<u8, Vec<Item>>,
+) -> Result<Option<Event>> {
     Ok(Some(match line.name {
         "update" => {
             let kind = match line.text("kind")? {
-                "Error" => return Ok(Some(Event::ListFailed)),
-                "Partial" => ListKind::Changes,
-                "Complete" | "Persisted" => ListKind::Complete,
+                "Error" => return Ok(Some(Event::WatchFailed)),
+                "Partial" => EndpointUpdate::Delta,
+                "Complete" | "Persisted" => EndpointUpdate::Snapshot,
                 _ => return line.bad("kind"),
             };
             let Some(items) = lists.get(&line.number("list")?) else {
@@ -225,34 +227,37 @@
             };
             let mut entries = Vec::with_capacity(items.len());
             for item in items {
-                let Some(zone) = named.zones.iter().position(|name| *name == item.campus) else {
+                let Some(zone) = named.zone_names.iter().position(|name| *name == item.campus) else {
                     return line.fault(format!("update: field list: no zone {:?}", item.campus));
                 };
-                entries.push(ServerEntry { zone: ZoneId(zone as u32), ..item.entry });
+                entries.push(Endpoint { zone: ZoneId(zone as u32), ..item.entry });
             }
-            Event::Servers { kind, entries }
+            Event::EndpointsUpdated { kind, endpoints: entries }
         }
-        "knock" => Event::Request {
+        "knock" => Event::RequestReceived {
             id: request_id(line)?,
-            class: ClassId(place(line, "grade", &named.classes)?),
-            plan: PlanId(place(line, "package", &named.plans)?),
+            class: ClassId(place(line, "grade", &named.class_names)?),
+            plan: PlanId(place(line, "package", &named.plan_names)?),
             customer: CustomerId(line.number("clientId")?),
             units: line.measure("quotaUnits")?,
-            first: GatewayId(line.number("base")?),
-            spread: line.number("setSize")?,
-            patience: line.number("ttlUs")?,
+            gateways: GatewaySet { first: GatewayId(line.number("base")?), count: line.number("setSize")? },
+            client_timeout: line.number("ttlUs")?,
         },
-        "opened" => Event::Started { id: request_id(line)? },
-        "finished" => Event::Ended {
+        "opened" => Event::StreamStarted { id: request_id(line)? },
+        "finished" => Event::AttemptFinished {
             id: request_id(line)?,
-            attempt: AttemptNo(line.number("shot")?),
+            attempt: AttemptNumber(line.number("shot")?),
             outcome: outcome(line)?,
             closed: line.flag("doneFlag")?,
-            load: line.optional("telemetry").and_then(|report| setup::held(report, ':')),
+            reported_load: line
+                .optional("telemetry")
+                .and_then(|report| load_report::parse_in_flight(report, ':')),
         },
-        "gone" => Event::Abandoned { id: request_id(line)? },
-        "elapsed" => Event::Woke { token: line.number("nonce")? },
-        "whisper" => Event::Peer { from: GatewayId(line.number("originPeer")?), bytes: line.hex("blob")? },
+        "gone" => Event::ClientDisconnected { id: request_id(line)? },
+        "elapsed" => Event::TimerFired { token: line.number("nonce")? },
+        "whisper" => {
+            Event::PeerMessage { from: GatewayId(line.number("originPeer")?), bytes: line.hex("blob")? }
+        }
         // The module neither probes nor calls the counter: answers are checked and passed over.
         "echo" | "counter_reply" => {
             outcome(line)?;
@@ -266,32 +271,34 @@
     use std::fmt::Write;
     // Writing to a string cannot fail.
     let _ = match action {
-        Action::Send { id, server, time_out } => {
+        Action::SendAttempt { id, server, timeout } => {
             let _ = write!(reply, "send\ti={number}\tcall={}\tserver={}", id.0, server.0);
-            match time_out {
+            match timeout {
                 Some(span) => writeln!(reply, "\ttryForUs={span}"),
                 None => writeln!(reply),
             }
         }
-        Action::Refuse { id, retry_in } => {
+        Action::Reject { id, retry_after } => {
             let _ = write!(reply, "not_now\ti={number}\tcall={}", id.0);
-            match retry_in {
+            match retry_after {
                 Some(span) => writeln!(reply, "\tretryInUs={span}"),
                 None => writeln!(reply),
             }
         }
         Action::Fail { id } => writeln!(reply, "finish_error\ti={number}\tcall={}", id.0),
-        Action::Cancel { id, attempt } => {
+        Action::CancelAttempt { id, attempt } => {
             writeln!(reply, "revoke\ti={number}\tcall={}\tshot={}", id.0, attempt.0)
         }
-        Action::TellAll { bytes } => {
+        Action::Broadcast { bytes } => {
             writeln!(reply, "tell\ti={number}\taddressee=*\tblob={}", wire::to_hex(bytes))
         }
-        Action::Tell { to, bytes } => {
+        Action::SendToPeer { to, bytes } => {
             writeln!(reply, "tell\ti={number}\taddressee={}\tblob={}", to.0, wire::to_hex(bytes))
         }
-        Action::Wake { after, token } => writeln!(reply, "defer\ti={number}\tdelayUs={after}\tnonce={token}"),
-        Action::Follow => writeln!(reply, "track\ti={number}\tactive=1"),
+        Action::SetTimer { after, token } => {
+            writeln!(reply, "defer\ti={number}\tdelayUs={after}\tnonce={token}")
+        }
+        Action::WatchEndpoints => writeln!(reply, "track\ti={number}\tactive=1"),
         Action::Log(words) => writeln!(reply, "say_log\ti={number}\twords={words}"),
     };
 }
--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -1,7 +1,7 @@
 //! A customer's token bucket: what it holds, what fills it, what peers were heard to draw, what is on lease. Sums only;
 //! who gets what is decided in `control`.
 
-use crate::interface::*;
+use crate::*;
 use std::collections::{BTreeMap, VecDeque};
 
 /// µs over which what peers were heard to draw ages out (the design's two seconds).
@@ -62,10 +62,10 @@
     pub sent_at: Micros,
     pub open: u32,
     pub heard: BTreeMap<GatewayId, Heard>,
-    pub ceiling: f64,
+    pub hard_limit_tokens: f64,
     /// What part of the quota and of the ceiling is kept here.
     pub share: f64,
-    pub ceiling_share: f64,
+    pub hard_limit_share: f64,
     /// µs for which what is granted may be used: so much of the ceiling's fill is kept back.
     pub late: Micros,
     /// As a home: who holds a place of the limit on attempts at once, and until when.
@@ -94,7 +94,8 @@
     pub fn sent_on(&mut self, now: Micros, units: f64, first: bool) {
         self.open += 1;
         if first {
-            (self.sent, self.sent_at, self.ceiling) = (self.sent + units, now, self.ceiling - units);
+            (self.sent, self.sent_at, self.hard_limit_tokens) =
+                (self.sent + units, now, self.hard_limit_tokens - units);
         }
     }
 
@@ -102,7 +103,7 @@
     pub fn follow(&mut self, fresh: Store, ceiling: f64) {
         let (heard, level) = (std::mem::take(&mut self.heard), self.level.min(fresh.level));
         let (open, sent, sent_at) = (self.open, self.sent, self.sent_at);
-        *self = Store { level, ceiling, open, sent, sent_at, heard, ..fresh };
+        *self = Store { level, hard_limit_tokens: ceiling, open, sent, sent_at, heard, ..fresh };
     }
 
     /// Fills at the rate, less the share of gateways that are silent.
@@ -116,18 +117,19 @@
 
     /// Fills this part of the ceiling over a span, in seconds.
     pub fn fill_ceiling(&mut self, plan: &Plan, span: f64) {
-        if let Some(ceiling) = plan.ceiling {
+        if let Some(ceiling) = plan.hard_limit {
             // Danger: a ceiling passed. A fixed share, empty at first, needs no word from anyone and holds
             // through lost messages and restarts; it hurts where nearly all comes in through one gateway.
             // A home keeps back what is filled while its grants and leases may be used: they are void after that, so
             // that what is used late adds up to no more than the whole depth.
             let most = self.most_under(&ceiling);
-            self.ceiling = (self.ceiling + ceiling.rate * self.ceiling_share * span).min(most);
+            self.hard_limit_tokens =
+                (self.hard_limit_tokens + ceiling.rate * self.hard_limit_share * span).min(most);
         }
     }
 
-    fn most_under(&self, ceiling: &Ceiling) -> f64 {
-        (ceiling.depth - ceiling.rate * self.late as f64 / 1e6) * self.ceiling_share
+    fn most_under(&self, ceiling: &HardLimit) -> f64 {
+        (ceiling.capacity - ceiling.rate * self.late as f64 / 1e6) * self.hard_limit_share
     }
 
     /// Whether nothing would be gained or given by dropping it: it has stood unused, and is full.
@@ -137,14 +139,15 @@
         }
         self.fill(now, plan, silent(self));
         self.places.retain(|place| place.2 > now);
-        let full = plan.ceiling.as_ref().is_none_or(|ceiling| self.ceiling >= self.most_under(ceiling));
+        let full =
+            plan.hard_limit.as_ref().is_none_or(|ceiling| self.hard_limit_tokens >= self.most_under(ceiling));
         let refilled = plan.rate <= 0.0 || self.level >= (plan.burst * self.share).max(self.depth);
         full && refilled && self.places.is_empty() && self.peers(now, HEARD_FOR) <= 0.0
     }
 
     /// As an owner: lets units go on lease. They count as used until they come back.
     pub fn lend(&mut self, to: GatewayId, serial: u16, units: f64) {
-        (self.level, self.ceiling) = (self.level - units, self.ceiling - units);
+        (self.level, self.hard_limit_tokens) = (self.level - units, self.hard_limit_tokens - units);
         if units > 0.0 {
             self.leases.insert(to, (serial, units));
         }
@@ -158,7 +161,7 @@
         if let Some((_, lent)) = known.copied() {
             self.leases.remove(&from);
             let units = units.min(lent);
-            (self.level, self.ceiling) = (self.level + units, self.ceiling + units);
+            (self.level, self.hard_limit_tokens) = (self.level + units, self.hard_limit_tokens + units);
         }
     }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -3,10 +3,10 @@
 
 use crate::bucket::{Lease, Store, HEARD_FOR};
 use crate::fuzzy::{chance_under, infer, mix, rank};
-use crate::interface::*;
 use crate::message::{self, Ask, Grant, Message, News, Rumour, Verdict};
 use crate::servers::Servers;
 use crate::state::{Attempt, AttemptKey, Fuzzy, Out, Ran, Request, Server, Step};
+use crate::*;
 
 pub use crate::state::Gateway;
 
@@ -93,8 +93,8 @@
 impl Gateway {
     /// A gateway that knows its settings and nothing else; an error where these make no sense.
     pub fn new(seed: u64, settings: Settings, now: Micros) -> Result<Self, SettingsError> {
-        settings.check()?;
-        let worth = |place: &usize| settings.classes[*place].worth;
+        settings.validate()?;
+        let worth = |place: &usize| settings.classes[*place].priority_weight;
         let lowest = (0..settings.classes.len()).min_by(|a, b| worth(a).total_cmp(&worth(b)));
         let pace = gossip_pace(&settings);
         let mut gateway = Gateway::blank(seed, settings, now);
@@ -102,7 +102,7 @@
         gateway.wide = (HOMES_FROM..f64::INFINITY).contains(&pace);
         let walked = if gateway.wide { WALKED } else { usize::MAX }; // a gateway of a small fleet uses all
         gateway.servers = Servers::new(&gateway.settings, walked);
-        gateway.spoke[gateway.settings.me.0 as usize] = Micros::MAX;
+        gateway.spoke[gateway.settings.gateway_id.0 as usize] = Micros::MAX;
         let first = gateway.shortest_aim * FIRST_WAIT;
         (gateway.latency, gateway.typical, gateway.retries) = (first, first, RETRY_MOST);
         gateway.service = first;
@@ -112,45 +112,46 @@
 
     /// Takes in one event; what is to be done about it is added to `out`.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Out) {
-        let follow = (self.settings.discovery == Discovery::Followed).then_some(Action::Follow);
+        let follow =
+            (self.settings.discovery == EndpointDiscovery::Watched).then_some(Action::WatchEndpoints);
         if !std::mem::replace(&mut self.begun, true) {
             out.extend(follow.clone());
         }
         match event {
-            Event::Servers { kind, entries } => self.servers.list(now, kind, entries),
-            Event::ListFailed => out.extend(follow),
-            Event::Request { id, class, plan, customer, units, first, spread, patience } => {
+            Event::EndpointsUpdated { kind, endpoints } => self.servers.list(now, kind, endpoints),
+            Event::WatchFailed => out.extend(follow),
+            Event::RequestReceived { id, class, plan, customer, units, gateways, client_timeout } => {
                 if self.settings.classes.len() <= class.0 || self.settings.plans.len() <= plan.0 {
                     return out.push(Action::Fail { id });
                 }
-                let request = Request::new(now, (class, plan, customer), units, patience);
-                self.arrive(now, id, request, (first, spread), out);
+                let request = Request::new(now, (class, plan, customer), units, client_timeout);
+                self.arrive(now, id, request, (gateways.first, gateways.count), out);
             }
-            Event::Started { id } => {
+            Event::StreamStarted { id } => {
                 self.requests.entry(id).and_modify(|request| request.belongs_to_client());
             }
-            Event::Ended { id, attempt: n, outcome, closed, load } => {
+            Event::AttemptFinished { id, attempt: n, outcome, closed, reported_load: load } => {
                 self.ended(now, (id, n), (outcome, load), closed, out)
             }
-            Event::Abandoned { id } => self.forget(&id, out),
-            Event::Woke { .. } if now < self.woken => {} // one that is no longer wanted
-            Event::Woke { .. } => self.sweep(now, out),
-            Event::Peer { from, bytes } => self.heard(now, from, &bytes, out),
+            Event::ClientDisconnected { id } => self.forget(&id, out),
+            Event::TimerFired { .. } if now < self.woken => {} // one that is no longer wanted
+            Event::TimerFired { .. } => self.sweep(now, out),
+            Event::PeerMessage { from, bytes } => self.heard(now, from, &bytes, out),
         }
         self.dispatch(now, out);
         let next = if self.wide { self.next_tick } else { self.next_tick.min(self.next_gossip) };
         let next = if self.requests.is_empty() { next.max(now + SWEEP) } else { now + SWEEP };
         if next < self.woken {
             self.woken = next;
-            out.push(Action::Wake { after: next - now, token: 0 });
+            out.push(Action::SetTimer { after: next - now, token: 0 });
         }
     }
 
     fn arrive(&mut self, now: Micros, id: RequestId, request: Request, set: (GatewayId, u32), out: &mut Out) {
         let plans = &self.settings.plans;
         let (units, shed) = (request.units, self.shed(&request));
-        let set = (set.0, set.1.clamp(1, self.settings.gateways));
-        let most = self.settings.most_units;
+        let set = (set.0, set.1.clamp(1, self.settings.gateway_count));
+        let most = self.settings.max_request_units;
         let store = self.stores.entry(request.customer);
         let up = now.saturating_sub(self.born);
         let store = store.or_insert_with(|| {
@@ -163,7 +164,8 @@
         let same = named == (store.plan, store.first, store.spread);
         store.doubts = if same { 0 } else { store.doubts + 1 };
         if store.doubts >= DOUBTS {
-            let ceiling = if plans[store.plan.0].ceiling.is_some() { store.ceiling.min(0.0) } else { 0.0 };
+            let ceiling =
+                if plans[store.plan.0].hard_limit.is_some() { store.hard_limit_tokens.min(0.0) } else { 0.0 };
             store.follow(Store::new(now, 0, request.plan, &plans[request.plan.0], set, most), ceiling);
         }
         let plan = &plans[store.plan.0];
@@ -181,12 +183,12 @@
         store.level -= units;
         self.requests.insert(id.clone(), request);
         match () {
-            () if hopeless => self.finish(now, &id, Reason::Hopeless, out),
-            () if shed_now => self.finish(now, &id, Reason::Shed, out),
+            () if hopeless => self.finish(now, &id, RejectReason::DeadlineTooShort, out),
+            () if shed_now => self.finish(now, &id, RejectReason::LoadShed, out),
             () if self.wide && self.leased(now, &id) => self.waiting.push(id),
-            () if draw > asks => self.finish(now, &id, Reason::Thinned, out),
+            () if draw > asks => self.finish(now, &id, RejectReason::LeaseRequestThrottled, out),
             () if self.wide => self.ask(now, id, out),
-            () if short => self.finish(now, &id, Reason::Short, out),
+            () if short => self.finish(now, &id, RejectReason::QuotaExceeded, out),
             () => self.waiting.push(id),
         }
     }
@@ -201,7 +203,7 @@
             Some(crowd) => ramp(self.service * crowd.max(1.0) / self.shortest_aim, CROWDED),
             None => ramp(self.worst().unwrap_or(0.0), SHED),
         };
-        let worth = |class: &Class, plan: &Plan| class.worth * plan.price;
+        let worth = |class: &Class, plan: &Plan| class.priority_weight * plan.weight;
         let own = worth(&self.settings.classes[request.class.0], &self.settings.plans[request.plan.0]);
         let plans = &self.settings.plans;
         let of = |class| plans.iter().map(move |plan| worth(class, plan));
@@ -215,15 +217,17 @@
             return false;
         }
         let Some(ran) = request.ran else { return true };
-        match (self.settings.classes[request.class.0].effect, step) {
-            (Effect::Safe, _) => true,
-            (Effect::Unsafe, _) => false,
-            (Effect::Keyed { group, .. }, Step::Refuse) => group == Group::All,
-            (Effect::Keyed { group, window }, Step::Send(server)) => {
+        match (self.settings.classes[request.class.0].idempotency, step) {
+            (Idempotency::Idempotent, _) => true,
+            (Idempotency::NonIdempotent, _) => false,
+            (Idempotency::Keyed { scope: group, .. }, Step::Refuse) => {
+                group == DeduplicationScope::AllServers
+            }
+            (Idempotency::Keyed { scope: group, window }, Step::Send(server)) => {
                 let inside = match group {
-                    Group::All => true,
-                    Group::Zone => server.entry.zone == ran.place.zone,
-                    Group::Cell => server.entry.cell == ran.place.cell,
+                    DeduplicationScope::AllServers => true,
+                    DeduplicationScope::Zone => server.entry.zone == ran.place.zone,
+                    DeduplicationScope::Cell => server.entry.cell == ran.place.cell,
                 };
                 inside && now <= ran.sent.saturating_add(window)
             }
@@ -231,12 +235,13 @@
     }
 
     /// Ends a request: refused where that promise holds, else failed.
-    fn finish(&mut self, now: Micros, id: &RequestId, reason: Reason, out: &mut Out) {
+    fn finish(&mut self, now: Micros, id: &RequestId, reason: RejectReason, out: &mut Out) {
         let Some(request) = self.requests.get(id) else { return };
-        *self.turned_away.entry((reason, request.plan)).or_default() += 1;
+        *self.rejections.entry((reason, request.plan)).or_default() += 1;
         let (refused, id_told) = (self.permits(request, now, Step::Refuse), id.clone());
-        let retry_in = self.settings.allowed.retry_after.map(|most| self.advice(request).min(most));
-        let refusal = |id| Action::Refuse { id, retry_in };
+        let retry_after =
+            self.settings.permissions.max_retry_after.map(|most| self.advice(request).min(most));
+        let refusal = |id| Action::Reject { id, retry_after };
         out.push(if refused { refusal(id_told) } else { Action::Fail { id: id_told } });
         self.forget(id, out);
     }
@@ -250,9 +255,10 @@
             |short: f64, rate: f64| if short > 0.0 { short / rate.max(f64::EPSILON) * 1e6 } else { 0.0 };
         // What a try takes is off the level already, and comes back if it was never sent.
         let quota = if plan.rate > 0.0 { until(-store.level, plan.rate * store.share) } else { 0.0 };
-        let over =
-            |ceiling: &Ceiling| until(request.units - store.ceiling, ceiling.rate * store.ceiling_share);
-        let ceiling = plan.ceiling.as_ref().map_or(0.0, over);
+        let over = |ceiling: &HardLimit| {
+            until(request.units - store.hard_limit_tokens, ceiling.rate * store.hard_limit_share)
+        };
+        let ceiling = plan.hard_limit.as_ref().map_or(0.0, over);
         quota.max(ceiling).clamp(least, most) as Micros
     }
 
@@ -262,8 +268,10 @@
         if let Some(granted) = request.asking.granted {
             self.give_back(granted, request.customer, out);
         }
-        if let (Some(attempt), false, true) = (request.out, request.cancelled, self.settings.allowed.cancel) {
-            out.push(Action::Cancel { id: id.clone(), attempt });
+        if let (Some(attempt), false, true) =
+            (request.out, request.cancelled, self.settings.permissions.cancel_attempts)
+        {
+            out.push(Action::CancelAttempt { id: id.clone(), attempt });
         }
     }
 
@@ -278,14 +286,14 @@
         for (id, request) in &mut self.requests {
             asking.extend((self.wide && request.attempts == 0).then(|| id.clone()));
             let class = &self.settings.classes[request.class.0];
-            let aimed = request.arrived.saturating_add(class.aim);
-            let worthless = class.late_value <= 0.0;
+            let aimed = request.arrived.saturating_add(class.latency_objective);
+            let worthless = class.late_weight <= 0.0;
             let half = request.arrived + request.deadline.saturating_sub(request.arrived) / 2;
             let unsent = request.out.is_none() && !request.reached;
             let reason = match () {
-                () if request.attempts > 0 => Reason::Spent,
-                () if self.wide && request.asking.granted.is_none() => Reason::Asking,
-                () => Reason::Waiting,
+                () if request.attempts > 0 => RejectReason::RetriesExhausted,
+                () if self.wide && request.asking.granted.is_none() => RejectReason::QuotaTimeout,
+                () => RejectReason::QueueTimeout,
             };
             if now + LAST_CALL >= if unsent { half } else { request.deadline } {
                 // Exception to the design, which refuses at the deadline: a client that is told by half of its
@@ -294,11 +302,15 @@
             } else if request.out.is_none() && worthless && now < aimed && now as f64 + soon > aimed as f64 {
                 // Exception to the design, which refuses at the deadline: no worth is left to wait for.
                 over.push((id.clone(), reason));
-            } else if worthless && now > aimed && !request.cancelled && self.settings.allowed.cancel {
+            } else if worthless
+                && now > aimed
+                && !request.cancelled
+                && self.settings.permissions.cancel_attempts
+            {
                 // Danger: servers busy with answers that are worth nothing any more.
                 let Some(attempt) = request.out else { continue };
                 request.cancelled = true;
-                out.push(Action::Cancel { id: id.clone(), attempt });
+                out.push(Action::CancelAttempt { id: id.clone(), attempt });
             }
         }
         over.iter().for_each(|(id, reason)| self.finish(now, id, *reason, out));
@@ -309,8 +321,12 @@
 
     fn value(&self, request: &Request, now: Micros) -> f64 {
         let class = &self.settings.classes[request.class.0];
-        let share = if now > request.arrived.saturating_add(class.aim) { class.late_value } else { 1.0 };
-        class.worth * self.settings.plans[request.plan.0].price * share
+        let share = if now > request.arrived.saturating_add(class.latency_objective) {
+            class.late_weight
+        } else {
+            1.0
+        };
+        class.priority_weight * self.settings.plans[request.plan.0].weight * share
     }
 
     /// Sends what waits, the worthiest first, while servers have room.
@@ -350,13 +366,17 @@
 
 /// µs between rounds of counts to all peers that their intake allows; 0 without peers, endless without words.
 fn gossip_pace(settings: &Settings) -> f64 {
-    let words = if settings.allowed.messages { settings.peer_messages_per_s * INTAKE_SHARE } else { 0.0 };
-    1e6 * f64::from(settings.gateways.saturating_sub(1)) / words
+    let words = if settings.permissions.peer_messages {
+        settings.peer_messages_per_second * INTAKE_SHARE
+    } else {
+        0.0
+    };
+    1e6 * f64::from(settings.gateway_count.saturating_sub(1)) / words
 }
 
 /// How long a lease may be used.
-fn term(ceiling: Option<&Ceiling>) -> Micros {
-    let fills = |ceiling: &Ceiling| (ceiling.depth / ceiling.rate * LEASE_DEPTH * 1e6) as Micros;
+fn term(ceiling: Option<&HardLimit>) -> Micros {
+    let fills = |ceiling: &HardLimit| (ceiling.capacity / ceiling.rate * LEASE_DEPTH * 1e6) as Micros;
     ceiling.map_or(LEASE_FOR, |ceiling| fills(ceiling).clamp(ANSWER_IN, LEASE_FOR))
 }
 
@@ -376,7 +396,7 @@
     ) -> Self {
         let spread = f64::from(spread.max(1));
         let depth = (plan.burst / spread).max(most);
-        let (share, ceiling_share) = (1.0, 1.0 / spread);
+        let (share, hard_limit_share) = (1.0, 1.0 / spread);
         let store = Store {
             plan: id,
             first,
@@ -386,7 +406,7 @@
             filled: now,
             ..Store::default()
         };
-        let mut store = Store { share, ceiling_share, chance: 1.0, ..store };
+        let mut store = Store { share, hard_limit_share, chance: 1.0, ..store };
         store.fill_ceiling(plan, up as f64 / 1e6);
         store
     }
@@ -397,13 +417,13 @@
     fn home(now: Micros, ask: &Ask, plan: &Plan, homes: u32, most: f64) -> Self {
         let store = Store::new(now, 0, ask.plan, plan, (ask.first, homes), most);
         let part = 1.0 / f64::from(homes);
-        let (share, ceiling_share) = match u32::from(ask.home) < homes {
+        let (share, hard_limit_share) = match u32::from(ask.home) < homes {
             _ if ask.spread <= homes => (part, part), // too few gateways for an understudy
             true => (part, part * (1.0 - UNDERSTUDY)),
             false => (UNDERSTUDY, UNDERSTUDY),
         };
         let depth = (plan.burst * share).max(most);
-        Store { share, ceiling_share, late: term(plan.ceiling.as_ref()), depth, level: depth, ..store }
+        Store { share, hard_limit_share, late: term(plan.hard_limit.as_ref()), depth, level: depth, ..store }
     }
 }
 
@@ -425,20 +445,20 @@
         let Some(store) = self.stores.get_mut(&customer) else { return true };
         let plan = &self.settings.plans[store.plan.0];
         store.fill(now, plan, silent(&self.spoke, store, now));
-        if plan.ceiling.is_some() && store.ceiling < units {
+        if plan.hard_limit.is_some() && store.hard_limit_tokens < units {
             return false;
         }
-        let Some(limit) = plan.at_once else { return true };
+        let Some(limit) = plan.max_concurrent else { return true };
         // Peers' attempts are not told in time: rate and latency make so many likely, as chance has it.
         let even = (f64::from(limit) / store.spread).round().max(1.0);
         let likely = store.peers(now, HEARD_FOR) * self.latency / 1e6;
         let under = chance_under(limit.saturating_sub(store.open), likely);
-        f64::from(store.open) < even && (1.0 - under) * (1.0 + plan.over_cost) < OPEN_RISK
+        f64::from(store.open) < even && (1.0 - under) * (1.0 + plan.over_quota_cost) < OPEN_RISK
     }
 
     fn heard(&mut self, now: Micros, from: GatewayId, bytes: &[u8], out: &mut Out) {
         let Some(message) = message::read(bytes) else { return };
-        if from == self.settings.me || from.0 >= self.settings.gateways {
+        if from == self.settings.gateway_id || from.0 >= self.settings.gateway_count {
             return;
         }
         let (birth, counts) = match message {
@@ -447,7 +467,7 @@
                 self.told(now, news);
                 let Some(grant) = self.grant(now, from, &ask) else { return };
                 let answer = Message::Answer(ask.serial, grant, self.news(now));
-                return out.push(Action::Tell { to: from, bytes: message::write(&answer) });
+                return out.push(Action::SendToPeer { to: from, bytes: message::write(&answer) });
             }
             Message::Answer(serial, grant, news) => {
                 self.told(now, news);
@@ -493,7 +513,7 @@
         self.next_gossip = now + GOSSIP_EVERY.max(pace as Micros);
         let counts = self.counts(now, TOLD_FOR, COUNT_STEP).into_iter();
         let counts = Message::Counts((self.born / 1000) as u32, counts.take(message::ROOM).collect());
-        out.push(Action::TellAll { bytes: message::write(&counts) });
+        out.push(Action::Broadcast { bytes: message::write(&counts) });
     }
     // ---- Homes: quotas of wide sets ----
 
@@ -507,7 +527,7 @@
     // gateway that sees many.
 
     fn homes_of(&self, plan: &Plan, spread: u32) -> u32 {
-        let one = HOME_SHARE * self.settings.peer_messages_per_s;
+        let one = HOME_SHARE * self.settings.peer_messages_per_second;
         ((plan.rate / one).ceil() as u32).clamp(1, HOMES).min(spread)
     }
 
@@ -515,7 +535,7 @@
     fn home(&self, of: CustomerId, (first, spread): (GatewayId, u32), homes: u32, number: u32) -> GatewayId {
         let mixed = (mix(of.0) >> 33) as u32;
         let step = (mixed % spread + number * (spread / (homes + 1)).max(1)) % spread;
-        GatewayId((first.0 % self.settings.gateways + step) % self.settings.gateways)
+        GatewayId((first.0 % self.settings.gateway_count + step) % self.settings.gateway_count)
     }
 
     /// Whom a try asks next: the homes in turn, and their understudy only while these are silent. Danger: a
@@ -534,7 +554,7 @@
         let Some(store) = self.stores.get_mut(&request.customer) else { return false };
         let drawn = store.lease.draw(now, request.units);
         drawn.inspect(|until| {
-            request.asking.granted = Some((self.settings.me, store.lease.serial));
+            request.asking.granted = Some((self.settings.gateway_id, store.lease.serial));
             request.asking.lease = *until;
         });
         drawn.is_some()
@@ -568,26 +588,26 @@
         self.asks.insert(serial, id.clone());
         let note = |request: &mut Request| request.asking.ask(now, serial, (number, to));
         self.requests.entry(id).and_modify(note);
-        if to == self.settings.me {
+        if to == self.settings.gateway_id {
             let none = Grant { verdict: Verdict::Short, chance: 1.0, lease: 0.0 };
             let grant = self.grant(now, to, &ask).unwrap_or(none);
             self.answered(now, serial, grant, out);
         } else {
             let bytes = message::write(&Message::Ask(ask, self.news(now)));
-            out.push(Action::Tell { to, bytes });
+            out.push(Action::SendToPeer { to, bytes });
         }
     }
 
     /// As a home: whether a try fits this part of its customer's store, ceiling and places, and what goes on lease.
     fn grant(&mut self, now: Micros, from: GatewayId, ask: &Ask) -> Option<Grant> {
         let plan = self.settings.plans.get(ask.plan.0)?;
-        let spread = ask.spread.clamp(1, self.settings.gateways);
+        let spread = ask.spread.clamp(1, self.settings.gateway_count);
         let homes = self.homes_of(plan, spread);
         let home = self.home(ask.customer, (ask.first, spread), homes, u32::from(ask.home));
-        if home != self.settings.me || u32::from(ask.home) > homes {
+        if home != self.settings.gateway_id || u32::from(ask.home) > homes {
             return None;
         }
-        let most = self.settings.most_units;
+        let most = self.settings.max_request_units;
         let store = self.homes.entry(ask.customer);
         let store = store.or_insert_with(|| Store::home(now, ask, plan, homes, most));
         let span = now.saturating_sub(store.filled) as f64 / 1e6;
@@ -597,25 +617,26 @@
         // Danger: a customer far over its quota whose asks drown its homes. A share of its tries asks.
         store.asked = store.asked * (-span).exp() + 1.0;
         let short = plan.rate > 0.0 && store.level < ask.units;
-        let flood = plan.rate > 0.0 && store.asked > WANTED * self.settings.peer_messages_per_s;
+        let flood = plan.rate > 0.0 && store.asked > WANTED * self.settings.peer_messages_per_second;
         store.chance = if flood { store.chance * THIN } else { (store.chance + THICKEN * span).min(1.0) };
         let chance = store.chance;
         store.places.retain(|place| place.2 > now);
         let number = u32::from(ask.home).min(homes - 1);
-        let places = plan.at_once.map(|most| (most + homes - 1 - number) / homes);
+        let places = plan.max_concurrent.map(|most| (most + homes - 1 - number) / homes);
         let full = places.is_some_and(|most| store.places.len() >= most as usize);
-        if short || full || plan.ceiling.is_some() && store.ceiling < ask.units {
+        if short || full || plan.hard_limit.is_some() && store.hard_limit_tokens < ask.units {
             return Some(Grant { verdict: Verdict::Short, chance, lease: 0.0 });
         }
         store.level -= ask.units;
-        store.ceiling -= ask.units;
+        store.hard_limit_tokens -= ask.units;
         if places.is_some() {
             // A place whose return is lost falls free by itself.
-            let longest = self.settings.classes.iter().map(|class| class.aim).max().unwrap_or(0);
+            let longest =
+                self.settings.classes.iter().map(|class| class.latency_objective).max().unwrap_or(0);
             store.places.push((from, ask.serial, now.saturating_add(longest)));
         }
         let left = if plan.rate > 0.0 { store.level } else { 0.0 };
-        let left = plan.ceiling.map_or(left, |_| left.min(store.ceiling));
+        let left = plan.hard_limit.map_or(left, |_| left.min(store.hard_limit_tokens));
         let lease = if places.is_some() { 0.0 } else { ask.want.min(left * PORTION).max(0.0) };
         store.lend(from, ask.serial, lease);
         Some(Grant { verdict: Verdict::Granted, chance, lease })
@@ -628,7 +649,7 @@
         request.asking.open = None;
         self.mute.remove(&request.asking.home.1);
         let home = request.asking.home.0;
-        let ceiling = self.settings.plans[request.plan.0].ceiling;
+        let ceiling = self.settings.plans[request.plan.0].hard_limit;
         let until = asked.saturating_add(term(ceiling.as_ref()));
         if let Some(store) = self.stores.get_mut(&request.customer) {
             (store.chance, store.chance_at) = (said.chance, now);
@@ -647,11 +668,11 @@
             Verdict::Short => {
                 request.asking.short += 1;
                 let (plan, short) = (request.plan, request.asking.short);
-                let homes = self.homes_of(&self.settings.plans[plan.0], self.settings.gateways);
+                let homes = self.homes_of(&self.settings.plans[plan.0], self.settings.gateway_count);
                 if short < homes && home < homes && said.chance >= 1.0 {
                     self.ask(now, id, out);
                 } else {
-                    self.finish(now, &id, Reason::Short, out);
+                    self.finish(now, &id, RejectReason::QuotaExceeded, out);
                 }
             }
         }
@@ -663,7 +684,7 @@
         let (plan, customer) = (&self.settings.plans[request.plan.0], request.customer);
         if let Some(granted) = request.asking.granted {
             // Danger: a ceiling passed by grants that are used late. It must be granted anew.
-            if plan.ceiling.is_none() || now <= request.asking.lease {
+            if plan.hard_limit.is_none() || now <= request.asking.lease {
                 return;
             }
             request.asking.granted = None;
@@ -680,12 +701,12 @@
             self.asks.remove(&serial);
             let mute = self.mute.entry(request.asking.home.1).or_default();
             *mute = (mute.0 + 1, now.saturating_add(MUTE_FOR));
-            if request.asking.missed >= MISSES && plan.ceiling.is_none() {
+            if request.asking.missed >= MISSES && plan.hard_limit.is_none() {
                 let covered = self.stores.get(&customer).is_some_and(|store| store.level >= 0.0);
-                (request.asking.granted, request.due) = (Some((self.settings.me, serial)), now);
+                (request.asking.granted, request.due) = (Some((self.settings.gateway_id, serial)), now);
                 self.waiting.extend(covered.then(|| id.clone()));
                 let over: &[RequestId] = if covered { &[] } else { &[id] };
-                return over.iter().for_each(|id| self.finish(now, id, Reason::Silent, out));
+                return over.iter().for_each(|id| self.finish(now, id, RejectReason::OwnerUnreachable, out));
             }
         }
         self.ask(now, id, out);
@@ -693,10 +714,13 @@
 
     /// Gives back the place that a home held for a try.
     fn give_back(&mut self, (home, serial): (GatewayId, u16), customer: CustomerId, out: &mut Out) {
-        if home == self.settings.me {
+        if home == self.settings.gateway_id {
             self.homes.get_mut(&customer).into_iter().for_each(|store| store.release((home, serial)));
-        } else if self.plan_of(customer).is_some_and(|plan| plan.at_once.is_some()) {
-            out.push(Action::Tell { to: home, bytes: message::write(&Message::Done(serial, customer)) });
+        } else if self.plan_of(customer).is_some_and(|plan| plan.max_concurrent.is_some()) {
+            out.push(Action::SendToPeer {
+                to: home,
+                bytes: message::write(&Message::Done(serial, customer)),
+            });
         }
     }
     // ---- News of the fleet ----
@@ -795,7 +819,7 @@
         let released = |request: &&mut Request| !wide || request.asking.granted.is_some();
         for request in self.requests.values_mut().filter(released) {
             // Danger: a hang that looks fast, as nothing is answered. What is open counts once late.
-            let aim = self.settings.classes[request.class.0].aim.max(1) as f64;
+            let aim = self.settings.classes[request.class.0].latency_objective.max(1) as f64;
             let age = now.saturating_sub(request.due) as f64 / aim;
             let (sum, count) = seen[request.class.0];
             // Danger: a few that hang, counted at every tick, that outweigh all answers of a gateway which sees
@@ -821,7 +845,7 @@
         self.fuzzy.peak = self.fuzzy.peak.max(open);
         if let Some(worst) = worst {
             let had = self.fuzzy.cap.is_some() || self.wide; // no flood of lines from hundreds of gateways
-            self.fuzzy.step(worst, open, self.all_out, 1.0 / f64::from(self.settings.gateways));
+            self.fuzzy.step(worst, open, self.all_out, 1.0 / f64::from(self.settings.gateway_count));
             let started = self.fuzzy.cap.is_some() && !had;
             let line = || Action::Log(format!("aim missed: W {worst:.2}; cap starts at {open:.2}"));
             out.extend(started.then(line));
@@ -865,7 +889,7 @@
     fn able(&mut self, now: Micros) -> Vec<ServerId> {
         // Danger: many gateways, each with one out at every server, overdrive them all (iac7c0b, i417db4).
         let ready = self.servers.ready() as f64;
-        let floor = (ALL_FLOOR * ready / f64::from(self.settings.gateways)).max(1.0);
+        let floor = (ALL_FLOOR * ready / f64::from(self.settings.gateway_count)).max(1.0);
         let out = self.attempts.len() as f64;
         if out >= floor && out >= FIT_ALL * self.room(now) {
             return Vec::new();
@@ -896,9 +920,9 @@
     /// beyond that part where too few of it have room. For a request that must stay in its group, of these.
     fn sample(&mut self, now: Micros, only: Option<&RequestId>) -> Vec<ServerId> {
         let few = self.few().min(self.servers.ready());
-        let part = (self.settings.me, few, self.random.usize(0..few.max(1)));
+        let part = (self.settings.gateway_id, few, self.random.usize(0..few.max(1)));
         let request = only.and_then(|id| self.requests.get(id));
-        let cell = request.filter(|request| self.group_of(request) == Some(Group::Cell));
+        let cell = request.filter(|request| self.group_of(request) == Some(DeduplicationScope::Cell));
         let cell = cell.and_then(|request| request.ran).map(|ran| ran.place.cell);
         let fits = |server: &Server| {
             request.is_none_or(|request| self.permits(request, now, Step::Send(server)))
@@ -920,7 +944,7 @@
     /// How many servers a gateway uses. Danger: servers that no gateway uses, where these are few.
     fn few(&self) -> usize {
         let (servers, _) = self.in_health(self.lowest);
-        SUBSET.max(SUBSET * servers / f64::from(self.settings.gateways)).ceil() as usize
+        SUBSET.max(SUBSET * servers / f64::from(self.settings.gateway_count)).ceil() as usize
     }
 
     /// This gateway's part of the servers that may be chosen, which are in the order of their ids. One that is out or
@@ -931,7 +955,7 @@
         }
         let place = |id| from.binary_search_by_key(&id, |server| server.entry.server).ok();
         self.servers
-            .round(self.settings.me, 0)
+            .round(self.settings.gateway_id, 0)
             .filter_map(place)
             .map(|place| from[place])
             .take(self.few())
@@ -940,12 +964,13 @@
 
     /// The server with the least expected wait, of those healthy for the request's class.
     fn choose(&mut self, now: Micros, id: &RequestId, able: &[ServerId]) -> Option<ServerId> {
-        let group = self.group_of(self.requests.get(id)?).filter(|group| *group != Group::All);
+        let group =
+            self.group_of(self.requests.get(id)?).filter(|group| *group != DeduplicationScope::AllServers);
         let own = (group.is_some() && !self.servers.all_walked()).then(|| self.sample(now, Some(id)));
         let able = own.as_deref().unwrap_or(able);
         let request = self.requests.get(id)?;
         let class = request.class.0;
-        let safe = self.settings.classes[class].effect == Effect::Safe;
+        let safe = self.settings.classes[class].idempotency == Idempotency::Idempotent;
         let (all, healthy) = self.in_health(request.class);
         // Danger: ejecting all when all are bad. With too few left, the trouble lies elsewhere: none is out.
         let few = healthy < all * REMAIN;
@@ -973,7 +998,7 @@
             let health = &server.health[class];
             let id = server.entry.server;
             let crossing =
-                if server.entry.zone == self.settings.zone { 0.0 } else { self.settings.cross_zone };
+                if server.entry.zone == self.settings.zone { 0.0 } else { self.settings.cross_zone_cost };
             let again = if request.last == Some(id) { AGAIN } else { 0.0 };
             let places = f64::from(server.open) + 1.0 + CROSSING * crossing + again;
             let cut =
@@ -992,7 +1017,7 @@
 
     /// Until the next trial of a server that is out: the fleet's trials of it come at a steady pace.
     fn trial_after(&mut self) -> Micros {
-        let all = f64::from(self.settings.gateways) * (0.5 + self.random.f64());
+        let all = f64::from(self.settings.gateway_count) * (0.5 + self.random.f64());
         (TRIAL_EVERY as f64 * if self.wide { all } else { 1.0 }) as Micros
     }
 
@@ -1009,21 +1034,21 @@
         }
     }
 
-    fn learn(&mut self, now: Micros, attempt: &Attempt, said: (Outcome, Option<f64>), stalled: bool) {
+    fn learn(&mut self, now: Micros, attempt: &Attempt, said: (AttemptOutcome, Option<f64>), stalled: bool) {
         let took = now.saturating_sub(attempt.sent) as f64;
         let Some(mut server) = self.servers.get_mut(now, &attempt.server) else { return };
         let (outcome, load) = said;
         server.holds(now, load);
-        if let (Outcome::Ok, Some(load)) = said {
+        if let (AttemptOutcome::Success, Some(load)) = said {
             let alone = took / server.crowd(load - 1.0).max(1.0);
             self.service += (alone - self.service) * LATENCY_WEIGHT;
         }
         let class = attempt.class.0;
         let since = server.health[class].answered > attempt.sent && !stalled;
         let bad = match outcome {
-            Outcome::Ok => false,
-            Outcome::Cancelled | Outcome::TimedOut => !since,
-            Outcome::NotSent => return,
+            AttemptOutcome::Success => false,
+            AttemptOutcome::Cancelled | AttemptOutcome::TimedOut => !since,
+            AttemptOutcome::NotSent => return,
             _ => true,
         };
         for (other, health) in server.health.iter_mut().enumerate() {
@@ -1034,7 +1059,7 @@
         // Danger: links of a whole zone cut, found server by server. Peers elsewhere still reach them, so
         // only what is seen here counts. It hurts where many servers of one zone die for other reasons.
         // A trial of a server that is out tells nothing of its zone, though a hung machine takes no connection.
-        let unreachable = outcome == Outcome::Unreachable;
+        let unreachable = outcome == AttemptOutcome::Unreachable;
         if self.wide {
             server.darken(unreachable, now, DARK.0 + self.random.u64(0..DARK.0), DARK.1);
         }
@@ -1053,7 +1078,7 @@
         server.waited(now, took / attempt.places, WAIT_WEIGHT, unknown);
         // Danger: what is called off left out of the mean, so that a slow fleet looks fast and is ejected.
         self.latency += (took - self.latency) * LATENCY_WEIGHT;
-        if outcome == Outcome::Ok {
+        if outcome == AttemptOutcome::Success {
             server.answered = now;
             let health = &mut server.health[class];
             health.answered = now;
@@ -1073,7 +1098,7 @@
     fn stalled(&mut self, now: Micros, out: &mut Out) {
         let mut silent = Vec::new();
         for ((id, number), attempt) in &self.attempts {
-            let limit = self.settings.classes[attempt.class.0].aim as f64 * STALLED.1;
+            let limit = self.settings.classes[attempt.class.0].latency_objective as f64 * STALLED.1;
             let limit = limit.max(self.latency * STALLED.0);
             let Some(server) = self.servers.get(&attempt.server) else { continue };
             let alone = if server.open < 2 { 1.5 } else { 1.0 };
@@ -1098,11 +1123,12 @@
                 }
             }
             let Some(request) = self.requests.get_mut(&id) else { continue };
-            let again = self.settings.classes[request.class.0].effect != Effect::Unsafe;
-            let more = request.attempts < self.settings.allowed.attempts && self.settings.allowed.cancel;
+            let again = self.settings.classes[request.class.0].idempotency != Idempotency::NonIdempotent;
+            let more = request.attempts < self.settings.permissions.max_attempts
+                && self.settings.permissions.cancel_attempts;
             if again && more && !request.cancelled && self.retries >= 1.0 {
                 request.cancelled = true;
-                out.push(Action::Cancel { id, attempt });
+                out.push(Action::CancelAttempt { id, attempt });
             }
         }
     }
@@ -1125,20 +1151,21 @@
         let attempt = request.attempt(server, now, f64::from(to.open));
         self.attempts.insert((id.clone(), number), attempt);
         self.waiting.retain(|other| *other != id);
-        out.push(Action::Send { id, server, time_out: None });
+        out.push(Action::SendAttempt { id, server, timeout: None });
     }
 
     fn ended(
-        &mut self, now: Micros, key: AttemptKey, said: (Outcome, Option<f64>), closed: bool, out: &mut Out,
+        &mut self, now: Micros, key: AttemptKey, said: (AttemptOutcome, Option<f64>), closed: bool,
+        out: &mut Out,
     ) {
         let outcome = said.0;
         let Some(attempt) = self.take_attempt(&key) else { return };
         let id = key.0;
         let called_off = self.requests.get(&id).is_some_and(|request| request.cancelled);
-        self.learn(now, &attempt, said, called_off && outcome == Outcome::Cancelled);
-        if outcome == Outcome::Ok {
+        self.learn(now, &attempt, said, called_off && outcome == AttemptOutcome::Cancelled);
+        if outcome == AttemptOutcome::Success {
             self.done += 1.0;
-            let aim = self.settings.classes[attempt.class.0].aim.max(1) as f64;
+            let aim = self.settings.classes[attempt.class.0].latency_objective.max(1) as f64;
             self.fuzzy.saw(attempt.class, now.saturating_sub(attempt.due) as f64 / aim);
         }
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -1147,20 +1174,23 @@
             return self.forget(&id, out);
         }
         request.cancelled = false;
-        request.reached |= !matches!(outcome, Outcome::Unreachable | Outcome::NotSent);
-        let unproved = !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NotSent);
+        request.reached |= !matches!(outcome, AttemptOutcome::Unreachable | AttemptOutcome::NotSent);
+        let unproved = !matches!(
+            outcome,
+            AttemptOutcome::Overloaded | AttemptOutcome::Unreachable | AttemptOutcome::NotSent
+        );
         if unproved && request.ran.is_none() {
             let server = self.servers.get(&attempt.server);
             request.ran = server.map(|server| Ran { place: server.entry, sent: attempt.sent });
         }
         let class = &self.settings.classes[request.class.0];
-        let worth = class.late_value > 0.0 || now < request.arrived.saturating_add(class.aim);
+        let worth = class.late_weight > 0.0 || now < request.arrived.saturating_add(class.latency_objective);
         // Where there was no server to burden, trying another takes nothing from what saves servers from retries.
-        let free = self.wide && matches!(outcome, Outcome::Unreachable | Outcome::NotSent);
-        let spent = request.attempts >= self.settings.allowed.attempts || self.retries < 1.0 && !free;
-        let never = request.ran.is_some() && class.effect == Effect::Unsafe;
+        let free = self.wide && matches!(outcome, AttemptOutcome::Unreachable | AttemptOutcome::NotSent);
+        let spent = request.attempts >= self.settings.permissions.max_attempts || self.retries < 1.0 && !free;
+        let never = request.ran.is_some() && class.idempotency == Idempotency::NonIdempotent;
         if now >= request.deadline || spent || never {
-            self.finish(now, &id, Reason::Spent, out);
+            self.finish(now, &id, RejectReason::RetriesExhausted, out);
         } else if worth {
             self.retries -= if free { 0.0 } else { 1.0 };
             self.waiting.push(id);
@@ -1178,8 +1208,8 @@
         let warm =
             if walked { self.servers.walk_ready().filter(warm).count() } else { self.servers.warm(now) };
         let warm = warm.max(1) as f64;
-        let gateways = f64::from(self.settings.gateways);
-        let known = self.served / warm * COLD_SAFE * rules.fall_multiple;
+        let gateways = f64::from(self.settings.gateway_count);
+        let known = self.served / warm * COLD_SAFE * rules.overload_multiple;
         // Only a part of a wide fleet has a server in its subset, so each of these has a larger share of it.
         let few = if self.wide { (warm / self.few() as f64).max(1.0) } else { 1.0 };
         let rate = known.max(COLD_BLIND / gateways) * few * TICK as f64 / 1e6;
--- a/src/message.rs
+++ b/src/message.rs
@@ -1,6 +1,6 @@
 //! How messages between gateways are laid out in bytes. What goes into one is decided in `control`.
 
-use crate::interface::{ClassId, CustomerId, GatewayId, Micros, PlanId, ServerId};
+use crate::{ClassId, CustomerId, GatewayId, Micros, PlanId, ServerId};
 
 const VERSION: u8 = 4;
 /// Version and kind; the least that a message holds.
--- a/src/reconnect.rs
+++ b/src/reconnect.rs
@@ -5,7 +5,7 @@
 //! are pushed it counts at once. So the pace follows the time that a drain leaves, and no pause or wait outlasts
 //! the bounds below, however much time that is.
 
-use crate::interface::Micros;
+use crate::Micros;
 use std::time::Duration;
 
 /// A watch says something every 2 s; one that is this late is taken for dead. A watch whose first list is this late
--- a/src/servers.rs
+++ b/src/servers.rs
@@ -1,10 +1,10 @@
 //! The server table: what a gateway knows of the servers, and the sums that its decisions are made by, kept as entries
 //! change. Of a server that this gateway does not use only the entry is kept. Nothing is decided here.
 
-use crate::interface::*;
 use crate::message;
 use crate::state::{Health, Server};
 use crate::subset::Ring;
+use crate::*;
 use std::cell::Cell;
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -17,12 +17,12 @@
 #[derive(Default)]
 pub(crate) struct Servers {
     classes: usize,
-    cold_for: Micros,
+    warm_up_period: Micros,
     walked: usize,
     /// Those with their state; more than these only where so many are ready that they are not walked.
     used: BTreeMap<ServerId, Server>,
     /// The entries of the other ready ones.
-    spare: BTreeMap<ServerId, ServerEntry>,
+    spare: BTreeMap<ServerId, Endpoint>,
     /// The ready ones, in the order in which gateways share them out; by cell; and those that started within
     /// `cold_for` of now, by their start.
     ring: Ring,
@@ -115,7 +115,7 @@
         let classes = settings.classes.len();
         let trials = vec![BTreeSet::new(); classes];
         let sums = Sums { trials, failing: vec![0; classes], ..Sums::default() };
-        Servers { classes, cold_for: settings.rules.cold_for, walked, sums, ..Servers::default() }
+        Servers { classes, warm_up_period: settings.rules.warm_up_period, walked, sums, ..Servers::default() }
     }
 
     /// Whether so few are ready that each is kept with its state, and all may be walked.
@@ -133,7 +133,7 @@
     }
 
     /// How many servers and names are kept in mind.
-    pub fn kept(&self) -> usize {
+    pub fn tracked_entries(&self) -> usize {
         self.used.len() + self.spare.len() + self.names.len()
     }
 
@@ -257,17 +257,18 @@
 
     /// How many of the ready ones are warm by now.
     pub fn warm(&mut self, now: Micros) -> usize {
-        while self.cold.first().is_some_and(|(started, _)| started.saturating_add(self.cold_for) <= now) {
+        while self.cold.first().is_some_and(|(started, _)| started.saturating_add(self.warm_up_period) <= now)
+        {
             self.cold.pop_first();
         }
         self.ring.len() - self.cold.len()
     }
 
     /// Takes in a list, or changes to it. A server that started anew is unknown again.
-    pub fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<ServerEntry>) {
+    pub fn list(&mut self, now: Micros, kind: EndpointUpdate, entries: Vec<Endpoint>) {
         match kind {
-            ListKind::Complete => self.list_whole(now, entries),
-            ListKind::Changes => entries.into_iter().for_each(|entry| self.list_one(now, entry)),
+            EndpointUpdate::Snapshot => self.list_whole(now, entries),
+            EndpointUpdate::Delta => entries.into_iter().for_each(|entry| self.list_one(now, entry)),
         }
         if self.all_walked() {
             for (id, entry) in std::mem::take(&mut self.spare) {
@@ -276,14 +277,14 @@
         }
     }
 
-    fn list_one(&mut self, now: Micros, entry: ServerEntry) {
+    fn list_one(&mut self, now: Micros, entry: Endpoint) {
         let id = entry.server;
         let before = self.get(&id).filter(|server| server.ready()).map(|server| server.entry);
         let all = self.all_walked();
         let after = if let Some(server) = self.listed_used(now, entry, all) {
             server.ready().then_some(server.entry)
         } else {
-            Some(entry).filter(|entry| entry.standing == Standing::Ready)
+            Some(entry).filter(|entry| entry.state == EndpointState::Ready)
         };
         let used = self.used.contains_key(&id);
         let spare = after.filter(|_| !used);
@@ -300,18 +301,18 @@
     }
 
     /// Takes in an entry of a server that is used, or is to be.
-    fn listed_used(&mut self, now: Micros, entry: ServerEntry, begin: bool) -> Option<&Server> {
+    fn listed_used(&mut self, now: Micros, entry: Endpoint, begin: bool) -> Option<&Server> {
         let fresh = || Server::unknown(entry, now, self.classes);
         let server = match self.used.entry(entry.server) {
             Entry::Occupied(known) => known.into_mut(),
             Entry::Vacant(place) if begin => place.insert(fresh()),
             Entry::Vacant(_) => return None,
         };
-        if entry.standing != Standing::Ready {
+        if entry.state != EndpointState::Ready {
             // Who leaves stays where it was, for what it may have run.
-            server.entry.standing = entry.standing;
+            server.entry.state = entry.state;
         } else {
-            if server.entry.started != entry.started {
+            if server.entry.started_at != entry.started_at {
                 self.sums.follow(server, false);
                 *server = Server { open: server.open, ..fresh() };
             }
@@ -323,14 +324,14 @@
     }
 
     /// Moves a server to where its entry belongs, or takes it off if it is ready no more.
-    fn place(&mut self, now: Micros, before: Option<ServerEntry>, after: Option<ServerEntry>) {
+    fn place(&mut self, now: Micros, before: Option<Endpoint>, after: Option<Endpoint>) {
         if before == after {
             return;
         }
         if let Some(entry) = before {
             self.ring.remove(entry.server);
             self.cells.remove(&(entry.cell, entry.server));
-            if let Some(started) = entry.started {
+            if let Some(started) = entry.started_at {
                 self.cold.remove(&(started, entry.server));
             }
         }
@@ -342,8 +343,8 @@
     }
 
     /// When a server started, if it is cold.
-    fn cold_since(&self, now: Micros, entry: &ServerEntry) -> Option<(Micros, ServerId)> {
-        let cold = entry.started.filter(|started| started.saturating_add(self.cold_for) > now);
+    fn cold_since(&self, now: Micros, entry: &Endpoint) -> Option<(Micros, ServerId)> {
+        let cold = entry.started_at.filter(|started| started.saturating_add(self.warm_up_period) > now);
         cold.map(|started| (started, entry.server))
     }
 
@@ -354,9 +355,9 @@
         }
     }
 
-    fn list_whole(&mut self, now: Micros, entries: Vec<ServerEntry>) {
+    fn list_whole(&mut self, now: Micros, entries: Vec<Endpoint>) {
         // The last entry of a server counts: where a list names one twice, fewer may be ready than it has entries.
-        let last = |entry: &ServerEntry| (entry.server, entry.standing == Standing::Ready);
+        let last = |entry: &Endpoint| (entry.server, entry.state == EndpointState::Ready);
         let all = entries.len() <= self.walked
             || entries.iter().map(last).collect::<HashMap<_, _>>().values().filter(|ready| **ready).count()
                 <= self.walked;
@@ -364,16 +365,16 @@
         if !before.is_empty() {
             self.names = self.used.keys().map(|id| (message::short(*id), *id)).collect();
         }
-        self.used.values_mut().for_each(|server| server.entry.standing = Standing::Gone);
+        self.used.values_mut().for_each(|server| server.entry.state = EndpointState::Gone);
         let mut spare = Vec::with_capacity(entries.len());
         for entry in entries {
             self.visit();
-            if entry.standing == Standing::Ready {
+            if entry.state == EndpointState::Ready {
                 self.names.insert(message::short(entry.server), entry.server);
             }
             // Who leaves stays where it was, also where it was not used.
             if let Some(known) = if all { before.remove(&entry.server) } else { None } {
-                let known = ServerEntry { standing: Standing::Gone, ..known };
+                let known = Endpoint { state: EndpointState::Gone, ..known };
                 self.used.insert(entry.server, Server::unknown(known, now, self.classes));
             }
             if self.listed_used(now, entry, all).is_none() {
@@ -381,8 +382,8 @@
             }
         }
         self.spare = spare.into_iter().collect(); // the last entry of a server counts
-        if self.spare.values().any(|entry| entry.standing != Standing::Ready) {
-            self.spare.retain(|_, entry| entry.standing == Standing::Ready);
+        if self.spare.values().any(|entry| entry.state != EndpointState::Ready) {
+            self.spare.retain(|_, entry| entry.state == EndpointState::Ready);
         }
         // Who is on the list no more is still to be taken off the sums.
         for server in self.used.values_mut() {
@@ -403,8 +404,8 @@
         let (mut gone, mut faded) = (Vec::new(), Vec::new());
         for server in self.walk().filter(|server| server.open == 0) {
             let trial = || server.health.iter().any(|health| health.trial.is_some());
-            match server.entry.standing {
-                Standing::Gone => gone.push(server.entry.server),
+            match server.entry.state {
+                EndpointState::Gone => gone.push(server.entry.server),
                 _ if all || now.saturating_sub(server.met) < span || trial() => {}
                 _ => faded.push(server.entry.server),
             }
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,142 @@
+//! Settings: what a gateway is told at its start, and how they are parsed and validated.
+
+mod parse;
+mod validate;
+
+pub use parse::{parse, ParseError, ResolvedSettings};
+pub use validate::SettingsError;
+
+use crate::types::{GatewayId, Micros, ZoneId};
+
+/// Which servers drop a repeated idempotency key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeduplicationScope {
+    /// Every server.
+    AllServers,
+    /// Those in the zone of the first attempt's server.
+    Zone,
+    /// Those in its cell.
+    Cell,
+}
+
+/// Whether a request may be executed more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Idempotency {
+    /// Any number of executions does what one does.
+    Idempotent,
+    /// Its idempotency key deduplicates executions inside `scope`, for `window` after the first attempt that may have
+    /// run was sent.
+    Keyed {
+        /// Where repeats are dropped.
+        scope: DeduplicationScope,
+        /// For how many µs they are dropped.
+        window: Micros,
+    },
+    /// It must never be executed twice.
+    NonIdempotent,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Latency objective in µs: an answer within it earns the full priority weight.
+    pub latency_objective: Micros,
+    /// Share of the priority weight that a later answer still earns.
+    pub late_weight: f64,
+    /// Priority weight of one request.
+    pub priority_weight: f64,
+    /// Whether it may be executed more than once.
+    pub idempotency: Idempotency,
+}
+
+/// A hard limit on what all gateways together forward for one customer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HardLimit {
+    /// Units a second.
+    pub rate: f64,
+    /// Most units at once.
+    pub capacity: f64,
+}
+
+/// A plan: the quota of each of its customers, over all gateways together.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Units a second; 0 for no limit by rate.
+    pub rate: f64,
+    /// Units that may be used at once.
+    pub burst: f64,
+    /// Attempts that may be in flight at once; `None` for no limit.
+    pub max_concurrent: Option<u32>,
+    /// Multiplies the class's priority weight.
+    pub weight: f64,
+    /// Share of the priority weight earned by what is forwarded beyond the quota.
+    pub over_quota_weight: f64,
+    /// Share of the priority weight that a request forwarded beyond the quota costs.
+    pub over_quota_cost: f64,
+    /// The hard limit, if the plan has one.
+    pub hard_limit: Option<HardLimit>,
+}
+
+/// How changes of the endpoint list reach the gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointDiscovery {
+    /// Without being asked for.
+    Pushed,
+    /// After [`Action::WatchEndpoints`](crate::Action::WatchEndpoints).
+    Watched,
+}
+
+/// How servers behave after a start, and when they collapse under overload.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rules {
+    /// Least share of its capacity that a server has when it starts.
+    pub warm_up_from: f64,
+    /// µs after which it has all of it.
+    pub warm_up_period: Micros,
+    /// Work above this multiple of its present capacity ...
+    pub overload_multiple: f64,
+    /// ... for this many µs makes it collapse.
+    pub overload_window: Micros,
+}
+
+/// What the deployment permits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Permissions {
+    /// Attempts for one request.
+    pub max_attempts: u32,
+    /// Whether attempts may be cancelled.
+    pub cancel_attempts: bool,
+    /// Whether gateways may send each other messages.
+    pub peer_messages: bool,
+    /// The longest `Retry-After`, in µs; `None` where clients are not told.
+    pub max_retry_after: Option<Micros>,
+}
+
+/// All that a gateway is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// This gateway.
+    pub gateway_id: GatewayId,
+    /// How many gateways there are.
+    pub gateway_count: u32,
+    /// This gateway's zone.
+    pub zone: ZoneId,
+    /// Classes of requests.
+    pub classes: Vec<Class>,
+    /// Plans of customers.
+    pub plans: Vec<Plan>,
+    /// How servers warm up and collapse.
+    pub rules: Rules,
+    /// What is permitted.
+    pub permissions: Permissions,
+    /// Price of an attempt that crosses zones, per request.
+    pub cross_zone_cost: f64,
+    /// How changes of the endpoint list arrive.
+    pub discovery: EndpointDiscovery,
+    /// Shortest time between two rounds of events, in µs.
+    pub event_period: Micros,
+    /// Messages from peers that a gateway takes in a second.
+    pub peer_messages_per_second: f64,
+    /// Units of the largest request.
+    pub max_request_units: f64,
+}
--- /dev/null
+++ b/src/settings/validate.rs
@@ -0,0 +1,67 @@
+//! Rejects settings that make no sense.
+
+use super::Settings;
+use thiserror::Error;
+
+/// Why settings make no sense.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum SettingsError {
+    /// There is no class.
+    #[error("settings name no class")]
+    NoClasses,
+    /// There is no plan.
+    #[error("settings name no plan")]
+    NoPlans,
+    /// There is no gateway, or this one's number is too large.
+    #[error("this gateway's number is not among the gateways")]
+    UnknownGateway,
+    /// A number is negative or not finite.
+    #[error("settings hold a figure that is negative or no number")]
+    InvalidNumber,
+}
+
+impl Settings {
+    /// Checks that the settings make sense.
+    ///
+    /// # Errors
+    /// The first thing that is wrong with them.
+    pub fn validate(&self) -> Result<(), SettingsError> {
+        if self.classes.is_empty() {
+            return Err(SettingsError::NoClasses);
+        }
+        if self.plans.is_empty() {
+            return Err(SettingsError::NoPlans);
+        }
+        if self.gateway_id.0 >= self.gateway_count {
+            return Err(SettingsError::UnknownGateway);
+        }
+        let valid = |number: &f64| number.is_finite() && *number >= 0.0;
+        if !self.numbers().iter().all(valid) {
+            return Err(SettingsError::InvalidNumber);
+        }
+        Ok(())
+    }
+
+    /// Every number that must be finite and not negative.
+    fn numbers(&self) -> Vec<f64> {
+        let mut numbers = vec![
+            self.rules.warm_up_from,
+            self.rules.overload_multiple,
+            self.cross_zone_cost,
+            self.peer_messages_per_second,
+            self.max_request_units,
+        ];
+        for plan in &self.plans {
+            numbers.extend([
+                plan.rate,
+                plan.burst,
+                plan.weight,
+                plan.over_quota_weight,
+                plan.over_quota_cost,
+            ]);
+            numbers.extend(plan.hard_limit.iter().flat_map(|limit| [limit.rate, limit.capacity]));
+        }
+        numbers.extend(self.classes.iter().flat_map(|class| [class.priority_weight, class.late_weight]));
+        numbers
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,20 +1,20 @@
 //! What a gateway keeps in mind: plain data, and sums over it. Nothing is decided here.
 
 use crate::bucket::Store;
-use crate::interface::*;
 use crate::message::{self, Rumour};
 use crate::servers::{Counted, Servers};
+use crate::*;
 use std::collections::BTreeMap;
 
 /// Where actions are gathered.
 pub(crate) type Out = Vec<Action>;
 /// An attempt, by its request and its number.
-pub(crate) type AttemptKey = (RequestId, AttemptNo);
+pub(crate) type AttemptKey = (RequestId, AttemptNumber);
 
 /// Where and when an attempt went that may have run.
 #[derive(Clone, Copy)]
 pub(crate) struct Ran {
-    pub place: ServerEntry,
+    pub place: Endpoint,
     pub sent: Micros,
 }
 
@@ -35,7 +35,7 @@
     pub due: Micros,
     pub deadline: Micros,
     pub attempts: u32,
-    pub out: Option<AttemptNo>,
+    pub out: Option<AttemptNumber>,
     pub cancelled: bool,
     /// Whether it has been counted as late while it was open.
     pub late: bool,
@@ -59,8 +59,8 @@
     }
 
     /// One more attempt is out, at this server.
-    pub fn sent(&mut self, server: ServerId) -> AttemptNo {
-        let number = AttemptNo(self.attempts);
+    pub fn sent(&mut self, server: ServerId) -> AttemptNumber {
+        let number = AttemptNumber(self.attempts);
         self.attempts += 1;
         (self.out, self.last, self.cancelled) = (Some(number), Some(server), false);
         number
@@ -129,7 +129,7 @@
 
 #[derive(Default)]
 pub(crate) struct Server {
-    pub entry: ServerEntry,
+    pub entry: Endpoint,
     pub open: u32,
     /// µs of wait that one place here costs, and when that was last learned.
     pub wait: f64,
@@ -162,7 +162,7 @@
 }
 
 impl Server {
-    pub fn unknown(entry: ServerEntry, now: Micros, classes: usize) -> Self {
+    pub fn unknown(entry: Endpoint, now: Micros, classes: usize) -> Self {
         Server {
             entry,
             learned: now,
@@ -211,7 +211,7 @@
 
     /// Requests for each part of its size, with one more.
     pub fn crowd(&self, load: f64) -> f64 {
-        (load + 1.0) / self.entry.size.max(1.0)
+        (load + 1.0) / self.entry.weight.max(1.0)
     }
 
     /// One more attempt found no connection, or did; how long it is left alone doubles `most` times.
@@ -221,14 +221,14 @@
     }
 
     pub fn ready(&self) -> bool {
-        self.entry.standing == Standing::Ready
+        self.entry.state == EndpointState::Ready
     }
 
     /// Share of its capacity that it has at the least: 1 once it is warm.
     pub fn warmth(&self, rules: &Rules, now: Micros) -> f64 {
-        let Some(started) = self.entry.started else { return 1.0 };
-        let age = now.saturating_sub(started) as f64 / rules.cold_for.max(1) as f64;
-        (rules.cold_from + (1.0 - rules.cold_from) * age).min(1.0)
+        let Some(started) = self.entry.started_at else { return 1.0 };
+        let age = now.saturating_sub(started) as f64 / rules.warm_up_period.max(1) as f64;
+        (rules.warm_up_from + (1.0 - rules.warm_up_from) * age).min(1.0)
     }
 }
 
@@ -244,7 +244,7 @@
     pub(crate) lowest: ClassId,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     pub(crate) waiting: Vec<RequestId>,
-    pub(crate) attempts: BTreeMap<(RequestId, AttemptNo), Attempt>,
+    pub(crate) attempts: BTreeMap<(RequestId, AttemptNumber), Attempt>,
     pub(crate) servers: Servers,
     /// Attempts that all ready servers together may take at once, if it is kept, and until when it is.
     pub(crate) room: (f64, Micros),
@@ -276,7 +276,7 @@
     pub(crate) done: f64,
     pub(crate) retries: f64,
     /// Final answers that no server made, by reason and plan.
-    pub(crate) turned_away: BTreeMap<(Reason, PlanId), u64>,
+    pub(crate) rejections: BTreeMap<(RejectReason, PlanId), u64>,
     /// When the next wake-up, gossip and tick are due.
     pub(crate) woken: Micros,
     pub(crate) next_gossip: Micros,
@@ -292,7 +292,13 @@
             born: now,
             begun: false,
             newcomer: false,
-            shortest_aim: settings.classes.iter().map(|class| class.aim).min().unwrap_or(1).max(1) as f64,
+            shortest_aim: settings
+                .classes
+                .iter()
+                .map(|class| class.latency_objective)
+                .min()
+                .unwrap_or(1)
+                .max(1) as f64,
             lowest: ClassId(0),
             requests: BTreeMap::new(),
             waiting: Vec::new(),
@@ -307,7 +313,7 @@
             mute: BTreeMap::new(),
             cut: BTreeMap::new(),
             fuzzy: Fuzzy { seen: vec![(0.0, 0.0); classes], ..Fuzzy::default() },
-            spoke: vec![now; settings.gateways as usize],
+            spoke: vec![now; settings.gateway_count as usize],
             latency: 0.0,
             typical: 0.0,
             service: 0.0,
@@ -318,7 +324,7 @@
             served: 0.0,
             done: 0.0,
             retries: 0.0,
-            turned_away: BTreeMap::new(),
+            rejections: BTreeMap::new(),
             woken: Micros::MAX,
             next_gossip: now,
             next_tick: now,
@@ -338,12 +344,12 @@
     }
 
     /// Final answers since the start that no server made, by the rule behind them and the plan.
-    pub fn turned_away(&self) -> impl Iterator<Item = (Reason, PlanId, u64)> + '_ {
-        self.turned_away.iter().map(|((reason, plan), count)| (*reason, *plan, *count))
+    pub fn rejections(&self) -> impl Iterator<Item = (RejectReason, PlanId, u64)> + '_ {
+        self.rejections.iter().map(|((reason, plan), count)| (*reason, *plan, *count))
     }
 
     /// Takes an ended attempt off all lists.
-    pub(crate) fn take_attempt(&mut self, key: &(RequestId, AttemptNo)) -> Option<Attempt> {
+    pub(crate) fn take_attempt(&mut self, key: &(RequestId, AttemptNumber)) -> Option<Attempt> {
         let attempt = self.attempts.remove(key)?;
         self.servers.release(&attempt.server);
         let store = self.stores.get_mut(&attempt.customer);
@@ -352,12 +358,12 @@
     }
 
     /// How many servers and customers are kept in mind.
-    pub fn kept(&self) -> usize {
-        self.servers.kept() + self.stores.len() + self.homes.len()
+    pub fn tracked_entries(&self) -> usize {
+        self.servers.tracked_entries() + self.stores.len() + self.homes.len()
     }
 
     /// How many entries of servers were looked at since the start: work that can be counted.
-    pub fn visited(&self) -> u64 {
+    pub fn entries_visited(&self) -> u64 {
         self.servers.visited()
     }
 
@@ -407,10 +413,10 @@
     }
 
     /// Where a request must stay that may have run: none while it has not.
-    pub(crate) fn group_of(&self, request: &Request) -> Option<Group> {
-        match self.settings.classes[request.class.0].effect {
-            Effect::Keyed { group, .. } => request.ran.map(|_| group),
-            Effect::Safe | Effect::Unsafe => None,
+    pub(crate) fn group_of(&self, request: &Request) -> Option<DeduplicationScope> {
+        match self.settings.classes[request.class.0].idempotency {
+            Idempotency::Keyed { scope: group, .. } => request.ran.map(|_| group),
+            Idempotency::Idempotent | Idempotency::NonIdempotent => None,
         }
     }
 
