--- a/src/subset.rs
+++ b/src/subset.rs
@@ -2,8 +2,8 @@
 //! pair of gateway and server that meets seldom costs a handshake each time, and a place at the server in between.
 
 use crate::fuzzy::mix;
-use crate::interface::{GatewayId, ServerId};
 use crate::ranked::Ranked;
+use crate::{GatewayId, ServerId};
 
 /// Step round the ring from one gateway to the next, as a part of 2^64: the golden section. Gateways of any run of
 /// numbers, as a customer's are, stand far apart and cover the servers evenly.
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -1,7 +1,7 @@
 //! Many gateways on one clock, with lossy, late, repeated and reordered messages between them.
 
 use super::{settings, Stand, MS, S, SAFE};
-use edge_node::interface::*;
+use edge_node::*;
 use std::collections::BTreeMap;
 
 /// Many gateways with lossy, late, repeated and reordered messages between them.
@@ -49,11 +49,11 @@
     pub fn collect(&mut self, from: usize) {
         let stand = &self.stands[from];
         for action in &stand.log[self.read[from]..] {
-            let Action::Tell { to, bytes } = action else { continue };
+            let Action::SendToPeer { to, bytes } = action else { continue };
             self.told += 1;
             for copy in 0..2 {
                 if self.random.u8(0..20) < if copy == 0 { 18 } else { 1 } {
-                    let event = Event::Peer { from: GatewayId(from as u32), bytes: bytes.clone() };
+                    let event = Event::PeerMessage { from: GatewayId(from as u32), bytes: bytes.clone() };
                     self.mail.push((stand.now + self.random.u64(5..40) * MS, to.0 as usize, event));
                 }
             }
@@ -66,7 +66,7 @@
         for stand in &mut self.stands {
             for (id, _, _) in stand.out.clone() {
                 served += 1;
-                stand.end(&id, Outcome::Ok);
+                stand.end(&id, AttemptOutcome::Success);
             }
         }
         served
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 pub mod fleet;
 
-use edge_node::interface::*;
 use edge_node::Gateway;
+use edge_node::*;
 use std::collections::BTreeMap;
 
 pub const MS: Micros = 1_000;
@@ -16,52 +16,67 @@
 pub const KEYED_ALL: ClassId = ClassId(3);
 
 pub fn settings(me: u32, gateways: u32) -> Settings {
-    let class = |worth, effect| Class { aim: 800 * MS, late_value: 0.2, worth, effect };
-    let keyed = |group| Effect::Keyed { group, window: 500 * MS };
+    let class = |worth, effect| Class {
+        latency_objective: 800 * MS,
+        late_weight: 0.2,
+        priority_weight: worth,
+        idempotency: effect,
+    };
+    let keyed = |group| Idempotency::Keyed { scope: group, window: 500 * MS };
     let plan = Plan {
         rate: 1.0,
         burst: 4.0,
-        at_once: None,
-        price: 1.0,
-        over_worth: 0.0,
-        over_cost: 0.5,
-        ceiling: None,
+        max_concurrent: None,
+        weight: 1.0,
+        over_quota_weight: 0.0,
+        over_quota_cost: 0.5,
+        hard_limit: None,
     };
-    let ceiling = Some(Ceiling { rate: 8.0, depth: 12.0 });
+    let ceiling = Some(HardLimit { rate: 8.0, capacity: 12.0 });
     Settings {
-        me: GatewayId(me),
-        gateways,
+        gateway_id: GatewayId(me),
+        gateway_count: gateways,
         zone: ZoneId(0),
         classes: vec![
-            class(1.0, Effect::Safe),
-            class(2.0, keyed(Group::Cell)),
-            class(9.0, Effect::Unsafe),
-            class(3.0, keyed(Group::All)),
+            class(1.0, Idempotency::Idempotent),
+            class(2.0, keyed(DeduplicationScope::Cell)),
+            class(9.0, Idempotency::NonIdempotent),
+            class(3.0, keyed(DeduplicationScope::AllServers)),
         ],
         plans: vec![
             plan.clone(),
             Plan { rate: 0.0, ..plan.clone() },
-            Plan { rate: 1000.0, burst: 1000.0, ceiling, ..plan.clone() },
-            Plan { rate: 1000.0, burst: 1000.0, at_once: Some(2), ..plan },
+            Plan { rate: 1000.0, burst: 1000.0, hard_limit: ceiling, ..plan.clone() },
+            Plan { rate: 1000.0, burst: 1000.0, max_concurrent: Some(2), ..plan },
         ],
-        rules: Rules { cold_from: 0.2, cold_for: 10 * S, fall_multiple: 3.0, fall_window: S },
-        allowed: Allowed { attempts: 3, cancel: true, messages: true, retry_after: Some(10 * S) },
-        cross_zone: 0.0,
-        discovery: Discovery::Pushed,
-        period: 2 * MS,
-        peer_messages_per_s: 60.0,
-        most_units: 1.0,
+        rules: Rules {
+            warm_up_from: 0.2,
+            warm_up_period: 10 * S,
+            overload_multiple: 3.0,
+            overload_window: S,
+        },
+        permissions: Permissions {
+            max_attempts: 3,
+            cancel_attempts: true,
+            peer_messages: true,
+            max_retry_after: Some(10 * S),
+        },
+        cross_zone_cost: 0.0,
+        discovery: EndpointDiscovery::Pushed,
+        event_period: 2 * MS,
+        peer_messages_per_second: 60.0,
+        max_request_units: 1.0,
     }
 }
 
-pub fn entry(server: u64) -> ServerEntry {
-    ServerEntry {
+pub fn entry(server: u64) -> Endpoint {
+    Endpoint {
         server: ServerId(server),
         zone: ZoneId((server % 2) as u32),
         cell: CellId(server % 2),
-        standing: Standing::Ready,
-        size: 1.0,
-        started: None,
+        state: EndpointState::Ready,
+        weight: 1.0,
+        started_at: None,
     }
 }
 
@@ -83,8 +98,8 @@
     pub gateway: Gateway,
     pub settings: Settings,
     pub wakes: Vec<(Micros, u64)>,
-    pub list: BTreeMap<ServerId, ServerEntry>,
-    pub out: Vec<(RequestId, AttemptNo, ServerId)>,
+    pub list: BTreeMap<ServerId, Endpoint>,
+    pub out: Vec<(RequestId, AttemptNumber, ServerId)>,
     told: BTreeMap<RequestId, Told>,
     pub log: Vec<Action>,
     /// The gateways a customer's tries come through: the first, and how many.
@@ -102,7 +117,7 @@
             now,
             gateway,
             first: GatewayId(0),
-            spread: settings.gateways,
+            spread: settings.gateway_count,
             loads: BTreeMap::new(),
             settings,
             wakes: Vec::new(),
@@ -116,18 +131,18 @@
 
     pub fn with_servers(seed: u64, settings: Settings, now: Micros, servers: u64) -> Self {
         let mut stand = Stand::new(seed, settings, now);
-        stand.servers(ListKind::Complete, (0..servers).map(entry).collect());
+        stand.servers(EndpointUpdate::Snapshot, (0..servers).map(entry).collect());
         stand
     }
 
-    pub fn servers(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
-        if kind == ListKind::Complete {
+    pub fn servers(&mut self, kind: EndpointUpdate, entries: Vec<Endpoint>) {
+        if kind == EndpointUpdate::Snapshot {
             self.list.clear();
         }
         for entry in &entries {
             self.list.insert(entry.server, *entry);
         }
-        self.event(Event::Servers { kind, entries });
+        self.event(Event::EndpointsUpdated { kind, endpoints: entries });
     }
 
     pub fn request(&mut self, class: ClassId, plan: usize, customer: u64, patience: Micros) -> RequestId {
@@ -135,33 +150,35 @@
         let id = RequestId(format!("r{}", self.next).into());
         let told = Told { class: class.0, deadline: self.now + patience, open: true, ..Told::default() };
         self.told.insert(id.clone(), told);
-        self.event(Event::Request {
+        self.event(Event::RequestReceived {
             id: id.clone(),
             class,
             plan: PlanId(plan),
             customer: CustomerId(customer),
             units: 1.0,
-            first: self.first,
-            spread: self.spread,
-            patience,
+            gateways: GatewaySet { first: self.first, count: self.spread },
+            client_timeout: patience,
         });
         id
     }
 
-    pub fn end(&mut self, id: &RequestId, outcome: Outcome) -> Vec<Action> {
+    pub fn end(&mut self, id: &RequestId, outcome: AttemptOutcome) -> Vec<Action> {
         let place = self.out.iter().position(|(out, _, _)| out == id).expect("an attempt is out");
         let (id, attempt, server) = self.out.remove(place);
         let told = self.told.get_mut(&id).expect("known");
         told.out = false;
-        if !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NotSent) {
+        if !matches!(
+            outcome,
+            AttemptOutcome::Overloaded | AttemptOutcome::Unreachable | AttemptOutcome::NotSent
+        ) {
             told.ran.get_or_insert((told.cell, self.now));
         }
-        let closed = outcome == Outcome::Ok || !told.open;
-        if outcome == Outcome::Ok {
+        let closed = outcome == AttemptOutcome::Success || !told.open;
+        if outcome == AttemptOutcome::Success {
             told.open = false;
         }
         let load = self.loads.get(&server).copied();
-        self.event(Event::Ended { id, attempt, outcome, closed, load })
+        self.event(Event::AttemptFinished { id, attempt, outcome, closed, reported_load: load })
     }
 
     pub fn event(&mut self, event: Event) -> Vec<Action> {
@@ -182,7 +199,7 @@
             let due: Vec<_> = self.wakes.iter().copied().filter(|(at, _)| *at <= self.now).collect();
             self.wakes.retain(|(at, _)| *at > self.now);
             for (_, token) in due {
-                actions.extend(self.event(Event::Woke { token }));
+                actions.extend(self.event(Event::TimerFired { token }));
             }
             for (id, told) in &self.told {
                 assert!(!told.open || self.now <= told.deadline + 8 * MS, "rule 1: {id:?} had no answer");
@@ -192,49 +209,58 @@
     }
 
     fn watch(&mut self, action: &Action) {
-        let effect = |told: &Told, settings: &Settings| settings.classes[told.class].effect;
+        let effect = |told: &Told, settings: &Settings| settings.classes[told.class].idempotency;
         match action {
-            Action::Send { id, server, .. } => {
+            Action::SendAttempt { id, server, .. } => {
                 let told = self.told.get_mut(id).expect("rule: a known request");
                 assert!(told.open, "rule 1: sent after its answer");
                 assert!(!told.out, "rule 2: two attempts at once");
-                assert!(told.sent < self.settings.allowed.attempts, "too many attempts");
-                assert_eq!(self.list[server].standing, Standing::Ready, "rule 3: sent to a draining server");
+                assert!(told.sent < self.settings.permissions.max_attempts, "too many attempts");
+                assert_eq!(
+                    self.list[server].state,
+                    EndpointState::Ready,
+                    "rule 3: sent to a draining server"
+                );
                 match (told.ran, effect(told, &self.settings)) {
-                    (None, _) | (_, Effect::Safe) => {}
-                    (Some(_), Effect::Unsafe) => panic!("rule 2: unsafe sent again"),
-                    (Some((cell, _)), Effect::Keyed { group, .. }) => {
+                    (None, _) | (_, Idempotency::Idempotent) => {}
+                    (Some(_), Idempotency::NonIdempotent) => panic!("rule 2: unsafe sent again"),
+                    (Some((cell, _)), Idempotency::Keyed { scope: group, .. }) => {
                         let same = cell == self.list[server].cell;
-                        assert!(group == Group::All || same, "rule 2: left its group");
+                        assert!(group == DeduplicationScope::AllServers || same, "rule 2: left its group");
                     }
                 }
-                self.out.push((id.clone(), AttemptNo(told.sent), *server));
+                self.out.push((id.clone(), AttemptNumber(told.sent), *server));
                 (told.out, told.sent, told.cell) = (true, told.sent + 1, self.list[server].cell);
             }
-            Action::Refuse { id, .. } | Action::Fail { id } => {
+            Action::Reject { id, .. } | Action::Fail { id } => {
                 let told = self.told.get_mut(id).expect("rule: a known request");
                 assert!(told.open, "rule 1: a second answer");
                 told.open = false;
-                let refused = matches!(action, Action::Refuse { .. });
+                let refused = matches!(action, Action::Reject { .. });
                 let maybe = told.ran.is_some() || told.out;
-                let all = |effect| matches!(effect, Effect::Keyed { group: Group::All, .. });
+                let all = |effect| {
+                    matches!(effect, Idempotency::Keyed { scope: DeduplicationScope::AllServers, .. })
+                };
                 let effect = effect(told, &self.settings);
-                assert!(!refused || !maybe || effect == Effect::Safe || all(effect), "rule 2: refused");
+                assert!(
+                    !refused || !maybe || effect == Idempotency::Idempotent || all(effect),
+                    "rule 2: refused"
+                );
             }
-            Action::Wake { after, token } => self.wakes.push((self.now + after, *token)),
-            Action::TellAll { bytes } | Action::Tell { bytes, .. } => {
+            Action::SetTimer { after, token } => self.wakes.push((self.now + after, *token)),
+            Action::Broadcast { bytes } | Action::SendToPeer { bytes, .. } => {
                 assert!(bytes.len() <= 256, "message too long")
             }
-            Action::Cancel { .. } | Action::Follow | Action::Log(_) => {}
+            Action::CancelAttempt { .. } | Action::WatchEndpoints | Action::Log(_) => {}
         }
     }
 
     pub fn abandon(&mut self, id: &RequestId) {
         self.told.get_mut(id).expect("known").open = false;
-        self.event(Event::Abandoned { id: id.clone() });
+        self.event(Event::ClientDisconnected { id: id.clone() });
     }
 }
 
 pub fn sends(actions: &[Action]) -> usize {
-    actions.iter().filter(|action| matches!(action, Action::Send { .. })).count()
+    actions.iter().filter(|action| matches!(action, Action::SendAttempt { .. })).count()
 }
--- a/tests/fixtures.rs
+++ b/tests/fixtures.rs
@@ -22,10 +22,11 @@
 mod schema;
 
 use config::{AdminAddress, Config, PeerAddresses, Shell};
-use edge_node::interface::{
-    Allowed, Ceiling, Class, Discovery, Effect, GatewayId, Group, Plan, Rules, Settings, ZoneId,
+use edge_node::settings::{self, ResolvedSettings};
+use edge_node::{
+    Class, DeduplicationScope, EndpointDiscovery, GatewayId, HardLimit, Idempotency, Permissions, Plan,
+    Rules, Settings, ZoneId,
 };
-use edge_node::setup::{self, Named};
 use lists::{Health, Host, Hosts, List};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -47,16 +48,24 @@
 }
 
 /// Takes each field by name, so that a new one can't be forgotten here.
-fn assert_same_resolved_settings(read: Named, expected: Named) {
-    let Named { settings, classes, plans, zones, longest_deadline, drain_grace, conn_idle, connect_timeout } =
-        read;
+fn assert_same_resolved_settings(read: ResolvedSettings, expected: ResolvedSettings) {
+    let ResolvedSettings {
+        settings,
+        class_names: classes,
+        plan_names: plans,
+        zone_names: zones,
+        longest_deadline,
+        drain_grace,
+        connection_idle_timeout,
+        connect_timeout,
+    } = read;
     assert_eq!(settings, expected.settings);
-    assert_eq!(classes, expected.classes);
-    assert_eq!(plans, expected.plans);
-    assert_eq!(zones, expected.zones);
+    assert_eq!(classes, expected.class_names);
+    assert_eq!(plans, expected.plan_names);
+    assert_eq!(zones, expected.zone_names);
     assert_eq!(longest_deadline, expected.longest_deadline);
     assert_eq!(drain_grace, expected.drain_grace);
-    assert_eq!(conn_idle, expected.conn_idle);
+    assert_eq!(connection_idle_timeout, expected.connection_idle_timeout);
     assert_eq!(connect_timeout, expected.connect_timeout);
 }
 
@@ -79,17 +88,42 @@
     assert_eq!(read, expected, "{read:#}");
 }
 
-fn keyed(group: Group, window: u64) -> Effect {
-    Effect::Keyed { group, window }
+fn keyed(group: DeduplicationScope, window: u64) -> Idempotency {
+    Idempotency::Keyed { scope: group, window }
 }
 
 fn platform_classes() -> Vec<Class> {
     vec![
-        Class { aim: 1_000_000, late_value: 0.25, worth: 3.0, effect: Effect::Safe },
-        Class { aim: 1_100_000, late_value: 0.5, worth: 2.5, effect: keyed(Group::Cell, 60_000_000) },
-        Class { aim: 1_200_000, late_value: 0.75, worth: 2.0, effect: keyed(Group::Zone, 61_000_000) },
-        Class { aim: 1_300_000, late_value: 1.0, worth: 1.5, effect: keyed(Group::All, 62_000_000) },
-        Class { aim: 1_400_000, late_value: 0.125, worth: 5.0, effect: Effect::Unsafe },
+        Class {
+            latency_objective: 1_000_000,
+            late_weight: 0.25,
+            priority_weight: 3.0,
+            idempotency: Idempotency::Idempotent,
+        },
+        Class {
+            latency_objective: 1_100_000,
+            late_weight: 0.5,
+            priority_weight: 2.5,
+            idempotency: keyed(DeduplicationScope::Cell, 60_000_000),
+        },
+        Class {
+            latency_objective: 1_200_000,
+            late_weight: 0.75,
+            priority_weight: 2.0,
+            idempotency: keyed(DeduplicationScope::Zone, 61_000_000),
+        },
+        Class {
+            latency_objective: 1_300_000,
+            late_weight: 1.0,
+            priority_weight: 1.5,
+            idempotency: keyed(DeduplicationScope::AllServers, 62_000_000),
+        },
+        Class {
+            latency_objective: 1_400_000,
+            late_weight: 0.125,
+            priority_weight: 5.0,
+            idempotency: Idempotency::NonIdempotent,
+        },
     ]
 }
 
@@ -98,53 +132,58 @@
         Plan {
             rate: 2.5,
             burst: 10.0,
-            at_once: None,
-            price: 0.72,
-            over_worth: 0.0,
-            over_cost: 0.0,
-            ceiling: None,
+            max_concurrent: None,
+            weight: 0.72,
+            over_quota_weight: 0.0,
+            over_quota_cost: 0.0,
+            hard_limit: None,
         },
         Plan {
             rate: 50.0,
             burst: 100.0,
-            at_once: Some(12),
-            price: 1.8,
-            over_worth: 0.2,
-            over_cost: 0.8,
-            ceiling: Some(Ceiling { rate: 110.0, depth: 220.0 }),
+            max_concurrent: Some(12),
+            weight: 1.8,
+            over_quota_weight: 0.2,
+            over_quota_cost: 0.8,
+            hard_limit: Some(HardLimit { rate: 110.0, capacity: 220.0 }),
         },
     ]
 }
 
-fn platform_settings() -> Named {
-    Named {
+fn platform_settings() -> ResolvedSettings {
+    ResolvedSettings {
         settings: Settings {
-            me: GatewayId(2),
-            gateways: 3,
+            gateway_id: GatewayId(2),
+            gateway_count: 3,
             zone: ZoneId(1),
             classes: platform_classes(),
             plans: platform_plans(),
             rules: Rules {
-                cold_from: 0.27,
-                cold_for: 16_000_000,
-                fall_multiple: 2.5,
-                fall_window: 3_000_000,
+                warm_up_from: 0.27,
+                warm_up_period: 16_000_000,
+                overload_multiple: 2.5,
+                overload_window: 3_000_000,
+            },
+            permissions: Permissions {
+                max_attempts: 6,
+                cancel_attempts: false,
+                peer_messages: true,
+                max_retry_after: Some(30_000_000),
             },
-            allowed: Allowed { attempts: 6, cancel: false, messages: true, retry_after: Some(30_000_000) },
-            cross_zone: 0.05,
-            discovery: Discovery::Followed,
-            period: 2_500,
-            peer_messages_per_s: 40.0,
-            most_units: 8.0,
+            cross_zone_cost: 0.05,
+            discovery: EndpointDiscovery::Watched,
+            event_period: 2_500,
+            peer_messages_per_second: 40.0,
+            max_request_units: 8.0,
         },
-        classes: ["balance-read", "submit-loan", "renew-loan", "close-loan", "post-payment"]
+        class_names: ["balance-read", "submit-loan", "renew-loan", "close-loan", "post-payment"]
             .map(String::from)
             .into(),
-        plans: ["basic", "premier"].map(String::from).into(),
-        zones: ["block-a", "block-b", "block-c"].map(String::from).into(),
+        plan_names: ["basic", "premier"].map(String::from).into(),
+        zone_names: ["block-a", "block-b", "block-c"].map(String::from).into(),
         longest_deadline: 5_000_000,
         drain_grace: 450_000,
-        conn_idle: 14_000_000,
+        connection_idle_timeout: 14_000_000,
         connect_timeout: 270_000,
     }
 }
@@ -171,7 +210,7 @@
 fn the_platform_s_settings_read_to_the_same_values() {
     let text = std::fs::read_to_string(PLATFORM).expect("the fixture");
     let file: serde_json::Value = serde_json::from_str(&text).expect("it is JSON");
-    let read = setup::read(&file["settings"].to_string()).expect("sound settings");
+    let read = settings::parse(&file["settings"].to_string()).expect("sound settings");
     assert_same_resolved_settings(read, platform_settings());
 }
 
@@ -194,52 +233,62 @@
     assert_same_values(values, PLATFORM_VALUES);
 }
 
-fn example_settings() -> Named {
-    let class = |worth, effect| Class { aim: 1_000_000, late_value: 0.2, worth, effect };
+fn example_settings() -> ResolvedSettings {
+    let class = |worth, effect| Class {
+        latency_objective: 1_000_000,
+        late_weight: 0.2,
+        priority_weight: worth,
+        idempotency: effect,
+    };
     let basic = Plan {
         rate: 2.5,
         burst: 10.0,
-        at_once: None,
-        price: 0.72,
-        over_worth: 0.2,
-        over_cost: 0.0,
-        ceiling: None,
+        max_concurrent: None,
+        weight: 0.72,
+        over_quota_weight: 0.2,
+        over_quota_cost: 0.0,
+        hard_limit: None,
     };
     let premier = Plan {
         rate: 50.0,
         burst: 100.0,
-        at_once: None,
-        price: 1.8,
-        over_worth: 0.0,
-        over_cost: 0.8,
-        ceiling: Some(Ceiling { rate: 100.0, depth: 200.0 }),
+        max_concurrent: None,
+        weight: 1.8,
+        over_quota_weight: 0.0,
+        over_quota_cost: 0.8,
+        hard_limit: Some(HardLimit { rate: 100.0, capacity: 200.0 }),
     };
-    Named {
+    ResolvedSettings {
         settings: Settings {
-            me: GatewayId(0),
-            gateways: 3,
+            gateway_id: GatewayId(0),
+            gateway_count: 3,
             zone: ZoneId(0),
-            classes: vec![class(3.0, Effect::Safe), class(5.0, Effect::Unsafe)],
+            classes: vec![class(3.0, Idempotency::Idempotent), class(5.0, Idempotency::NonIdempotent)],
             plans: vec![basic, premier],
             rules: Rules {
-                cold_from: 0.27,
-                cold_for: 16_000_000,
-                fall_multiple: 2.5,
-                fall_window: 3_000_000,
+                warm_up_from: 0.27,
+                warm_up_period: 16_000_000,
+                overload_multiple: 2.5,
+                overload_window: 3_000_000,
+            },
+            permissions: Permissions {
+                max_attempts: 5,
+                cancel_attempts: true,
+                peer_messages: true,
+                max_retry_after: Some(u64::MAX),
             },
-            allowed: Allowed { attempts: 5, cancel: true, messages: true, retry_after: Some(u64::MAX) },
-            cross_zone: 0.0,
-            discovery: Discovery::Pushed,
-            period: 2_000,
-            peer_messages_per_s: 40.0,
-            most_units: 8.0,
+            cross_zone_cost: 0.0,
+            discovery: EndpointDiscovery::Pushed,
+            event_period: 2_000,
+            peer_messages_per_second: 40.0,
+            max_request_units: 8.0,
         },
-        classes: ["balance-read", "post-payment"].map(String::from).into(),
-        plans: ["basic", "premier"].map(String::from).into(),
-        zones: ["block-a", "block-b", "block-c"].map(String::from).into(),
+        class_names: ["balance-read", "post-payment"].map(String::from).into(),
+        plan_names: ["basic", "premier"].map(String::from).into(),
+        zone_names: ["block-a", "block-b", "block-c"].map(String::from).into(),
         longest_deadline: 4_000_000,
         drain_grace: 500_000,
-        conn_idle: 15_000_000,
+        connection_idle_timeout: 15_000_000,
         connect_timeout: 250_000,
     }
 }
--- a/tests/gateway_pair/mod.rs
+++ b/tests/gateway_pair/mod.rs
@@ -1,47 +1,62 @@
 //! Two gateways of a large fleet that are each other's home, and the servers they send to.
 
-use edge_node::interface::*;
 use edge_node::Gateway;
+use edge_node::*;
 use std::collections::{BTreeMap, VecDeque};
 
 const MS: Micros = 1_000;
 const GATEWAYS: u32 = 4_200;
 
 pub fn settings(me: u32) -> Settings {
-    let class = |worth, aim| Class { aim, late_value: 0.2, worth, effect: Effect::Safe };
+    let class = |worth, aim| Class {
+        latency_objective: aim,
+        late_weight: 0.2,
+        priority_weight: worth,
+        idempotency: Idempotency::Idempotent,
+    };
     let plan = Plan {
         rate: 0.0,
         burst: 9.0,
-        at_once: None,
-        price: 1.0,
-        over_worth: 0.0,
-        over_cost: 0.5,
-        ceiling: None,
+        max_concurrent: None,
+        weight: 1.0,
+        over_quota_weight: 0.0,
+        over_quota_cost: 0.5,
+        hard_limit: None,
     };
     Settings {
-        me: GatewayId(me),
-        gateways: GATEWAYS,
+        gateway_id: GatewayId(me),
+        gateway_count: GATEWAYS,
         zone: ZoneId(0),
         classes: vec![class(1.0, 800 * MS), class(4.0, 400 * MS)],
         plans: vec![plan],
-        rules: Rules { cold_from: 0.2, cold_for: 10_000 * MS, fall_multiple: 3.0, fall_window: 1_000 * MS },
-        allowed: Allowed { attempts: 3, cancel: true, messages: true, retry_after: None },
-        cross_zone: 0.0,
-        discovery: Discovery::Pushed,
-        period: 2 * MS,
-        peer_messages_per_s: 60.0,
-        most_units: 1.0,
+        rules: Rules {
+            warm_up_from: 0.2,
+            warm_up_period: 10_000 * MS,
+            overload_multiple: 3.0,
+            overload_window: 1_000 * MS,
+        },
+        permissions: Permissions {
+            max_attempts: 3,
+            cancel_attempts: true,
+            peer_messages: true,
+            max_retry_after: None,
+        },
+        cross_zone_cost: 0.0,
+        discovery: EndpointDiscovery::Pushed,
+        event_period: 2 * MS,
+        peer_messages_per_second: 60.0,
+        max_request_units: 1.0,
     }
 }
 
-pub fn entry(number: u64) -> ServerEntry {
-    ServerEntry {
+pub fn entry(number: u64) -> Endpoint {
+    Endpoint {
         server: ServerId(number * 0x1_0000_0001),
         zone: ZoneId((number % 4) as u32),
         cell: CellId(number / 20),
-        standing: Standing::Ready,
-        size: 1.0,
-        started: None,
+        state: EndpointState::Ready,
+        weight: 1.0,
+        started_at: None,
     }
 }
 
@@ -75,18 +90,25 @@
             for action in actions {
                 self.serial += 1;
                 match action {
-                    Action::Send { id, server, .. } => {
+                    Action::SendAttempt { id, server, .. } => {
                         self.sent.push((gateway, server));
-                        let (attempt, outcome, load) = (AttemptNo(0), Outcome::Ok, Some(1.0));
-                        let ended = Event::Ended { id, attempt, outcome, closed: true, load };
+                        let (attempt, outcome, load) = (AttemptNumber(0), AttemptOutcome::Success, Some(1.0));
+                        let ended = Event::AttemptFinished {
+                            id,
+                            attempt,
+                            outcome,
+                            closed: true,
+                            reported_load: load,
+                        };
                         self.due.insert((self.now + 20 * MS, self.serial), (gateway, ended));
                     }
-                    Action::Tell { to, bytes } if to.0 < 2 => {
+                    Action::SendToPeer { to, bytes } if to.0 < 2 => {
                         let from = GatewayId(gateway as u32);
-                        events.push_back((to.0 as usize, Event::Peer { from, bytes }));
+                        events.push_back((to.0 as usize, Event::PeerMessage { from, bytes }));
                     }
-                    Action::Wake { after, token } => {
-                        self.due.insert((self.now + after, self.serial), (gateway, Event::Woke { token }));
+                    Action::SetTimer { after, token } => {
+                        self.due
+                            .insert((self.now + after, self.serial), (gateway, Event::TimerFired { token }));
                     }
                     _ => {}
                 }
@@ -101,20 +123,19 @@
             let (gateway, event) = first.remove();
             self.handle(gateway, event);
         }
-        let event = Event::Request {
+        let event = Event::RequestReceived {
             id: RequestId(format!("r{number}").into()),
             class: ClassId((number % 2) as usize),
             plan: PlanId(0),
             customer: CustomerId(number % 50),
             units: 1.0,
-            first: GatewayId(0),
-            spread: 2,
-            patience: 2_000 * MS,
+            gateways: GatewaySet { first: GatewayId(0), count: 2 },
+            client_timeout: 2_000 * MS,
         };
         self.handle((number % 2) as usize, event);
     }
 }
 
 pub fn whole(servers: u64) -> Event {
-    Event::Servers { kind: ListKind::Complete, entries: (0..servers).map(entry).collect() }
+    Event::EndpointsUpdated { kind: EndpointUpdate::Snapshot, endpoints: (0..servers).map(entry).collect() }
 }
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -4,7 +4,7 @@
 
 use common::fleet::Fleet;
 use common::*;
-use edge_node::interface::*;
+use edge_node::*;
 
 /// Mostly one gateway, as customers' tries come unevenly.
 fn mostly_one(random: &mut fastrand::Rng, gateways: usize) -> usize {
@@ -25,7 +25,7 @@
 fn a_busy_gateway_asks_less_than_it_tries() {
     let mut fleet = Fleet::new(60, 40, |settings| {
         quota(settings, 2, 60.0, 60.0);
-        settings.plans[2].ceiling = Some(Ceiling { rate: 120.0, depth: 120.0 });
+        settings.plans[2].hard_limit = Some(HardLimit { rate: 120.0, capacity: 120.0 });
     });
     fleet.drive_by(2, 30, 1, mostly_one); // a home's ceiling starts empty
     let (before, tries) = (fleet.told, 30 * 6);
@@ -69,7 +69,7 @@
 fn under_a_ceiling(me: u32) -> Settings {
     let mut settings = settings(me, 300);
     quota(&mut settings, 2, 20.0, 1000.0);
-    settings.plans[2].ceiling = Some(Ceiling { rate: 20.0, depth: 40.0 });
+    settings.plans[2].hard_limit = Some(HardLimit { rate: 20.0, capacity: 40.0 });
     settings
 }
 
@@ -79,23 +79,23 @@
         let told = self.gateway.log.len();
         let id = self.gateway.request(SAFE, 2, 7, 2 * S);
         let out = |gateway: &Stand| gateway.out.iter().any(|out| out.0 == id);
-        let at_once = out(&self.gateway);
+        let max_concurrent = out(&self.gateway);
         let said: Vec<_> = self.gateway.log[told..].to_vec();
         for action in said {
-            let Action::Tell { to, bytes } = action else { continue };
-            let (from, now) = (self.gateway.settings.me, self.gateway.now);
+            let Action::SendToPeer { to, bytes } = action else { continue };
+            let (from, now) = (self.gateway.settings.gateway_id, self.gateway.now);
             let owner = self.owner.get_or_insert_with(|| (to, Stand::new(1, under_a_ceiling(to.0), now)));
             assert_eq!(owner.0, to, "a customer with one owner");
             owner.1.now = now;
             for _ in 0..copies {
-                for answer in owner.1.event(Event::Peer { from, bytes: bytes.clone() }) {
-                    let Action::Tell { bytes, .. } = answer else { continue };
-                    self.gateway.event(Event::Peer { from: to, bytes });
+                for answer in owner.1.event(Event::PeerMessage { from, bytes: bytes.clone() }) {
+                    let Action::SendToPeer { bytes, .. } = answer else { continue };
+                    self.gateway.event(Event::PeerMessage { from: to, bytes });
                 }
             }
         }
         self.sent += usize::from(out(&self.gateway));
-        at_once
+        max_concurrent
     }
 
     /// How many tries go out until the owner is short, where a lapsed lease came back so many times.
@@ -105,12 +105,12 @@
         pair.request(1);
         pair.gateway.pass(5 * S); // the owner's part of the ceiling was empty
         (pair.sent, pair.gateway.log) = (0, Vec::new());
-        let mut at_once = 0;
+        let mut max_concurrent = 0;
         for _ in 0..24 {
-            at_once += u32::from(pair.request(1));
+            max_concurrent += u32::from(pair.request(1));
             pair.gateway.pass(50 * MS);
         }
-        assert!(at_once >= 12, "{at_once} of 24 went on lease");
+        assert!(max_concurrent >= 12, "{max_concurrent} of 24 went on lease");
         pair.gateway.pass(520 * MS);
         // Others leave the owner with little, so that what comes back finds room.
         let now = pair.gateway.now;
@@ -147,6 +147,6 @@
     let mut stand = Stand::with_servers(5, settings(0, 300), S, 40);
     stand.request(SAFE, 2, 7, 8 * S);
     stand.pass(3900 * MS);
-    let asks = stand.log.iter().filter(|action| matches!(action, Action::Tell { .. })).count();
+    let asks = stand.log.iter().filter(|action| matches!(action, Action::SendToPeer { .. })).count();
     assert!((4..=8).contains(&asks), "{asks} asks in 3.9 s");
 }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -5,8 +5,8 @@
 use common::fleet::Fleet;
 use common::*;
 use edge_node::control::inferred;
-use edge_node::interface::*;
 use edge_node::Gateway;
+use edge_node::*;
 
 fn change_of(error: f64, change: f64) -> f64 {
     inferred(error, change).0
@@ -56,15 +56,15 @@
     for _ in 0..5 {
         let id = stand.request(SAFE, 0, 7, 2 * S);
         if stand.out.iter().any(|(out, _, _)| *out == id) {
-            stand.end(&id, Outcome::Ok);
+            stand.end(&id, AttemptOutcome::Success);
         }
     }
-    let refused = stand.log.iter().filter(|action| matches!(action, Action::Refuse { .. })).count();
+    let refused = stand.log.iter().filter(|action| matches!(action, Action::Reject { .. })).count();
     assert_eq!((sends(&stand.log), refused), (4, 1), "a burst of 4");
     let before = sends(&stand.log);
-    stand.event(Event::Peer { from: GatewayId(1), bytes: vec![4, 0, 1, 0, 0, 0] });
+    stand.event(Event::PeerMessage { from: GatewayId(1), bytes: vec![4, 0, 1, 0, 0, 0] });
     stand.now += 700 * MS;
-    stand.event(Event::Peer { from: GatewayId(1), bytes: vec![4, 0, 1, 0, 0, 0] });
+    stand.event(Event::PeerMessage { from: GatewayId(1), bytes: vec![4, 0, 1, 0, 0, 0] });
     stand.now += 700 * MS;
     stand.request(SAFE, 0, 7, 2 * S);
     assert_eq!(sends(&stand.log), before + 1, "1.4 units later one is covered");
@@ -79,7 +79,7 @@
         stand.log.clear();
         stand.request(SAFE, 0, 7, 2 * S);
         stand.log.iter().find_map(|action| match action {
-            Action::Refuse { retry_in, .. } => *retry_in,
+            Action::Reject { retry_after, .. } => *retry_after,
             _ => None,
         })
     };
@@ -100,7 +100,7 @@
         stand.now += S;
         let id = stand.request(SAFE, 0, 7, 2 * S);
         if stand.out.iter().any(|(out, _, _)| *out == id) {
-            stand.end(&id, Outcome::Ok);
+            stand.end(&id, AttemptOutcome::Success);
             granted += 1;
         }
     }
@@ -112,7 +112,7 @@
     bytes.extend(birth.to_le_bytes());
     bytes.extend(&customer.to_le_bytes()[..5]);
     bytes.extend((count * 8).to_le_bytes());
-    Event::Peer { from: GatewayId(1), bytes }
+    Event::PeerMessage { from: GatewayId(1), bytes }
 }
 
 #[test]
@@ -120,7 +120,7 @@
     let granted = |counts: &[u16]| {
         let mut stand = Stand::with_servers(1, settings(0, 2), S, 4);
         let first = stand.request(SAFE, 0, 7, 2 * S);
-        stand.end(&first, Outcome::Ok);
+        stand.end(&first, AttemptOutcome::Success);
         stand.event(message(5, 7, 10));
         // Both halves of the burst are full after ten heard seconds.
         for _ in 0..20 {
@@ -134,7 +134,7 @@
         for _ in 0..6 {
             let id = stand.request(SAFE, 0, 7, 2 * S);
             if stand.out.iter().any(|(out, _, _)| *out == id) {
-                stand.end(&id, Outcome::Ok);
+                stand.end(&id, AttemptOutcome::Success);
             }
         }
         sends(&stand.log) - before
@@ -151,9 +151,9 @@
 fn noise_from_peers_is_passed_over() {
     let mut stand = Stand::with_servers(1, settings(0, 2), S, 4);
     for bytes in [vec![], vec![9; 40], vec![1], vec![1; 300], vec![1; 13]] {
-        stand.event(Event::Peer { from: GatewayId(1), bytes });
+        stand.event(Event::PeerMessage { from: GatewayId(1), bytes });
     }
-    stand.event(Event::Peer { from: GatewayId(77), bytes: vec![1; 12] });
+    stand.event(Event::PeerMessage { from: GatewayId(77), bytes: vec![1; 12] });
     let id = stand.request(SAFE, 0, 7, 2 * S);
     assert_eq!(stand.out[0].0, id);
 }
@@ -177,13 +177,13 @@
                 let due: Vec<_> = stand.wakes.iter().copied().filter(|(at, _)| *at <= now).collect();
                 stand.wakes.retain(|(at, _)| *at > now);
                 for (_, token) in due {
-                    stand.event(Event::Woke { token });
+                    stand.event(Event::TimerFired { token });
                 }
                 if random.u32(0..10) == 0 {
                     stand.request(SAFE, 2, 9, S);
                 }
                 for (id, _, _) in stand.out.clone() {
-                    stand.end(&id, Outcome::Ok);
+                    stand.end(&id, AttemptOutcome::Success);
                 }
                 let passed = sends(&stand.log) - before;
                 store -= passed as f64;
@@ -201,16 +201,16 @@
     let mut stand = Stand::with_servers(1, settings(0, 2), S, 4);
     for number in 0..300 {
         let fresh = 4 + number;
-        let gone = ServerEntry { standing: Standing::Gone, ..entry(number) };
-        stand.servers(ListKind::Changes, vec![gone, entry(fresh)]);
+        let gone = Endpoint { state: EndpointState::Gone, ..entry(number) };
+        stand.servers(EndpointUpdate::Delta, vec![gone, entry(fresh)]);
         stand.request(SAFE, (number % 4) as usize, 1000 + number, 2 * S);
         for (id, _, _) in stand.out.clone() {
-            stand.end(&id, Outcome::Ok);
+            stand.end(&id, AttemptOutcome::Success);
         }
         stand.pass(20 * MS);
     }
     stand.pass(90 * S);
-    assert!(stand.gateway.kept() <= 8, "{}", stand.gateway.kept());
+    assert!(stand.gateway.tracked_entries() <= 8, "{}", stand.gateway.tracked_entries());
 }
 
 /// The ceiling's share, 6 of 12, is empty at the start of a gateway and full after long; dropping the store of a
@@ -224,7 +224,7 @@
         for _ in 0..20 {
             stand.request(SAFE, 2, 7, 300 * MS);
             for (id, _, _) in stand.out.clone() {
-                stand.end(&id, Outcome::Ok);
+                stand.end(&id, AttemptOutcome::Success);
             }
         }
         let sent = sends(&stand.log) - before;
@@ -241,7 +241,7 @@
     for _ in 0..20 {
         fresh.request(SAFE, 2, 8, S);
         for (id, _, _) in fresh.out.clone() {
-            fresh.end(&id, Outcome::Ok);
+            fresh.end(&id, AttemptOutcome::Success);
         }
     }
     assert_eq!(sends(&fresh.log), 2, "4 a second");
@@ -256,7 +256,7 @@
         for _ in 0..6 {
             let id = stand.request(SAFE, 0, 7, 2 * S);
             if stand.out.iter().any(|(out, _, _)| *out == id) {
-                stand.end(&id, Outcome::Ok);
+                stand.end(&id, AttemptOutcome::Success);
             }
         }
         sends(&stand.log)
@@ -273,7 +273,7 @@
         for _ in 0..times {
             let id = stand.request(SAFE, plan, 7, 2 * S);
             if stand.out.iter().any(|(out, _, _)| *out == id) {
-                stand.end(&id, Outcome::Ok);
+                stand.end(&id, AttemptOutcome::Success);
             }
         }
         sends(&stand.log) - before
@@ -289,7 +289,7 @@
 fn a_count_that_begins_anew_is_heard() {
     let mut stand = Stand::with_servers(1, settings(0, 2), S, 4);
     let first = stand.request(SAFE, 0, 7, 2 * S);
-    stand.end(&first, Outcome::Ok);
+    stand.end(&first, AttemptOutcome::Success);
     stand.event(message(5, 7, 90));
     for _ in 0..20 {
         stand.now += 500 * MS;
@@ -300,7 +300,7 @@
     for _ in 0..6 {
         let id = stand.request(SAFE, 0, 7, 2 * S);
         if stand.out.iter().any(|(out, _, _)| *out == id) {
-            stand.end(&id, Outcome::Ok);
+            stand.end(&id, AttemptOutcome::Success);
         }
     }
     assert!(sends(&stand.log) - before < 2, "three heard units are gone");
@@ -314,7 +314,7 @@
         let id = stand.request(class, 1, 7, patience);
         stand.pass(patience / 2);
         let refused =
-            |action: &Action| matches!(action, Action::Refuse { id: of, retry_in: Some(_) } if *of == id);
+            |action: &Action| matches!(action, Action::Reject { id: of, retry_after: Some(_) } if *of == id);
         assert!(stand.log.iter().any(refused), "{class:?}");
     }
 }
@@ -325,9 +325,10 @@
     let mut stand = Stand::with_servers(1, settings(0, 2), S, 4);
     stand.request(SAFE, 1, 7, 9 * S);
     assert_eq!(stand.out.len(), 1);
-    let cancels = |actions: &[Action]| actions.iter().any(|action| matches!(action, Action::Cancel { .. }));
+    let cancels =
+        |actions: &[Action]| actions.iter().any(|action| matches!(action, Action::CancelAttempt { .. }));
     stand.now += 1500 * MS;
-    let late = stand.event(Event::Woke { token: 0 });
+    let late = stand.event(Event::TimerFired { token: 0 });
     assert!(!cancels(&late));
     assert!(cancels(&stand.pass(50 * MS)), "still silent");
 }
@@ -340,21 +341,21 @@
     }
     assert_eq!(stand.out.len(), 1, "two at once over two gateways");
     let id = stand.out[0].0.clone();
-    stand.end(&id, Outcome::Ok);
+    stand.end(&id, AttemptOutcome::Success);
     assert_eq!(stand.out.len(), 1, "the next one follows");
 }
 
 /// Every outcome against every class of effect: what may follow at once.
 #[test]
 fn outcomes_against_effects() {
-    use Outcome::*;
+    use AttemptOutcome::*;
     for class in [SAFE, KEYED, UNSAFE, KEYED_ALL] {
-        for outcome in [Error, Full, TimedOut, Unreachable, Broken, Cancelled, NotSent] {
+        for outcome in [ServerError, Overloaded, TimedOut, Unreachable, ConnectionLost, Cancelled, NotSent] {
             let mut stand = Stand::with_servers(3, settings(0, 1), S, 4);
             let id = stand.request(class, 1, 7, 2 * S);
             let server = stand.out[0].2;
             let actions = stand.end(&id, outcome);
-            let never = matches!(outcome, Full | Unreachable | NotSent);
+            let never = matches!(outcome, Overloaded | Unreachable | NotSent);
             if class == UNSAFE && !never {
                 assert_eq!(actions, [Action::Fail { id }], "{outcome:?}");
                 continue;
@@ -372,7 +373,7 @@
     let mut stand = Stand::with_servers(3, settings(0, 1), S, 4);
     let id = stand.request(KEYED, 1, 7, 2 * S);
     stand.now += 600 * MS;
-    let actions = stand.end(&id, Outcome::Error);
+    let actions = stand.end(&id, AttemptOutcome::ServerError);
     assert_eq!(sends(&actions), 0);
     let later = stand.pass(2 * S);
     assert!(later.contains(&Action::Fail { id }));
@@ -383,7 +384,7 @@
     for patience in [0, 1, 5 * MS, 19 * MS] {
         let mut stand = Stand::with_servers(3, settings(0, 1), S, 0);
         let id = stand.request(UNSAFE, 1, 7, patience);
-        let refused = |action: &Action| matches!(action, Action::Refuse { id: told, .. } if *told == id);
+        let refused = |action: &Action| matches!(action, Action::Reject { id: told, .. } if *told == id);
         assert!(stand.log.iter().any(refused));
     }
 }
@@ -391,12 +392,12 @@
 #[test]
 fn nothing_new_goes_to_a_draining_or_missing_server() {
     let mut stand = Stand::with_servers(3, settings(0, 1), S, 2);
-    stand.servers(ListKind::Changes, vec![ServerEntry { standing: Standing::Draining, ..entry(0) }]);
+    stand.servers(EndpointUpdate::Delta, vec![Endpoint { state: EndpointState::Draining, ..entry(0) }]);
     for _ in 0..3 {
         stand.request(SAFE, 1, 7, S);
     }
     assert!(stand.out.iter().all(|(_, _, server)| server.0 == 1));
-    stand.servers(ListKind::Complete, Vec::new());
+    stand.servers(EndpointUpdate::Snapshot, Vec::new());
     let before = stand.log.len();
     stand.request(SAFE, 1, 8, S);
     assert_eq!(sends(&stand.log[before..]), 0);
@@ -409,11 +410,11 @@
         let id = stand.request(SAFE, 1, 7, 2 * S);
         stand.pass(20 * MS);
         if stand.out.iter().any(|(out, _, _)| *out == id) {
-            stand.end(&id, Outcome::Ok);
+            stand.end(&id, AttemptOutcome::Success);
         }
     }
-    let cold = ServerEntry { started: Some(stand.now), ..entry(9) };
-    stand.servers(ListKind::Complete, vec![cold]);
+    let cold = Endpoint { started_at: Some(stand.now), ..entry(9) };
+    stand.servers(EndpointUpdate::Snapshot, vec![cold]);
     let mut sent = 0;
     for _ in 0..50 {
         let before = sends(&stand.log);
@@ -421,7 +422,7 @@
         stand.pass(20 * MS);
         sent += sends(&stand.log) - before;
         for (id, _, _) in stand.out.clone() {
-            stand.end(&id, Outcome::Ok);
+            stand.end(&id, AttemptOutcome::Success);
         }
     }
     // A warm one was seen to do some 45 a second; this one can do a fifth of it, and falls at three times that.
@@ -434,9 +435,9 @@
     let id = stand.request(SAFE, 1, 7, 3 * S);
     let server = stand.out[0].2;
     let actions = stand.pass(700 * MS);
-    assert!(actions.contains(&Action::Cancel { id: id.clone(), attempt: AttemptNo(0) }));
+    assert!(actions.contains(&Action::CancelAttempt { id: id.clone(), attempt: AttemptNumber(0) }));
     assert!(stand.log.iter().any(|action| matches!(action, Action::Log(_))));
-    stand.end(&id, Outcome::Cancelled);
+    stand.end(&id, AttemptOutcome::Cancelled);
     assert_ne!(stand.out[0].2, server, "sent elsewhere");
 }
 
@@ -451,7 +452,7 @@
             stand.pass(150 * MS);
             // With a limit of its own, what is out is served soon; without one, all hangs.
             for (id, _, _) in if plan == 3 { stand.out.clone() } else { Vec::new() } {
-                stand.end(&id, Outcome::Ok);
+                stand.end(&id, AttemptOutcome::Success);
             }
         }
         let cap = |action: &Action| matches!(action, Action::Log(words) if words.starts_with("aim missed"));
@@ -470,7 +471,10 @@
             stand.pass(10 * MS);
             if step % 2 == 0 {
                 if let Some((id, _, _)) = stand.out.first().cloned() {
-                    stand.end(&id, if step % 3 == 0 { Outcome::Error } else { Outcome::Ok });
+                    stand.end(
+                        &id,
+                        if step % 3 == 0 { AttemptOutcome::ServerError } else { AttemptOutcome::Success },
+                    );
                 }
             }
         }
@@ -489,9 +493,9 @@
     assert_eq!(try_with(&|_| {}), None);
     assert_eq!(try_with(&|s| s.classes.clear()), Some(SettingsError::NoClasses));
     assert_eq!(try_with(&|s| s.plans.clear()), Some(SettingsError::NoPlans));
-    assert_eq!(try_with(&|s| s.me = GatewayId(4)), Some(SettingsError::BadGateway));
-    assert_eq!(try_with(&|s| s.plans[0].rate = -1.0), Some(SettingsError::BadFigure));
-    assert_eq!(try_with(&|s| s.classes[0].worth = f64::NAN), Some(SettingsError::BadFigure));
+    assert_eq!(try_with(&|s| s.gateway_id = GatewayId(4)), Some(SettingsError::UnknownGateway));
+    assert_eq!(try_with(&|s| s.plans[0].rate = -1.0), Some(SettingsError::InvalidNumber));
+    assert_eq!(try_with(&|s| s.classes[0].priority_weight = f64::NAN), Some(SettingsError::InvalidNumber));
 }
 
 /// Many gateways, each with one out at every slow server, would overdrive them all.
@@ -506,7 +510,7 @@
             stand.pass(700 * MS);
             for (id, _, _) in stand.out.clone() {
                 if stand.out.iter().any(|(out, _, _)| *out == id) {
-                    stand.end(&id, Outcome::Ok);
+                    stand.end(&id, AttemptOutcome::Success);
                 }
             }
         }
@@ -536,24 +540,37 @@
                     stand.request(class, random.usize(0..4), random.u64(0..6), patience);
                 }
                 4..=7 if !stand.out.is_empty() => {
-                    use Outcome::*;
-                    let all = [Ok, Ok, Ok, Error, Full, TimedOut, Unreachable, Broken, Cancelled, NotSent];
+                    use AttemptOutcome::*;
+                    let all = [
+                        Success,
+                        Success,
+                        Success,
+                        ServerError,
+                        Overloaded,
+                        TimedOut,
+                        Unreachable,
+                        ConnectionLost,
+                        Cancelled,
+                        NotSent,
+                    ];
                     let (id, _, _) = stand.out[random.usize(0..stand.out.len())].clone();
                     stand.end(&id, all[random.usize(0..all.len())]);
                 }
                 8 => {
-                    let standing = [Standing::Ready, Standing::Draining, Standing::Gone][random.usize(0..3)];
+                    let standing = [EndpointState::Ready, EndpointState::Draining, EndpointState::Gone]
+                        [random.usize(0..3)];
                     let started = random.bool().then_some(stand.now);
-                    let entries = vec![ServerEntry { standing, started, ..entry(random.u64(0..8)) }];
-                    stand.servers(ListKind::Changes, entries);
+                    let entries =
+                        vec![Endpoint { state: standing, started_at: started, ..entry(random.u64(0..8)) }];
+                    stand.servers(EndpointUpdate::Delta, entries);
                 }
                 9 if random.u8(0..5) == 0 => {
                     let servers = random.u64(0..8);
-                    stand.servers(ListKind::Complete, (0..servers).map(entry).collect());
+                    stand.servers(EndpointUpdate::Snapshot, (0..servers).map(entry).collect());
                 }
                 10 => {
                     let bytes = (0..random.usize(0..300)).map(|_| random.u8(0..3)).collect();
-                    stand.event(Event::Peer { from: GatewayId(1), bytes });
+                    stand.event(Event::PeerMessage { from: GatewayId(1), bytes });
                 }
                 11 if !stand.out.is_empty() && random.u8(0..4) == 0 => {
                     let (id, _, _) = stand.out[0].clone();
@@ -566,7 +583,7 @@
         }
         stand.pass(4 * S);
         sent += sends(&stand.log);
-        let answer = |action: &&Action| matches!(action, Action::Refuse { .. } | Action::Fail { .. });
+        let answer = |action: &&Action| matches!(action, Action::Reject { .. } | Action::Fail { .. });
         answered += stand.log.iter().filter(answer).count();
     }
     assert!(sent > 3000 && answered > 1000, "the days were worth watching: {sent} {answered}");
@@ -613,18 +630,30 @@
     let mut by_second = [0; 5];
     for me in 0..300 {
         let mut gateway = Gateway::new(u64::from(me), settings(me, 300), S).expect("sound settings");
-        let entries = vec![ServerEntry { started: Some(S), ..entry(0) }];
+        let entries = vec![Endpoint { started_at: Some(S), ..entry(0) }];
         let mut actions = Vec::new();
-        gateway.handle(S, Event::Servers { kind: ListKind::Complete, entries }, &mut actions);
+        gateway.handle(
+            S,
+            Event::EndpointsUpdated { kind: EndpointUpdate::Snapshot, endpoints: entries },
+            &mut actions,
+        );
         for step in 0..500u64 {
             let now = S + step * 10 * MS;
-            gateway.handle(now, Event::Woke { token: 0 }, &mut actions);
+            gateway.handle(now, Event::TimerFired { token: 0 }, &mut actions);
             if step % 25 == 0 {
                 // A customer whose only gateway is this one.
                 let id = RequestId(format!("c{step}").into());
                 let (class, plan, customer) = (SAFE, PlanId(1), CustomerId(9));
                 let (first, spread, units, patience) = (GatewayId(me), 1, 1.0, S);
-                let event = Event::Request { id, class, plan, customer, units, first, spread, patience };
+                let event = Event::RequestReceived {
+                    id,
+                    class,
+                    plan,
+                    customer,
+                    units,
+                    gateways: GatewaySet { first, count: spread },
+                    client_timeout: patience,
+                };
                 gateway.handle(now, event, &mut actions);
             }
             by_second[(step / 100) as usize] += sends(&actions);
@@ -644,7 +673,7 @@
         for size in 0..80 {
             let mut bytes = vec![4, kind];
             bytes.extend((0..size).map(|_| random.u8(..)));
-            stand.event(Event::Peer { from: GatewayId(5), bytes });
+            stand.event(Event::PeerMessage { from: GatewayId(5), bytes });
         }
     }
     // One peer's word, however often, shuts no server out: all four are still used.
@@ -654,7 +683,7 @@
         stand.pass(400 * MS);
         if let Some((_, _, server)) = stand.out.iter().find(|(out, _, _)| *out == id) {
             used.insert(server.0);
-            stand.end(&id, Outcome::Ok);
+            stand.end(&id, AttemptOutcome::Success);
         }
     }
     assert!(!used.is_empty(), "something is sent on");
@@ -681,12 +710,12 @@
         stand.pass(10 * MS);
         while let Some(server) = stand.out.iter().find(|out| out.0 == id).map(|out| out.2) {
             let outcome = match server.0 {
-                0 if known => Outcome::Unreachable,
+                0 if known => AttemptOutcome::Unreachable,
                 0 => {
                     stand.pass(900 * MS); // silent, until it is called off and put on trial
-                    Outcome::Cancelled
+                    AttemptOutcome::Cancelled
                 }
-                _ => Outcome::Ok,
+                _ => AttemptOutcome::Success,
             };
             stand.end(&id, outcome);
             beside += u32::from(known && server.0 == 2);
@@ -711,7 +740,7 @@
         if let Some(server) = stand.out.iter().find(|out| out.0 == id).map(|out| out.2) {
             served += 1;
             at_first += usize::from(server.0 == 0);
-            stand.end(&id, Outcome::Ok);
+            stand.end(&id, AttemptOutcome::Success);
         }
         stand.pass(100 * MS);
     }
@@ -724,7 +753,7 @@
     let mut fleet = Fleet::new(60, 40, |settings| {
         settings.plans[0].rate = 40.0;
         settings.plans[0].burst = 12.0;
-        settings.peer_messages_per_s = 200.0;
+        settings.peer_messages_per_second = 200.0;
     });
     let sent = fleet.drive(0, 30, 6);
     assert!(sent >= 162, "of 180, three quarters of the quota: {sent}");
@@ -761,7 +790,7 @@
         let id = stand.request(class, 1, 7, 2 * S);
         if stand.out.iter().any(|out| out.0 == id) {
             served += 1;
-            stand.end(&id, Outcome::Ok);
+            stand.end(&id, AttemptOutcome::Success);
         }
         stand.pass(100 * MS);
     }
@@ -778,7 +807,7 @@
         while let Some(server) = stand.out.iter().find(|out| out.0 == id).map(|out| out.2) {
             let gone = server.0 < 6;
             (served, refused) = (served + u32::from(!gone), refused + u32::from(gone));
-            stand.end(&id, if gone { Outcome::Unreachable } else { Outcome::Ok });
+            stand.end(&id, if gone { AttemptOutcome::Unreachable } else { AttemptOutcome::Success });
         }
         stand.pass(50 * MS);
     }
@@ -798,7 +827,7 @@
             let id = stand.request(SAFE, 1, 7, 2 * S);
             met.extend(stand.out.iter().map(|out| out.2));
             stand.pass(100 * MS); // as long as is expected of a server that is not known yet
-            stand.end(&id, Outcome::Ok);
+            stand.end(&id, AttemptOutcome::Success);
         }
         assert!((4..=20).contains(&met.len()), "gateway {me} met {}", met.len());
         met_by_all.extend(met);
@@ -816,7 +845,7 @@
         for _ in 0..400 {
             let id = stand.request(SAFE, 1, 7, 2 * S);
             met.extend(stand.out.iter().map(|out| out.2));
-            stand.end(&id, Outcome::Ok);
+            stand.end(&id, AttemptOutcome::Success);
             stand.pass(10 * MS);
         }
     }
@@ -828,14 +857,14 @@
 fn advice_keeps_to_the_settings() {
     for (allowed, wanted) in [(None, None), (Some(5 * MS), Some(5 * MS)), (Some(10 * S), Some(80 * MS))] {
         let mut settings = settings(0, 2);
-        settings.allowed.retry_after = allowed;
+        settings.permissions.max_retry_after = allowed;
         let mut stand = Stand::with_servers(1, settings, S, 2);
         let mut told = Vec::new();
         for _ in 0..20 {
             let before = stand.log.len();
             stand.request(SAFE, 0, 7, 2 * S);
             told.extend(stand.log[before..].iter().filter_map(|action| match action {
-                Action::Refuse { retry_in, .. } => Some(*retry_in),
+                Action::Reject { retry_after, .. } => Some(*retry_after),
                 _ => None,
             }));
         }
@@ -851,8 +880,11 @@
     stand.request(SAFE, 1, 8, 5 * MS);
     stand.pass(2 * S);
     let plans = (PlanId(0), PlanId(1));
-    let counted: Vec<_> = stand.gateway.turned_away().collect();
-    let expected =
-        [(Reason::Hopeless, plans.1, 1), (Reason::Short, plans.0, 1), (Reason::Waiting, plans.0, 4)];
+    let counted: Vec<_> = stand.gateway.rejections().collect();
+    let expected = [
+        (RejectReason::DeadlineTooShort, plans.1, 1),
+        (RejectReason::QuotaExceeded, plans.0, 1),
+        (RejectReason::QueueTimeout, plans.0, 4),
+    ];
     assert_eq!(counted, expected);
 }
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use edge_node::interface::*;
+use edge_node::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 const SERVERS: u64 = 8;
@@ -36,7 +36,7 @@
             let over = |(id, at): (&RequestId, &Micros)| (*at <= now).then(|| id.clone());
             for id in self.due.iter().filter_map(over).collect::<Vec<_>>() {
                 self.due.remove(&id);
-                self.stand.end(&id, Outcome::Ok);
+                self.stand.end(&id, AttemptOutcome::Success);
             }
             while next <= now {
                 (next, self.customers) = (next + S / per_s, self.customers + 1);
@@ -57,7 +57,7 @@
         }
         let (mut of_low, mut first, mut all) = (0.0, 0.0, 0.0);
         for action in self.stand.log.drain(..) {
-            let Action::Send { id, server, .. } = action else { continue };
+            let Action::SendAttempt { id, server, .. } = action else { continue };
             of_low += f64::from(u8::from(low.contains(&id)));
             first += f64::from(u8::from(server.0 == 0));
             all += 1.0;
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -9,8 +9,8 @@
 mod common;
 
 use common::*;
-use edge_node::interface::*;
 use edge_node::Gateway;
+use edge_node::*;
 use fastrand::Rng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
@@ -20,41 +20,41 @@
 fn write_action(digest: &mut fnv::FnvHasher, gateway: usize, action: &Action) {
     digest.write(&(gateway as u64).to_le_bytes());
     match action {
-        Action::Send { id, server, time_out } => {
+        Action::SendAttempt { id, server, timeout } => {
             digest.write(&[0]);
             write_bytes(digest, id.0.as_bytes());
             digest.write(&server.0.to_le_bytes());
-            write_optional(digest, *time_out);
+            write_optional(digest, *timeout);
         }
-        Action::Refuse { id, retry_in } => {
+        Action::Reject { id, retry_after } => {
             digest.write(&[1]);
             write_bytes(digest, id.0.as_bytes());
-            write_optional(digest, *retry_in);
+            write_optional(digest, *retry_after);
         }
         Action::Fail { id } => {
             digest.write(&[2]);
             write_bytes(digest, id.0.as_bytes());
         }
-        Action::Cancel { id, attempt } => {
+        Action::CancelAttempt { id, attempt } => {
             digest.write(&[3]);
             write_bytes(digest, id.0.as_bytes());
             digest.write(&attempt.0.to_le_bytes());
         }
-        Action::TellAll { bytes } => {
+        Action::Broadcast { bytes } => {
             digest.write(&[4]);
             write_bytes(digest, bytes);
         }
-        Action::Tell { to, bytes } => {
+        Action::SendToPeer { to, bytes } => {
             digest.write(&[5]);
             digest.write(&to.0.to_le_bytes());
             write_bytes(digest, bytes);
         }
-        Action::Wake { after, token } => {
+        Action::SetTimer { after, token } => {
             digest.write(&[6]);
             digest.write(&after.to_le_bytes());
             digest.write(&token.to_le_bytes());
         }
-        Action::Follow => digest.write(&[7]),
+        Action::WatchEndpoints => digest.write(&[7]),
         Action::Log(text) => {
             digest.write(&[8]);
             write_numbers(digest, text);
@@ -114,7 +114,7 @@
 }
 
 struct Machine {
-    entry: ServerEntry,
+    entry: Endpoint,
     mood: Mood,
     open: u32,
 }
@@ -122,7 +122,7 @@
 /// What lies ahead, besides events for a gateway.
 enum Due {
     Event(usize, Event),
-    Ended(usize, RequestId, AttemptNo, ServerId, Outcome),
+    Ended(usize, RequestId, AttemptNumber, ServerId, AttemptOutcome),
 }
 
 struct Farm {
@@ -134,7 +134,7 @@
     due: BTreeMap<(Micros, u64), Due>,
     serial: u64,
     attempts: BTreeMap<(usize, RequestId), u32>,
-    out: BTreeMap<(usize, RequestId, AttemptNo), (Micros, u64)>,
+    out: BTreeMap<(usize, RequestId, AttemptNumber), (Micros, u64)>,
     digest: fnv::FnvHasher,
     /// Names of all that occurred.
     met: BTreeSet<String>,
@@ -146,7 +146,7 @@
             let mut settings = settings(me, gateways);
             settings.plans[0] = Plan { rate: 20.0, burst: 30.0, ..settings.plans[0].clone() };
             settings.zone = ZoneId(me % 2);
-            settings.cross_zone = 0.02;
+            settings.cross_zone_cost = 0.02;
             Gateway::new(seed + u64::from(me), settings, S).expect("sound settings")
         };
         let mut farm = Farm {
@@ -164,10 +164,10 @@
         };
         for number in 0..servers {
             let size = 1.0 + (number % 3) as f64;
-            let entry = ServerEntry { size, ..entry(number * 7919 + seed) };
+            let entry = Endpoint { weight: size, ..entry(number * 7919 + seed) };
             farm.machines.insert(entry.server, Machine { entry, mood: Mood::Well, open: 0 });
         }
-        farm.tell_list(ListKind::Complete, None);
+        farm.tell_list(EndpointUpdate::Snapshot, None);
         farm
     }
 
@@ -178,13 +178,16 @@
         key
     }
 
-    fn tell_list(&mut self, kind: ListKind, entries: Option<Vec<ServerEntry>>) {
+    fn tell_list(&mut self, kind: EndpointUpdate, entries: Option<Vec<Endpoint>>) {
         let all = || self.machines.values().map(|machine| machine.entry).collect();
-        let entries: Vec<ServerEntry> = entries.unwrap_or_else(all);
+        let entries: Vec<Endpoint> = entries.unwrap_or_else(all);
         for gateway in 0..self.gateways.len() {
             // In order: a change that comes after a later whole list would list more servers than there are.
             let after = 15 * MS * gateway as u64;
-            self.plan(after, Due::Event(gateway, Event::Servers { kind, entries: entries.clone() }));
+            self.plan(
+                after,
+                Due::Event(gateway, Event::EndpointsUpdated { kind, endpoints: entries.clone() }),
+            );
         }
     }
 
@@ -200,35 +203,35 @@
             let Some(server) = self.some_server() else { continue };
             let Some(machine) = self.machines.get_mut(&server) else { continue };
             match self.random.u8(0..10) {
-                0..=1 => machine.entry.standing = Standing::Draining,
+                0..=1 => machine.entry.state = EndpointState::Draining,
                 2..=5 => {
-                    machine.entry.standing = Standing::Ready;
-                    machine.entry.started = Some(self.now);
+                    machine.entry.state = EndpointState::Ready;
+                    machine.entry.started_at = Some(self.now);
                     machine.mood = Mood::Well;
                 }
                 6..=8 => {
                     let (gone, fresh) = (machine.entry, ServerId(server.0 + 1_000_003));
                     self.machines.remove(&server);
-                    changes.push(ServerEntry { standing: Standing::Gone, ..gone });
-                    let entry = ServerEntry { server: fresh, started: Some(self.now), ..gone };
-                    let entry = ServerEntry { standing: Standing::Ready, ..entry };
+                    changes.push(Endpoint { state: EndpointState::Gone, ..gone });
+                    let entry = Endpoint { server: fresh, started_at: Some(self.now), ..gone };
+                    let entry = Endpoint { state: EndpointState::Ready, ..entry };
                     self.machines.insert(fresh, Machine { entry, mood: Mood::Well, open: 0 });
                     changes.push(entry);
                     continue;
                 }
-                _ => machine.entry.standing = Standing::Ready,
+                _ => machine.entry.state = EndpointState::Ready,
             }
             changes.push(machine.entry);
         }
         match self.random.u8(0..8) {
-            0 => self.tell_list(ListKind::Complete, None),
+            0 => self.tell_list(EndpointUpdate::Snapshot, None),
             1 => {
                 let left_out = self.some_server();
                 let kept = self.machines.values().map(|machine| machine.entry);
                 let kept = kept.filter(|entry| Some(entry.server) != left_out).collect();
-                self.tell_list(ListKind::Complete, Some(kept));
+                self.tell_list(EndpointUpdate::Snapshot, Some(kept));
             }
-            _ => self.tell_list(ListKind::Changes, Some(changes)),
+            _ => self.tell_list(EndpointUpdate::Delta, Some(changes)),
         }
     }
 
@@ -252,22 +255,21 @@
         let spread = if self.wide && customer < 30 { PLAYED } else { self.gateways.len() as u32 };
         let spread = if self.wide && customer >= 36 { 300 } else { spread };
         let id = RequestId(format!("r{number}").into());
-        let event = Event::Request {
+        let event = Event::RequestReceived {
             id: id.clone(),
             class: ClassId(self.random.usize(0..4)),
             plan: PlanId((customer % 4) as usize),
             customer: CustomerId(customer),
             units: 0.25 + self.random.f64() / 2.0,
-            first: GatewayId(0),
-            spread,
-            patience: self.random.u64(200 * MS..3 * S),
+            gateways: GatewaySet { first: GatewayId(0), count: spread },
+            client_timeout: self.random.u64(200 * MS..3 * S),
         };
         self.handle(gateway, event);
         match self.random.u8(0..60) {
-            0 => self.handle(gateway, Event::Abandoned { id }),
-            1 => self.handle(gateway, Event::Started { id }),
-            2 => self.handle(gateway, Event::ListFailed),
-            3 => self.handle(gateway, Event::Peer { from: GatewayId(1), bytes: vec![3, 2, 9] }),
+            0 => self.handle(gateway, Event::ClientDisconnected { id }),
+            1 => self.handle(gateway, Event::StreamStarted { id }),
+            2 => self.handle(gateway, Event::WatchFailed),
+            3 => self.handle(gateway, Event::PeerMessage { from: GatewayId(1), bytes: vec![3, 2, 9] }),
             _ => {}
         }
     }
@@ -286,33 +288,33 @@
 
     fn act(&mut self, gateway: usize, action: Action) {
         match action {
-            Action::Send { id, server, .. } => {
+            Action::SendAttempt { id, server, .. } => {
                 let count = self.attempts.entry((gateway, id.clone())).or_default();
-                let attempt = AttemptNo(*count);
+                let attempt = AttemptNumber(*count);
                 *count += 1;
                 let (took, outcome) = self.served(server);
                 let due = Due::Ended(gateway, id.clone(), attempt, server, outcome);
                 let key = self.plan(took, due);
                 self.out.insert((gateway, id, attempt), key);
             }
-            Action::Cancel { id, attempt } => {
+            Action::CancelAttempt { id, attempt } => {
                 let Some(key) = self.out.remove(&(gateway, id.clone(), attempt)) else { return };
                 let Some(Due::Ended(_, _, _, server, _)) = self.due.remove(&key) else { return };
-                let due = Due::Ended(gateway, id.clone(), attempt, server, Outcome::Cancelled);
+                let due = Due::Ended(gateway, id.clone(), attempt, server, AttemptOutcome::Cancelled);
                 let key = self.plan(MS, due);
                 self.out.insert((gateway, id, attempt), key);
             }
-            Action::TellAll { bytes } => {
+            Action::Broadcast { bytes } => {
                 for to in (0..self.gateways.len()).filter(|to| *to != gateway) {
                     self.tell(gateway, to, bytes.clone());
                 }
             }
-            Action::Tell { to, bytes } => self.tell(gateway, to.0 as usize, bytes),
-            Action::Wake { after, token } => {
+            Action::SendToPeer { to, bytes } => self.tell(gateway, to.0 as usize, bytes),
+            Action::SetTimer { after, token } => {
                 let late = if self.random.u8(0..200) == 0 { 80 * MS } else { 0 };
-                self.plan(after + late, Due::Event(gateway, Event::Woke { token }));
+                self.plan(after + late, Due::Event(gateway, Event::TimerFired { token }));
             }
-            Action::Refuse { .. } | Action::Fail { .. } | Action::Follow | Action::Log(_) => {}
+            Action::Reject { .. } | Action::Fail { .. } | Action::WatchEndpoints | Action::Log(_) => {}
         }
     }
 
@@ -320,30 +322,32 @@
         let lost = self.random.u8(0..20) == 0 || to >= self.gateways.len();
         let after = self.random.u64(MS..25 * MS);
         if !lost {
-            let event = Event::Peer { from: GatewayId(from as u32), bytes };
+            let event = Event::PeerMessage { from: GatewayId(from as u32), bytes };
             self.plan(after, Due::Event(to, event));
         }
     }
 
     /// How long an attempt takes at a server, and how it ends.
-    fn served(&mut self, server: ServerId) -> (Micros, Outcome) {
-        let Some(machine) = self.machines.get_mut(&server) else { return (MS, Outcome::Unreachable) };
+    fn served(&mut self, server: ServerId) -> (Micros, AttemptOutcome) {
+        let Some(machine) = self.machines.get_mut(&server) else { return (MS, AttemptOutcome::Unreachable) };
         machine.open += 1;
-        let queue = f64::from(machine.open) / machine.entry.size;
+        let queue = f64::from(machine.open) / machine.entry.weight;
         let took = (20e3 * (0.5 + self.random.f64()) * queue.max(1.0)) as Micros;
         let draw = self.random.u8(0..100);
         match machine.mood {
-            _ if draw == 0 => (took, Outcome::Broken),
-            _ if draw == 1 => (MS, Outcome::NotSent),
-            Mood::Well if draw == 2 => (took, Outcome::Error),
-            Mood::Well => (took, Outcome::Ok),
-            Mood::Slow => (8 * took, if draw < 30 { Outcome::TimedOut } else { Outcome::Ok }),
-            Mood::Failing if draw < 40 => (took, Outcome::Error),
-            Mood::Failing if draw < 60 => (MS, Outcome::Full),
-            Mood::Failing if draw < 70 => (took, Outcome::Broken),
-            Mood::Failing => (took, Outcome::Ok),
-            Mood::Dark => (MS, Outcome::Unreachable),
-            Mood::Hung => (4 * S, Outcome::TimedOut),
+            _ if draw == 0 => (took, AttemptOutcome::ConnectionLost),
+            _ if draw == 1 => (MS, AttemptOutcome::NotSent),
+            Mood::Well if draw == 2 => (took, AttemptOutcome::ServerError),
+            Mood::Well => (took, AttemptOutcome::Success),
+            Mood::Slow => {
+                (8 * took, if draw < 30 { AttemptOutcome::TimedOut } else { AttemptOutcome::Success })
+            }
+            Mood::Failing if draw < 40 => (took, AttemptOutcome::ServerError),
+            Mood::Failing if draw < 60 => (MS, AttemptOutcome::Overloaded),
+            Mood::Failing if draw < 70 => (took, AttemptOutcome::ConnectionLost),
+            Mood::Failing => (took, AttemptOutcome::Success),
+            Mood::Dark => (MS, AttemptOutcome::Unreachable),
+            Mood::Hung => (4 * S, AttemptOutcome::TimedOut),
         }
     }
 
@@ -358,10 +362,16 @@
                     machine.open = machine.open.saturating_sub(1);
                     machine.open
                 });
-                let answered = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
+                let answered = matches!(
+                    outcome,
+                    AttemptOutcome::Success | AttemptOutcome::ServerError | AttemptOutcome::Overloaded
+                );
                 let load = (answered && self.random.bool()).then_some(f64::from(held));
-                let closed = outcome == Outcome::Ok || self.random.u8(0..10) == 0;
-                self.handle(gateway, Event::Ended { id, attempt, outcome, closed, load });
+                let closed = outcome == AttemptOutcome::Success || self.random.u8(0..10) == 0;
+                self.handle(
+                    gateway,
+                    Event::AttemptFinished { id, attempt, outcome, closed, reported_load: load },
+                );
             }
         }
     }
@@ -405,9 +415,9 @@
             met.extend(names);
         }
     }
-    let all =
-        "Servers ListFailed Request Started Ended Abandoned Woke Peer Send Refuse Fail Cancel TellAll Tell \
-               Wake Log Ok Error Full TimedOut Unreachable Broken Cancelled NotSent";
+    let all = "EndpointsUpdated WatchFailed RequestReceived StreamStarted AttemptFinished ClientDisconnected TimerFired \
+               PeerMessage SendAttempt Reject Fail CancelAttempt Broadcast SendToPeer SetTimer Log \
+               Success ServerError Overloaded TimedOut Unreachable ConnectionLost Cancelled NotSent";
     let missing: Vec<_> = all.split_whitespace().filter(|name| !met.contains(*name)).collect();
     assert!(missing.is_empty(), "the log holds none of {missing:?}");
     let lines = |digests: &[(u32, u64, u64, u64)]| {
--- a/tests/server_table.rs
+++ b/tests/server_table.rs
@@ -4,7 +4,7 @@
 mod gateway_pair;
 
 use common::{settings, Stand, KEYED, S};
-use edge_node::interface::*;
+use edge_node::*;
 use gateway_pair::{entry, whole, Pair};
 use std::collections::BTreeSet;
 
@@ -13,7 +13,7 @@
 /// Entries that both gateways looked at in a second of requests, after one that let them meet the servers.
 fn visited_in_a_second(servers: u64) -> u64 {
     let mut pair = Pair::new(servers).expect("sound settings");
-    let seen = |pair: &Pair| pair.gateways.iter().map(|gateway| gateway.visited()).sum::<u64>();
+    let seen = |pair: &Pair| pair.gateways.iter().map(|gateway| gateway.entries_visited()).sum::<u64>();
     (0..200).for_each(|number| pair.request(number));
     let before = seen(&pair);
     (200..400).for_each(|number| pair.request(number));
@@ -34,14 +34,14 @@
     for number in 0..1_000 {
         let server = entry(number / 3 * 331);
         let changed = match number % 3 {
-            0 => ServerEntry { standing: Standing::Draining, ..server },
-            1 => ServerEntry { standing: Standing::Gone, ..server },
-            _ => ServerEntry { started: Some(pair.now), ..server },
+            0 => Endpoint { state: EndpointState::Draining, ..server },
+            1 => Endpoint { state: EndpointState::Gone, ..server },
+            _ => Endpoint { started_at: Some(pair.now), ..server },
         };
-        let before = pair.gateways[0].visited();
-        let event = Event::Servers { kind: ListKind::Changes, entries: vec![changed] };
+        let before = pair.gateways[0].entries_visited();
+        let event = Event::EndpointsUpdated { kind: EndpointUpdate::Delta, endpoints: vec![changed] };
         pair.gateways[0].handle(pair.now, event, &mut Vec::new());
-        let visited = pair.gateways[0].visited() - before;
+        let visited = pair.gateways[0].entries_visited() - before;
         assert!(visited <= 3, "entry {number} visited {visited}");
     }
 }
@@ -55,9 +55,9 @@
     let met: BTreeSet<_> = pair.sent.iter().filter(|sent| sent.0 == 0).map(|sent| sent.1).collect();
     let part = 7 * servers as usize / 4_200 + 1;
     assert!(met.len() > part * 3 / 4 && met.len() <= part, "{} of a part of {part}", met.len());
-    let gone = |server: &ServerId| ServerEntry { standing: Standing::Gone, ..entry(server.0 & 0xFFFF_FFFF) };
+    let gone = |server: &ServerId| Endpoint { state: EndpointState::Gone, ..entry(server.0 & 0xFFFF_FFFF) };
     let left: Vec<_> = met.iter().take(part / 2).map(gone).collect();
-    pair.handle(0, Event::Servers { kind: ListKind::Changes, entries: left.clone() });
+    pair.handle(0, Event::EndpointsUpdated { kind: EndpointUpdate::Delta, endpoints: left.clone() });
     pair.sent.clear();
     (1_500..3_000).for_each(|number| pair.request(number));
     let late: Vec<_> = pair.sent.iter().filter(|sent| sent.0 == 0).map(|sent| sent.1).collect();
@@ -89,15 +89,15 @@
 fn a_repeat_finds_its_cell() {
     let mut stand = Stand::new(3, settings(0, 4_200), S);
     stand.spread = 1;
-    stand.servers(ListKind::Complete, (0..5_000).map(entry).collect());
+    stand.servers(EndpointUpdate::Snapshot, (0..5_000).map(entry).collect());
     for round in 0..20 {
         let id = stand.request(KEYED, 1, round, 2 * S);
         let sent =
             |stand: &Stand| stand.out.iter().find(|(out, _, _)| *out == id).map(|(_, _, server)| *server);
         let first = sent(&stand).expect("a first attempt");
-        stand.end(&id, Outcome::Broken);
+        stand.end(&id, AttemptOutcome::ConnectionLost);
         let again = sent(&stand).expect("a repeat");
         assert_eq!(stand.list[&first].cell, stand.list[&again].cell);
-        stand.end(&id, Outcome::Ok);
+        stand.end(&id, AttemptOutcome::Success);
     }
 }
--- /dev/null
+++ b/tests/unit/load_report.rs
@@ -0,0 +1,14 @@
+//! Load reports as they are parsed from a header.
+
+use super::*;
+
+#[test]
+fn a_load_report_that_cannot_be_read_tells_nothing() {
+    assert_eq!(parse_in_flight("concurrent=7.5,depth=2,load_share=0.61", '='), Some(7.5));
+    assert_eq!(parse_in_flight("depth:2, concurrent : 0", ':'), Some(0.0));
+    for bad in
+        ["", "concurrent", "concurrent=", "concurrent=-1", "concurrent=NaN", "concurrent=1e99", "depth=3"]
+    {
+        assert_eq!(parse_in_flight(bad, '='), None, "{bad:?}");
+    }
+}
--- a/tests/unit/servers.rs
+++ b/tests/unit/servers.rs
@@ -10,8 +10,8 @@
 /// What may come to a table.
 #[derive(Clone, Debug)]
 enum Step {
-    List(Vec<ServerEntry>),
-    Changes(Vec<ServerEntry>),
+    List(Vec<Endpoint>),
+    Changes(Vec<Endpoint>),
     /// A server's share of failures with a class, the time of its next trial, and when that was seen.
     Health(ServerId, usize, (f64, Option<Micros>)),
     Touch(ServerId),
@@ -21,17 +21,16 @@
     Wait(Micros),
 }
 
-fn entry() -> impl Strategy<Value = ServerEntry> {
-    let standing =
-        prop_oneof![4 => Just(Standing::Ready), 1 => Just(Standing::Draining), 1 => Just(Standing::Gone)];
+fn entry() -> impl Strategy<Value = Endpoint> {
+    let standing = prop_oneof![4 => Just(EndpointState::Ready), 1 => Just(EndpointState::Draining), 1 => Just(EndpointState::Gone)];
     let started = prop_oneof![2 => Just(None), 1 => (0..60u64).prop_map(Some)];
-    (0..12u64, 0..3u64, standing, started).prop_map(|(server, cell, standing, started)| ServerEntry {
+    (0..12u64, 0..3u64, standing, started).prop_map(|(server, cell, standing, started)| Endpoint {
         server: ServerId(server),
         zone: ZoneId(0),
         cell: CellId(cell),
-        standing,
-        size: 1.0,
-        started,
+        state: standing,
+        weight: 1.0,
+        started_at: started,
     })
 }
 
@@ -60,7 +59,7 @@
 
 #[derive(Clone)]
 struct Known {
-    entry: ServerEntry,
+    entry: Endpoint,
     health: [(f64, Option<Micros>, Micros); CLASSES],
     open: u32,
     met: Micros,
@@ -68,18 +67,18 @@
 
 impl Naive {
     fn ready(&self) -> impl Iterator<Item = &Known> + Clone {
-        self.all.values().filter(|known| known.entry.standing == Standing::Ready)
+        self.all.values().filter(|known| known.entry.state == EndpointState::Ready)
     }
 
-    fn list(&mut self, now: Micros, entries: &[ServerEntry]) {
+    fn list(&mut self, now: Micros, entries: &[Endpoint]) {
         for entry in entries {
             let fresh = Known { entry: *entry, health: Default::default(), open: 0, met: now };
             let known = self.all.entry(entry.server).or_insert_with(|| fresh.clone());
-            if entry.standing != Standing::Ready {
-                known.entry.standing = entry.standing;
+            if entry.state != EndpointState::Ready {
+                known.entry.state = entry.state;
                 continue;
             }
-            if known.entry.started != entry.started {
+            if known.entry.started_at != entry.started_at {
                 *known = Known { open: known.open, ..fresh };
             }
             known.entry = *entry;
@@ -88,7 +87,7 @@
 
     fn tidy(&mut self, now: Micros) {
         let forgets = self.ready().count() > self.walked;
-        self.all.retain(|_, known| known.open > 0 || known.entry.standing != Standing::Gone);
+        self.all.retain(|_, known| known.open > 0 || known.entry.state != EndpointState::Gone);
         for known in self.all.values_mut() {
             let out = known.health.iter().any(|health| health.1.is_some());
             if forgets && known.open == 0 && !out && now - known.met >= SPAN {
@@ -99,20 +98,35 @@
 }
 
 fn settings() -> Settings {
-    let class = Class { aim: 1, late_value: 0.0, worth: 1.0, effect: Effect::Safe };
+    let class = Class {
+        latency_objective: 1,
+        late_weight: 0.0,
+        priority_weight: 1.0,
+        idempotency: Idempotency::Idempotent,
+    };
     Settings {
-        me: GatewayId(3),
-        gateways: 9,
+        gateway_id: GatewayId(3),
+        gateway_count: 9,
         zone: ZoneId(0),
         classes: vec![class; CLASSES],
         plans: Vec::new(),
-        rules: Rules { cold_from: 0.1, cold_for: COLD_FOR, fall_multiple: 2.0, fall_window: 1 },
-        allowed: Allowed { attempts: 1, cancel: false, messages: false, retry_after: None },
-        cross_zone: 0.0,
-        discovery: Discovery::Pushed,
-        period: 1,
-        peer_messages_per_s: 1.0,
-        most_units: 1.0,
+        rules: Rules {
+            warm_up_from: 0.1,
+            warm_up_period: COLD_FOR,
+            overload_multiple: 2.0,
+            overload_window: 1,
+        },
+        permissions: Permissions {
+            max_attempts: 1,
+            cancel_attempts: false,
+            peer_messages: false,
+            max_retry_after: None,
+        },
+        cross_zone_cost: 0.0,
+        discovery: EndpointDiscovery::Pushed,
+        event_period: 1,
+        peer_messages_per_second: 1.0,
+        max_request_units: 1.0,
     }
 }
 
@@ -147,7 +161,7 @@
     let seen: Vec<_> = seen.into_iter().map(|(_, id, class)| (id, class)).collect();
     prop_assert_eq!(table.seen_after(now.saturating_sub(30)).collect::<Vec<_>>(), seen);
     let warm =
-        naive.ready().filter(|known| known.entry.started.is_none_or(|started| started + COLD_FOR <= now));
+        naive.ready().filter(|known| known.entry.started_at.is_none_or(|started| started + COLD_FOR <= now));
     prop_assert_eq!(table.warm(now), warm.count());
     for known in naive.all.values().filter(|known| known.health.iter().any(|health| health.2 > 0)) {
         let server = table.get(&known.entry.server);
@@ -174,13 +188,13 @@
         for step in steps {
             match step {
                 Step::List(entries) => {
-                    naive.all.values_mut().for_each(|known| known.entry.standing = Standing::Gone);
+                    naive.all.values_mut().for_each(|known| known.entry.state = EndpointState::Gone);
                     naive.list(now, &entries);
-                    table.list(now, ListKind::Complete, entries);
+                    table.list(now, EndpointUpdate::Snapshot, entries);
                 }
                 Step::Changes(entries) => {
                     naive.list(now, &entries);
-                    table.list(now, ListKind::Changes, entries);
+                    table.list(now, EndpointUpdate::Delta, entries);
                 }
                 Step::Health(id, class, (failing, trial)) => {
                     // Of one that is not ready and was never used the table knows nothing: it need not.
@@ -216,7 +230,7 @@
             }
             // Of one that is not ready and was never used the table keeps not even when it started: it need not. So it
             // may forget only what has no attempt out and no evidence.
-            let leaving = naive.all.values().filter(|known| known.entry.standing != Standing::Ready);
+            let leaving = naive.all.values().filter(|known| known.entry.state != EndpointState::Ready);
             let left: Vec<_> = leaving.map(|known| known.entry.server).collect();
             for id in left.into_iter().filter(|id| table.get(id).is_none()) {
                 let known = naive.all.remove(&id);
