--- a/fleet-lab/src/hybrid/hollow.rs
+++ b/fleet-lab/src/hybrid/hollow.rs
@@ -107,7 +107,7 @@
                 });
             }
             // The list comes by itself.
-            Action::WatchEndpoints | Action::Log(_) => {}
+            Action::WatchEndpoints | Action::Warn(_) => {}
         }
     }
 
--- a/fleet-lab/src/scaling/fixture.rs
+++ b/fleet-lab/src/scaling/fixture.rs
@@ -381,7 +381,7 @@
             | Action::Fail { .. }
             | Action::CancelAttempt { .. }
             | Action::WatchEndpoints
-            | Action::Log(_) => {}
+            | Action::Warn(_) => {}
         }
     }
 
--- a/fleet-lab/src/simulate/engine/mod.rs
+++ b/fleet-lab/src/simulate/engine/mod.rs
@@ -363,7 +363,7 @@
                 self.put(now + after, What::Wake { node, life, token });
             }
             Action::WatchEndpoints => self.put(now + ASKED, What::Poll { node, asked: true }),
-            Action::Log(line) => {
+            Action::Warn(line) => {
                 let at = (now - START) as f64 / 1e6;
                 (self.log)(&format!("{at:.3} s gateway {node}: {line}"));
             }
--- a/src/action.rs
+++ b/src/action.rs
@@ -1,6 +1,7 @@
 //! Actions: everything that a gateway asks its shell to do.
 
 use crate::types::{AttemptNumber, GatewayId, Micros, RequestId, ServerId};
+use crate::warning::Warning;
 
 /// Output of [`Gateway::handle`](crate::Gateway::handle), to be carried out in the order given.
 #[derive(Clone, Debug, PartialEq)]
@@ -54,6 +55,6 @@
     },
     /// Start to watch the endpoint list.
     WatchEndpoints,
-    /// Write a line to the log.
-    Log(String),
+    /// Warn operators, in the log.
+    Warn(Warning),
 }
--- a/src/bin/edge-node/node.rs
+++ b/src/bin/edge-node/node.rs
@@ -149,7 +149,7 @@
                 });
             }
             Action::WatchEndpoints => {} // discovery is always followed
-            Action::Log(line) => warn!(event = "decision", "{line}"),
+            Action::Warn(line) => warn!(event = "decision", "{line}"),
         }
     }
 
--- a/src/bin/simulator-adapter/main.rs
+++ b/src/bin/simulator-adapter/main.rs
@@ -299,6 +299,6 @@
             writeln!(reply, "defer\ti={number}\tdelayUs={after}\tnonce={token}")
         }
         Action::WatchEndpoints => writeln!(reply, "track\ti={number}\tactive=1"),
-        Action::Log(words) => writeln!(reply, "say_log\ti={number}\twords={words}"),
+        Action::Warn(words) => writeln!(reply, "say_log\ti={number}\twords={words}"),
     };
 }
--- /dev/null
+++ b/src/gateway/control_tick.rs
@@ -0,0 +1,128 @@
+//! The control tick: the fuzzy controller moves the in-flight limit, and the estimates of the fleet are renewed.
+
+use super::Gateway;
+use crate::message::UNKNOWN_RATIO;
+use crate::policy::fuzzy_controller::{counts_while_open, Observation, TICK_PERIOD};
+use crate::policy::gossip::REPORT_LIFETIME;
+use crate::policy::load_balancing::INITIAL_WAIT_SHARE;
+use crate::policy::outlier_detection::MAX_SERVER_IDLE;
+use crate::policy::quota::partitioned_gateways;
+use crate::policy::slow_start::SlowStart;
+use crate::state::deployment::FleetMode;
+use crate::state::latency_samples::LatencySamples;
+use crate::state::server::Server;
+use crate::statistics::{median, update_mean};
+use crate::types::{ClassId, Micros};
+use crate::warning::Warning;
+use crate::Action;
+
+impl Gateway {
+    pub(super) fn on_control_tick(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        if now < self.timers.next_control_tick {
+            return;
+        }
+        self.timers.next_control_tick = now + TICK_PERIOD;
+        let mut samples = self.latencies.take();
+        self.add_open_requests(now, &mut samples);
+        self.update_latency_ratios(&samples);
+        self.update_in_flight();
+        self.move_in_flight_limit(actions);
+        self.update_fleet_estimates(now);
+        self.grant_slow_start_credit(now);
+        self.evict_idle(now);
+    }
+
+    fn add_open_requests(&mut self, now: Micros, samples: &mut LatencySamples) {
+        for request in self.requests.values_mut() {
+            let objective = self.deployment.class_of(request).latency_objective.max(1) as f64;
+            let ratio = now.saturating_sub(request.due_since) as f64 / objective;
+            let samples = samples.of(request.class);
+            if counts_while_open(self.deployment.mode, request, ratio, samples.mean()) {
+                samples.add(ratio);
+            }
+        }
+    }
+
+    fn update_latency_ratios(&mut self, samples: &LatencySamples) {
+        let mode = self.deployment.mode;
+        let weight = mode.parameters().latency_ratio_weight;
+        for (class, samples) in samples.iter().enumerate() {
+            if let Some(ratio) = samples.mean() {
+                self.fleet.merge_latency_ratio(ClassId(class), ratio, weight);
+            } else if mode == FleetMode::Gossip {
+                self.fleet.latency_ratios[class] = UNKNOWN_RATIO;
+            }
+        }
+    }
+
+    fn update_in_flight(&mut self) {
+        let weight = self.deployment.mode.parameters().in_flight_weight;
+        let lowest = self.attempts.count_of(self.deployment.lowest_class);
+        update_mean(&mut self.fleet.lowest_in_flight, lowest, weight);
+        update_mean(&mut self.fleet.total_in_flight, self.attempts.count(), weight);
+    }
+
+    fn move_in_flight_limit(&mut self, actions: &mut Vec<Action>) {
+        let was_limiting = self.controller.is_limiting();
+        let in_flight = self.fleet.lowest_in_flight;
+        let ratio = self.fleet.worst_latency_ratio(self.deployment.lowest_class);
+        let observation = ratio.map(|latency_ratio| Observation {
+            latency_ratio,
+            lowest_in_flight: in_flight,
+            total_in_flight: self.fleet.total_in_flight,
+            share: 1.0 / f64::from(self.deployment.settings.gateway_count),
+        });
+        self.controller.tick(in_flight, observation);
+        let has_started = self.controller.is_limiting() && !was_limiting;
+        // Hundreds of gateways would flood the log.
+        let warns = has_started && self.deployment.mode == FleetMode::Gossip;
+        if let Some(latency_ratio) = ratio.filter(|_| warns) {
+            actions.push(Action::Warn(Warning::ObjectiveMissed { latency_ratio, in_flight }));
+        }
+    }
+
+    fn update_fleet_estimates(&mut self, now: Micros) {
+        let parameters = self.deployment.mode.parameters();
+        let rate = self.fleet.completed_since_tick / (TICK_PERIOD as f64 / 1e6);
+        update_mean(&mut self.fleet.throughput, rate, parameters.throughput_weight);
+        self.fleet.completed_since_tick = 0.0;
+        let waits = self.servers.sorted(Server::known_wait);
+        let initial_wait = self.deployment.shortest_objective * INITIAL_WAIT_SHARE;
+        self.fleet.median_wait = median(&waits, parameters.lesser_median).unwrap_or(initial_wait);
+        let load_factors = self.servers.sorted(|server| {
+            let is_recent = now <= server.load_reported_at.saturating_add(REPORT_LIFETIME);
+            let load = server.reported_load.filter(|_| is_recent);
+            load.map(|load| server.load_factor(load))
+        });
+        self.fleet.load_factor = median(&load_factors, parameters.lesser_median);
+    }
+
+    fn grant_slow_start_credit(&mut self, now: Micros) {
+        let warm = self.warm_servers(now);
+        let ready = self.servers.ready_count();
+        let slow_start = SlowStart::new(self.context(now), warm, ready, TICK_PERIOD);
+        let rules = &self.deployment.settings.rules;
+        for server in self.servers.iter_tracked_mut().filter(|server| !server.is_warm(rules, now)) {
+            let fraction = server.warm_up_fraction(rules, now);
+            slow_start.grant(server, fraction, self.random.f64());
+        }
+    }
+
+    fn warm_servers(&mut self, now: Micros) -> usize {
+        if !self.servers.walks_all() {
+            return self.servers.warm_count(now);
+        }
+        let rules = &self.deployment.settings.rules;
+        self.servers.iter_ready().filter(|server| server.is_warm(rules, now)).count()
+    }
+
+    /// Drops what tells nothing any more: memory would grow with every customer and server ever seen.
+    fn evict_idle(&mut self, now: Micros) {
+        let plans = &self.deployment.settings.plans;
+        let last_heard = &self.quotas.last_heard;
+        let silent = |gateways| partitioned_gateways(last_heard, gateways, now);
+        self.quotas.local.retain(|_, bucket| !bucket.is_idle(now, &plans[bucket.plan.0], silent));
+        self.quotas.owned.retain(|_, bucket| !bucket.is_idle(now, &plans[bucket.plan.0], |_| 0.0));
+        self.servers.evict_idle(now, MAX_SERVER_IDLE);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,25 +3,26 @@
 #![warn(missing_docs)]
 
 mod action;
-mod bucket;
-pub mod control;
 mod event;
-mod fuzzy;
+mod fuzzy_inference;
+mod gateway;
+mod hash;
 pub mod load_report;
 mod message;
-mod ranked;
+pub mod policy;
 pub mod reconnect;
-mod servers;
 pub mod settings;
 mod state;
-mod subset;
+mod statistics;
 mod types;
+mod warning;
 
 pub use action::Action;
-pub use control::Gateway;
 pub use event::Event;
+pub use gateway::Gateway;
 pub use settings::{
     Class, DeduplicationScope, EndpointDiscovery, HardLimit, Idempotency, Permissions, Plan,
     ResolvedSettings, Rules, Settings, SettingsError,
 };
 pub use types::*;
+pub use warning::Warning;
--- /dev/null
+++ b/src/message/encode.rs
@@ -0,0 +1,103 @@
+//! Encoding: little-endian numbers, one after the other. What does not fit is left out.
+
+use super::*;
+
+/// Encodes a message.
+pub(crate) fn encode(message: &Message) -> Vec<u8> {
+    let mut bytes = vec![VERSION];
+    match message {
+        Message::UsageCounts(usage) => encode_usage(usage, &mut bytes),
+        Message::LeaseRequest(request, digest) => {
+            encode_lease_request(request, &mut bytes);
+            encode_digest(digest, &mut bytes);
+        }
+        Message::LeaseAnswer(answer, digest) => {
+            encode_lease_answer(answer, &mut bytes);
+            encode_digest(digest, &mut bytes);
+        }
+        Message::PermitRelease(release) => {
+            bytes.push(KIND_PERMIT_RELEASE);
+            bytes.extend_from_slice(&release.sequence.to_le_bytes());
+            bytes.extend_from_slice(&customer_bytes(release.customer));
+        }
+    }
+    bytes
+}
+
+fn encode_usage(usage: &UsageCounts, bytes: &mut Vec<u8>) {
+    bytes.push(KIND_USAGE);
+    bytes.extend_from_slice(&usage.incarnation.to_le_bytes());
+    for usage in usage.counts.iter().take(MAX_USAGE_COUNTS) {
+        bytes.extend_from_slice(&customer_bytes(usage.customer));
+        bytes.extend_from_slice(&usage.count.to_le_bytes());
+    }
+}
+
+fn encode_lease_request(request: &LeaseRequest, bytes: &mut Vec<u8>) {
+    bytes.push(KIND_LEASE_REQUEST);
+    bytes.extend_from_slice(&request.sequence.to_le_bytes());
+    bytes.extend_from_slice(&customer_bytes(request.customer));
+    bytes.push(request.plan.0 as u8);
+    bytes.push(request.owner_index);
+    bytes.extend_from_slice(&(request.gateways.first.0 as u16).to_le_bytes());
+    bytes.extend_from_slice(&(request.gateways.count as u16).to_le_bytes());
+    bytes.extend_from_slice(&fraction_bytes(request.units));
+    bytes.extend_from_slice(&fraction_bytes(request.requested_units));
+    bytes.extend_from_slice(&request.returned.sequence.to_le_bytes());
+    bytes.extend_from_slice(&fraction_bytes(request.returned.units));
+}
+
+fn encode_lease_answer(answer: &LeaseAnswer, bytes: &mut Vec<u8>) {
+    bytes.push(KIND_LEASE_ANSWER);
+    bytes.extend_from_slice(&answer.sequence.to_le_bytes());
+    bytes.push(match answer.grant.decision {
+        LeaseDecision::Granted => DECISION_GRANTED,
+        LeaseDecision::QuotaExceeded => DECISION_QUOTA_EXCEEDED,
+    });
+    bytes.push(rounded_byte(answer.grant.request_probability * f64::from(u8::MAX)));
+    // Rounded down: no more is told than was granted.
+    let leased = (answer.grant.leased_units * FRACTION_STEPS).floor() as u16;
+    bytes.extend_from_slice(&leased.to_le_bytes());
+}
+
+fn encode_digest(digest: &GossipDigest, bytes: &mut Vec<u8>) {
+    bytes.push(rounded_byte(digest.throughput * FRACTION_STEPS));
+    bytes.push(digest.latency_ratios.len().min(MAX_CLASSES) as u8);
+    for ratio in digest.latency_ratios.iter().take(MAX_CLASSES) {
+        bytes.push(if *ratio < 0.0 { UNKNOWN } else { known_byte(ratio * FRACTION_STEPS) });
+    }
+    // A class beyond those that a report can name would pass for another one.
+    for report in digest.reports.iter().filter(|report| report.class.0 < MAX_CLASSES) {
+        if bytes.len() + HEALTH_REPORT_BYTES > MAX_MESSAGE_BYTES {
+            break;
+        }
+        encode_report(report, bytes);
+    }
+}
+
+fn encode_report(report: &HealthReport, bytes: &mut Vec<u8>) {
+    let failure_rate = report.failure_rate.clamp(0.0, 1.0) * f64::from(FAILURE_RATE_STEPS);
+    bytes.extend_from_slice(&report.server.0.to_le_bytes());
+    bytes.push(report.class.0 as u8 * (FAILURE_RATE_STEPS + 1) + failure_rate.round() as u8);
+    bytes.push(rounded_byte(report.wait / WAIT_STEP));
+    bytes.push(report.load.map_or(UNKNOWN, known_byte));
+    bytes.push((report.age / AGE_STEP).min(u64::from(u8::MAX)) as u8);
+}
+
+fn customer_bytes(customer: CustomerId) -> [u8; CUSTOMER_BYTES] {
+    let [a, b, c, d, e, ..] = customer.0.to_le_bytes();
+    [a, b, c, d, e]
+}
+
+fn fraction_bytes(value: f64) -> [u8; 2] {
+    ((value * FRACTION_STEPS).round() as u16).to_le_bytes()
+}
+
+fn rounded_byte(value: f64) -> u8 {
+    value.round().clamp(0.0, f64::from(u8::MAX)) as u8
+}
+
+/// A value that must not look like an unknown one.
+fn known_byte(value: f64) -> u8 {
+    rounded_byte(value).min(UNKNOWN - 1)
+}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,17 @@
+//! Every decision of a gateway, by concern: each choice, threshold and refusal, listed as `policy` in
+//! `deploy/balancer.toml`. The [`gateway`](crate::gateway) carries them out on the [`state`](crate::state).
+
+pub(crate) mod admission;
+pub(crate) mod deadlines;
+pub(crate) mod fleet_mode;
+pub mod fuzzy_controller;
+pub(crate) mod gossip;
+pub(crate) mod lease;
+pub(crate) mod load_balancing;
+pub(crate) mod load_shedding;
+pub(crate) mod outlier_detection;
+pub(crate) mod quota;
+pub(crate) mod quota_owner;
+pub(crate) mod retry;
+pub(crate) mod slow_start;
+pub(crate) mod subsetting;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -6,7 +6,7 @@
 pub use parse::{parse, ParseError, ResolvedSettings};
 pub use validate::SettingsError;
 
-use crate::types::{GatewayId, Micros, ZoneId};
+use crate::types::{Endpoint, GatewayId, Micros, ZoneId};
 
 /// Which servers drop a repeated idempotency key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +19,18 @@
     Cell,
 }
 
+impl DeduplicationScope {
+    /// Whether an execution at one endpoint is known at another, so that a repeat is dropped there.
+    #[must_use]
+    pub fn covers(self, executed_at: &Endpoint, other: &Endpoint) -> bool {
+        match self {
+            DeduplicationScope::AllServers => true,
+            DeduplicationScope::Zone => executed_at.zone == other.zone,
+            DeduplicationScope::Cell => executed_at.cell == other.cell,
+        }
+    }
+}
+
 /// Whether a request may be executed more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Idempotency {
--- /dev/null
+++ b/src/state/deployment.rs
@@ -0,0 +1,57 @@
+//! The settings, and what follows from them once and for all.
+
+use super::fleet_estimates::FleetEstimates;
+use super::request::Request;
+use crate::settings::{Class, Plan, Settings};
+use crate::types::{ClassId, Micros};
+
+/// How gateways share quotas, and what they can learn of each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FleetMode {
+    /// A small fleet: each gateway broadcasts its usage, and its own buckets decide.
+    Gossip,
+    /// An addition to the design, for fleets in which usage could be broadcast too seldom: each customer's quota is kept
+    /// by few owners among its gateways, which grant leases.
+    Leases,
+}
+
+/// The settings, the mode of the fleet, and figures derived from them.
+pub(crate) struct Deployment {
+    pub settings: Settings,
+    pub mode: FleetMode,
+    /// The shortest latency objective of all classes, in µs.
+    pub shortest_objective: f64,
+    /// The class of the lowest priority weight, the first of several.
+    pub lowest_class: ClassId,
+}
+
+impl Deployment {
+    pub fn new(settings: Settings, mode: FleetMode) -> Self {
+        let classes = &settings.classes;
+        let shortest = classes.iter().map(|class| class.latency_objective).min();
+        let weight = |index: &usize| classes[*index].priority_weight;
+        let lowest = (0..classes.len()).min_by(|a, b| weight(a).total_cmp(&weight(b)));
+        Deployment {
+            mode,
+            shortest_objective: shortest.unwrap_or(1).max(1) as f64,
+            lowest_class: ClassId(lowest.unwrap_or(0)),
+            settings,
+        }
+    }
+
+    pub fn class_of(&self, request: &Request) -> &Class {
+        &self.settings.classes[request.class.0]
+    }
+
+    pub fn plan_of(&self, request: &Request) -> &Plan {
+        &self.settings.plans[request.plan.0]
+    }
+}
+
+/// What decisions depend on, apart from the request, bucket or server in question.
+#[derive(Clone, Copy)]
+pub(crate) struct Context<'a> {
+    pub now: Micros,
+    pub deployment: &'a Deployment,
+    pub fleet: &'a FleetEstimates,
+}
--- /dev/null
+++ b/src/state/fleet_estimates.rs
@@ -0,0 +1,69 @@
+//! What a gateway estimates of the whole fleet, from its own observations and from gossip.
+
+use crate::message::UNKNOWN_RATIO;
+use crate::statistics::update_mean;
+use crate::types::{ClassId, ZoneId};
+use std::collections::BTreeMap;
+
+/// Running means over the fleet.
+#[derive(Default)]
+pub(crate) struct FleetEstimates {
+    /// µs: mean latency of attempts.
+    pub mean_latency: f64,
+    /// µs: median wait for one place at a server.
+    pub median_wait: f64,
+    /// µs that a server with free capacity takes.
+    pub service_time: f64,
+    /// Load factor of the median server, where servers report their load.
+    pub load_factor: Option<f64>,
+    /// Mean attempts in flight, of the lowest class and in all.
+    pub lowest_in_flight: f64,
+    pub total_in_flight: f64,
+    /// By class: mean latency in objectives, or [`UNKNOWN_RATIO`].
+    pub latency_ratios: Vec<f64>,
+    /// Answers a second at one gateway, and answers here since the last control tick.
+    pub throughput: f64,
+    pub completed_since_tick: f64,
+    /// By zone: share of the attempts that found no connection.
+    unreachable_by_zone: BTreeMap<ZoneId, f64>,
+}
+
+impl FleetEstimates {
+    /// `expected`: the wait to start from, in µs.
+    pub fn new(classes: usize, expected: f64) -> Self {
+        FleetEstimates {
+            mean_latency: expected,
+            median_wait: expected,
+            service_time: expected,
+            latency_ratios: vec![UNKNOWN_RATIO; classes],
+            ..FleetEstimates::default()
+        }
+    }
+
+    /// The largest latency ratio of all classes but `lowest`; of all, if there is only one. `None` while unknown.
+    pub fn worst_latency_ratio(&self, lowest: ClassId) -> Option<f64> {
+        let only = self.latency_ratios.len() == 1;
+        let ratios = self.latency_ratios.iter().enumerate();
+        let controlled = ratios.filter(|(class, _)| *class != lowest.0 || only);
+        let worst = controlled.map(|(_, ratio)| *ratio).max_by(f64::total_cmp);
+        worst.filter(|worst| *worst >= 0.0)
+    }
+
+    /// Takes in how another gateway's requests of a class fare.
+    pub fn merge_latency_ratio(&mut self, class: ClassId, ratio: f64, weight: f64) {
+        let Some(mean) = self.latency_ratios.get_mut(class.0) else { return };
+        let weight = if *mean < 0.0 { 1.0 } else { weight };
+        update_mean(mean, ratio, weight);
+    }
+
+    /// Takes in whether an attempt into a zone found a connection.
+    pub fn observe_zone(&mut self, zone: ZoneId, unreachable: bool, weight: f64) {
+        let share = self.unreachable_by_zone.entry(zone).or_default();
+        update_mean(share, f64::from(u8::from(unreachable)), weight);
+    }
+
+    /// Share of the attempts into a zone that found no connection.
+    pub fn unreachable_share(&self, zone: ZoneId) -> f64 {
+        self.unreachable_by_zone.get(&zone).copied().unwrap_or(0.0)
+    }
+}
--- /dev/null
+++ b/src/state/latency_samples.rs
@@ -0,0 +1,48 @@
+//! Latencies between two control ticks, relative to the objective of their class.
+
+use crate::types::ClassId;
+
+/// Sum and number of the samples of one class.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct ClassSamples {
+    sum: f64,
+    count: f64,
+}
+
+impl ClassSamples {
+    /// Adds a latency, in objectives.
+    pub fn add(&mut self, ratio: f64) {
+        self.sum += ratio;
+        self.count += 1.0;
+    }
+
+    /// The mean; `None` without samples.
+    pub fn mean(&self) -> Option<f64> {
+        (self.count > 0.0).then(|| self.sum / self.count)
+    }
+}
+
+/// The samples of all classes since the last control tick.
+pub(crate) struct LatencySamples(Vec<ClassSamples>);
+
+impl LatencySamples {
+    pub fn new(classes: usize) -> Self {
+        LatencySamples(vec![ClassSamples::default(); classes])
+    }
+
+    /// The samples of one class.
+    pub fn of(&mut self, class: ClassId) -> &mut ClassSamples {
+        &mut self.0[class.0]
+    }
+
+    /// All of them, by class; the next period begins with none.
+    pub fn take(&mut self) -> LatencySamples {
+        let empty = LatencySamples::new(self.0.len());
+        std::mem::replace(self, empty)
+    }
+
+    /// By class.
+    pub fn iter(&self) -> impl Iterator<Item = &ClassSamples> {
+        self.0.iter()
+    }
+}
--- /dev/null
+++ b/src/state/lease.rs
@@ -0,0 +1,66 @@
+//! Leases: units of a quota that an owner grants ahead of the requests that will use them. Held by a gateway, and
+//! as the owner's ledger.
+
+use crate::message::ReturnedLease;
+use crate::types::{GatewayId, Micros};
+use std::collections::BTreeMap;
+
+/// Units that this gateway may use without asking, until they expire.
+#[derive(Default)]
+pub(crate) struct Lease {
+    pub units: f64,
+    pub expires_at: Micros,
+    /// Index of the owner that granted it, and the lease request it was granted under.
+    pub owner_index: u32,
+    pub sequence: u16,
+    /// When one was last requested.
+    pub requested_at: Micros,
+}
+
+impl Lease {
+    /// Consumes units, if so many are left in time; returns until when they may be used.
+    pub fn consume(&mut self, now: Micros, units: f64) -> Option<Micros> {
+        let covered = self.units > 0.0 && self.units >= units && now <= self.expires_at;
+        if !covered {
+            return None;
+        }
+        self.units -= units;
+        Some(self.expires_at)
+    }
+
+    /// What is left, to be returned to the owner that granted it; it can't be used here any more.
+    pub fn give_back(&mut self, owner_index: u32) -> ReturnedLease {
+        let left = std::mem::take(&mut self.units);
+        if owner_index == self.owner_index {
+            ReturnedLease { sequence: self.sequence, units: left }
+        } else {
+            ReturnedLease { sequence: self.sequence, units: 0.0 }
+        }
+    }
+}
+
+struct GrantedLease {
+    sequence: u16,
+    units: f64,
+}
+
+/// An owner's ledger: the lease that each gateway holds.
+#[derive(Default)]
+pub(crate) struct LeaseLedger(BTreeMap<GatewayId, GrantedLease>);
+
+impl LeaseLedger {
+    /// Notes a lease; it replaces the one before.
+    pub fn grant(&mut self, to: GatewayId, sequence: u16, units: f64) {
+        if units > 0.0 {
+            self.0.insert(to, GrantedLease { sequence, units });
+        }
+    }
+
+    /// Units of a gateway's lease that come back. Only the known lease does, once, and no more than was granted:
+    /// otherwise what comes back twice, of a lost answer or from before a restart, would pass a hard limit.
+    pub fn reclaim(&mut self, from: GatewayId, returned: ReturnedLease) -> Option<f64> {
+        let granted = self.0.get(&from).filter(|lease| lease.sequence == returned.sequence)?.units;
+        self.0.remove(&from);
+        Some(returned.units.min(granted))
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,20 @@
+//! What a gateway remembers, each type with its methods in a file. Nothing is decided here: thresholds, choices and
+//! refusals are in [`policy`](crate::policy), which passes in the weights and durations that it wants applied.
+
+pub(crate) mod attempt;
+pub(crate) mod deployment;
+pub(crate) mod fleet_estimates;
+pub(crate) mod hash_ring;
+pub(crate) mod latency_samples;
+pub(crate) mod lease;
+pub(crate) mod peer_usage;
+pub(crate) mod permits;
+pub(crate) mod quota_owners;
+pub(crate) mod quota_state;
+pub(crate) mod ranked_set;
+pub(crate) mod request;
+pub(crate) mod server;
+pub(crate) mod server_index;
+pub(crate) mod server_table;
+pub(crate) mod server_view;
+pub(crate) mod token_bucket;
--- /dev/null
+++ b/src/state/peer_usage.rs
@@ -0,0 +1,58 @@
+//! What another gateway has been heard to forward for a customer.
+
+use crate::types::Micros;
+use std::collections::VecDeque;
+
+/// µs over which a peer's usage ages out (the design's two seconds).
+pub(crate) const USAGE_WINDOW: Micros = 2_000_000;
+
+/// Units at one moment.
+struct Usage {
+    at: Micros,
+    units: f64,
+}
+
+/// One peer's usage: its running count, and what was added to it of late.
+#[derive(Default)]
+pub(crate) struct PeerUsage {
+    /// The peer's incarnation: when it started, in ms.
+    incarnation: u32,
+    count: u16,
+    heard_at: Micros,
+    recent: VecDeque<Usage>,
+}
+
+impl PeerUsage {
+    /// Takes in a running count, and returns by how much it rose. Messages may be late, repeated or out of order; a
+    /// count that is lower after a silence of a whole window has begun anew, as its sender had dropped the customer.
+    pub fn delta(&mut self, now: Micros, incarnation: u32, count: u16) -> u16 {
+        let silence = now.saturating_sub(self.heard_at);
+        self.heard_at = now;
+        let restarted = silence > USAGE_WINDOW && count < self.count;
+        let delta = match self.incarnation {
+            known if known == incarnation && restarted => count,
+            known if known == incarnation => count.wrapping_sub(self.count),
+            0 => 0, // first heard of: what was forwarded before is long over
+            _ => count,
+        };
+        if delta > u16::MAX / 2 {
+            return 0; // the count went back: an old message
+        }
+        self.incarnation = incarnation;
+        self.count = count;
+        delta
+    }
+
+    /// Adds units that the peer has just been heard to forward.
+    pub fn add(&mut self, now: Micros, units: f64) {
+        self.recent.push_back(Usage { at: now, units });
+    }
+
+    /// Units within the last window.
+    pub fn recent_units(&mut self, now: Micros) -> f64 {
+        while self.recent.front().is_some_and(|usage| usage.at + USAGE_WINDOW < now) {
+            self.recent.pop_front();
+        }
+        self.recent.iter().map(|usage| usage.units).sum()
+    }
+}
--- /dev/null
+++ b/src/state/permits.rs
@@ -0,0 +1,43 @@
+//! Concurrency permits that a quota owner has handed out for one customer.
+
+use crate::types::{GatewayId, Micros};
+
+/// Who holds a permit, and under which lease request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PermitHolder {
+    pub gateway: GatewayId,
+    pub sequence: u16,
+}
+
+struct Permit {
+    holder: PermitHolder,
+    expires_at: Micros,
+}
+
+/// The permits in use. Each expires by itself, as the message that releases it may be lost.
+#[derive(Default)]
+pub(crate) struct ConcurrencyPermits(Vec<Permit>);
+
+impl ConcurrencyPermits {
+    pub fn in_use(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn acquire(&mut self, holder: PermitHolder, expires_at: Micros) {
+        self.0.push(Permit { holder, expires_at });
+    }
+
+    pub fn release(&mut self, holder: PermitHolder) {
+        self.0.retain(|permit| permit.holder != holder);
+    }
+
+    pub fn drop_expired(&mut self, now: Micros) {
+        self.0.retain(|permit| permit.expires_at > now);
+    }
+}
+
+/// One owner's part of a limit that `owners` share, as even as whole permits go; a standby owner has the last one's.
+pub(crate) fn even_share(limit: u32, owners: u32, index: u32) -> usize {
+    let index = index.min(owners - 1);
+    ((limit + owners - 1 - index) / owners) as usize
+}
--- /dev/null
+++ b/src/state/quota_state.rs
@@ -0,0 +1,83 @@
+//! What a gateway keeps of its customers' quotas, and of the gateways that own them.
+
+use super::token_bucket::TokenBucket;
+use crate::message::UsageCount;
+use crate::types::{CustomerId, GatewayId, Micros, RequestId};
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+/// A quota owner that did not answer.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct OwnerMisses {
+    /// Lease requests on end without an answer.
+    pub count: u32,
+    /// Until when it is passed over, if there were enough of them.
+    pub cooldown_until: Micros,
+}
+
+/// Quotas as this gateway sees them.
+pub(crate) struct QuotaState {
+    /// When this gateway started.
+    pub started_at: Micros,
+    /// Whether peers have been up for much longer: this gateway has been restarted.
+    pub restarted_recently: bool,
+    /// This gateway's own bucket of each customer.
+    pub local: BTreeMap<CustomerId, TokenBucket>,
+    /// The buckets, or parts of them, that it keeps as a quota owner.
+    pub owned: BTreeMap<CustomerId, TokenBucket>,
+    /// Requests that wait for the answer to a lease request, by its sequence number.
+    pub pending: BTreeMap<u16, RequestId>,
+    last_sequence: u16,
+    /// Owners that did not answer of late.
+    pub unresponsive: BTreeMap<GatewayId, OwnerMisses>,
+    /// When each gateway's usage was last heard; the own entry lies in the future for ever.
+    pub last_heard: Vec<Micros>,
+}
+
+impl QuotaState {
+    pub fn new(now: Micros, this_gateway: GatewayId, gateway_count: u32) -> Self {
+        let mut last_heard = vec![now; gateway_count as usize];
+        last_heard[this_gateway.0 as usize] = Micros::MAX;
+        QuotaState {
+            started_at: now,
+            restarted_recently: false,
+            local: BTreeMap::new(),
+            owned: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            last_sequence: 0,
+            unresponsive: BTreeMap::new(),
+            last_heard,
+        }
+    }
+
+    /// How long this gateway has been up.
+    pub fn uptime(&self, now: Micros) -> Micros {
+        now.saturating_sub(self.started_at)
+    }
+
+    /// This gateway's incarnation, as peers are told: when it started, in ms.
+    pub fn incarnation(&self) -> u32 {
+        (self.started_at / 1000) as u32
+    }
+
+    /// The sequence number of the next lease request.
+    pub fn next_sequence(&mut self) -> u16 {
+        self.last_sequence = self.last_sequence.wrapping_add(1);
+        self.last_sequence
+    }
+
+    /// Running counts of what was forwarded here, in units of `step`: of customers with peers that were busy within
+    /// `max_age` µs, the latest first.
+    pub fn usage_counts(&self, now: Micros, max_age: Micros, step: f64) -> Vec<UsageCount> {
+        let is_told = |bucket: &TokenBucket| {
+            bucket.forwarded_units > 0.0 && bucket.gateway_count > 1.0 && now <= bucket.forwarded_at + max_age
+        };
+        let mut busy: Vec<_> = self.local.iter().filter(|(_, bucket)| is_told(bucket)).collect();
+        busy.sort_by_key(|(customer, bucket)| (Reverse(bucket.forwarded_at), **customer));
+        let usage_count = |(customer, bucket): (&CustomerId, &TokenBucket)| {
+            let count = (bucket.forwarded_units / step).round() as u64 as u16;
+            UsageCount { customer: *customer, count }
+        };
+        busy.into_iter().map(usage_count).collect()
+    }
+}
--- a/src/ranked.rs
+++ b/src/state/ranked_set.rs
@@ -1,33 +1,33 @@
-//! A set in order that knows the rank of what it holds, in chunks that are short enough to be moved at each change.
+//! An ordered set that can iterate from a rank, stored in chunks short enough to be moved at each change.
 
-/// The most that one chunk holds.
-const CHUNK: usize = 2_048;
+/// The most items that one chunk holds.
+const MAX_CHUNK: usize = 2_048;
 
 /// A set in ascending order. Finding a rank costs a step for each chunk; a change, that and the move of one chunk.
-pub(crate) struct Ranked<T> {
+pub(crate) struct RankedSet<T> {
     /// None of them is empty.
     chunks: Vec<Vec<T>>,
     len: usize,
 }
 
-impl<T> Default for Ranked<T> {
+impl<T> Default for RankedSet<T> {
     fn default() -> Self {
-        Ranked { chunks: Vec::new(), len: 0 }
+        RankedSet { chunks: Vec::new(), len: 0 }
     }
 }
 
-impl<T: Ord + Copy> FromIterator<T> for Ranked<T> {
+impl<T: Ord + Copy> FromIterator<T> for RankedSet<T> {
     fn from_iter<I: IntoIterator<Item = T>>(items: I) -> Self {
         let mut all: Vec<T> = items.into_iter().collect();
         all.sort_unstable();
         all.dedup();
-        // Half full, so that the next items find room.
-        Ranked { len: all.len(), chunks: all.chunks(CHUNK / 2).map(<[T]>::to_vec).collect() }
+        // Half full, so that insertions do not split chunks at once.
+        RankedSet { len: all.len(), chunks: all.chunks(MAX_CHUNK / 2).map(<[T]>::to_vec).collect() }
     }
 }
 
-impl<T: Ord + Copy> Ranked<T> {
-    /// How many there are.
+impl<T: Ord + Copy> RankedSet<T> {
+    /// How many items there are.
     pub fn len(&self) -> usize {
         self.len
     }
@@ -42,19 +42,20 @@
     pub fn insert(&mut self, item: T) {
         let at = self.chunk_of(&item);
         let Some(chunk) = self.chunks.get_mut(at) else {
-            (self.chunks, self.len) = (vec![vec![item]], 1);
+            self.chunks = vec![vec![item]];
+            self.len = 1;
             return;
         };
         let Err(place) = chunk.binary_search(&item) else { return };
         chunk.insert(place, item);
         self.len += 1;
-        if chunk.len() > CHUNK {
-            let upper = chunk.split_off(CHUNK / 2);
+        if chunk.len() > MAX_CHUNK {
+            let upper = chunk.split_off(MAX_CHUNK / 2);
             self.chunks.insert(at + 1, upper);
         }
     }
 
-    /// Takes an item out, if it is there.
+    /// Removes an item, if it is there.
     pub fn remove(&mut self, item: &T) {
         let at = self.chunk_of(item);
         let Some(chunk) = self.chunks.get_mut(at) else { return };
@@ -66,9 +67,10 @@
         }
     }
 
-    /// All items once round, from that rank on.
-    pub fn round(&self, rank: usize) -> impl Iterator<Item = T> + '_ {
-        let (mut at, mut place) = (0, rank.min(self.len));
+    /// All items in order from that rank on, wrapping round.
+    pub fn iter_from(&self, rank: usize) -> impl Iterator<Item = T> + '_ {
+        let mut at = 0;
+        let mut place = rank.min(self.len);
         while self.chunks.get(at).is_some_and(|chunk| chunk.len() <= place) {
             place -= self.chunks[at].len();
             at += 1;
@@ -80,5 +82,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/ranked.rs"]
+#[path = "../../tests/unit/ranked_set.rs"]
 mod tests;
--- /dev/null
+++ b/src/state/server_table/update.rs
@@ -0,0 +1,162 @@
+//! How the server table takes in endpoint lists.
+
+use super::ServerTable;
+use crate::message::short_id;
+use crate::state::server::Server;
+use crate::types::{Endpoint, EndpointState, EndpointUpdate, Micros, ServerId};
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, HashMap};
+
+fn is_ready(endpoint: &Endpoint) -> bool {
+    endpoint.state == EndpointState::Ready
+}
+
+impl ServerTable {
+    /// Takes in an endpoint list, or changes to it. A server that started anew is unknown again.
+    pub fn apply_update(&mut self, now: Micros, kind: EndpointUpdate, endpoints: Vec<Endpoint>) {
+        match kind {
+            EndpointUpdate::Snapshot => self.apply_snapshot(now, endpoints),
+            EndpointUpdate::Delta => {
+                for endpoint in endpoints {
+                    self.apply_change(now, endpoint);
+                }
+            }
+        }
+        if self.walks_all() {
+            for (id, endpoint) in std::mem::take(&mut self.untracked) {
+                self.tracked.insert(id, Server::unknown(endpoint, now, self.classes));
+            }
+        }
+    }
+
+    fn apply_change(&mut self, now: Micros, endpoint: Endpoint) {
+        let id = endpoint.server;
+        let known = self.get(&id).filter(|server| server.is_ready()).map(|server| server.endpoint);
+        let track = self.walks_all();
+        let after = match self.update_tracked(now, endpoint, track) {
+            Some(server) => server.is_ready().then_some(server.endpoint),
+            None => Some(endpoint).filter(is_ready),
+        };
+        let is_tracked = self.tracked.contains_key(&id);
+        let untracked = match after.filter(|_| !is_tracked) {
+            Some(endpoint) => self.untracked.insert(id, endpoint),
+            None => self.untracked.remove(&id),
+        };
+        if after.is_some() {
+            self.by_short_id.insert(short_id(id), id);
+        } else if !is_tracked {
+            self.remove_short_id(id);
+        }
+        self.reindex(now, known.or(untracked), after);
+    }
+
+    /// Takes in the endpoint of a server that is tracked, or is to be. `None` if it is not.
+    fn update_tracked(&mut self, now: Micros, endpoint: Endpoint, track: bool) -> Option<&Server> {
+        let fresh = || Server::unknown(endpoint, now, self.classes);
+        let server = match self.tracked.entry(endpoint.server) {
+            Entry::Occupied(known) => known.into_mut(),
+            Entry::Vacant(vacant) if track => vacant.insert(fresh()),
+            Entry::Vacant(_) => return None,
+        };
+        if is_ready(&endpoint) {
+            if server.endpoint.started_at != endpoint.started_at {
+                self.index.update(server, false);
+                *server = fresh().with_in_flight(server.in_flight);
+            }
+            server.endpoint = endpoint;
+        } else {
+            // Its zone and cell stay, as they bind requests that it may have executed.
+            server.endpoint.state = endpoint.state;
+        }
+        let ready = server.is_ready();
+        self.index.update(server, ready);
+        Some(server)
+    }
+
+    /// Moves a server to where its endpoint belongs, or takes it off if it is not ready any more.
+    fn reindex(&mut self, now: Micros, before: Option<Endpoint>, after: Option<Endpoint>) {
+        if before == after {
+            return;
+        }
+        if let Some(endpoint) = before {
+            self.ring.remove(endpoint.server);
+            self.cells.remove(&(endpoint.cell, endpoint.server));
+            if let Some(started_at) = endpoint.started_at {
+                self.warming_up.remove(&(started_at, endpoint.server));
+            }
+        }
+        if let Some(endpoint) = after {
+            self.ring.insert(endpoint.server);
+            self.cells.insert((endpoint.cell, endpoint.server));
+            self.warming_up.extend(self.warming_up_since(now, &endpoint));
+        }
+    }
+
+    /// When a server started, if it is still warming up.
+    fn warming_up_since(&self, now: Micros, endpoint: &Endpoint) -> Option<(Micros, ServerId)> {
+        let started_at = endpoint.started_at?;
+        let warms_up = started_at.saturating_add(self.warm_up_period) > now;
+        warms_up.then_some((started_at, endpoint.server))
+    }
+
+    fn apply_snapshot(&mut self, now: Micros, endpoints: Vec<Endpoint>) {
+        let track = self.will_walk_all(&endpoints);
+        let mut before = std::mem::take(&mut self.untracked);
+        if !before.is_empty() {
+            self.by_short_id = self.tracked.keys().map(|id| (short_id(*id), *id)).collect();
+        }
+        for server in self.tracked.values_mut() {
+            server.endpoint.state = EndpointState::Gone;
+        }
+        let mut untracked = Vec::with_capacity(endpoints.len());
+        for endpoint in endpoints {
+            self.visit();
+            if is_ready(&endpoint) {
+                self.by_short_id.insert(short_id(endpoint.server), endpoint.server);
+            }
+            if track {
+                self.track_known(now, &mut before, endpoint.server);
+            }
+            if self.update_tracked(now, endpoint, track).is_none() {
+                untracked.push((endpoint.server, endpoint));
+            }
+        }
+        self.untracked = untracked.into_iter().collect();
+        if self.untracked.values().any(|endpoint| !is_ready(endpoint)) {
+            self.untracked.retain(|_, endpoint| is_ready(endpoint));
+        }
+        self.rebuild_indexes(now);
+    }
+
+    /// Whether a snapshot leaves so few ready that all are walked. The last entry of a server counts: a list that names
+    /// one twice may have fewer ready servers than entries.
+    fn will_walk_all(&self, endpoints: &[Endpoint]) -> bool {
+        if endpoints.len() <= self.max_walked {
+            return true;
+        }
+        let last_entries = endpoints.iter().map(|endpoint| (endpoint.server, is_ready(endpoint)));
+        let last_entries: HashMap<_, _> = last_entries.collect();
+        last_entries.values().filter(|ready| **ready).count() <= self.max_walked
+    }
+
+    /// Tracks a server that was known and not tracked: its zone and cell stay if it is not ready any more.
+    fn track_known(&mut self, now: Micros, before: &mut BTreeMap<ServerId, Endpoint>, id: ServerId) {
+        if let Some(known) = before.remove(&id) {
+            let known = Endpoint { state: EndpointState::Gone, ..known };
+            self.tracked.insert(id, Server::unknown(known, now, self.classes));
+        }
+    }
+
+    fn rebuild_indexes(&mut self, now: Micros) {
+        // Servers that are not on the list any more are still to be taken off the index.
+        for server in self.tracked.values_mut() {
+            let ready = server.is_ready();
+            self.index.update(server, ready);
+        }
+        let tracked = self.tracked.values().filter(|server| server.is_ready()).map(|server| &server.endpoint);
+        let ready = || tracked.clone().chain(self.untracked.values());
+        self.cells = ready().map(|endpoint| (endpoint.cell, endpoint.server)).collect();
+        self.warming_up = ready().filter_map(|endpoint| self.warming_up_since(now, endpoint)).collect();
+        self.ring = ready().map(|endpoint| endpoint.server).collect();
+    }
+}
--- /dev/null
+++ b/src/state/token_bucket.rs
@@ -0,0 +1,232 @@
+//! A customer's token bucket: its tokens and what is left under the hard limit, what fills it, what peers were heard
+//! to use, and what is on lease. Arithmetic only; who gets what is decided in the policy.
+
+use super::lease::{Lease, LeaseLedger};
+use super::peer_usage::{PeerUsage, USAGE_WINDOW};
+use super::permits::ConcurrencyPermits;
+use crate::message::ReturnedLease;
+use crate::settings::{HardLimit, Plan};
+use crate::types::{GatewayId, GatewaySet, Micros, PlanId};
+use std::collections::BTreeMap;
+
+/// µs without a request for which a bucket is kept at the least.
+const MIN_IDLE: Micros = 60_000_000;
+const MICROS_PER_SECOND: f64 = 1e6;
+
+/// What a customer's token bucket is made from.
+#[derive(Clone, Copy)]
+pub(crate) struct BucketConfig<'a> {
+    pub plan_id: PlanId,
+    pub plan: &'a Plan,
+    /// The gateways that the customer's requests come through.
+    pub gateways: GatewaySet,
+    /// Units of the largest request.
+    pub max_request_units: f64,
+}
+
+/// A customer's token bucket, or the part of it that a quota owner keeps.
+#[derive(Default)]
+pub(crate) struct TokenBucket {
+    pub plan: PlanId,
+    /// First of the customer's gateways, and how many there are.
+    pub first_gateway: GatewayId,
+    pub gateway_count: f64,
+    pub capacity: f64,
+    pub tokens: f64,
+    pub refilled_at: Micros,
+    /// Requests on end that named another plan or gateway set.
+    pub conflicting_hints: u32,
+    /// When a request last consumed from it.
+    pub used_at: Micros,
+    /// Units that requests consumed of late: those of the longest lease in the mean, also where a hard limit makes
+    /// it shorter.
+    pub recent_demand: f64,
+    /// Units that an owner has granted ahead of the requests that will use them.
+    pub lease: Lease,
+    /// As an owner: what is on lease to others.
+    ledger: LeaseLedger,
+    /// Running count of the units forwarded here, and when it last rose.
+    pub forwarded_units: f64,
+    pub forwarded_at: Micros,
+    pub in_flight: u32,
+    peers: BTreeMap<GatewayId, PeerUsage>,
+    pub hard_limit_tokens: f64,
+    /// What part of the quota and of the hard limit is kept here.
+    pub share: f64,
+    pub hard_limit_share: f64,
+    /// µs for which grants may be used: so much of the hard limit's refill is kept back.
+    pub grant_lifetime: Micros,
+    /// As an owner: permits of the limit on attempts in flight.
+    pub permits: ConcurrencyPermits,
+    /// As an owner: lease requests in about a second.
+    pub lease_request_rate: f64,
+    /// The share of requests that may request a lease, and when an owner last told it.
+    pub lease_request_probability: f64,
+    pub probability_set_at: Micros,
+}
+
+impl TokenBucket {
+    /// A bucket that has not been used for `unused`. It holds the whole burst: with only the even part at first, what
+    /// is missing would stay missing for a customer that uses nearly all, and peers' usage is heard soon enough. Its
+    /// part of the hard limit holds what has come in over `unused` alone, as it may have been used up before.
+    pub fn new(now: Micros, unused: Micros, config: BucketConfig<'_>) -> Self {
+        let gateway_count = f64::from(config.gateways.count.max(1));
+        let capacity = (config.plan.burst / gateway_count).max(config.max_request_units);
+        let mut bucket = TokenBucket {
+            plan: config.plan_id,
+            first_gateway: config.gateways.first,
+            gateway_count,
+            capacity,
+            tokens: config.plan.burst.max(capacity),
+            refilled_at: now,
+            share: 1.0,
+            hard_limit_share: 1.0 / gateway_count,
+            lease_request_probability: 1.0,
+            ..TokenBucket::default()
+        };
+        bucket.refill_hard_limit(config.plan, unused as f64 / MICROS_PER_SECOND);
+        bucket
+    }
+
+    /// The gateways that the customer's requests come through.
+    pub fn gateways(&self) -> GatewaySet {
+        GatewaySet { first: self.first_gateway, count: self.gateway_count as u32 }
+    }
+
+    /// Whether it stands for this plan and these gateways.
+    pub fn matches(&self, plan: PlanId, gateways: GatewaySet) -> bool {
+        self.plan == plan
+            && self.first_gateway == gateways.first
+            && self.gateway_count == f64::from(gateways.count)
+    }
+
+    /// Goes over to another plan or gateway set. Nothing is gained by that, and what is in flight or has been told to
+    /// peers stays so.
+    pub fn reconfigure(&mut self, fresh: TokenBucket, hard_limit_tokens: f64) {
+        *self = TokenBucket {
+            tokens: self.tokens.min(fresh.tokens),
+            hard_limit_tokens,
+            in_flight: self.in_flight,
+            forwarded_units: self.forwarded_units,
+            forwarded_at: self.forwarded_at,
+            peers: std::mem::take(&mut self.peers),
+            ..fresh
+        };
+    }
+
+    /// Refills at the plan's rate, less the share of the customer's gateways that are `silent`.
+    pub fn refill(&mut self, now: Micros, plan: &Plan, silent: f64) {
+        let seconds = now.saturating_sub(self.refilled_at) as f64 / MICROS_PER_SECOND;
+        self.refilled_at = now;
+        let refill = self.share * plan.rate * (1.0 - silent / self.gateway_count) * seconds;
+        self.tokens = (self.tokens + refill).min(self.max_tokens(plan));
+        self.refill_hard_limit(plan, seconds);
+    }
+
+    fn max_tokens(&self, plan: &Plan) -> f64 {
+        (plan.burst * self.share).max(self.capacity)
+    }
+
+    /// A fixed share of the hard limit, empty at first, depends on no message and so holds through losses and
+    /// restarts; the price is paid where nearly all comes in through one gateway.
+    fn refill_hard_limit(&mut self, plan: &Plan, seconds: f64) {
+        if let Some(limit) = plan.hard_limit {
+            let refill = limit.rate * self.hard_limit_share * seconds;
+            self.hard_limit_tokens =
+                (self.hard_limit_tokens + refill).min(self.max_hard_limit_tokens(&limit));
+        }
+    }
+
+    /// An owner keeps back what is refilled while its grants and leases may be used: they are void after that, so
+    /// that what is used late adds up to no more than the whole capacity.
+    fn max_hard_limit_tokens(&self, limit: &HardLimit) -> f64 {
+        let kept_back = limit.rate * self.grant_lifetime as f64 / MICROS_PER_SECOND;
+        (limit.capacity - kept_back) * self.hard_limit_share
+    }
+
+    /// Takes part of the quota and of the hard limit for use at once.
+    pub fn consume(&mut self, units: f64) {
+        self.tokens -= units;
+        self.hard_limit_tokens -= units;
+    }
+
+    /// Notes what a request asks for; earlier demand decays over `window` µs.
+    pub fn record_demand(&mut self, now: Micros, units: f64, window: Micros) {
+        let idle = now.saturating_sub(self.used_at) as f64;
+        self.used_at = now;
+        self.recent_demand = self.recent_demand * (-idle / window as f64).exp() + units;
+    }
+
+    /// One more attempt of the customer is in flight here. The units of a first one are told to peers.
+    pub fn attempt_sent(&mut self, now: Micros, units: f64, first: bool) {
+        self.in_flight += 1;
+        if first {
+            self.forwarded_units += units;
+            self.forwarded_at = now;
+            self.hard_limit_tokens -= units;
+        }
+    }
+
+    /// One attempt fewer is in flight.
+    pub fn attempt_finished(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// What a peer has been heard to use.
+    pub fn peer_usage(&mut self, peer: GatewayId) -> &mut PeerUsage {
+        self.peers.entry(peer).or_default()
+    }
+
+    /// Units a second that the peers were heard to use.
+    pub fn peer_rate(&mut self, now: Micros) -> f64 {
+        let units: f64 = self.peers.values_mut().fold(0.0, |sum, peer| sum + peer.recent_units(now));
+        units / (USAGE_WINDOW as f64 / MICROS_PER_SECOND)
+    }
+
+    /// µs until it is likely to hold `units`. What a request consumes is off the tokens already, and comes back if it
+    /// was never sent.
+    pub fn time_until_available(&self, plan: &Plan, units: f64) -> f64 {
+        let quota = if plan.rate > 0.0 { refill_time(-self.tokens, plan.rate * self.share) } else { 0.0 };
+        let hard_limit = plan.hard_limit.map_or(0.0, |limit| {
+            refill_time(units - self.hard_limit_tokens, limit.rate * self.hard_limit_share)
+        });
+        quota.max(hard_limit)
+    }
+
+    /// As an owner: grants units on lease; they count as used until they come back.
+    pub fn grant_lease(&mut self, to: GatewayId, sequence: u16, units: f64) {
+        self.consume(units);
+        self.ledger.grant(to, sequence, units);
+    }
+
+    /// As an owner: takes back what is left of a gateway's lease.
+    pub fn reclaim(&mut self, from: GatewayId, returned: ReturnedLease) {
+        if let Some(units) = self.ledger.reclaim(from, returned) {
+            self.tokens += units;
+            self.hard_limit_tokens += units;
+        }
+    }
+
+    /// Whether dropping it neither gains nor loses anything: it has stood unused, and is full. `silent` counts the
+    /// silent ones of the customer's gateways.
+    pub fn is_idle(&mut self, now: Micros, plan: &Plan, silent: impl Fn(GatewaySet) -> f64) -> bool {
+        if self.in_flight > 0 || now.saturating_sub(self.used_at) < MIN_IDLE {
+            return false;
+        }
+        self.refill(now, plan, silent(self.gateways()));
+        self.permits.drop_expired(now);
+        let limit_full = |limit: &HardLimit| self.hard_limit_tokens >= self.max_hard_limit_tokens(limit);
+        let hard_limit_full = plan.hard_limit.as_ref().is_none_or(limit_full);
+        let tokens_full = plan.rate <= 0.0 || self.tokens >= self.max_tokens(plan);
+        hard_limit_full && tokens_full && self.permits.in_use() == 0 && self.peer_rate(now) <= 0.0
+    }
+}
+
+/// µs that a missing amount takes at a rate a second.
+fn refill_time(missing: f64, rate: f64) -> f64 {
+    if missing > 0.0 {
+        missing / rate.max(f64::EPSILON) * MICROS_PER_SECOND
+    } else {
+        0.0
+    }
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -109,6 +109,20 @@
     NotSent,
 }
 
+impl AttemptOutcome {
+    /// Whether the attempt came to a server.
+    #[must_use]
+    pub fn reached_server(self) -> bool {
+        !matches!(self, AttemptOutcome::Unreachable | AttemptOutcome::NotSent)
+    }
+
+    /// Whether the request may have been executed by the attempt.
+    #[must_use]
+    pub fn may_have_executed(self) -> bool {
+        self.reached_server() && self != AttemptOutcome::Overloaded
+    }
+}
+
 /// Why a request was rejected or failed without an answer from a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum RejectReason {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -251,7 +251,7 @@
             Action::Broadcast { bytes } | Action::SendToPeer { bytes, .. } => {
                 assert!(bytes.len() <= 256, "message too long")
             }
-            Action::CancelAttempt { .. } | Action::WatchEndpoints | Action::Log(_) => {}
+            Action::CancelAttempt { .. } | Action::WatchEndpoints | Action::Warn(_) => {}
         }
     }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -4,16 +4,16 @@
 
 use common::fleet::Fleet;
 use common::*;
-use edge_node::control::inferred;
+use edge_node::policy::fuzzy_controller::infer_change;
 use edge_node::Gateway;
 use edge_node::*;
 
 fn change_of(error: f64, change: f64) -> f64 {
-    inferred(error, change).0
+    infer_change(error, change).change
 }
 
 fn alpha_of(error: f64, change: f64) -> f64 {
-    inferred(error, change).1
+    infer_change(error, change).alpha
 }
 
 fn steps() -> impl Iterator<Item = f64> {
@@ -436,7 +436,7 @@
     let server = stand.out[0].2;
     let actions = stand.pass(700 * MS);
     assert!(actions.contains(&Action::CancelAttempt { id: id.clone(), attempt: AttemptNumber(0) }));
-    assert!(stand.log.iter().any(|action| matches!(action, Action::Log(_))));
+    assert!(stand.log.iter().any(|action| matches!(action, Action::Warn(_))));
     stand.end(&id, AttemptOutcome::Cancelled);
     assert_ne!(stand.out[0].2, server, "sent elsewhere");
 }
@@ -455,7 +455,7 @@
                 stand.end(&id, AttemptOutcome::Success);
             }
         }
-        let cap = |action: &Action| matches!(action, Action::Log(words) if words.starts_with("aim missed"));
+        let cap = |action: &Action| matches!(action, Action::Warn(Warning::ObjectiveMissed { .. }));
         stand.log.iter().any(cap)
     };
     assert!(capped(1));
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -55,9 +55,9 @@
             digest.write(&token.to_le_bytes());
         }
         Action::WatchEndpoints => digest.write(&[7]),
-        Action::Log(text) => {
+        Action::Warn(warning) => {
             digest.write(&[8]);
-            write_numbers(digest, text);
+            write_numbers(digest, &warning.to_string());
         }
     }
 }
@@ -72,7 +72,7 @@
     digest.write(&value.unwrap_or_default().to_le_bytes());
 }
 
-/// The numbers in a line of the log: its words are for people and may be reworded, what it measures may not change.
+/// The numbers in a warning: its words are for people and may be reworded, what it measures may not change.
 fn write_numbers(digest: &mut fnv::FnvHasher, text: &str) {
     let numbers = text.split(|letter: char| !letter.is_ascii_digit() && letter != '.');
     for number in numbers.filter(|number| number.contains(|letter: char| letter.is_ascii_digit())) {
@@ -314,7 +314,7 @@
                 let late = if self.random.u8(0..200) == 0 { 80 * MS } else { 0 };
                 self.plan(after + late, Due::Event(gateway, Event::TimerFired { token }));
             }
-            Action::Reject { .. } | Action::Fail { .. } | Action::WatchEndpoints | Action::Log(_) => {}
+            Action::Reject { .. } | Action::Fail { .. } | Action::WatchEndpoints | Action::Warn(_) => {}
         }
     }
 
@@ -416,7 +416,7 @@
         }
     }
     let all = "EndpointsUpdated WatchFailed RequestReceived StreamStarted AttemptFinished ClientDisconnected TimerFired \
-               PeerMessage SendAttempt Reject Fail CancelAttempt Broadcast SendToPeer SetTimer Log \
+               PeerMessage SendAttempt Reject Fail CancelAttempt Broadcast SendToPeer SetTimer Warn \
                Success ServerError Overloaded TimedOut Unreachable ConnectionLost Cancelled NotSent";
     let missing: Vec<_> = all.split_whitespace().filter(|name| !met.contains(*name)).collect();
     assert!(missing.is_empty(), "the log holds none of {missing:?}");
--- a/tests/unit/ranked.rs
+++ b/tests/unit/ranked_set.rs
@@ -1,4 +1,4 @@
-//! The set that knows ranks, against a plain sorted set.
+//! The ranked set against a plain sorted set.
 
 use super::*;
 use proptest::prelude::*;
@@ -15,10 +15,10 @@
         ranks in proptest::collection::vec(0usize..9_000, 4),
     ) {
         let mut plain: BTreeSet<u32> = first.iter().copied().collect();
-        let mut ranked: Ranked<u32> = first.into_iter().collect();
-        for (comes, start, length) in runs {
+        let mut ranked: RankedSet<u32> = first.into_iter().collect();
+        for (inserts, start, length) in runs {
             for item in start..start + length {
-                if comes {
+                if inserts {
                     plain.insert(item);
                     ranked.insert(item);
                 } else {
@@ -27,10 +27,10 @@
                 }
             }
             prop_assert_eq!(ranked.len(), plain.len());
-            prop_assert!(ranked.chunks.iter().all(|chunk| (1..=CHUNK).contains(&chunk.len())));
+            prop_assert!(ranked.chunks.iter().all(|chunk| (1..=MAX_CHUNK).contains(&chunk.len())));
             for rank in ranks.iter().map(|rank| rank % plain.len().max(1)) {
-                let round: Vec<u32> = plain.iter().skip(rank).chain(plain.iter().take(rank)).copied().collect();
-                prop_assert_eq!(ranked.round(rank).collect::<Vec<_>>(), round);
+                let expected: Vec<u32> = plain.iter().skip(rank).chain(plain.iter().take(rank)).copied().collect();
+                prop_assert_eq!(ranked.iter_from(rank).collect::<Vec<_>>(), expected);
             }
         }
     }
