--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -8,6 +8,7 @@
 use crate::state::attempt::{Attempt, AttemptKey};
 use crate::state::deployment::{Context, FleetMode};
 use crate::state::request::PossibleExecution;
+use crate::state::server_view::FleetCapacity;
 use crate::statistics::update_mean;
 use crate::types::{AttemptNumber, AttemptOutcome, ClassId, Micros, RejectReason, RequestId, ServerId};
 use crate::warning::Warning;
@@ -51,7 +52,8 @@
                 is_lowest && !self.controller.allows(lowest_in_flight, now, self.fleet.mean_latency);
             let context = Context { now, deployment: &self.deployment, fleet: &self.fleet };
             if request.attempts == 0 && !quota::allows_attempt(&mut self.quotas, context, request) {
-                // Its customer's own limit delays it: taken for pressed servers, that would close the in-flight limit.
+                // Its customer's own limit delays it: taken for pressed servers, that would close the
+                // in-flight limit.
                 request.due_since = now;
                 continue;
             }
@@ -82,28 +84,28 @@
 
     /// Servers that may be chosen from now: ready and with capacity. Of too many to be walked, a sample.
     fn selectable_servers(&mut self, now: Micros) -> Vec<ServerId> {
-        let in_flight = self.attempts.count();
-        if Balancer::new(self.context(now), &self.servers).may_be_full(in_flight)
-            && Balancer::exceeds_capacity(in_flight, self.fleet_capacity(now))
-        {
+        let context = Context { now, deployment: &self.deployment, fleet: &self.fleet };
+        let balancer = Balancer::new(context, &self.servers);
+        let valid_until = self.timers.next_control_tick;
+        let capacity = &mut self.capacity;
+        let fleet_capacity = || {
+            // Where not all servers are walked it is summed anew once a control tick.
+            if self.servers.walks_all() || now >= capacity.valid_until {
+                *capacity = FleetCapacity { attempts: balancer.fleet_capacity(), valid_until };
+            }
+            capacity.attempts
+        };
+        if balancer.is_full(self.attempts.count(), fleet_capacity) {
             return Vec::new();
         }
         if self.servers.walks_all() {
-            return Balancer::new(self.context(now), &self.servers).all_with_capacity();
+            return balancer.all_with_capacity();
         }
         self.sample_servers(now, None)
     }
 
-    /// Attempts that all servers together finish in time. Where not all are walked it is summed anew once a control tick.
-    fn fleet_capacity(&mut self, now: Micros) -> f64 {
-        if self.servers.walks_all() || now >= self.capacity.valid_until {
-            self.capacity.attempts = Balancer::new(self.context(now), &self.servers).fleet_capacity();
-            self.capacity.valid_until = self.timers.next_control_tick;
-        }
-        self.capacity.attempts
-    }
-
-    /// A sample of servers, which are tracked from now on; of those that a request may stay with, if one is named.
+    /// A sample of servers, which are tracked from now on; of those that a request may stay with, if one is
+    /// named.
     fn sample_servers(&mut self, now: Micros, only: Option<&RequestId>) -> Vec<ServerId> {
         let request = only.and_then(|id| self.requests.get(id));
         let context = Context { now, deployment: &self.deployment, fleet: &self.fleet };
@@ -204,7 +206,8 @@
         self.latencies.of(attempt.class).add(latency / class.latency_objective.max(1) as f64);
     }
 
-    /// Takes in what an attempt tells of its server, its zone and the fleet. `was_stalled`: it was cancelled as stalled.
+    /// Takes in what an attempt tells of its server, its zone and the fleet. `was_stalled`: it was cancelled
+    /// as stalled.
     fn observe_attempt(&mut self, now: Micros, attempt: &Attempt, result: &AttemptResult, was_stalled: bool) {
         let latency = now.saturating_sub(attempt.sent_at) as f64;
         let Some(mut server) = self.servers.get_mut(now, &attempt.server) else { return };
@@ -217,7 +220,7 @@
             return;
         }
         let failed = outliers::is_failure(&server, attempt, result.outcome, was_stalled);
-        outliers::observe_failure(&mut server, attempt.class, failed);
+        server.observe_failure(attempt.class, failed, outliers::FAILURE_WEIGHT, outliers::OTHER_CLASS_SHARE);
         let unreachable = result.outcome == AttemptOutcome::Unreachable;
         if let Some(backoff) = outliers::connect_backoff(self.deployment.mode, &mut self.random) {
             server.observe_connect(now, unreachable, backoff);
@@ -229,7 +232,8 @@
         let latency = outliers::counted_latency(&self.deployment, latency, failed);
         let context = Context { now, deployment: &self.deployment, fleet: &self.fleet };
         outliers::observe_wait(&mut server, context, latency / attempt.server_in_flight);
-        // Cancelled attempts count: without them a slow fleet would look fast, and its servers would be ejected.
+        // Cancelled attempts count: without them a slow fleet would look fast, and its servers would be
+        // ejected.
         update_mean(&mut self.fleet.mean_latency, latency, outliers::LATENCY_WEIGHT);
         if result.outcome == AttemptOutcome::Success {
             outliers::observe_answer(&mut server, now, attempt.class);
@@ -253,7 +257,8 @@
         now.saturating_add(outliers::probe_interval(&self.deployment, &mut self.random))
     }
 
-    /// Ejects servers that take work and answer none, and cancels attempts at them whose requests may be retried.
+    /// Ejects servers that take work and answer none, and cancels attempts at them whose requests may be
+    /// retried.
     pub(super) fn detect_stalled_servers(&mut self, now: Micros, actions: &mut Vec<Action>) {
         if outliers::is_late_timer(now, self.timers.wake_at) {
             return;
--- a/src/gateway/control_tick.rs
+++ b/src/gateway/control_tick.rs
@@ -1,15 +1,17 @@
-//! The control tick: the fuzzy controller moves the in-flight limit, and the estimates of the fleet are renewed.
+//! The control tick: the fuzzy controller moves the in-flight limit, and the estimates of the fleet are
+//! renewed.
 
 use super::Gateway;
 use crate::message::UNKNOWN_RATIO;
-use crate::policy::fuzzy_controller::{counts_while_open, Observation, TICK_PERIOD};
+use crate::policy::fuzzy_controller::{counts_while_open, TICK_PERIOD};
 use crate::policy::gossip::REPORT_LIFETIME;
 use crate::policy::load_balancing::INITIAL_WAIT_SHARE;
 use crate::policy::outlier_detection::MAX_SERVER_IDLE;
-use crate::policy::quota::partitioned_gateways;
+use crate::policy::quota::PARTITIONED;
 use crate::policy::slow_start::SlowStart;
 use crate::state::deployment::FleetMode;
 use crate::state::latency_samples::LatencySamples;
+use crate::state::quota_state::silent_gateways;
 use crate::state::server::Server;
 use crate::statistics::{median, update_mean};
 use crate::types::{ClassId, Micros};
@@ -66,13 +68,8 @@
         let was_limiting = self.controller.is_limiting();
         let in_flight = self.fleet.lowest_in_flight;
         let ratio = self.fleet.worst_latency_ratio(self.deployment.lowest_class);
-        let observation = ratio.map(|latency_ratio| Observation {
-            latency_ratio,
-            lowest_in_flight: in_flight,
-            total_in_flight: self.fleet.total_in_flight,
-            share: 1.0 / f64::from(self.deployment.settings.gateway_count),
-        });
-        self.controller.tick(in_flight, observation);
+        let share = 1.0 / f64::from(self.deployment.settings.gateway_count);
+        self.controller.tick(ratio, &self.fleet, share);
         let has_started = self.controller.is_limiting() && !was_limiting;
         // Hundreds of gateways would flood the log.
         let warns = has_started && self.deployment.mode == FleetMode::Gossip;
@@ -120,7 +117,7 @@
     fn evict_idle(&mut self, now: Micros) {
         let plans = &self.deployment.settings.plans;
         let last_heard = &self.quotas.last_heard;
-        let silent = |gateways| partitioned_gateways(last_heard, gateways, now);
+        let silent = |gateways| silent_gateways(last_heard, gateways, now, PARTITIONED);
         self.quotas.local.retain(|_, bucket| !bucket.is_idle(now, &plans[bucket.plan.0], silent));
         self.quotas.owned.retain(|_, bucket| !bucket.is_idle(now, &plans[bucket.plan.0], |_| 0.0));
         self.servers.evict_idle(now, MAX_SERVER_IDLE);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,13 +1,15 @@
-//! Messages between gateways: usage, lease requests and answers, and the digest of the fleet that rides on these.
+//! Messages between gateways: usage, lease requests and answers, and the digest of the fleet that rides on
+//! these.
 
 use super::Gateway;
 use crate::message::{self, GossipDigest, HealthReport, LeaseAnswer, Message, UsageCounts, MAX_USAGE_COUNTS};
 use crate::policy::fleet_mode::{gossip_interval, LATENCY_RATIO_WEIGHT, THROUGHPUT_WEIGHT};
 use crate::policy::gossip as policy;
 use crate::policy::load_balancing::SAMPLE_SIZE;
-use crate::policy::quota::{observe_incarnation, partitioned_gateways};
+use crate::policy::quota::{observe_incarnation, PARTITIONED};
 use crate::state::deployment::FleetMode;
 use crate::state::permits::PermitHolder;
+use crate::state::quota_state::silent_gateways;
 use crate::statistics::update_mean;
 use crate::types::{ClassId, GatewayId, Micros};
 use crate::Action;
@@ -49,7 +51,7 @@
         observe_incarnation(&mut self.quotas, settings, now, usage.incarnation);
         for usage_count in &usage.counts {
             let Some(bucket) = self.quotas.local.get_mut(&usage_count.customer) else { continue };
-            let silent = partitioned_gateways(&self.quotas.last_heard, bucket.gateways(), now);
+            let silent = silent_gateways(&self.quotas.last_heard, bucket.gateways(), now, PARTITIONED);
             bucket.refill(now, &settings.plans[bucket.plan.0], silent);
             let steps = bucket.peer_usage(from).delta(now, usage.incarnation, usage_count.count);
             if steps > 0 {
@@ -60,7 +62,8 @@
         }
     }
 
-    /// Tells the peers what was forwarded of late, also when that is nothing: they hear that this gateway lives.
+    /// Tells the peers what was forwarded of late, also when that is nothing: they hear that this gateway
+    /// lives.
     pub(super) fn broadcast_usage(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let interval = gossip_interval(&self.deployment.settings);
         let has_peers = interval > 0.0 && interval < f64::INFINITY;
--- a/src/gateway/leases.rs
+++ b/src/gateway/leases.rs
@@ -27,7 +27,7 @@
             customer: request.customer,
             plan: request.plan,
             gateways: bucket.gateways(),
-            owner_index: owner.index as u8,
+            owner_index: owner.index,
             units: request.units,
             requested_units: renewal.requested_units,
             returned: renewal.returned,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,5 +1,5 @@
-//! The gateway: takes in events, keeps the state and carries out what the [`policy`](crate::policy) decides. Nothing is
-//! decided here.
+//! The gateway: takes in events, keeps the state and carries out what the [`policy`](crate::policy) decides.
+//! Nothing is decided here.
 
 mod attempts;
 mod control_tick;
@@ -89,7 +89,8 @@
         })
     }
 
-    /// Takes in one event; what is to be done about it is added to `actions`. `now`: in µs, never less than before.
+    /// Takes in one event; what is to be done about it is added to `actions`. `now`: in µs, never less than
+    /// before.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         if !std::mem::replace(&mut self.watch_requested, true) {
             self.watch_endpoints(actions);
--- a/src/gateway/requests.rs
+++ b/src/gateway/requests.rs
@@ -5,17 +5,41 @@
 use crate::policy::deadlines::{self, Expiry};
 use crate::policy::{quota, retry};
 use crate::state::deployment::Context;
+use crate::state::quota_state::{silent_gateways, QuotaState};
 use crate::state::request::{QuotaGrant, Request};
+use crate::state::token_bucket::{BucketConfig, TokenBucket};
 use crate::types::{GatewaySet, Micros, RejectReason, RequestId};
 use crate::Action;
 
+/// The bucket of a request's customer, refilled up to now.
+fn refilled_bucket<'a>(
+    quotas: &'a mut QuotaState, context: Context<'_>, request: &Request, gateways: GatewaySet,
+) -> &'a mut TokenBucket {
+    let now = context.now;
+    let settings = &context.deployment.settings;
+    let config = BucketConfig {
+        plan_id: request.plan,
+        plan: context.deployment.plan_of(request),
+        gateways: GatewaySet { count: gateways.count.clamp(1, settings.gateway_count), ..gateways },
+        max_request_units: settings.max_request_units,
+    };
+    let uptime = quotas.uptime(now);
+    let restarted = quotas.restarted_recently;
+    let bucket = quotas.local.entry(request.customer);
+    let bucket = bucket.or_insert_with(|| quota::new_bucket(now, uptime, restarted, config));
+    quota::follow_hints(settings, bucket, now, config);
+    let silent = silent_gateways(&quotas.last_heard, bucket.gateways(), now, quota::PARTITIONED);
+    bucket.refill(now, &settings.plans[bucket.plan.0], silent);
+    bucket
+}
+
 impl Gateway {
     pub(super) fn on_request(
         &mut self, now: Micros, id: RequestId, request: Request, gateways: GatewaySet,
         actions: &mut Vec<Action>,
     ) {
         let context = Context { now, deployment: &self.deployment, fleet: &self.fleet };
-        let bucket = quota::refilled_bucket(&mut self.quotas, context, &request, gateways);
+        let bucket = refilled_bucket(&mut self.quotas, context, &request, gateways);
         let admission = admission::decide(context, bucket, &request, &mut self.random);
         let lease_sequence = bucket.lease.sequence;
         self.requests.insert(id.clone(), request);
@@ -70,8 +94,9 @@
         self.remove_request(id, actions);
     }
 
-    /// Drops a request: it is answered, or its client has gone. What it took from the bucket here goes back if it was
-    /// never sent. Nobody waits for an attempt in flight, so it is cancelled where that is permitted.
+    /// Drops a request: it is answered, or its client has gone. What it took from the bucket here goes back
+    /// if it was never sent. Nobody waits for an attempt in flight, so it is cancelled where that is
+    /// permitted.
     pub(super) fn remove_request(&mut self, id: &RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.remove(id) else { return };
         if request.attempts == 0 {
--- a/src/message/decode.rs
+++ b/src/message/decode.rs
@@ -66,7 +66,7 @@
         let sequence = self.u16()?;
         let customer = self.customer()?;
         let plan = PlanId(usize::from(self.byte()?));
-        let owner_index = self.byte()?;
+        let owner_index = u32::from(self.byte()?);
         let first = GatewayId(u32::from(self.u16()?));
         let count = u32::from(self.u16()?);
         let units = self.fraction()?;
--- a/src/message/encode.rs
+++ b/src/message/encode.rs
@@ -38,7 +38,7 @@
     bytes.extend_from_slice(&request.sequence.to_le_bytes());
     bytes.extend_from_slice(&customer_bytes(request.customer));
     bytes.push(request.plan.0 as u8);
-    bytes.push(request.owner_index);
+    bytes.push(request.owner_index as u8);
     bytes.extend_from_slice(&(request.gateways.first.0 as u16).to_le_bytes());
     bytes.extend_from_slice(&(request.gateways.count as u16).to_le_bytes());
     bytes.extend_from_slice(&fraction_bytes(request.units));
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -105,7 +105,7 @@
     pub plan: PlanId,
     pub gateways: GatewaySet,
     /// Which of the customer's owners is meant.
-    pub owner_index: u8,
+    pub owner_index: u32,
     pub units: f64,
     /// Units that the sender is likely to use beyond this request's within a lease's lifetime.
     pub requested_units: f64,
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -1,4 +1,5 @@
-//! Admission: whether a request that has just arrived may be sent, has to ask for its quota first, or is rejected.
+//! Admission: whether a request that has just arrived may be sent, has to ask for its quota first, or is
+//! rejected.
 
 use super::deadlines::FINAL_ANSWER_MARGIN;
 use super::lease::MAX_LEASE_LIFETIME;
@@ -74,5 +75,5 @@
     let class = context.deployment.class_of(request);
     let is_late = context.now > request.arrived_at.saturating_add(class.latency_objective);
     let share = if is_late { class.late_weight } else { 1.0 };
-    class.priority_weight * context.deployment.plan_of(request).weight * share
+    context.deployment.priority(request) * share
 }
--- a/src/policy/deadlines.rs
+++ b/src/policy/deadlines.rs
@@ -9,8 +9,8 @@
 pub(crate) const TIMER_PERIOD: Micros = 10_000;
 /// µs before its deadline that a client is answered, as the next timer might come too late.
 pub(super) const FINAL_ANSWER_MARGIN: Micros = 2 * TIMER_PERIOD;
-/// The shortest and the longest `Retry-After`, as shares of the shortest latency objective: all requests of a customer
-/// share what is refilled.
+/// The shortest and the longest `Retry-After`, as shares of the shortest latency objective: all requests of a
+/// customer share what is refilled.
 const MIN_RETRY_AFTER: f64 = 0.02;
 const MAX_RETRY_AFTER: f64 = 0.1;
 
@@ -19,9 +19,9 @@
     CancelAttempt(AttemptNumber),
 }
 
-/// What is to be done about a request because of its age. Two exceptions to the design, which refuses at the deadline: a
-/// client that is told by half of its time that nothing was sent can still try elsewhere; and where a late answer earns
-/// nothing, there is nothing to wait for.
+/// What is to be done about a request because of its age. Two exceptions to the design, which refuses at the
+/// deadline: a client that is told by half of its time that nothing was sent can still try elsewhere; and
+/// where a late answer earns nothing, there is nothing to wait for.
 pub(crate) fn expiry(context: Context<'_>, request: &Request) -> Option<Expiry> {
     let now = context.now;
     let class = context.deployment.class_of(request);
--- a/src/policy/fleet_mode.rs
+++ b/src/policy/fleet_mode.rs
@@ -2,6 +2,7 @@
 
 use crate::settings::Settings;
 use crate::state::deployment::FleetMode;
+use crate::state::server_view::Fading;
 
 /// Share of a peer's message intake that the broadcasts of all gateways together may fill.
 const INTAKE_SHARE: f64 = 0.7;
@@ -34,24 +35,26 @@
 pub(crate) struct ModeParameters {
     /// Ready servers up to which all are walked; beyond, each choice looks at a sample.
     pub max_walked_servers: usize,
-    /// µs in which a server's observed wait fades halfway to the fleet's: in a small fleet one that is ten times too long
-    /// is over in 5 s; in a large one a gateway sees a server seldom.
-    pub wait_half_life: f64,
-    /// Weights of this gateway's own sample at a control tick in the means of latency ratios, attempts in flight and
-    /// throughput. In a small fleet it is all there is; a gateway of a large one has mostly nothing in flight.
+    /// How observations of servers fade. In a small fleet a wait that is ten times too long is over in 5 s;
+    /// in a large one a gateway sees a server seldom. There reported loads count, too: latency tells of a
+    /// queue only once it was waited out, and by then hundreds of gateways have sent more.
+    pub fading: Fading,
+    /// Weights of this gateway's own sample at a control tick in the means of latency ratios, attempts in
+    /// flight and throughput. In a small fleet it is all there is; a gateway of a large one has mostly
+    /// nothing in flight.
     pub latency_ratio_weight: f64,
     pub in_flight_weight: f64,
     pub throughput_weight: f64,
     /// Least failure rate that one stalled attempt proves: less where each gateway sees few.
     pub stall_failure_rate: f64,
-    /// Of two in the middle of ascending values, whether the median is the lesser: of a pair of servers, one that stays
-    /// unused then sets no mark for itself. Large fleets were not measured with that.
+    /// Of two in the middle of ascending values, whether the median is the lesser: of a pair of servers, one
+    /// that stays unused then sets no mark for itself. Large fleets were not measured with that.
     pub lesser_median: bool,
 }
 
 const GOSSIP: ModeParameters = ModeParameters {
     max_walked_servers: usize::MAX,
-    wait_half_life: 1e6,
+    fading: Fading { wait_half_life: 1e6, load_half_life: None, min_warm_up_fraction: 0.1 },
     latency_ratio_weight: 1.0,
     in_flight_weight: 1.0,
     throughput_weight: 0.125,
@@ -61,7 +64,7 @@
 
 const LEASES: ModeParameters = ModeParameters {
     max_walked_servers: 200,
-    wait_half_life: 5e6,
+    fading: Fading { wait_half_life: 5e6, load_half_life: Some(1.5e6), min_warm_up_fraction: 0.1 },
     latency_ratio_weight: LATENCY_RATIO_WEIGHT,
     in_flight_weight: 0.2,
     throughput_weight: THROUGHPUT_WEIGHT,
--- a/src/policy/fuzzy_controller.rs
+++ b/src/policy/fuzzy_controller.rs
@@ -3,6 +3,7 @@
 
 use crate::fuzzy_inference::infer;
 use crate::state::deployment::FleetMode;
+use crate::state::fleet_estimates::FleetEstimates;
 use crate::state::request::Request;
 use crate::types::Micros;
 
@@ -23,14 +24,15 @@
 const LARGEST_CHANGE: f64 = 3.0;
 const LARGEST_ALPHA: f64 = 6.0;
 
-/// Change of what the controlled classes get, -3 to 3, for such levels of error and change. The paper prints one
-/// entry, (PS, PM) = NL; the rest follow its zones: reverse what goes away, go easy on what corrects itself.
+/// Change of what the controlled classes get, -3 to 3, for such levels of error and change. The paper prints
+/// one entry, (PS, PM) = NL; the rest follow its zones: reverse what goes away, go easy on what corrects
+/// itself.
 fn change_rule(error: i32, change: i32) -> i32 {
     -(error + change).clamp(-3, 3)
 }
 
-/// Alpha, 0 to 6, from the paper's five zones: large where a large error grows or a disturbance begins, small where it
-/// corrects itself, 0 at rest.
+/// Alpha, 0 to 6, from the paper's five zones: large where a large error grows or a disturbance begins, small
+/// where it corrects itself, 0 at rest.
 fn alpha_rule(error: i32, change: i32) -> i32 {
     let far = error.abs();
     let fast = change.abs();
@@ -58,10 +60,10 @@
     }
 }
 
-/// Whether an open request counts as a sample of latency at a control tick: a hang would look fast, as nothing is answered.
-/// It counts once it is late, or later than the `mean`. In a large fleet it counts once only, and not while it has no quota:
-/// a few that hang, counted at every tick, would outweigh all answers of a gateway that sees few, and by gossip those of
-/// the fleet, which would then shed and limit what could be served.
+/// Whether an open request counts as a sample of latency at a control tick: a hang would look fast, as
+/// nothing is answered. In a large fleet it counts once only: a few that hang, counted at every tick, would
+/// outweigh all answers of a gateway that sees few, and by gossip those of the fleet, which would then shed
+/// and limit what could be served.
 pub(crate) fn counts_while_open(
     mode: FleetMode, request: &mut Request, ratio: f64, mean: Option<f64>,
 ) -> bool {
@@ -75,17 +77,6 @@
     }
 }
 
-/// What a control tick observes.
-pub(crate) struct Observation {
-    /// The worst latency ratio of the controlled classes.
-    pub(crate) latency_ratio: f64,
-    /// Attempts in flight of the lowest class, and in all.
-    pub(crate) lowest_in_flight: f64,
-    pub(crate) total_in_flight: f64,
-    /// This gateway's share of the fleet.
-    pub(crate) share: f64,
-}
-
 /// State of the controller.
 #[derive(Default)]
 pub(crate) struct FuzzyController {
@@ -104,7 +95,8 @@
         self.limit.is_some()
     }
 
-    /// Whether one more attempt of the lowest class may be sent. A limit under one is kept on average, by pacing.
+    /// Whether one more attempt of the lowest class may be sent. A limit under one is kept on average, by
+    /// pacing.
     pub(crate) fn allows(&mut self, in_flight: f64, now: Micros, mean_latency: f64) -> bool {
         let Some(limit) = self.limit else { return true };
         let latencies = now.saturating_sub(self.paced_at) as f64 / mean_latency.max(1.0);
@@ -118,31 +110,31 @@
         self.pacing_tokens -= 1.0;
     }
 
-    /// A control tick; without an observation the limit stays.
-    pub(crate) fn tick(&mut self, lowest_in_flight: f64, observation: Option<Observation>) {
-        self.peak = self.peak.max(lowest_in_flight);
-        if let Some(observation) = observation {
-            self.adjust_limit(&observation);
+    /// A control tick, at the worst latency ratio of the controlled classes; while that is unknown the limit
+    /// stays. `share`: this gateway's part of the fleet.
+    pub(crate) fn tick(&mut self, latency_ratio: Option<f64>, fleet: &FleetEstimates, share: f64) {
+        self.peak = self.peak.max(fleet.lowest_in_flight);
+        if let Some(latency_ratio) = latency_ratio {
+            self.adjust_limit(latency_ratio, fleet, share);
         }
-        self.peak = lowest_in_flight;
+        self.peak = fleet.lowest_in_flight;
     }
 
-    fn adjust_limit(&mut self, observation: &Observation) {
-        let error = SET_POINT - observation.latency_ratio;
+    fn adjust_limit(&mut self, latency_ratio: f64, fleet: &FleetEstimates, share: f64) {
+        let error = SET_POINT - latency_ratio;
         let change = error - self.last_error.unwrap_or(error);
         self.last_error = Some(error);
-        let least = MIN_LIMIT * observation.share;
-        let in_flight = observation.lowest_in_flight;
-        let total = observation.total_in_flight;
+        let least = MIN_LIMIT * share;
+        let in_flight = fleet.lowest_in_flight;
+        let total = fleet.total_in_flight;
         let Some(limit) = self.limit else {
-            let missed = observation.latency_ratio > SET_POINT;
-            self.limit = missed.then_some(in_flight.max(least));
+            self.limit = (latency_ratio > SET_POINT).then_some(in_flight.max(least));
             return;
         };
         let inference = infer_change(error * ERROR_GAIN, change * CHANGE_GAIN);
         let moved = inference.alpha * OUTPUT_GAIN * inference.change;
         // Wind-up: a limit far above what is in flight would take long to bind again.
-        let lead = (MAX_LEAD * observation.share).max(total / 2.0);
+        let lead = (MAX_LEAD * share).max(total / 2.0);
         let most = (self.peak.max(in_flight) * 2.0 + lead).max(least);
         self.limit = Some((limit - moved * total.max(least / 2.0)).clamp(least, most));
     }
--- a/src/policy/gossip.rs
+++ b/src/policy/gossip.rs
@@ -15,7 +15,8 @@
 const MAX_GOOD_REPORTS: usize = 2;
 /// µs for which an observation is worth reporting.
 pub(crate) const REPORT_LIFETIME: Micros = 4_000_000;
-/// Weight of a health report at the recipient: it takes several, each newer, until one gateway's word ejects a server.
+/// Weight of a health report at the recipient: it takes several, each newer, until one gateway's word ejects
+/// a server.
 pub(crate) const REPORT_WEIGHT: f64 = 0.4;
 /// A server fares badly from this part of the ejection threshold on, and from so many median waits on.
 const BAD_FAILURE_RATE_SHARE: f64 = 0.5;
--- a/src/policy/lease.rs
+++ b/src/policy/lease.rs
@@ -1,11 +1,12 @@
-//! Leases, as the gateway that asks for them. A request asks one of its customer's quota owners before it is first
-//! sent, and the other one if that is short; with all silent the own bucket decides. What a gateway takes in is bounded,
-//! so owners grant units on lease ahead of the requests of a gateway that sees many.
+//! Leases, as the gateway that asks for them. A request asks one of its customer's quota owners before it is
+//! first sent, and the other one if that is short; with all silent the own bucket decides. What a gateway
+//! takes in is bounded, so owners grant units on lease ahead of the requests of a gateway that sees many.
 
 use super::quota_owner::owner_count;
-use crate::message::{LeaseGrant, ReturnedLease};
+use crate::message::LeaseGrant;
 use crate::settings::HardLimit;
 use crate::state::deployment::Context;
+use crate::state::lease::LeaseRenewal;
 use crate::state::quota_owners::QuotaOwners;
 use crate::state::quota_state::{OwnerMisses, QuotaState};
 use crate::state::request::{PendingLeaseRequest, QuotaOwner, Request};
@@ -20,7 +21,8 @@
 const LEASE_REFILL_SHARE: f64 = 0.25;
 /// µs for which an unresponsive owner is passed over.
 const OWNER_COOLDOWN: Micros = 1_000_000;
-/// Lease requests on end without an answer that make an owner unresponsive: one alone is mostly a lost message.
+/// Lease requests on end without an answer that make an owner unresponsive: one alone is mostly a lost
+/// message.
 const MISSES_UNTIL_UNRESPONSIVE: u32 = 3;
 /// How often the time to answer is doubled for one request.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
@@ -32,25 +34,19 @@
     lifetime.clamp(ANSWER_TIMEOUT, MAX_LEASE_LIFETIME)
 }
 
-/// A lease, as it is asked for: the units, and what comes back of the last one.
-pub(crate) struct LeaseRenewal {
-    pub requested_units: f64,
-    pub returned: ReturnedLease,
-}
-
-/// What a request asks for beyond its own units. One lease at a time: what a second answer grants would replace the
-/// first, so nothing is asked for while an answer may be on its way.
+/// What a request asks for beyond its own units: nothing while an answer may be on its way, which a second
+/// one would replace.
 pub(crate) fn renew(bucket: &mut TokenBucket, now: Micros, units: f64, owner_index: u32) -> LeaseRenewal {
     if now <= bucket.lease.requested_at.saturating_add(ANSWER_TIMEOUT) {
-        return LeaseRenewal { requested_units: 0.0, returned: ReturnedLease::default() };
+        return LeaseRenewal::default();
     }
     bucket.lease.requested_at = now;
     let requested_units = bucket.recent_demand - units;
     LeaseRenewal { requested_units, returned: bucket.lease.give_back(owner_index) }
 }
 
-/// The owner that a request asks next: they take turns, and the standby owner is asked only while these are unresponsive,
-/// as a customer beyond its quota must not have the standby's part on top.
+/// The owner that a request asks next: they take turns, and the standby owner is asked only while these are
+/// unresponsive, as a customer beyond its quota must not have the standby's part on top.
 pub(crate) fn next_owner(
     quotas: &QuotaState, now: Micros, owners: QuotaOwners, request: &Request, random: &mut fastrand::Rng,
 ) -> QuotaOwner {
@@ -83,8 +79,8 @@
     hard_limit.is_some() && now > expires_at
 }
 
-/// Whether an owner has not answered in time. From the second miss on that time doubles: in a partition, or where an
-/// intake is full, each request would ask on and on, so that still more messages are lost.
+/// Whether an owner has not answered in time. From the second miss on that time doubles: in a partition, or
+/// where an intake is full, each request would ask on and on, so that still more messages are lost.
 pub(crate) fn is_missed(request: &Request, pending: PendingLeaseRequest, now: Micros) -> bool {
     let doublings = request.quota.misses.saturating_sub(1).min(MAX_BACKOFF_DOUBLINGS);
     now > pending.sent_at.saturating_add(ANSWER_TIMEOUT << doublings)
--- a/src/policy/load_balancing.rs
+++ b/src/policy/load_balancing.rs
@@ -1,14 +1,13 @@
 //! Load balancing: which servers may be chosen from, and which one a request goes to.
 
 use super::retry::{bound_scope, may_send};
-use super::subsetting::{ring_position, subset_size};
-use crate::settings::{DeduplicationScope, Idempotency};
+use crate::settings::{DeduplicationScope, Idempotency, Settings};
 use crate::state::deployment::{Context, Deployment, FleetMode};
 use crate::state::request::Request;
 use crate::state::server::Server;
 use crate::state::server_table::{Candidate, CandidateQuery, ServerTable};
-use crate::state::server_view::{Fading, ServerView};
-use crate::types::{ClassId, ServerId};
+use crate::state::server_view::ServerView;
+use crate::types::{CellId, ClassId, ServerId};
 
 /// Wait that is expected before anything was observed, as a share of the shortest latency objective.
 pub(crate) const INITIAL_WAIT_SHARE: f64 = 0.12;
@@ -18,10 +17,6 @@
 const MAX_FLEET_WAIT_SHARE: f64 = 0.25;
 /// Attempts that all gateways together may always have in flight at each server.
 const MIN_IN_FLIGHT_PER_SERVER: f64 = 4.0;
-/// Least warm-up fraction that the wait of an unknown server is divided by.
-const MIN_WARM_UP_FRACTION: f64 = 0.1;
-/// µs in which a reported load fades halfway to the fleet's: many attempts are sent meanwhile.
-const LOAD_HALF_LIFE: f64 = 1.5e6;
 /// Servers that are looked at for a choice where not all are walked, and those of which one is chosen.
 const MAX_VISITED: usize = 200;
 pub(crate) const SAMPLE_SIZE: usize = 10;
@@ -33,14 +28,24 @@
 const CROSS_ZONE_PENALTY: f64 = 30.0;
 /// ... and those that the server tried last counts for.
 const SAME_SERVER_PENALTY: f64 = 4.0;
-/// Factors by which the wait counts more where all attempts fail, as failing fast must not look quick, and where none
-/// into the zone finds a connection.
+/// Factors by which the wait counts more where all attempts fail (failing fast is not quick), or none reaches
+/// the zone.
 const FAILURE_PENALTY: f64 = 4.0;
 const UNREACHABLE_ZONE_PENALTY: f64 = 20.0;
-/// Share of the servers that must not be ejected; with fewer the fault lies elsewhere, and none counts as ejected
-/// (iac7c0b: ejection feeds on itself).
+/// Share of the servers that must not be ejected; with fewer the fault lies elsewhere, and none counts as
+/// ejected (iac7c0b: ejection feeds on itself).
 const MIN_HEALTHY_SHARE: f64 = 0.5;
 
+/// Servers that a gateway of a large fleet uses, and at the least gateways that use each server. A pair that meets
+/// seldom costs a handshake each time, and holds a connection in between.
+const SUBSET_SIZE: f64 = 7.0;
+
+/// How many of the ready servers a gateway uses: more where servers are many, or some would be used by no gateway.
+pub(super) fn subset_size(settings: &Settings, ready: usize) -> usize {
+    let per_gateway = SUBSET_SIZE * ready as f64 / f64::from(settings.gateway_count);
+    SUBSET_SIZE.max(per_gateway).ceil() as usize
+}
+
 /// Chooses servers at one moment.
 pub(crate) struct Balancer<'a> {
     context: Context<'a>,
@@ -50,36 +55,24 @@
 }
 
 impl<'a> Balancer<'a> {
-    /// Latency tells of a queue only once it was waited out; by then hundreds of gateways have sent more, so there
-    /// reported loads count too. Where each gateway sees most answers itself, waits tell as much.
     pub(crate) fn new(context: Context<'a>, servers: &'a ServerTable) -> Self {
-        let deployment = context.deployment;
-        let fading = Fading {
-            wait_half_life: deployment.mode.parameters().wait_half_life,
-            load_half_life: (deployment.mode == FleetMode::Leases).then_some(LOAD_HALF_LIFE),
-            min_warm_up_fraction: MIN_WARM_UP_FRACTION,
-        };
+        let Context { now, deployment, fleet } = context;
         let rules = &deployment.settings.rules;
-        let view = ServerView { now: context.now, rules, fleet: context.fleet, fading };
-        Balancer { context, deployment, servers, view }
+        let fading = deployment.mode.parameters().fading;
+        Balancer { context, deployment, servers, view: ServerView { now, rules, fleet, fading } }
     }
 
     /// Attempts that all servers together finish within the shortest latency objective.
     pub(crate) fn fleet_capacity(&self) -> f64 {
-        let ready = self.servers.ready_count();
-        self.view.capacity(self.servers.iter_ready(), ready, self.deployment.shortest_objective)
+        self.view.capacity(self.servers, self.deployment.shortest_objective)
     }
 
-    /// Whether all servers together may have enough in flight: many gateways, each with one attempt at every server,
-    /// would overload them all (iac7c0b, i417db4). If so, the fleet's capacity decides.
-    pub(crate) fn may_be_full(&self, in_flight: f64) -> bool {
+    /// Whether all servers together have enough in flight: many gateways, each with one attempt at every
+    /// server, would overload them all (iac7c0b, i417db4). The fleet's capacity is asked for only if need be.
+    pub(crate) fn is_full(&self, in_flight: f64, fleet_capacity: impl FnOnce() -> f64) -> bool {
         let ready = self.servers.ready_count() as f64;
         let own_share = MIN_IN_FLIGHT_PER_SERVER * ready / f64::from(self.deployment.settings.gateway_count);
-        in_flight >= own_share.max(1.0)
-    }
-
-    pub(crate) fn exceeds_capacity(in_flight: f64, fleet_capacity: f64) -> bool {
-        in_flight >= MAX_FLEET_WAIT_SHARE * fleet_capacity
+        in_flight >= own_share.max(1.0) && in_flight >= MAX_FLEET_WAIT_SHARE * fleet_capacity()
     }
 
     /// Whether one more attempt at a server leaves time within the shortest latency objective.
@@ -99,17 +92,15 @@
         with_capacity.map(|server| server.endpoint.server).collect()
     }
 
-    /// Some servers with capacity: those whose probe is due, then this gateway's subset from a random place on, and
-    /// servers beyond it where too few of it have capacity. For a request that has to stay in its scope, of these.
+    /// Some servers with capacity: those whose probe is due, then this gateway's subset from a random place
+    /// on, and servers beyond it where too few of it have capacity. For a request that has to stay in its
+    /// scope, of these.
     pub(crate) fn sample(&self, request: Option<&Request>, random: &mut fastrand::Rng) -> Vec<Candidate> {
         let ready = self.servers.ready_count();
         let size = self.subset_size().min(ready);
-        let in_cell =
-            |request: &&Request| bound_scope(self.deployment, request) == Some(DeduplicationScope::Cell);
-        let executed = request.filter(in_cell).and_then(|request| request.possibly_executed);
         let query = CandidateQuery {
-            cell: executed.map(|executed| executed.endpoint.cell),
-            subset_position: ring_position(self.deployment.settings.gateway_id, ready),
+            cell: request.and_then(|request| self.bound_cell(request)),
+            subset_position: self.position(),
             subset_size: size,
             subset_start: random.usize(0..size.max(1)),
             max_visited: MAX_VISITED,
@@ -128,15 +119,27 @@
         is_bound && !self.servers.walks_all()
     }
 
+    /// Where this gateway's subset begins on the ring.
+    fn position(&self) -> usize {
+        self.servers.ring_position(self.deployment.settings.gateway_id)
+    }
+
     fn subset_size(&self) -> usize {
         subset_size(&self.deployment.settings, self.servers.ready_count())
     }
 
+    /// The cell that a request has to stay in.
+    fn bound_cell(&self, request: &Request) -> Option<CellId> {
+        let is_bound = bound_scope(self.deployment, request) == Some(DeduplicationScope::Cell);
+        request.possibly_executed.filter(|_| is_bound).map(|executed| executed.endpoint.cell)
+    }
+
     fn may_send(&self, request: &Request, server: &Server) -> bool {
         may_send(self.deployment, request, self.context.now, &server.endpoint)
     }
 
-    /// Whether so few servers are healthy that none counts as ejected: ejecting all when all are bad helps nobody.
+    /// Whether so few servers are healthy that none counts as ejected: ejecting all when all are bad helps
+    /// nobody.
     fn ignores_ejection(&self, class: ClassId) -> bool {
         let healthy = self.servers.healthy_count(class) as f64;
         healthy < self.servers.ready_count() as f64 * MIN_HEALTHY_SHARE
@@ -171,8 +174,8 @@
         best
     }
 
-    /// Whether a server may take a request: it is not ejected, or its probe is due. A probe may be lost, so it takes only
-    /// what can be repeated, unless there is no other server.
+    /// Whether a server may take a request: it is not ejected, or its probe is due. A probe may be lost, so
+    /// it takes only what can be repeated, unless there is no other server.
     fn is_eligible(&self, request: &Request, server: &Server, ignores_ejection: bool, is_only: bool) -> bool {
         let probe_at = server.health[request.class.0].next_probe_at;
         let is_due = probe_at.is_none_or(|at| at <= self.context.now && server.in_flight == 0);
@@ -181,14 +184,16 @@
         (is_due || ignores_ejection) && !is_risky && self.may_send(request, server)
     }
 
-    /// In a large fleet a probe comes first; else a server that warms up, as its credit is rare; else this gateway's
-    /// subset, of which one that is ejected or full is passed over, and the next on the ring taken in its place.
+    /// In a large fleet a probe comes first, then a server that warms up, as its credit is rare, then this
+    /// gateway's subset, in which the next on the ring takes the place of one that is ejected or full.
     fn narrow(
         &self, eligible: Vec<&'a Server>, is_probe: impl Fn(&Server) -> bool, random: &mut fastrand::Rng,
     ) -> Vec<&'a Server> {
         let mut narrowed = match eligible.iter().find(|server| is_probe(server)) {
             Some(probe) => vec![*probe],
-            None if self.servers.walks_all() => self.subset_of(&eligible),
+            None if self.servers.walks_all() => {
+                self.servers.first_on_ring(self.position(), &eligible, self.subset_size())
+            }
             None => eligible, // sampled from the subset
         };
         random.shuffle(&mut narrowed);
@@ -198,14 +203,6 @@
         }
     }
 
-    /// This gateway's subset of servers that are in the order of their ids.
-    fn subset_of(&self, servers: &[&'a Server]) -> Vec<&'a Server> {
-        let place = |id| servers.binary_search_by_key(&id, |server| server.endpoint.server).ok();
-        let position = ring_position(self.deployment.settings.gateway_id, self.servers.ready_count());
-        let members = self.servers.ring_from(position).filter_map(place);
-        members.map(|place| servers[place]).take(self.subset_size()).collect()
-    }
-
     /// How bad a server is for a request: its expected wait times the places taken, with penalties.
     fn cost(&self, request: &Request, server: &Server) -> f64 {
         let settings = &self.deployment.settings;
@@ -223,8 +220,9 @@
         places * self.view.expected_wait(server) * penalties
     }
 
-    /// Where each gateway knows little, hundreds of them would flock to the server last heard to be quick: there a
-    /// server's share is in inverse to the square of its cost, which the least of exponential draws gives.
+    /// Where each gateway knows little, hundreds of them would flock to the server last heard to be quick:
+    /// there a server's share is in inverse to the square of its cost, which the least of exponential draws
+    /// gives.
     fn drawn_cost(&self, request: &Request, server: &Server, draw: f64) -> f64 {
         let cost = self.cost(request, server);
         let factor = match self.deployment.mode {
--- a/src/policy/load_shedding.rs
+++ b/src/policy/load_shedding.rs
@@ -1,11 +1,10 @@
-//! Load shedding, an addition to the design where a gateway has too little in flight for its limit to press: as the
-//! servers fill, requests are shed by chance, the lowest priority first. It prevents a jam that hundreds of gateways with
-//! one attempt each would never see.
+//! Load shedding, an addition to the design where a gateway has too little in flight for its limit to press:
+//! as the servers fill, requests are shed by chance, the lowest priority first. It prevents a jam that
+//! hundreds of gateways with one attempt each would never see.
 
-use crate::settings::{Class, Plan};
 use crate::state::deployment::Context;
 use crate::state::request::Request;
-use crate::statistics::{percentile_rank, Ramp};
+use crate::statistics::Ramp;
 
 /// Where shedding begins, and where it takes all but the highest priority: by the worst latency ratio ...
 const LATENCY_RAMP: Ramp = Ramp { from: 0.5, to: 1.5 };
@@ -14,12 +13,8 @@
 /// The largest share of any priority that is shed.
 const MAX_SHED_PROBABILITY: f64 = 0.9;
 
-fn priority(class: &Class, plan: &Plan) -> f64 {
-    class.priority_weight * plan.weight
-}
-
-/// Reported loads tell of a jam an answer's time sooner than latency, which stands in where there are none. The median
-/// server counts, so that a few that hang shed nobody.
+/// Reported loads tell of a jam an answer's time sooner than latency, which stands in where there are none.
+/// The median server counts, so that a few that hang shed nobody.
 fn load_pressure(context: Context<'_>) -> f64 {
     let fleet = context.fleet;
     let Some(load_factor) = fleet.load_factor else {
@@ -30,12 +25,8 @@
     LOAD_RAMP.position(expected / context.deployment.shortest_objective)
 }
 
-/// Probability with which a request is shed.
+/// Probability with which a request is shed: its priority ranks among those of all classes and plans.
 pub(super) fn shed_probability(context: Context<'_>, request: &Request) -> f64 {
-    let deployment = context.deployment;
-    let own = priority(deployment.class_of(request), deployment.plan_of(request));
-    let plans = &deployment.settings.plans;
-    let of_class = |class| plans.iter().map(move |plan| priority(class, plan));
-    let all = deployment.settings.classes.iter().flat_map(of_class);
-    (2.0 * load_pressure(context) - percentile_rank(own, all)).clamp(0.0, MAX_SHED_PROBABILITY)
+    let rank = context.deployment.priority_rank(request);
+    (2.0 * load_pressure(context) - rank).clamp(0.0, MAX_SHED_PROBABILITY)
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,4 +14,3 @@
 pub(crate) mod quota_owner;
 pub(crate) mod retry;
 pub(crate) mod slow_start;
-pub(crate) mod subsetting;
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -1,10 +1,10 @@
-//! Outlier detection: what attempts tell of a server, when it is ejected for a class, and when it is probed again.
+//! Outlier detection: what attempts tell of a server, when it is ejected for a class, and when it is probed
+//! again.
 
 use super::deadlines::TIMER_PERIOD;
 use crate::state::attempt::Attempt;
 use crate::state::deployment::{Context, Deployment, FleetMode};
 use crate::state::server::{ConnectBackoff, Server};
-use crate::statistics::update_mean;
 use crate::types::{AttemptOutcome, ClassId, Micros};
 
 /// Failure rate from which on a server is ejected, unless the fleet's is half as bad ...
@@ -16,8 +16,8 @@
 const PROBE_INTERVAL: f64 = 700_000.0;
 /// Factor on the failure rate of an ejected server whose probe was answered.
 const PROBE_SUCCESS_FACTOR: f64 = 0.5;
-/// An attempt is stalled once it is so many times older than the fleet's mean latency, and than this share of its
-/// latency objective; one that is alone on its server may be a rare heavy request, and gets more time.
+/// An attempt is stalled once it is so many times older than the fleet's mean latency, and than this share of
+/// its latency objective; one that is alone on its server may be a rare heavy request, and gets more time.
 const STALLED_LATENCIES: f64 = 4.0;
 const STALLED_OBJECTIVES: f64 = 0.5;
 const ALONE_FACTOR: f64 = 1.5;
@@ -27,19 +27,21 @@
 pub(crate) const MAX_SERVER_IDLE: Micros = 20_000_000;
 /// Weights of a sample in a server's wait, in its failure rate, and in the mean latency of all servers.
 const WAIT_WEIGHT: f64 = 0.15;
-const FAILURE_WEIGHT: f64 = 0.2;
+pub(crate) const FAILURE_WEIGHT: f64 = 0.2;
 pub(crate) const LATENCY_WEIGHT: f64 = 0.02;
 /// Least latency that a failed attempt counts with, as a share of the shortest latency objective.
 const FAILED_ATTEMPT_SHARE: f64 = 0.5;
 /// Part of the failure weight that counts for the server's other classes: one class may fail alone.
-const OTHER_CLASS_SHARE: f64 = 0.25;
+pub(crate) const OTHER_CLASS_SHARE: f64 = 0.25;
 /// Weight of an attempt in whether its zone can be reached.
 pub(crate) const ZONE_WEIGHT: f64 = 0.2;
-/// µs for which a server that took no connection is left alone, spread up to twice that, and how often it is doubled.
+/// µs for which a server that took no connection is left alone, spread up to twice that, and how often it is
+/// doubled.
 const CONNECT_BACKOFF: Micros = 500_000;
 const MAX_CONNECT_DOUBLINGS: u32 = 4;
 
-/// µs until the next probe of an ejected server. In a large fleet, all gateways' probes of it come at that pace.
+/// µs until the next probe of an ejected server. In a large fleet, all gateways' probes of it come at that
+/// pace.
 pub(crate) fn probe_interval(deployment: &Deployment, random: &mut fastrand::Rng) -> Micros {
     let spread = 0.5 + random.f64();
     let factor = match deployment.mode {
@@ -59,8 +61,8 @@
     }
 }
 
-/// An attempt that was given up is no failure of a server that has answered another one since, unless it was cancelled as
-/// stalled.
+/// An attempt that was given up, but not as stalled, is no failure of a server that has answered another one
+/// since.
 pub(crate) fn is_failure(
     server: &Server, attempt: &Attempt, outcome: AttemptOutcome, was_stalled: bool,
 ) -> bool {
@@ -72,14 +74,6 @@
     }
 }
 
-/// Takes in whether an attempt failed.
-pub(crate) fn observe_failure(server: &mut Server, class: ClassId, failed: bool) {
-    for (other, health) in server.health.iter_mut().enumerate() {
-        let weight = if other == class.0 { FAILURE_WEIGHT } else { FAILURE_WEIGHT * OTHER_CLASS_SHARE };
-        update_mean(&mut health.failure_rate, f64::from(u8::from(failed)), weight);
-    }
-}
-
 /// For how long a server that takes no connection is left alone: a large fleet would send again and again.
 pub(crate) fn connect_backoff(mode: FleetMode, random: &mut fastrand::Rng) -> Option<ConnectBackoff> {
     if mode == FleetMode::Gossip {
@@ -89,9 +83,9 @@
     Some(ConnectBackoff { first, max_doublings: MAX_CONNECT_DOUBLINGS })
 }
 
-/// Whether an attempt tells something of its server's zone. Links of a whole zone that are cut would be found server by
-/// server; the price is paid where many servers of one zone die for other reasons. A probe of an ejected server tells
-/// nothing, as a machine that hangs takes no connection either.
+/// Whether an attempt tells of its server's zone: the links of a whole zone that are cut would be found
+/// server by server. A probe of an ejected server tells nothing, as a machine that hangs takes no connection
+/// either.
 pub(crate) fn tells_of_zone(server: &Server, class: ClassId, unreachable: bool) -> bool {
     !unreachable || !server.health[class.0].is_ejected()
 }
@@ -102,23 +96,22 @@
     latency.max(least)
 }
 
-/// After a jam, a sample must not bring back the old wait whole, or the server stays unused; in a large fleet gossip keeps
-/// waits young.
+/// After a jam, a sample must not bring back the old wait whole, or the server stays unused; in a large fleet
+/// gossip keeps waits young.
 pub(crate) fn observe_wait(server: &mut Server, context: Context<'_>, sample: f64) {
-    let Context { now, deployment, fleet } = context;
-    let mode = deployment.mode;
-    let median_wait = fleet.median_wait;
+    let now = context.now;
+    let mode = context.deployment.mode;
+    let median_wait = context.fleet.median_wait;
     match mode {
         FleetMode::Gossip => {
-            server.fade_wait(now, median_wait, mode.parameters().wait_half_life);
+            server.fade_wait(now, median_wait, mode.parameters().fading.wait_half_life);
             server.observe_wait(now, sample, WAIT_WEIGHT, sample);
         }
         FleetMode::Leases => server.observe_wait(now, sample, WAIT_WEIGHT, median_wait),
     }
 }
 
-/// An ejected server is taken back once few attempts fail; until then a probe that was answered is followed by the next
-/// at once.
+/// A probe that was answered is followed by the next at once, until the server is taken back.
 pub(crate) fn observe_answer(server: &mut Server, now: Micros, class: ClassId) {
     server.answered_at = now;
     let health = &mut server.health[class.0];
@@ -130,14 +123,15 @@
     }
 }
 
-/// Whether a timer comes so late that this gateway itself is slow: answers may lie unread here, and no server is to blame.
+/// Whether a timer comes so late that this gateway itself is slow: answers may lie unread here, and no server
+/// is to blame.
 pub(crate) fn is_late_timer(now: Micros, wake_at: Micros) -> bool {
     now > wake_at.saturating_add(MAX_TIMER_LAG)
 }
 
-/// Whether a server takes work and answers none, or its link is cut: an attempt is far older than the fleet's latency,
-/// and nothing was answered since. The price is paid when a rare heavy request is alone on its server: then it may run
-/// again elsewhere.
+/// Whether a server takes work and answers none, or its link is cut: an attempt is far older than the fleet's
+/// latency, and nothing was answered since. A rare heavy request that is alone on its server may so run again
+/// elsewhere.
 pub(crate) fn is_stalled(context: Context<'_>, server: &Server, attempt: &Attempt) -> bool {
     let objective = context.deployment.settings.classes[attempt.class.0].latency_objective as f64;
     let limit = (objective * STALLED_OBJECTIVES).max(context.fleet.mean_latency * STALLED_LATENCIES);
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -1,63 +1,41 @@
-//! Quotas by this gateway's own token buckets: the design's companion of the controller. Each bucket is refilled at the
-//! plan's rate and drained by the gateway's own use and by what peers are heard to use.
+//! Quotas by this gateway's own token buckets: the design's companion of the controller. Each bucket is
+//! refilled at the plan's rate and drained by the gateway's own use and by what peers are heard to use.
 
 use crate::settings::Settings;
 use crate::state::deployment::{Context, FleetMode};
-use crate::state::quota_state::QuotaState;
+use crate::state::quota_state::{silent_gateways, QuotaState};
 use crate::state::request::Request;
 use crate::state::token_bucket::{BucketConfig, TokenBucket};
 use crate::statistics::poisson_below;
-use crate::types::{GatewaySet, Micros};
+use crate::types::Micros;
+use std::ops::Range;
 
-/// µs of silence from which on a gateway counts as partitioned, and after which it counts as dead.
-const PARTITIONED_AFTER: Micros = 800_000;
-const DEAD_AFTER: Micros = 25_000_000;
+/// µs of silence for which a gateway counts as partitioned, before it counts as dead. In a partition each side would
+/// grant the whole rate, so each keeps back the even shares of the silent ones; the price is paid while one is down.
+pub(crate) const PARTITIONED: Range<Micros> = 800_000..25_000_000;
 /// µs by which peers have been up longer, and for which that matters, where this gateway restarted.
 const RESTART_WINDOW: Micros = 4_000_000;
-/// Requests on end that name another plan or gateway set until their customer's bucket is reconfigured: one alone, by
-/// mistake or malice, must not fix a wrong plan or set for good.
+/// Requests on end that name another plan or gateway set until a bucket follows: one alone, by mistake or
+/// malice, must not.
 const MAX_CONFLICTING_HINTS: u32 = 3;
 /// Loss, as a share of its priority weight, that a first attempt may risk at a limit on attempts in flight.
 const MAX_CONCURRENCY_RISK: f64 = 0.2;
 
-/// How many of a customer's gateways count as partitioned. In a partition each side would grant the whole rate, so each
-/// keeps back the even shares of the silent ones until these count as dead; the price is paid while a gateway is down.
-pub(crate) fn partitioned_gateways(last_heard: &[Micros], gateways: GatewaySet, now: Micros) -> f64 {
-    let first = gateways.first.0 as usize;
-    let members = (0..gateways.count as usize).map(|step| (first + step) % last_heard.len());
-    let silence = members.map(|member| now.saturating_sub(last_heard[member]));
-    silence.filter(|silence| (PARTITIONED_AFTER..DEAD_AFTER).contains(silence)).count() as f64
-}
-
-/// The bucket of a request's customer, refilled up to now.
-pub(crate) fn refilled_bucket<'a>(
-    quotas: &'a mut QuotaState, context: Context<'_>, request: &Request, gateways: GatewaySet,
-) -> &'a mut TokenBucket {
-    let now = context.now;
-    let settings = &context.deployment.settings;
-    let config = BucketConfig {
-        plan_id: request.plan,
-        plan: &settings.plans[request.plan.0],
-        gateways: GatewaySet { count: gateways.count.clamp(1, settings.gateway_count), ..gateways },
-        max_request_units: settings.max_request_units,
-    };
-    let uptime = quotas.uptime(now);
-    let restarted = quotas.restarted_recently && uptime < RESTART_WINDOW;
-    let bucket = quotas.local.entry(request.customer).or_insert_with(|| {
-        let mut bucket = TokenBucket::new(now, uptime, config);
-        if restarted {
-            bucket.tokens = bucket.capacity;
-        }
-        bucket
-    });
-    follow_hints(now, settings, bucket, config);
-    let silent = partitioned_gateways(&quotas.last_heard, bucket.gateways(), now);
-    bucket.refill(now, &settings.plans[bucket.plan.0], silent);
+/// A new bucket of a customer.
+pub(crate) fn new_bucket(
+    now: Micros, uptime: Micros, restarted_recently: bool, config: BucketConfig<'_>,
+) -> TokenBucket {
+    let mut bucket = TokenBucket::new(now, uptime, config);
+    if restarted_recently && uptime < RESTART_WINDOW {
+        bucket.tokens = bucket.capacity;
+    }
     bucket
 }
 
 /// Reconfigures a bucket once enough requests on end have named another plan or gateway set.
-fn follow_hints(now: Micros, settings: &Settings, bucket: &mut TokenBucket, config: BucketConfig<'_>) {
+pub(crate) fn follow_hints(
+    settings: &Settings, bucket: &mut TokenBucket, now: Micros, config: BucketConfig<'_>,
+) {
     if bucket.matches(config.plan_id, config.gateways) {
         bucket.conflicting_hints = 0;
         return;
@@ -70,8 +48,8 @@
     }
 }
 
-/// A peer that started then has been heard. Where peers have been up for much longer, this gateway has restarted, and
-/// others have used what its fresh buckets hold: only the even part of each burst is taken for granted.
+/// A peer has been heard. Where peers have been up for much longer, this gateway has restarted, and others
+/// have used what its fresh buckets hold: only the even part of each burst is taken for granted.
 pub(crate) fn observe_incarnation(
     quotas: &mut QuotaState, settings: &Settings, now: Micros, incarnation: u32,
 ) {
@@ -87,15 +65,15 @@
     }
 }
 
-/// Whether the hard limit and the limit on attempts in flight allow a first attempt now; if not, it waits. In a large
-/// fleet a quota owner has allowed it.
+/// Whether the customer's limits allow a first attempt now; if not, it waits. In a large fleet an owner has
+/// allowed it.
 pub(crate) fn allows_attempt(quotas: &mut QuotaState, context: Context<'_>, request: &Request) -> bool {
     if context.deployment.mode == FleetMode::Leases {
         return true;
     }
     let Some(bucket) = quotas.local.get_mut(&request.customer) else { return true };
     let plan = &context.deployment.settings.plans[bucket.plan.0];
-    let silent = partitioned_gateways(&quotas.last_heard, bucket.gateways(), context.now);
+    let silent = silent_gateways(&quotas.last_heard, bucket.gateways(), context.now, PARTITIONED);
     bucket.refill(context.now, plan, silent);
     if plan.hard_limit.is_some() && bucket.hard_limit_tokens < request.units {
         return false;
--- a/src/policy/quota_owner.rs
+++ b/src/policy/quota_owner.rs
@@ -1,6 +1,7 @@
-//! Quota owners, an addition to the design for large fleets (see [`FleetMode`](super::fleet_mode::FleetMode)). One or
-//! two of a customer's gateways own its quota in parts; where they do not answer, a standby owner keeps a small part.
-//! Without owners each of hundreds of gateways would grant a burst of its own.
+//! Quota owners, an addition to the design for large fleets (see
+//! [`FleetMode`](super::fleet_mode::FleetMode)). One or two of a customer's gateways own its quota in parts;
+//! where they do not answer, a standby owner keeps a small part. Without owners each of hundreds of gateways
+//! would grant a burst of its own.
 
 use super::lease::lease_lifetime;
 use crate::message::{LeaseDecision, LeaseGrant, LeaseRequest};
@@ -10,7 +11,8 @@
 use crate::state::token_bucket::{BucketConfig, TokenBucket};
 use crate::types::{CustomerId, GatewayId, GatewaySet, Micros};
 
-/// Units a second that one owner looks after, as a share of the messages it takes in: lease requests have to fit in.
+/// Units a second that one owner looks after, as a share of the messages it takes in: lease requests have to
+/// fit in.
 const UNITS_PER_INTAKE: f64 = 0.6;
 /// The most owners: what is left in one part is of no use to a request that asks the other.
 const MAX_OWNERS: u32 = 2;
@@ -18,8 +20,8 @@
 const STANDBY_SHARE: f64 = 0.3;
 /// Lease requests of one customer that an owner wants, as a share of the messages it takes in.
 const WANTED_INTAKE_SHARE: f64 = 0.4;
-/// Factor by which each lease request too many lowers the share of requests that may ask, and what it gains a second:
-/// multiplicative decrease, additive increase.
+/// Factor by which each lease request too many lowers the share of requests that may ask, and what it gains a
+/// second: multiplicative decrease, additive increase.
 const PROBABILITY_DECREASE: f64 = 0.97;
 const PROBABILITY_INCREASE: f64 = 0.5;
 /// The most of what is left that goes on one lease, so that others find some.
@@ -47,18 +49,15 @@
 }
 
 impl OwnerRequest<'_> {
-    fn index(&self) -> u32 {
-        u32::from(self.request.owner_index)
-    }
-
     /// Whether a gateway is the owner that is asked.
     pub(crate) fn is_for(&self, gateway: GatewayId) -> bool {
-        self.owners.gateway(self.index()) == gateway && self.index() <= self.owners.count
+        self.owners.gateway(self.request.owner_index) == gateway
+            && self.request.owner_index <= self.owners.count
     }
 
-    /// A new bucket of this owner: its part of the quota, full, and of the hard limit, empty. The sum of the parts must
-    /// not pass the hard limit, so the standby owner's is taken off the others'. Its part of the quota is on top: the most
-    /// that a customer gains where lost messages make owners look silent.
+    /// A new bucket of this owner: its part of the quota, full, and of the hard limit, empty. The sum of the
+    /// parts must not pass the hard limit, so the standby owner's is taken off the others'. Its part of the
+    /// quota is on top: the most that a customer gains where lost messages make owners look silent.
     pub(crate) fn new_bucket(&self, settings: &Settings, now: Micros) -> TokenBucket {
         let max_request_units = settings.max_request_units;
         let gateways = GatewaySet { first: self.request.gateways.first, count: self.owners.count };
@@ -66,22 +65,18 @@
             BucketConfig { plan_id: self.request.plan, plan: self.plan, gateways, max_request_units };
         let part = 1.0 / f64::from(self.owners.count);
         let has_standby = self.request.gateways.count > self.owners.count;
-        let mut bucket = TokenBucket::new(now, 0, config);
-        (bucket.share, bucket.hard_limit_share) = if !has_standby {
+        let (share, hard_limit_share) = if !has_standby {
             (part, part)
-        } else if self.index() < self.owners.count {
+        } else if self.request.owner_index < self.owners.count {
             (part, part * (1.0 - STANDBY_SHARE))
         } else {
             (STANDBY_SHARE, STANDBY_SHARE)
         };
-        bucket.grant_lifetime = lease_lifetime(self.plan.hard_limit.as_ref());
-        bucket.capacity = (self.plan.burst * bucket.share).max(max_request_units);
-        bucket.tokens = bucket.capacity;
-        bucket
+        let grant_lifetime = lease_lifetime(self.plan.hard_limit.as_ref());
+        TokenBucket::new(now, 0, config).into_part(config, share, hard_limit_share, grant_lifetime)
     }
 
-    /// Decides whether the request fits this part of its customer's quota, hard limit and permits, and what goes on lease
-    /// beyond it.
+    /// Decides whether the request fits this part of its customer's limits, and what goes on lease beyond it.
     pub(crate) fn decide(&self, settings: &Settings, now: Micros, bucket: &mut TokenBucket) -> LeaseGrant {
         let plan = self.plan;
         let units = self.request.units;
@@ -92,7 +87,8 @@
         throttle_requests(bucket, settings, plan, since_refill);
         let request_probability = bucket.lease_request_probability;
         bucket.permits.drop_expired(now);
-        let max_permits = plan.max_concurrent.map(|limit| even_share(limit, self.owners.count, self.index()));
+        let max_permits =
+            plan.max_concurrent.map(|limit| even_share(limit, self.owners.count, self.request.owner_index));
         let no_permit = max_permits.is_some_and(|max| bucket.permits.in_use() >= max);
         let quota_exceeded = plan.rate > 0.0 && bucket.tokens < units;
         let limit_exceeded = plan.hard_limit.is_some() && bucket.hard_limit_tokens < units;
@@ -121,7 +117,8 @@
     }
 }
 
-/// A customer far beyond its quota would drown its owners in lease requests, so only a share of its requests may ask.
+/// A customer far beyond its quota would drown its owners in lease requests, so only a share of its requests
+/// may ask.
 fn throttle_requests(bucket: &mut TokenBucket, settings: &Settings, plan: &Plan, since_refill: f64) {
     let wanted = WANTED_INTAKE_SHARE * settings.peer_messages_per_second;
     bucket.lease_request_rate = bucket.lease_request_rate * (-since_refill).exp() + 1.0;
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -1,5 +1,5 @@
-//! Retries: idempotency, and a budget that first attempts earn, so that retries do not multiply the load of servers that
-//! fail.
+//! Retries: idempotency, and a budget that first attempts earn, so that retries do not multiply the load of
+//! servers that fail.
 
 use crate::settings::{DeduplicationScope, Idempotency};
 use crate::state::deployment::{Context, Deployment, FleetMode};
@@ -15,7 +15,8 @@
     (budget + BUDGET_PER_ATTEMPT).min(MAX_BUDGET)
 }
 
-/// Whether an attempt may be sent to an endpoint without the request being executed twice. Every attempt passes here.
+/// Whether an attempt may be sent to an endpoint without the request being executed twice. Every attempt
+/// passes here.
 pub(crate) fn may_send(deployment: &Deployment, request: &Request, now: Micros, endpoint: &Endpoint) -> bool {
     if request.in_flight.is_some() {
         return false;
@@ -31,7 +32,8 @@
     }
 }
 
-/// Whether a request may be rejected, which promises its client that a retry is safe. Every rejection passes here.
+/// Whether a request may be rejected, which promises its client that a retry is safe. Every rejection passes
+/// here.
 pub(crate) fn may_reject(deployment: &Deployment, request: &Request) -> bool {
     if request.in_flight.is_some() {
         return false;
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -1,7 +1,8 @@
-//! Slow start: a server that has just started collapses under what a warm one bears. Gateways earn attempts to it, a share
-//! of what warm servers are seen to do; what falls below one a tick is a chance, and many gateways save nothing up.
+//! Slow start: a server that has just started collapses under what a warm one bears. Gateways earn attempts
+//! to it, a share of what warm servers are seen to do; what falls below one a tick is a chance, and many
+//! gateways save nothing up.
 
-use super::subsetting::subset_size;
+use super::load_balancing::subset_size;
 use crate::state::deployment::{Context, FleetMode};
 use crate::state::server::Server;
 use crate::types::Micros;
--- a/src/reconnect.rs
+++ b/src/reconnect.rs
@@ -1,20 +1,23 @@
-//! When discovery is called again: a core without sockets or a clock. What happened on the open call and the time
-//! go in; out come the moment at which that call is given up and the one at which the next is made.
+//! When discovery is called again: a core without sockets or a clock. What happened on the open call and the
+//! time go in; out come the moment at which that call is given up and the one at which the next is made.
 //!
-//! A change counts as told 6 s after discovery had it and could be reached, whatever failed in between; where lists
-//! are pushed it counts at once. So the pace follows the time that a drain leaves, and no pause or wait outlasts
-//! the bounds below, however much time that is.
+//! A change counts as told 6 s after discovery had it and could be reached, whatever failed in between; where
+//! lists are pushed it counts at once. So the pace follows the time that a drain leaves, and no pause or wait
+//! outlasts the bounds below, however much time that is.
 
 use crate::Micros;
 use std::time::Duration;
 
-/// A watch says something every 2 s; one that is this late is taken for dead. A watch whose first list is this late
-/// is given up too, with whatever signs of life. Guards drains: what discovery has to tell counts as told all the same.
+/// A watch says something every 2 s; one that is this late is taken for dead. A watch whose first list is
+/// this late is given up too, with whatever signs of life. Guards drains: what discovery has to tell counts
+/// as told all the same.
 const SILENT_FOR: Duration = Duration::from_secs(3);
-/// The longest wait for an answer, and for a list that has begun to be whole. Guards settings with a long grace.
+/// The longest wait for an answer, and for a list that has begun to be whole. Guards settings with a long
+/// grace.
 const ANSWER_MOST: Duration = Duration::from_millis(1500);
-/// The longest pause before one is opened again that was turned away or could not be read. Guards against a herd:
-/// a discovery that turns calls away goes on doing so for as long as they come back faster than it can serve them.
+/// The longest pause before one is opened again that was turned away or could not be read. Guards against a
+/// herd: a discovery that turns calls away goes on doing so for as long as they come back faster than it can
+/// serve them.
 const TURNED_AWAY_MOST: Duration = Duration::from_secs(1);
 /// The longest first pause.
 const FIRST_PAUSE_MOST: Duration = Duration::from_millis(100);
@@ -46,8 +49,8 @@
     Refused,
 }
 
-/// Decides on calls to discovery, one after the other. Times are spans since any fixed moment, on a clock that does
-/// not go back.
+/// Decides on calls to discovery, one after the other. Times are spans since any fixed moment, on a clock
+/// that does not go back.
 #[derive(Clone, Debug)]
 pub struct Reconnect {
     /// The agent answers at once. One that has not by then is silent, and is asked again.
@@ -65,8 +68,8 @@
 }
 
 impl Reconnect {
-    /// In parts of the time that a drain leaves: the longest wait for an answer, pause and read after it fill under
-    /// half of that, or their bounds if these are shorter.
+    /// In parts of the time that a drain leaves: the longest wait for an answer, pause and read after it fill
+    /// under half of that, or their bounds if these are shorter.
     pub fn new(drain_grace: Micros) -> Reconnect {
         let grace = Duration::from_micros(drain_grace);
         let pauses = ((grace / 40).min(FIRST_PAUSE_MOST), (grace / 16).min(TURNED_AWAY_MOST));
@@ -115,8 +118,8 @@
         now.saturating_sub(self.called) > TURNED_AWAY_MOST
     }
 
-    /// The call is over; when the next one is made. `draw`, from 0 to 1, spreads it out, so that all edge nodes do
-    /// not come back at one stroke.
+    /// The call is over; when the next one is made. `draw`, from 0 to 1, spreads it out, so that all edge
+    /// nodes do not come back at one stroke.
     pub fn ended(&mut self, now: Duration, failure: Failure, draw: f64) -> Duration {
         if self.has_stood(now) {
             self.pause = self.pauses.0;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -36,8 +36,8 @@
 pub enum Idempotency {
     /// Any number of executions does what one does.
     Idempotent,
-    /// Its idempotency key deduplicates executions inside `scope`, for `window` after the first attempt that may have
-    /// run was sent.
+    /// Its idempotency key deduplicates executions inside `scope`, for `window` after the first attempt that
+    /// may have run was sent.
     Keyed {
         /// Where repeats are dropped.
         scope: DeduplicationScope,
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -1,5 +1,5 @@
-//! Settings in the JSON form that the platform and the simulator share: the names of the wire are mapped to those of
-//! the code here, and only here.
+//! Settings in the JSON form that the platform and the simulator share: the names of the wire are mapped to
+//! those of the code here, and only here.
 
 use super::{
     Class, DeduplicationScope, EndpointDiscovery, HardLimit, Idempotency, Permissions, Plan, Rules, Settings,
--- a/src/state/deployment.rs
+++ b/src/state/deployment.rs
@@ -3,6 +3,7 @@
 use super::fleet_estimates::FleetEstimates;
 use super::request::Request;
 use crate::settings::{Class, Plan, Settings};
+use crate::statistics::percentile_rank;
 use crate::types::{ClassId, Micros};
 
 /// How gateways share quotas, and what they can learn of each other.
@@ -10,8 +11,8 @@
 pub(crate) enum FleetMode {
     /// A small fleet: each gateway broadcasts its usage, and its own buckets decide.
     Gossip,
-    /// An addition to the design, for fleets in which usage could be broadcast too seldom: each customer's quota is kept
-    /// by few owners among its gateways, which grant leases.
+    /// An addition to the design, for fleets in which usage could be broadcast too seldom: each customer's
+    /// quota is kept by few owners among its gateways, which grant leases.
     Leases,
 }
 
@@ -43,6 +44,22 @@
         &self.settings.classes[request.class.0]
     }
 
+    /// Priority of a request, while its answer is in time.
+    pub fn priority(&self, request: &Request) -> f64 {
+        self.class_of(request).priority_weight * self.plan_of(request).weight
+    }
+
+    /// Share of all combinations of class and plan that have a lower priority than a request.
+    pub fn priority_rank(&self, request: &Request) -> f64 {
+        let plans = &self.settings.plans;
+        let of_class = |class: &Class| {
+            let weight = class.priority_weight;
+            plans.iter().map(move |plan| weight * plan.weight)
+        };
+        let all = self.settings.classes.iter().flat_map(of_class);
+        percentile_rank(self.priority(request), all)
+    }
+
     pub fn plan_of(&self, request: &Request) -> &Plan {
         &self.settings.plans[request.plan.0]
     }
--- a/src/state/fleet_estimates.rs
+++ b/src/state/fleet_estimates.rs
@@ -40,7 +40,8 @@
         }
     }
 
-    /// The largest latency ratio of all classes but `lowest`; of all, if there is only one. `None` while unknown.
+    /// The largest latency ratio of all classes but `lowest`; of all, if there is only one. `None` while
+    /// unknown.
     pub fn worst_latency_ratio(&self, lowest: ClassId) -> Option<f64> {
         let only = self.latency_ratios.len() == 1;
         let ratios = self.latency_ratios.iter().enumerate();
--- a/src/state/hash_ring.rs
+++ b/src/state/hash_ring.rs
@@ -1,9 +1,9 @@
-//! Servers in an order by hash that is the same at every gateway, whatever their ids: where one comes or goes, what
-//! follows a position on the ring changes by one at the most.
+//! Servers in an order by hash that is the same at every gateway, whatever their ids: where one comes or
+//! goes, what follows a position on the ring changes by one at the most.
 
 use super::ranked_set::RankedSet;
-use crate::hash::fibonacci_hash;
-use crate::types::ServerId;
+use crate::hash::{fibonacci_hash, GOLDEN_RATIO};
+use crate::types::{GatewayId, ServerId};
 
 /// A server's place on the ring.
 type RingKey = (u64, ServerId);
@@ -29,6 +29,13 @@
         self.0.len()
     }
 
+    /// A gateway's place on the ring. Steps of the golden ratio put the gateways of any run of numbers, as a
+    /// customer's are, far apart, so that they cover the servers evenly.
+    pub fn position_of(&self, gateway: GatewayId) -> usize {
+        let turn = GOLDEN_RATIO.wrapping_mul(u64::from(gateway.0));
+        ((u128::from(turn) * self.len() as u128) >> 64) as usize
+    }
+
     /// All servers in order from a position on, wrapping round.
     pub fn iter_from(&self, position: usize) -> impl Iterator<Item = ServerId> + '_ {
         self.0.iter_from(position % self.len().max(1)).map(|(_, server)| server)
@@ -40,3 +47,7 @@
         HashRing(servers.into_iter().map(Self::key).collect())
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/hash_ring.rs"]
+mod tests;
--- a/src/state/lease.rs
+++ b/src/state/lease.rs
@@ -1,5 +1,5 @@
-//! Leases: units of a quota that an owner grants ahead of the requests that will use them. Held by a gateway, and
-//! as the owner's ledger.
+//! Leases: units of a quota that an owner grants ahead of the requests that will use them. Held by a gateway,
+//! and as the owner's ledger.
 
 use crate::message::ReturnedLease;
 use crate::types::{GatewayId, Micros};
@@ -39,6 +39,13 @@
     }
 }
 
+/// A lease as it is asked for: the units, and what comes back of the last one.
+#[derive(Default)]
+pub(crate) struct LeaseRenewal {
+    pub requested_units: f64,
+    pub returned: ReturnedLease,
+}
+
 struct GrantedLease {
     sequence: u16,
     units: f64,
@@ -56,8 +63,9 @@
         }
     }
 
-    /// Units of a gateway's lease that come back. Only the known lease does, once, and no more than was granted:
-    /// otherwise what comes back twice, of a lost answer or from before a restart, would pass a hard limit.
+    /// Units of a gateway's lease that come back. Only the known lease does, once, and no more than was
+    /// granted: otherwise what comes back twice, of a lost answer or from before a restart, would pass a hard
+    /// limit.
     pub fn reclaim(&mut self, from: GatewayId, returned: ReturnedLease) -> Option<f64> {
         let granted = self.0.get(&from).filter(|lease| lease.sequence == returned.sequence)?.units;
         self.0.remove(&from);
--- a/src/state/peer_usage.rs
+++ b/src/state/peer_usage.rs
@@ -23,8 +23,9 @@
 }
 
 impl PeerUsage {
-    /// Takes in a running count, and returns by how much it rose. Messages may be late, repeated or out of order; a
-    /// count that is lower after a silence of a whole window has begun anew, as its sender had dropped the customer.
+    /// Takes in a running count, and returns by how much it rose. Messages may be late, repeated or out of
+    /// order; a count that is lower after a silence of a whole window has begun anew, as its sender had
+    /// dropped the customer.
     pub fn delta(&mut self, now: Micros, incarnation: u32, count: u16) -> u16 {
         let silence = now.saturating_sub(self.heard_at);
         self.heard_at = now;
--- a/src/state/permits.rs
+++ b/src/state/permits.rs
@@ -36,7 +36,8 @@
     }
 }
 
-/// One owner's part of a limit that `owners` share, as even as whole permits go; a standby owner has the last one's.
+/// One owner's part of a limit that `owners` share, as even as whole permits go; a standby owner has the last
+/// one's.
 pub(crate) fn even_share(limit: u32, owners: u32, index: u32) -> usize {
     let index = index.min(owners - 1);
     ((limit + owners - 1 - index) / owners) as usize
--- a/src/state/quota_state.rs
+++ b/src/state/quota_state.rs
@@ -2,9 +2,10 @@
 
 use super::token_bucket::TokenBucket;
 use crate::message::UsageCount;
-use crate::types::{CustomerId, GatewayId, Micros, RequestId};
+use crate::types::{CustomerId, GatewayId, GatewaySet, Micros, RequestId};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 /// A quota owner that did not answer.
 #[derive(Clone, Copy, Default)]
@@ -66,8 +67,8 @@
         self.last_sequence
     }
 
-    /// Running counts of what was forwarded here, in units of `step`: of customers with peers that were busy within
-    /// `max_age` µs, the latest first.
+    /// Running counts of what was forwarded here, in units of `step`: of customers with peers that were busy
+    /// within `max_age` µs, the latest first.
     pub fn usage_counts(&self, now: Micros, max_age: Micros, step: f64) -> Vec<UsageCount> {
         let is_told = |bucket: &TokenBucket| {
             bucket.forwarded_units > 0.0 && bucket.gateway_count > 1.0 && now <= bucket.forwarded_at + max_age
@@ -81,3 +82,13 @@
         busy.into_iter().map(usage_count).collect()
     }
 }
+
+/// How many of a customer's gateways have been silent for a time within `range`, in µs.
+pub(crate) fn silent_gateways(
+    last_heard: &[Micros], gateways: GatewaySet, now: Micros, range: Range<Micros>,
+) -> f64 {
+    let first = gateways.first.0 as usize;
+    let members = (0..gateways.count as usize).map(|step| (first + step) % last_heard.len());
+    let silence = members.map(|member| now.saturating_sub(last_heard[member]));
+    silence.filter(|silence| range.contains(silence)).count() as f64
+}
--- a/src/state/ranked_set.rs
+++ b/src/state/ranked_set.rs
@@ -3,7 +3,8 @@
 /// The most items that one chunk holds.
 const MAX_CHUNK: usize = 2_048;
 
-/// A set in ascending order. Finding a rank costs a step for each chunk; a change, that and the move of one chunk.
+/// A set in ascending order. Finding a rank costs a step for each chunk; a change, that and the move of one
+/// chunk.
 pub(crate) struct RankedSet<T> {
     /// None of them is empty.
     chunks: Vec<Vec<T>>,
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -73,7 +73,8 @@
         number
     }
 
-    /// The attempt that has just been sent. `server_in_flight`: attempts in flight at the server, with this one.
+    /// The attempt that has just been sent. `server_in_flight`: attempts in flight at the server, with this
+    /// one.
     pub fn attempt_record(&self, server: ServerId, now: Micros, server_in_flight: f64) -> Attempt {
         Attempt {
             server,
--- a/src/state/server.rs
+++ b/src/state/server.rs
@@ -3,7 +3,7 @@
 use crate::message::HealthReport;
 use crate::settings::Rules;
 use crate::statistics::update_mean;
-use crate::types::{Endpoint, EndpointState, Micros};
+use crate::types::{ClassId, Endpoint, EndpointState, Micros};
 
 /// A server and how it fares.
 #[derive(Default)]
@@ -100,7 +100,8 @@
         Some(self.wait).filter(|wait| *wait > 0.0)
     }
 
-    /// The wait by now: what was observed fades to the fleet's, halfway in each half-life. `None` while unknown.
+    /// The wait by now: what was observed fades to the fleet's, halfway in each half-life. `None` while
+    /// unknown.
     pub fn faded_wait(&self, now: Micros, fleet_wait: f64, half_life: f64) -> Option<f64> {
         let wait = self.known_wait()?;
         let keep = half_life_decay(now.saturating_sub(self.wait_observed_at), half_life);
@@ -166,6 +167,15 @@
         }
     }
 
+    /// Takes in whether an attempt of a class failed. `other_share`: part of the weight that counts for other
+    /// classes.
+    pub fn observe_failure(&mut self, class: ClassId, failed: bool, weight: f64, other_share: f64) {
+        for (other, health) in self.health.iter_mut().enumerate() {
+            let weight = if other == class.0 { weight } else { weight * other_share };
+            update_mean(&mut health.failure_rate, f64::from(u8::from(failed)), weight);
+        }
+    }
+
     pub fn is_ready(&self) -> bool {
         self.endpoint.state == EndpointState::Ready
     }
--- a/src/state/server_table/mod.rs
+++ b/src/state/server_table/mod.rs
@@ -1,5 +1,5 @@
-//! The server table: all servers that a gateway has been told of. A server that this gateway uses is tracked, with
-//! its health; of the others, where there are too many to track all, only the endpoint is kept.
+//! The server table: all servers that a gateway has been told of. A server that this gateway uses is tracked,
+//! with its health; of the others, where there are too many to track all, only the endpoint is kept.
 
 mod update;
 
@@ -8,7 +8,7 @@
 use super::server_index::{ServerGuard, ServerIndex};
 use crate::message::{short_id, HealthReport, ShortServerId};
 use crate::settings::Settings;
-use crate::types::{CellId, ClassId, Endpoint, EndpointState, Micros, ServerId};
+use crate::types::{CellId, ClassId, Endpoint, EndpointState, GatewayId, Micros, ServerId};
 use std::cell::Cell;
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -32,8 +32,8 @@
     visited: Cell<u64>,
 }
 
-/// Which servers [`ServerTable::find_candidates`] looks at, in this order: of a cell, if one is named; of a subset of
-/// the ring, from a place in it on and round; those beyond the subset.
+/// Which servers [`ServerTable::find_candidates`] looks at, in this order: of a cell, if one is named; of a
+/// subset of the ring, from a place in it on and round; those beyond the subset.
 pub(crate) struct CandidateQuery {
     pub cell: Option<CellId>,
     /// Where the subset begins on the ring.
@@ -105,8 +105,8 @@
         holds(&unknown).then_some(Candidate { server: id, tracked: false })
     }
 
-    /// Servers of which something holds, in the order of their ids: for each class the ejected one whose probe is
-    /// longest due, then those that the query finds.
+    /// Servers of which something holds, in the order of their ids: for each class the ejected one whose
+    /// probe is longest due, then those that the query finds.
     pub fn find_candidates(
         &self, now: Micros, query: &CandidateQuery, holds: impl Fn(&Server) -> bool + Copy,
     ) -> Vec<Candidate> {
@@ -174,11 +174,24 @@
         self.iter_tracked().filter(|server| server.is_ready())
     }
 
+    /// A gateway's place on the ring of ready servers.
+    pub fn ring_position(&self, gateway: GatewayId) -> usize {
+        self.ring.position_of(gateway)
+    }
+
     /// The ready ones in ring order from a position on, wrapping round.
     pub fn ring_from(&self, position: usize) -> impl Iterator<Item = ServerId> + '_ {
         self.ring.iter_from(position)
     }
 
+    /// The first `count` of some servers, which are in the order of their ids, on the ring from a position
+    /// on.
+    pub fn first_on_ring<'s>(&self, position: usize, among: &[&'s Server], count: usize) -> Vec<&'s Server> {
+        let place = |id| among.binary_search_by_key(&id, |server| server.endpoint.server).ok();
+        let places = self.ring_from(position).filter_map(place);
+        places.map(|place| among[place]).take(count).collect()
+    }
+
     /// The ready ones of a cell.
     pub fn in_cell(&self, cell: CellId) -> impl Iterator<Item = ServerId> + '_ {
         let members = self.cells.range((cell, ServerId(0))..=(cell, ServerId(u64::MAX)));
@@ -210,7 +223,8 @@
         self.ready_count().saturating_sub(self.ejected_count(class))
     }
 
-    /// Sum of the ready ones' failure rates with a class; of all, if these are walked, added in the order of their ids.
+    /// Sum of the ready ones' failure rates with a class; of all, if these are walked, added in the order of
+    /// their ids.
     pub fn failure_rate_sum(&self, class: ClassId) -> f64 {
         if self.walks_all() {
             return self.iter_ready().map(|server| server.health[class.0].failure_rate).sum();
@@ -240,8 +254,8 @@
         values
     }
 
-    /// Reports on ready servers from observations younger than `max_age`: the newest `max_reports` of them, in the order
-    /// of the servers.
+    /// Reports on ready servers from observations younger than `max_age`: the newest `max_reports` of them,
+    /// in the order of the servers.
     pub fn recent_reports(&self, now: Micros, max_age: Micros, max_reports: usize) -> Vec<HealthReport> {
         let newest = self.observed_after(now.saturating_sub(max_age)).take(max_reports);
         let mut newest: Vec<_> = newest.collect();
@@ -262,8 +276,8 @@
         })
     }
 
-    /// Drops servers that are gone and have no attempt in flight. Where not all are walked, stops to track those that
-    /// tell nothing any more: not used for `max_idle` µs, not ejected, with no attempt in flight.
+    /// Drops servers that are gone and have no attempt in flight. Where not all are walked, stops to track
+    /// those that tell nothing any more: not used for `max_idle` µs, not ejected, with no attempt in flight.
     pub fn evict_idle(&mut self, now: Micros, max_idle: Micros) {
         let walks_all = self.walks_all();
         let mut gone = Vec::new();
--- a/src/state/server_table/update.rs
+++ b/src/state/server_table/update.rs
@@ -128,8 +128,8 @@
         self.rebuild_indexes(now);
     }
 
-    /// Whether a snapshot leaves so few ready that all are walked. The last entry of a server counts: a list that names
-    /// one twice may have fewer ready servers than entries.
+    /// Whether a snapshot leaves so few ready that all are walked. The last entry of a server counts: a list
+    /// that names one twice may have fewer ready servers than entries.
     fn will_walk_all(&self, endpoints: &[Endpoint]) -> bool {
         if endpoints.len() <= self.max_walked {
             return true;
--- a/src/state/server_view.rs
+++ b/src/state/server_view.rs
@@ -2,6 +2,7 @@
 
 use super::fleet_estimates::FleetEstimates;
 use super::server::Server;
+use super::server_table::ServerTable;
 use crate::settings::Rules;
 use crate::types::Micros;
 
@@ -44,15 +45,13 @@
         Some(self.fleet.service_time * load_factor.max(1.0))
     }
 
-    /// Attempts that the servers finish within `objective` µs. Of `ready` servers those that are not among them count as
-    /// the median one.
-    pub fn capacity<'s>(
-        &self, servers: impl Iterator<Item = &'s Server>, ready: usize, objective: f64,
-    ) -> f64 {
+    /// Attempts that the ready servers finish within `objective` µs. Those that are not tracked count as the median
+    /// one.
+    pub fn capacity(&self, servers: &ServerTable, objective: f64) -> f64 {
         let mut walked = 0;
         let attempts_at = |server| objective / self.expected_wait(server).max(1.0);
-        let sum: f64 = servers.inspect(|_| walked += 1).map(attempts_at).sum();
-        let others = (ready - walked) as f64;
+        let sum: f64 = servers.iter_ready().inspect(|_| walked += 1).map(attempts_at).sum();
+        let others = (servers.ready_count() - walked) as f64;
         sum + others * (objective / self.fleet.median_wait.max(1.0))
     }
 
--- a/src/state/token_bucket.rs
+++ b/src/state/token_bucket.rs
@@ -1,5 +1,5 @@
-//! A customer's token bucket: its tokens and what is left under the hard limit, what fills it, what peers were heard
-//! to use, and what is on lease. Arithmetic only; who gets what is decided in the policy.
+//! A customer's token bucket: its tokens and what is left under the hard limit, what fills it, what peers
+//! were heard to use, and what is on lease. Arithmetic only; who gets what is decided in the policy.
 
 use super::lease::{Lease, LeaseLedger};
 use super::peer_usage::{PeerUsage, USAGE_WINDOW};
@@ -38,8 +38,8 @@
     pub conflicting_hints: u32,
     /// When a request last consumed from it.
     pub used_at: Micros,
-    /// Units that requests consumed of late: those of the longest lease in the mean, also where a hard limit makes
-    /// it shorter.
+    /// Units that requests consumed of late: those of the longest lease in the mean, also where a hard limit
+    /// makes it shorter.
     pub recent_demand: f64,
     /// Units that an owner has granted ahead of the requests that will use them.
     pub lease: Lease,
@@ -66,9 +66,10 @@
 }
 
 impl TokenBucket {
-    /// A bucket that has not been used for `unused`. It holds the whole burst: with only the even part at first, what
-    /// is missing would stay missing for a customer that uses nearly all, and peers' usage is heard soon enough. Its
-    /// part of the hard limit holds what has come in over `unused` alone, as it may have been used up before.
+    /// A bucket that has not been used for `unused`. It holds the whole burst: with only the even part at
+    /// first, what is missing would stay missing for a customer that uses nearly all, and peers' usage is
+    /// heard soon enough. Its part of the hard limit holds what has come in over `unused` alone, as it may
+    /// have been used up before.
     pub fn new(now: Micros, unused: Micros, config: BucketConfig<'_>) -> Self {
         let gateway_count = f64::from(config.gateways.count.max(1));
         let capacity = (config.plan.burst / gateway_count).max(config.max_request_units);
@@ -88,6 +89,14 @@
         bucket
     }
 
+    /// An owner's part of the bucket, full, with nothing under its part of the hard limit.
+    pub fn into_part(
+        self, config: BucketConfig<'_>, share: f64, hard_limit_share: f64, grant_lifetime: Micros,
+    ) -> Self {
+        let capacity = (config.plan.burst * share).max(config.max_request_units);
+        TokenBucket { share, hard_limit_share, grant_lifetime, capacity, tokens: capacity, ..self }
+    }
+
     /// The gateways that the customer's requests come through.
     pub fn gateways(&self) -> GatewaySet {
         GatewaySet { first: self.first_gateway, count: self.gateway_count as u32 }
@@ -100,8 +109,8 @@
             && self.gateway_count == f64::from(gateways.count)
     }
 
-    /// Goes over to another plan or gateway set. Nothing is gained by that, and what is in flight or has been told to
-    /// peers stays so.
+    /// Goes over to another plan or gateway set. Nothing is gained by that, and what is in flight or has been
+    /// told to peers stays so.
     pub fn reconfigure(&mut self, fresh: TokenBucket, hard_limit_tokens: f64) {
         *self = TokenBucket {
             tokens: self.tokens.min(fresh.tokens),
@@ -137,8 +146,8 @@
         }
     }
 
-    /// An owner keeps back what is refilled while its grants and leases may be used: they are void after that, so
-    /// that what is used late adds up to no more than the whole capacity.
+    /// An owner keeps back what is refilled while its grants and leases may be used: they are void after
+    /// that, so that what is used late adds up to no more than the whole capacity.
     fn max_hard_limit_tokens(&self, limit: &HardLimit) -> f64 {
         let kept_back = limit.rate * self.grant_lifetime as f64 / MICROS_PER_SECOND;
         (limit.capacity - kept_back) * self.hard_limit_share
@@ -183,8 +192,8 @@
         units / (USAGE_WINDOW as f64 / MICROS_PER_SECOND)
     }
 
-    /// µs until it is likely to hold `units`. What a request consumes is off the tokens already, and comes back if it
-    /// was never sent.
+    /// µs until it is likely to hold `units`. What a request consumes is off the tokens already, and comes
+    /// back if it was never sent.
     pub fn time_until_available(&self, plan: &Plan, units: f64) -> f64 {
         let quota = if plan.rate > 0.0 { refill_time(-self.tokens, plan.rate * self.share) } else { 0.0 };
         let hard_limit = plan.hard_limit.map_or(0.0, |limit| {
@@ -207,8 +216,8 @@
         }
     }
 
-    /// Whether dropping it neither gains nor loses anything: it has stood unused, and is full. `silent` counts the
-    /// silent ones of the customer's gateways.
+    /// Whether dropping it neither gains nor loses anything: it has stood unused, and is full. `silent`
+    /// counts the silent ones of the customer's gateways.
     pub fn is_idle(&mut self, now: Micros, plan: &Plan, silent: impl Fn(GatewaySet) -> f64) -> bool {
         if self.in_flight > 0 || now.saturating_sub(self.used_at) < MIN_IDLE {
             return false;
--- a/src/types.rs
+++ b/src/types.rs
@@ -41,7 +41,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptNumber(pub u32);
 
-/// The gateways that a customer's requests come through: `count` of them in a row from `first`, wrapping round.
+/// The gateways that a customer's requests come through: `count` of them in a row from `first`, wrapping
+/// round.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct GatewaySet {
     /// The first gateway.
@@ -128,7 +129,8 @@
 pub enum RejectReason {
     /// Its client's deadline leaves no time for an attempt.
     DeadlineTooShort,
-    /// The customer's token bucket, or the part that a quota owner keeps, is short of units, permits or hard limit.
+    /// The customer's token bucket, or the part that a quota owner keeps, is short of units, permits or hard
+    /// limit.
     QuotaExceeded,
     /// So many of the customer's requests are rejected that only a share of them may request a lease.
     LeaseRequestThrottled,
--- a/tests/unit/subsetting.rs
+++ b/tests/unit/hash_ring.rs
@@ -1,8 +1,6 @@
 //! How gateways share out the ring.
 
 use super::*;
-use crate::state::hash_ring::HashRing;
-use crate::types::ServerId;
 use std::collections::BTreeMap;
 
 fn ring(servers: std::ops::Range<u64>) -> HashRing {
@@ -10,7 +8,7 @@
 }
 
 fn subset(ring: &HashRing, gateway: u32, size: usize) -> impl Iterator<Item = ServerId> + '_ {
-    ring.iter_from(ring_position(GatewayId(gateway), ring.len())).take(size)
+    ring.iter_from(ring.position_of(GatewayId(gateway))).take(size)
 }
 
 #[test]
