Move the configuration's files into config/ and the log's into log/

Seen: config.rs, document.rs and schema.rs make up one job, as do log.rs and limiter.rs, but stand side by side with the files of the network code.

No other change.

--- a/src/bin/edge-node/command.rs
+++ b/src/bin/edge-node/command.rs
@@ -1,7 +1,6 @@
 //! The command line.
 
-use crate::config::{Config, Faulty};
-use crate::schema;
+use crate::config::{schema, Config, Faulty};
 use anyhow::{Context, Result};
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
--- a/src/bin/edge-node/config.rs
+++ b/src/bin/edge-node/config/mod.rs
@@ -1,11 +1,14 @@
 //! What the edge node is told at its start: `LB_*` and a configuration, the platform's or people's, as typed values.
 
-use crate::document::{self, Fault, Form};
+mod file;
+pub mod schema;
+
 use crate::lists::List;
 use crate::log;
-use crate::schema::{self, Values};
 use anyhow::{ensure, Context, Result};
 use edge_node::settings::{self, ResolvedSettings};
+use file::{self as document, Fault, Form};
+use schema::Values;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::fmt;
--- a/src/bin/edge-node/schema.rs
+++ b/src/bin/edge-node/config/schema/mod.rs
@@ -1,7 +1,7 @@
 //! Every key of a configuration: how people and the platform name it, its unit, its range and what it is without.
 //! The reading of people's files, `check`, `keys` and what SIGHUP says all go by this one table.
 
-use crate::document::{Fault, Form, Item, Kind};
+use super::file::{Fault, Form, Item, Kind};
 use serde_json::{json, Map, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/src/bin/edge-node/log.rs
+++ b/src/bin/edge-node/log/mod.rs
@@ -1,7 +1,9 @@
 //! The log on standard error: a line for each event that an operator may act on. Text is written for people; JSON
 //! has the same words and, beside them, the cause and the ids as fields of their own.
 
-use crate::limiter::Limiter;
+mod rate_limiter;
+
+use rate_limiter::Limiter;
 use serde::Deserialize;
 use std::fmt::{self, Write};
 use std::io;
--- a/src/bin/edge-node/main.rs
+++ b/src/bin/edge-node/main.rs
@@ -8,26 +8,22 @@
 mod command;
 mod config;
 mod discovery;
-mod document;
-mod limiter;
 mod lists;
 mod log;
 mod metrics;
 mod node;
 mod peers;
-mod schema;
 mod upstream;
 
 use admin::Admin;
 use anyhow::{Context, Result};
 use clients::Phase;
-use config::Config;
+use config::{schema, Config};
 use edge_node::reconnect;
 use log::Log;
 use metrics::Metrics;
 use node::Node;
 use peers::Peers;
-use schema::Values;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -137,7 +133,7 @@
 /// Rereads the configuration on each SIGHUP, for ever: whole or not at all. Discovery's address and the level of the
 /// log can change in service; of what else has changed the keys are told.
 async fn reload(
-    mut hangup: Signal, path: PathBuf, values: Values, discovery: watch::Sender<SocketAddr>, log: Log,
+    mut hangup: Signal, path: PathBuf, values: schema::Values, discovery: watch::Sender<SocketAddr>, log: Log,
 ) {
     while hangup.recv().await.is_some() {
         match Config::read(&path).and_then(|config| log.set_level(config.shell.log.level).map(|()| config)) {
--- a/tests/fixtures.rs
+++ b/tests/fixtures.rs
@@ -3,25 +3,16 @@
 
 // The program's own modules: the library does not have the reading of whole configurations.
 #[allow(dead_code)]
-#[path = "../src/bin/edge-node/config.rs"]
+#[path = "../src/bin/edge-node/config/mod.rs"]
 mod config;
 #[allow(dead_code)]
-#[path = "../src/bin/edge-node/document.rs"]
-mod document;
-#[allow(dead_code)]
-#[path = "../src/bin/edge-node/limiter.rs"]
-mod limiter;
-#[allow(dead_code)]
 #[path = "../src/bin/edge-node/lists.rs"]
 mod lists;
 #[allow(dead_code)]
-#[path = "../src/bin/edge-node/log.rs"]
+#[path = "../src/bin/edge-node/log/mod.rs"]
 mod log;
-#[allow(dead_code)]
-#[path = "../src/bin/edge-node/schema.rs"]
-mod schema;
 
-use config::{AdminAddress, Config, PeerAddresses, Shell};
+use config::{schema, AdminAddress, Config, PeerAddresses, Shell};
 use edge_node::settings::{self, ResolvedSettings};
 use edge_node::{
     Class, DeduplicationScope, EndpointDiscovery, GatewayId, HardLimit, Idempotency, Permissions, Plan,
