Configuration and log code in small modules with typed errors

Seen: schema.rs held the table of keys, validation, translation, suggestions and the page's rows in 627 lines, with enums of positional fields, tuples, and messages as strings; errors of configurations were anyhow's and told apart by downcasting; names were words of our own (Faulty, Fault, Form, Shell, Takes, Values).

Change: config/schema is one module a job: spec and keys (each key a struct with named fields), validate, translate, suggest, restart, markdown, locate. What can be wrong is the enum Problem, with all texts in one file. ConfigError, PlatformConfigError and LogError (thiserror, with their sources) take anyhow's place outside of main and the command line. The serde layer in platform.rs maps the wire's names. The rate limiter returns a Decision in place of Option<u32>, and its layer and the text format are modules of their own. Everything is pub(crate) or narrower, and documented. Lines that read fields of Config follow in main.rs and peers.rs; main's run is pub(crate), as the types in its signature are.

New unit tests hold what could only be tested through the program: locate, suggest, translate, restart and file. The test of the limiter asserts the same decisions as Decision.

--- a/src/bin/edge-node/command.rs
+++ b/src/bin/edge-node/command.rs
@@ -1,20 +1,22 @@
-//! The command line.
+//! The command line: what it may hold, and which part of the program does it.
 
-use crate::config::{schema, Config, Faulty};
-use anyhow::{Context, Result};
+use crate::config::{markdown_table, Config, ConfigError, CONFIG_VARIABLE};
+use anyhow::{bail, Context, Result};
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
 use std::io::{ErrorKind, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-/// What a command line gets that can't be understood, as shells and clap have it.
-const USAGE: u8 = 2;
+/// The program's name.
+const PROGRAM: &str = "edge-node";
+/// The exit code for a command line that can't be understood, which is also that of shells and of clap.
+const EXIT_USAGE: u8 = 2;
 
 /// An edge node (a gateway): holds customers to their quotas before a shared fleet of servers.
 #[derive(Parser)]
 #[command(
-    name = "edge-node",
+    name = PROGRAM,
     version,
     subcommand_required = false,
     after_help = "Without a command it serves under LB_CONFIG.\n\n\
@@ -31,7 +33,7 @@
         1  a bad configuration, or it could not start\n  \
         2  a bad command line"
 )]
-struct Line {
+struct CommandLine {
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -62,69 +64,83 @@
     Man,
 }
 
-/// Does what the command line says.
-pub fn run() -> ExitCode {
-    let line = match Line::try_parse() {
-        Ok(line) => line,
-        // Help and version come this way, too, and are no errors.
+/// Parses the command line, does what it says, and returns the exit code of the process.
+pub(crate) fn run() -> ExitCode {
+    let command_line = match CommandLine::try_parse() {
+        Ok(command_line) => command_line,
+        // Help and version come as errors, too; `exit` prints them and ends with 0.
         Err(error) => error.exit(),
     };
-    let done = match line.command {
-        None if std::env::var_os("LB_CONFIG").is_none() => {
-            let help = Line::command().render_help();
-            eprint!("edge-node: no command, and LB_CONFIG is not set\n\n{help}");
-            return USAGE.into();
-        }
-        None => serve(None),
-        Some(Command::Serve { config }) => serve(config),
-        Some(Command::Check { file }) => check(&file),
-        Some(Command::Keys) => print(schema::page().as_bytes()),
-        Some(Command::Version) => print(Line::command().render_version().as_bytes()),
-        Some(Command::Completions { shell }) => {
-            let mut script = Vec::new();
-            clap_complete::generate(shell, &mut Line::command(), "edge-node", &mut script);
-            print(&script)
-        }
-        Some(Command::Man) => {
-            let mut page = Vec::new();
-            clap_mangen::Man::new(Line::command())
-                .render(&mut page)
-                .context("manual page")
-                .and_then(|()| print(&page))
-        }
+    let result = match command_line.command {
+        Some(command) => execute(command),
+        None if std::env::var_os(CONFIG_VARIABLE).is_some() => serve(None),
+        None => return usage_error(),
     };
-    match done {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("edge-node: {error:#}");
+            eprintln!("{PROGRAM}: {error:#}");
             ExitCode::FAILURE
         }
     }
 }
 
+/// Says on standard error what to give on the command line.
+fn usage_error() -> ExitCode {
+    let help = CommandLine::command().render_help();
+    eprint!("{PROGRAM}: no command, and {CONFIG_VARIABLE} is not set\n\n{help}");
+    EXIT_USAGE.into()
+}
+
+fn execute(command: Command) -> Result<()> {
+    match command {
+        Command::Serve { config } => serve(config),
+        Command::Check { file } => check(&file),
+        Command::Keys => print(markdown_table().as_bytes()),
+        Command::Version => print(CommandLine::command().render_version().as_bytes()),
+        Command::Completions { shell } => print_completions(shell),
+        Command::Man => print_manual_page(),
+    }
+}
+
 fn serve(file: Option<PathBuf>) -> Result<()> {
-    crate::run(Config::from_environment(file, |key| std::env::var(key).ok())?)
+    let config = Config::from_environment(file, |name| std::env::var(name).ok())?;
+    crate::run(config)
 }
 
+/// Prints all that is wrong with a configuration.
+///
+/// # Errors
+/// Anything is wrong with it, or it can't be read.
 fn check(file: &Path) -> Result<()> {
     match Config::read(file) {
         Ok(_) => print(format!("{}: nothing is wrong\n", file.display()).as_bytes()),
-        Err(error) => match error.downcast::<Faulty>() {
-            Ok(faulty) => {
-                for line in faulty.lines() {
-                    eprintln!("{line}");
-                }
-                anyhow::bail!("{}: {} wrong", file.display(), faulty.faults.len())
+        Err(ConfigError::Invalid(invalid)) => {
+            for line in invalid.lines() {
+                eprintln!("{line}");
             }
-            Err(error) => Err(error),
-        },
+            bail!("{}: {} wrong", file.display(), invalid.diagnostics.len())
+        }
+        Err(error) => Err(error.into()),
     }
 }
 
-/// Writes to standard output. Whoever has read enough may close it.
+fn print_completions(shell: Shell) -> Result<()> {
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut CommandLine::command(), PROGRAM, &mut script);
+    print(&script)
+}
+
+fn print_manual_page() -> Result<()> {
+    let mut page = Vec::new();
+    clap_mangen::Man::new(CommandLine::command()).render(&mut page).context("manual page")?;
+    print(&page)
+}
+
+/// Writes to standard output. That its reader closes it early, as `head` does, is no error.
 fn print(bytes: &[u8]) -> Result<()> {
-    let mut out = std::io::stdout().lock();
-    match out.write_all(bytes).and_then(|()| out.flush()) {
+    let mut output = std::io::stdout().lock();
+    match output.write_all(bytes).and_then(|()| output.flush()) {
         Err(error) if error.kind() != ErrorKind::BrokenPipe => Err(error).context("standard output"),
         _ => Ok(()),
     }
--- /dev/null
+++ b/src/bin/edge-node/config/schema/markdown.rs
@@ -0,0 +1,55 @@
+//! The table of all keys, as `edge-node keys` prints it and docs/CONFIGURATION.md has it.
+
+use super::keys::all_keys;
+use super::spec::{DefaultValue, KeySpec, OnReload, ValueType};
+use crate::config::file::ConfigFormat;
+
+const HEADER: &str = "| key | what it is | takes | default | at SIGHUP | platform's JSON |\n\
+                      | --- | --- | --- | --- | --- | --- |\n";
+
+/// All keys as a table in Markdown, one row a key.
+pub(crate) fn markdown_table() -> String {
+    let rows = all_keys().map(row);
+    std::iter::once(HEADER.to_owned()).chain(rows).collect()
+}
+
+fn row(key: &KeySpec) -> String {
+    let KeySpec { toml_path, description, .. } = key;
+    let takes = type_text(key.value_type);
+    let default = default_text(key.default);
+    let on_reload = match key.on_reload {
+        OnReload::Applied => "applied",
+        OnReload::RequiresRestart | OnReload::Ignored => "at the next start",
+    };
+    let json_path =
+        if key.is_in(ConfigFormat::PlatformJson) { format!("`{}`", key.json_path) } else { "-".to_owned() };
+    format!("| `{toml_path}` | {description} | {takes} | {default} | {on_reload} | {json_path} |\n")
+}
+
+fn type_text(value_type: ValueType) -> String {
+    match value_type {
+        ValueType::Text => "text".to_owned(),
+        ValueType::TextList => "texts".to_owned(),
+        ValueType::Address => "address with port".to_owned(),
+        ValueType::AddressList => "addresses with ports".to_owned(),
+        ValueType::Boolean => "true, false".to_owned(),
+        ValueType::Integer { min, max } => format!("whole number, {min} to {max}"),
+        ValueType::Number { min, max } => format!("number, {min} to {max}"),
+        ValueType::Milliseconds { min, max } => format!("ms, {min} to {max}"),
+        ValueType::Choice(choices) => {
+            let words: Vec<String> = choices.iter().map(|choice| format!("`{}`", choice.toml)).collect();
+            words.join(", ")
+        }
+    }
+}
+
+fn default_text(default: DefaultValue) -> String {
+    match default {
+        DefaultValue::Required => "needed".to_owned(),
+        DefaultValue::Integer(number) => number.to_string(),
+        DefaultValue::Number(number) | DefaultValue::Milliseconds(number) => number.to_string(),
+        DefaultValue::Boolean(boolean) => boolean.to_string(),
+        DefaultValue::Choice(word) => format!("`{word}`"),
+        DefaultValue::Absent { meaning } => meaning.to_owned(),
+    }
+}
--- /dev/null
+++ b/src/bin/edge-node/config/schema/restart.rs
@@ -0,0 +1,48 @@
+//! Values that take effect only at a start, kept to name the keys of which a reloaded configuration has others.
+
+use super::keys::keys_of;
+use super::locate::path_segments;
+use super::spec::{KeySpec, OnReload};
+use crate::config::file::ConfigFormat;
+use serde::Serialize;
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// The values of all keys that require a restart, by their paths in the format of the file. A key of list items has
+/// one value an item.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(transparent)]
+pub(crate) struct RestartValues(BTreeMap<&'static str, Vec<Value>>);
+
+impl RestartValues {
+    /// Takes the values from a configuration in the platform's JSON, into which files of the other format are
+    /// translated. `format` is the file's own.
+    pub(in crate::config) fn from_platform_json(format: ConfigFormat, json: &Value) -> RestartValues {
+        let keys = keys_of(format).filter(|key| key.on_reload == OnReload::RequiresRestart);
+        RestartValues(keys.map(|key| (key.path(format), values_of(key, json))).collect())
+    }
+
+    /// The paths of the keys whose values differ, in alphabetical order.
+    pub(crate) fn changed_keys(&self, other: &RestartValues) -> Vec<&'static str> {
+        let changed = self.0.iter().filter(|(path, values)| other.0.get(*path) != Some(values));
+        changed.map(|(path, _)| *path).collect()
+    }
+}
+
+/// Each value that a key has; null where it is left out.
+fn values_of(key: &KeySpec, json: &Value) -> Vec<Value> {
+    let mut found = vec![json];
+    for segment in path_segments(key.json_path) {
+        let entries = found.into_iter().map(|value| &value[segment.name]);
+        found = if segment.is_list {
+            entries.flat_map(|list| list.as_array().into_iter().flatten()).collect()
+        } else {
+            entries.collect()
+        };
+    }
+    found.into_iter().cloned().collect()
+}
+
+#[cfg(test)]
+#[path = "../../../../../tests/unit/config_restart.rs"]
+mod tests;
--- /dev/null
+++ b/src/bin/edge-node/config/schema/translate.rs
@@ -0,0 +1,104 @@
+//! Translates operators' TOML to the platform's JSON, with all defaults.
+
+use super::keys::all_keys;
+use super::locate::{locate, path_segments};
+use super::spec::{Choice, DefaultValue, KeySpec, ValueType};
+use crate::config::file::{ConfigFormat, ConfigItem, ConfigValue};
+use serde_json::{json, Map, Value};
+
+const MICROS_PER_MILLI: f64 = 1_000.0;
+
+/// The platform's JSON of an operator's configuration that [`validate`](super::validate) found nothing wrong with.
+pub(in crate::config) fn to_platform_json(root: &ConfigItem) -> Value {
+    let mut json = Value::Object(Map::new());
+    for key in all_keys() {
+        for location in locate(root, key.toml_path) {
+            let value = match location.item {
+                Some(item) => json_value(key.value_type, item),
+                None => default_value(key),
+            };
+            if let Some(value) = value {
+                insert(&mut json, key.json_path, &location.indexes, value);
+            }
+        }
+    }
+    json
+}
+
+/// A value in the platform's units and words; `None` if it is not of the key's type.
+fn json_value(value_type: ValueType, item: &ConfigItem) -> Option<Value> {
+    let value = match (value_type, &item.value) {
+        (ValueType::Choice(choices), ConfigValue::Text(word)) => json!(json_word(choices, word)?),
+        (ValueType::Milliseconds { .. }, _) => json!(to_micros(item.as_number()?)),
+        (ValueType::Number { .. }, _) => json!(item.as_number()?),
+        (_, ConfigValue::Text(text)) => json!(text),
+        (_, ConfigValue::Integer(number)) => json!(u64::try_from(*number).ok()?),
+        (_, ConfigValue::Boolean(boolean)) => json!(boolean),
+        (_, ConfigValue::List(_)) => json!(item.texts()),
+        _ => return None,
+    };
+    Some(value)
+}
+
+/// The default in the platform's units and words; `None` if the key stays left out.
+fn default_value(key: &KeySpec) -> Option<Value> {
+    match (key.default, key.value_type) {
+        (DefaultValue::Integer(number), _) => Some(json!(number)),
+        (DefaultValue::Number(number), _) => Some(json!(number)),
+        (DefaultValue::Milliseconds(millis), _) => Some(json!(to_micros(millis))),
+        (DefaultValue::Boolean(boolean), _) => Some(json!(boolean)),
+        (DefaultValue::Choice(word), ValueType::Choice(choices)) => {
+            json_word(choices, word).map(|word| json!(word))
+        }
+        _ => None,
+    }
+}
+
+/// The platform's word for one of operators' files.
+fn json_word(choices: &[Choice], word: &str) -> Option<&'static str> {
+    let choice = choices.iter().find(|choice| choice.word(ConfigFormat::Toml) == word);
+    choice.map(|choice| choice.word(ConfigFormat::PlatformJson))
+}
+
+fn to_micros(millis: f64) -> u64 {
+    (millis * MICROS_PER_MILLI).round() as u64
+}
+
+/// Sets the value at a path, whose lists are entered at `indexes`, and creates what is missing on the way.
+fn insert(root: &mut Value, path: &str, indexes: &[usize], value: Value) {
+    let mut indexes = indexes.iter();
+    let mut target = root;
+    for segment in path_segments(path) {
+        target = entry_mut(target, segment.name);
+        let index = if segment.is_list { indexes.next() } else { None };
+        if let Some(index) = index {
+            target = element_mut(target, *index);
+        }
+    }
+    *target = value;
+}
+
+/// The entry of an object, which is created where there is none.
+fn entry_mut<'a>(value: &'a mut Value, name: &str) -> &'a mut Value {
+    if !value.is_object() {
+        *value = Value::Object(Map::new());
+    }
+    &mut value[name]
+}
+
+/// The element of a list, which is created or extended so far.
+fn element_mut(value: &mut Value, index: usize) -> &mut Value {
+    let mut elements = match value.take() {
+        Value::Array(elements) => elements,
+        _ => Vec::new(),
+    };
+    if elements.len() <= index {
+        elements.resize(index + 1, Value::Null);
+    }
+    *value = Value::Array(elements);
+    &mut value[index]
+}
+
+#[cfg(test)]
+#[path = "../../../../../tests/unit/config_translate.rs"]
+mod tests;
--- /dev/null
+++ b/src/bin/edge-node/config/schema/validate/mod.rs
@@ -0,0 +1,112 @@
+//! Finds everything that is wrong with a configuration whose text could be parsed.
+
+mod problem;
+mod relations;
+mod required;
+mod value;
+
+use super::keys::keys_of;
+use super::locate::{join_path, locate, Location};
+use super::suggest::nearest_path;
+use crate::config::error::Diagnostic;
+use crate::config::file::{ConfigFormat, ConfigItem, ConfigValue};
+use problem::Problem;
+use std::collections::HashSet;
+use value::check_value;
+
+/// All that is wrong with a configuration, in the order of its lines; what concerns none of them comes first.
+pub(in crate::config) fn validate(format: ConfigFormat, root: &ConfigItem) -> Vec<Diagnostic> {
+    let mut validator = Validator { format, root, diagnostics: Vec::new() };
+    validator.check_table(root, &ItemPath::default());
+    if matches!(root.value, ConfigValue::Table(_)) {
+        validator.check_required();
+        validator.check_relations();
+    }
+    validator.diagnostics.sort_by_key(|diagnostic| diagnostic.line);
+    validator.diagnostics
+}
+
+/// A configuration under validation, and what was found so far.
+struct Validator<'a> {
+    format: ConfigFormat,
+    root: &'a ConfigItem,
+    diagnostics: Vec<Diagnostic>,
+}
+
+/// The path of an item; empty for the root.
+#[derive(Default)]
+struct ItemPath {
+    /// As keys spell it: `classes[].name`.
+    pattern: String,
+    /// With indexes, as diagnostics show it: `classes[1].name`.
+    shown: String,
+}
+
+impl ItemPath {
+    /// The path of an entry of the table at this path.
+    fn entry(&self, name: &str) -> ItemPath {
+        ItemPath { pattern: join_path(&self.pattern, name), shown: join_path(&self.shown, name) }
+    }
+
+    /// The path of an element of the list at this path.
+    fn element(&self, index: usize) -> ItemPath {
+        ItemPath { pattern: format!("{}[]", self.pattern), shown: format!("{}[{index}]", self.shown) }
+    }
+}
+
+impl<'a> Validator<'a> {
+    fn report(&mut self, line: Option<usize>, path: &str, problem: Problem) {
+        self.diagnostics.push(Diagnostic { line, path: path.to_owned(), message: problem.to_string() });
+    }
+
+    /// Checks all that a table holds.
+    fn check_table(&mut self, table: &ConfigItem, path: &ItemPath) {
+        let ConfigValue::Table(entries) = &table.value else {
+            return self.report(Some(table.line), &path.shown, Problem::NotTable);
+        };
+        let mut names = HashSet::new();
+        for (name, item) in entries {
+            let path = path.entry(name);
+            if names.insert(name) {
+                self.check_entry(item, &path);
+            } else {
+                self.report(Some(item.line), &path.shown, Problem::Duplicate);
+            }
+        }
+    }
+
+    fn check_entry(&mut self, item: &ConfigItem, path: &ItemPath) {
+        let format = self.format;
+        let table_prefix = format!("{}.", path.pattern);
+        let list_prefix = format!("{}[]", path.pattern);
+        let is_in_key = |prefix: &str| keys_of(format).any(|key| key.path(format).starts_with(prefix));
+        if let Some(key) = keys_of(format).find(|key| key.path(format) == path.pattern) {
+            if let Err(problem) = check_value(format, key, item) {
+                self.report(Some(item.line), &path.shown, problem);
+            }
+        } else if is_in_key(&table_prefix) {
+            self.check_table(item, path);
+        } else if is_in_key(&list_prefix) {
+            self.check_list(item, path);
+        } else if format == ConfigFormat::Toml {
+            // The platform may add keys that this version does not know yet, so its JSON may hold any.
+            let nearest = nearest_path(&path.pattern);
+            self.report(Some(item.line), &path.shown, Problem::UnknownKey { nearest });
+        }
+    }
+
+    /// Checks each table of a list.
+    fn check_list(&mut self, list: &ConfigItem, path: &ItemPath) {
+        let ConfigValue::List(items) = &list.value else {
+            return self.report(Some(list.line), &path.shown, Problem::NotTableList);
+        };
+        for (index, item) in items.iter().enumerate() {
+            self.check_table(item, &path.element(index));
+        }
+    }
+
+    /// Every place of a key or list in this configuration.
+    fn locate(&self, path: &str) -> Vec<Location<'a>> {
+        locate(self.root, path)
+    }
+}
--- a/src/bin/edge-node/log/mod.rs
+++ b/src/bin/edge-node/log/mod.rs
@@ -1,163 +1,122 @@
-//! The log on standard error: a line for each event that an operator may act on. Text is written for people; JSON
-//! has the same words and, beside them, the cause and the ids as fields of their own.
+//! The log on standard error: a line for each event that an operator may act on, as text for people, or as JSON with
+//! the same message and, beside it, the cause and the ids as fields of their own.
 
+mod rate_limit_layer;
 mod rate_limiter;
+mod text_format;
 
-use rate_limiter::Limiter;
+use rate_limit_layer::RateLimitLayer;
 use serde::Deserialize;
-use std::fmt::{self, Write};
+use std::fmt;
 use std::io;
-use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant};
-use tracing::callsite::Identifier;
-use tracing::field::{Field, Visit};
-use tracing::{Event, Level, Subscriber};
+use text_format::TextFormat;
+use thiserror::Error;
+use tracing::subscriber::SetGlobalDefaultError;
 use tracing_subscriber::filter::LevelFilter;
-use tracing_subscriber::fmt::format::Writer;
-use tracing_subscriber::fmt::time::{FormatTime, SystemTime};
-use tracing_subscriber::fmt::{self as written, FmtContext, FormatEvent, FormatFields};
-use tracing_subscriber::layer::{Context, SubscriberExt};
-use tracing_subscriber::registry::{LookupSpan, Registry};
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::registry::Registry;
 use tracing_subscriber::{reload, Layer};
 
-/// Most lines from one place in the program in each span. Guards against a log that grows with the trouble that it
-/// tells of, and against a reader that can't keep up and would hold the edge node.
-const LINES_MOST: u32 = 10;
-const SPAN: Duration = Duration::from_secs(10);
-
 /// What a configuration says of the log.
 #[derive(Deserialize, Clone, Copy, Debug, Default)]
 #[serde(default)]
-pub struct Options {
-    pub level: Severity,
-    pub format: Format,
+pub(crate) struct LogOptions {
+    /// The least severity that is logged.
+    pub(crate) level: LogLevel,
+    /// How lines are written.
+    pub(crate) format: LogFormat,
 }
 
 /// The least severity that is logged.
 #[derive(Deserialize, Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
-pub enum Severity {
+pub(crate) enum LogLevel {
+    /// Nothing.
     Off,
+    /// What stops the edge node from doing what it was told.
     Error,
+    /// What an operator should look at.
     Warn,
+    /// Starts, reloads and ends.
     #[default]
     Info,
     /// Each request, attempt and answer, too.
     Debug,
 }
 
-impl fmt::Display for Severity {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        LevelFilter::from(*self).fmt(f)
+impl fmt::Display for LogLevel {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        LevelFilter::from(*self).fmt(formatter)
     }
 }
 
-impl From<Severity> for LevelFilter {
-    fn from(severity: Severity) -> LevelFilter {
-        match severity {
-            Severity::Off => LevelFilter::OFF,
-            Severity::Error => LevelFilter::ERROR,
-            Severity::Warn => LevelFilter::WARN,
-            Severity::Info => LevelFilter::INFO,
-            Severity::Debug => LevelFilter::DEBUG,
+impl From<LogLevel> for LevelFilter {
+    fn from(level: LogLevel) -> LevelFilter {
+        match level {
+            LogLevel::Off => LevelFilter::OFF,
+            LogLevel::Error => LevelFilter::ERROR,
+            LogLevel::Warn => LevelFilter::WARN,
+            LogLevel::Info => LevelFilter::INFO,
+            LogLevel::Debug => LevelFilter::DEBUG,
         }
     }
 }
 
+/// How lines of the log are written.
 #[derive(Deserialize, Clone, Copy, Debug, Default)]
 #[serde(rename_all = "lowercase")]
-pub enum Format {
+pub(crate) enum LogFormat {
+    /// Time, level and message, for people.
     #[default]
     Text,
+    /// A JSON object a line, for programs.
     Json,
 }
 
-/// The log that has been started; its level can be changed.
-pub struct Log(reload::Handle<LevelFilter, Registry>);
+/// Why the log can't be started or changed.
+#[derive(Debug, Error)]
+pub(crate) enum LogError {
+    /// The process has a log already.
+    #[error(transparent)]
+    AlreadyStarted(#[from] SetGlobalDefaultError),
+    /// The log is gone, so its level can't be set.
+    #[error(transparent)]
+    Stopped(#[from] reload::Error),
+}
+
+/// The running log of this process.
+pub(crate) struct Log {
+    level: reload::Handle<LevelFilter, Registry>,
+}
 
 impl Log {
-    /// Starts the log of this process, which is done once.
+    /// Starts the log, which a process does once.
     ///
     /// # Errors
-    /// It has been started before.
-    pub fn start(options: Options) -> anyhow::Result<Log> {
-        let (level, handle) = reload::Layer::new(LevelFilter::from(options.level));
-        // Guards against ending with whoever reads the log: a line that can't be written is lost.
-        let lines = written::layer().with_writer(io::stderr).with_ansi(false).log_internal_errors(false);
+    /// [`LogError::AlreadyStarted`].
+    pub(crate) fn start(options: LogOptions) -> Result<Log, LogError> {
+        let (level_filter, level) = reload::Layer::new(LevelFilter::from(options.level));
+        // A line that can't be written is dropped silently: the reader of the log may end, and reporting that on the
+        // same standard error would fail again, and end the edge node.
+        let lines = tracing_subscriber::fmt::layer()
+            .with_writer(io::stderr)
+            .with_ansi(false)
+            .log_internal_errors(false);
         let lines = match options.format {
-            Format::Text => lines.event_format(Text).boxed(),
-            Format::Json => lines.json().flatten_event(true).with_target(false).boxed(),
+            LogFormat::Text => lines.event_format(TextFormat).boxed(),
+            LogFormat::Json => lines.json().flatten_event(true).with_target(false).boxed(),
         };
-        let log = Registry::default()
-            .with(level)
-            .with(FromEach(Mutex::new(Limiter::new(LINES_MOST, SPAN))))
-            .with(lines);
-        tracing::subscriber::set_global_default(log)?;
-        Ok(Log(handle))
+        let subscriber = Registry::default().with(level_filter).with(RateLimitLayer::new()).with(lines);
+        tracing::subscriber::set_global_default(subscriber)?;
+        Ok(Log { level })
     }
 
-    /// Changes the least severity.
+    /// Sets the least severity that is logged.
     ///
     /// # Errors
-    /// The log has ended.
-    pub fn set_level(&self, level: Severity) -> anyhow::Result<()> {
-        Ok(self.0.modify(|filter| *filter = level.into())?)
-    }
-}
-
-/// A line for people: when, how severe, and the words. The fields are for programs; the words have what matters.
-struct Text;
-
-impl<S, N> FormatEvent<S, N> for Text
-where
-    S: Subscriber + for<'a> LookupSpan<'a>,
-    N: for<'a> FormatFields<'a> + 'static,
-{
-    fn format_event(
-        &self, _context: &FmtContext<'_, S, N>, mut writer: Writer<'_>, event: &Event<'_>,
-    ) -> fmt::Result {
-        let mut words = Words(String::new());
-        event.record(&mut words);
-        SystemTime.format_time(&mut writer)?;
-        write!(writer, " {} ", event.metadata().level())?;
-        // Guards against lines forged by what comes from elsewhere.
-        for letter in words.0.chars() {
-            match letter.is_control() {
-                true => write!(writer, "{}", letter.escape_default())?,
-                false => writer.write_char(letter)?,
-            }
-        }
-        writeln!(writer)
-    }
-}
-
-/// The words of an event, without its fields.
-struct Words(String);
-
-impl Visit for Words {
-    fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
-        if field.name() == "message" {
-            // Writing to a string does not fail.
-            let _ = write!(self.0, "{value:?}");
-        }
-    }
-}
-
-/// Lets so many lines pass from each place in the program. Those at debug level were asked for, and pass all.
-struct FromEach(Mutex<Limiter<Identifier>>);
-
-impl<S: Subscriber> Layer<S> for FromEach {
-    fn event_enabled(&self, event: &Event<'_>, _context: Context<'_, S>) -> bool {
-        if *event.metadata().level() > Level::INFO {
-            return true;
-        }
-        let mut limiter = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let passes = limiter.pass(event.metadata().callsite(), Instant::now());
-        // The next line comes this way, too.
-        drop(limiter);
-        if let Some(left_out @ 1..) = passes {
-            tracing::warn!(event = "left_out", lines = left_out, "left out {left_out} lines like the next");
-        }
-        passes.is_some()
+    /// [`LogError::Stopped`].
+    pub(crate) fn set_level(&self, level: LogLevel) -> Result<(), LogError> {
+        self.level.modify(|filter| *filter = level.into())?;
+        Ok(())
     }
 }
--- a/src/bin/edge-node/log/rate_limiter.rs
+++ b/src/bin/edge-node/log/rate_limiter.rs
@@ -1,42 +1,61 @@
-//! Lets so many of a kind pass in each span.
+//! Limits how many events of each kind pass in a time window.
 
 use std::collections::HashMap;
 use std::hash::Hash;
 use std::time::{Duration, Instant};
 
-/// A limit for each kind on its own.
-pub struct Limiter<K> {
-    most: u32,
-    span: Duration,
-    kinds: HashMap<K, Span>,
+/// A rate limiter that counts each kind on its own.
+pub(crate) struct RateLimiter<K> {
+    max_per_window: u32,
+    window: Duration,
+    windows: HashMap<K, Window>,
 }
 
-/// What has come of a kind since its span began.
-struct Span {
-    began: Instant,
+/// Whether an event passes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Decision {
+    /// It passes.
+    Pass {
+        /// How many of its kind were suppressed in the window before; reported once, with the first that passes.
+        suppressed_before: u32,
+    },
+    /// It is one too many in this window.
+    Suppress,
+}
+
+/// What came of one kind since its window began.
+struct Window {
+    started_at: Instant,
     passed: u32,
-    left_out: u32,
+    suppressed: u32,
+}
+
+impl Window {
+    fn new(now: Instant) -> Window {
+        Window { started_at: now, passed: 0, suppressed: 0 }
+    }
 }
 
-impl<K: Eq + Hash> Limiter<K> {
-    /// `most` of each kind pass in each span, which begins with the first that comes after the last one's end.
-    pub fn new(most: u32, span: Duration) -> Limiter<K> {
-        Limiter { most, span, kinds: HashMap::new() }
+impl<K: Eq + Hash> RateLimiter<K> {
+    /// Lets `max_per_window` of each kind pass in each window. A kind's window begins with its first event after the
+    /// end of the window before.
+    pub(crate) fn new(max_per_window: u32, window: Duration) -> RateLimiter<K> {
+        RateLimiter { max_per_window, window, windows: HashMap::new() }
     }
 
-    /// Whether one more passes now: then, how many were left out in the span before, told once.
-    pub fn pass(&mut self, kind: K, now: Instant) -> Option<u32> {
-        let fresh = || Span { began: now, passed: 0, left_out: 0 };
-        let span = self.kinds.entry(kind).or_insert_with(fresh);
-        let mut before = 0;
-        if now.saturating_duration_since(span.began) >= self.span {
-            before = std::mem::replace(span, fresh()).left_out;
+    /// Counts an event, and decides whether it passes. A `now` before the window's start counts as in the window.
+    pub(crate) fn check(&mut self, kind: K, now: Instant) -> Decision {
+        let window = self.windows.entry(kind).or_insert_with(|| Window::new(now));
+        let mut suppressed_before = 0;
+        if now.saturating_duration_since(window.started_at) >= self.window {
+            suppressed_before = window.suppressed;
+            *window = Window::new(now);
         }
-        if span.passed >= self.most {
-            span.left_out += 1;
-            return None;
+        if window.passed >= self.max_per_window {
+            window.suppressed += 1;
+            return Decision::Suppress;
         }
-        span.passed += 1;
-        Some(before)
+        window.passed += 1;
+        Decision::Pass { suppressed_before }
     }
 }
--- a/src/bin/edge-node/main.rs
+++ b/src/bin/edge-node/main.rs
@@ -18,14 +18,14 @@
 use admin::Admin;
 use anyhow::{Context, Result};
 use clients::Phase;
-use config::{schema, Config};
+use config::{Config, RestartValues};
 use edge_node::reconnect;
 use log::Log;
 use metrics::Metrics;
 use node::Node;
 use peers::Peers;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -49,8 +49,8 @@
 }
 
 /// Serves under a configuration until SIGTERM.
-pub fn run(config: Config) -> Result<()> {
-    let log = Log::start(config.shell.log)?;
+pub(crate) fn run(config: Config) -> Result<()> {
+    let log = Log::start(config.operator.log)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     tokio::task::LocalSet::new().block_on(&runtime, serve(config, log))
 }
@@ -62,22 +62,26 @@
     let listener =
         bind::when_free(format!("listen {}", config.listen), || TcpListener::bind(config.listen)).await?;
     let peers = match config.peers {
-        Some(addresses) => Some(Peers::bind(addresses, config.named.settings.gateway_id).await?),
+        Some(addresses) => Some(Peers::bind(addresses, config.settings.settings.gateway_id).await?),
         None => None,
     };
-    let each_side = (config.sockets - RESERVED) / 2;
-    let longest = Duration::from_micros(config.named.longest_deadline);
-    let room = Room::new(config.memory / LARGE_SHARE);
-    let upstream =
-        Upstream::new(room, each_side, config.named.connection_idle_timeout, config.named.connect_timeout);
-    let admin = match config.shell.admin.listen {
+    let each_side = (config.max_file_descriptors - RESERVED) / 2;
+    let longest = Duration::from_micros(config.settings.longest_deadline);
+    let room = Room::new(config.max_memory / LARGE_SHARE);
+    let upstream = Upstream::new(
+        room,
+        each_side,
+        config.settings.connection_idle_timeout,
+        config.settings.connect_timeout,
+    );
+    let admin = match config.operator.admin.listen {
         Some(address) => {
             Some(TcpListener::bind(address).await.with_context(|| format!("admin.listen {address}"))?)
         }
         None => None,
     };
-    let metrics = admin.as_ref().map(|_| Rc::new(Metrics::new(&config.named)));
-    let node = Node::new(config.seed, config.named, upstream, peers, metrics.clone())?;
+    let metrics = admin.as_ref().map(|_| Rc::new(Metrics::new(&config.settings)));
+    let node = Node::new(config.seed, config.settings, upstream, peers, metrics.clone())?;
     let (name, address) = (config.name, listener.local_addr().context("listen")?);
     info!(event = "start", %name, %address, version = VERSION, "{name}: listening on {address}");
 
@@ -89,9 +93,9 @@
         tokio::task::spawn_local(admin::serve(listener, Admin { name, node, metrics, phase, started }));
     }
     let (moved, discovery) = watch::channel(config.discovery);
-    tokio::task::spawn_local(reload(hangup, config.path, config.values, moved, log));
+    tokio::task::spawn_local(reload(hangup, config.path, config.restart_values, moved, log));
     let (heard, first_list) = oneshot::channel();
-    tokio::task::spawn_local(discovery::follow(Rc::clone(&node), discovery, config.known, heard));
+    tokio::task::spawn_local(discovery::follow(Rc::clone(&node), discovery, config.initial_endpoints, heard));
     tokio::task::spawn_local(peers::listen(Rc::clone(&node)));
     tokio::task::spawn_local(retire(Rc::clone(&node)));
     // What discovery holds counts as told from the first moment, and the list that is known may be old. Clients wait
@@ -133,15 +137,15 @@
 /// Rereads the configuration on each SIGHUP, for ever: whole or not at all. Discovery's address and the level of the
 /// log can change in service; of what else has changed the keys are told.
 async fn reload(
-    mut hangup: Signal, path: PathBuf, values: schema::Values, discovery: watch::Sender<SocketAddr>, log: Log,
+    mut hangup: Signal, path: PathBuf, values: RestartValues, discovery: watch::Sender<SocketAddr>, log: Log,
 ) {
     while hangup.recv().await.is_some() {
-        match Config::read(&path).and_then(|config| log.set_level(config.shell.log.level).map(|()| config)) {
+        match read_and_set_level(&path, &log) {
             Ok(config) => {
-                let (address, level) = (config.discovery, config.shell.log.level);
+                let (address, level) = (config.discovery, config.operator.log.level);
                 // Also when it is the same address as before: its numbering may have begun anew.
                 discovery.send_replace(address);
-                let waits = schema::changed(&values, &config.values).join(", ");
+                let waits = values.changed_keys(&config.restart_values).join(", ");
                 let more = if waits.is_empty() { "" } else { "; waiting for a restart: " };
                 info!(event = "applied", discovery = %address, log_level = %level, waits, "reloaded: log level {level}, discovery at {address}{more}{waits}");
             }
@@ -152,6 +156,13 @@
     }
 }
 
+/// Reads the configuration again, and sets the log's level by it.
+fn read_and_set_level(path: &Path, log: &Log) -> Result<Config> {
+    let config = Config::read(path)?;
+    log.set_level(config.operator.log.level)?;
+    Ok(config)
+}
+
 async fn retire(node: Rc<Node>) {
     node.upstream.retire().await;
 }
--- a/src/bin/edge-node/peers.rs
+++ b/src/bin/edge-node/peers.rs
@@ -28,7 +28,7 @@
 
 impl Peers {
     pub async fn bind(addresses: PeerAddresses, me: GatewayId) -> Result<Peers> {
-        let PeerAddresses { listen, each, all } = addresses;
+        let PeerAddresses { listen, addresses: each, broadcast: all } = addresses;
         let socket = bind::when_free(format!("peer_listen {listen}"), || UdpSocket::bind(listen)).await?;
         // Of two that share an address, it speaks for the first.
         let senders = each.iter().enumerate().rev().map(|(number, peer)| (*peer, GatewayId(number as u32)));
--- a/tests/fixtures.rs
+++ b/tests/fixtures.rs
@@ -1,8 +1,8 @@
-//! Configurations that operators and the platform have in use, kept as files: each has to read to the same values
-//! for as long as its form is supported. The files and the values expected here don't change with the code's names.
+//! Configuration files as operators and the platform have them in use: each has to read to the same values for as long
+//! as its format is supported. The files and the values expected here don't change with the code's names.
 
-// The program's own modules: the library does not have the reading of whole configurations.
-#[allow(dead_code)]
+// Modules of the program, of which this test uses a part: the library does not read whole configurations.
+#[allow(dead_code, unused_imports)]
 #[path = "../src/bin/edge-node/config/mod.rs"]
 mod config;
 #[allow(dead_code)]
@@ -12,19 +12,20 @@
 #[path = "../src/bin/edge-node/log/mod.rs"]
 mod log;
 
-use config::{schema, AdminAddress, Config, PeerAddresses, Shell};
+use config::{AdminOptions, Config, OperatorOptions, PeerAddresses, RestartValues};
 use edge_node::settings::{self, ResolvedSettings};
 use edge_node::{
     Class, DeduplicationScope, EndpointDiscovery, GatewayId, HardLimit, Idempotency, Permissions, Plan,
     Rules, Settings, ZoneId,
 };
 use lists::{Health, Host, Hosts, List};
+use log::{LogFormat, LogLevel, LogOptions};
 use std::net::SocketAddr;
 use std::path::Path;
 
 const PLATFORM: &str = "tests/fixtures/platform-config.json";
 const EXAMPLE: &str = "tests/fixtures/example-config.toml";
-/// What each file says under the keys of which a change waits for a restart, by their names in its form.
+/// The values in each file of the keys that require a restart, by their paths in its format.
 const PLATFORM_VALUES: &str = include_str!("fixtures/platform-restart-values.json");
 const EXAMPLE_VALUES: &str = include_str!("fixtures/example-restart-values.json");
 
@@ -42,18 +43,18 @@
 fn assert_same_resolved_settings(read: ResolvedSettings, expected: ResolvedSettings) {
     let ResolvedSettings {
         settings,
-        class_names: classes,
-        plan_names: plans,
-        zone_names: zones,
+        class_names,
+        plan_names,
+        zone_names,
         longest_deadline,
         drain_grace,
         connection_idle_timeout,
         connect_timeout,
     } = read;
     assert_eq!(settings, expected.settings);
-    assert_eq!(classes, expected.class_names);
-    assert_eq!(plans, expected.plan_names);
-    assert_eq!(zones, expected.zone_names);
+    assert_eq!(class_names, expected.class_names);
+    assert_eq!(plan_names, expected.plan_names);
+    assert_eq!(zone_names, expected.zone_names);
     assert_eq!(longest_deadline, expected.longest_deadline);
     assert_eq!(drain_grace, expected.drain_grace);
     assert_eq!(connection_idle_timeout, expected.connection_idle_timeout);
@@ -61,26 +62,28 @@
 }
 
 fn assert_same_peers(read: Option<PeerAddresses>, expected: PeerAddresses) {
-    let PeerAddresses { listen, each, all } = read.expect("addresses of peers");
-    assert_eq!((listen, each, all), (expected.listen, expected.each, expected.all));
+    let PeerAddresses { listen, addresses, broadcast } = read.expect("addresses of peers");
+    assert_eq!(listen, expected.listen);
+    assert_eq!(addresses, expected.addresses);
+    assert_eq!(broadcast, expected.broadcast);
 }
 
 /// The default log, and no admin listener.
-fn assert_default_shell(read: Shell) {
-    let Shell { log: log::Options { level, format }, admin: AdminAddress { listen } } = read;
-    assert_eq!(level, log::Severity::Info);
-    assert!(matches!(format, log::Format::Text));
+fn assert_default_operator_options(read: OperatorOptions) {
+    let OperatorOptions { log: LogOptions { level, format }, admin: AdminOptions { listen } } = read;
+    assert_eq!(level, LogLevel::Info);
+    assert!(matches!(format, LogFormat::Text));
     assert_eq!(listen, None);
 }
 
-fn assert_same_values(read: schema::Values, expected: &str) {
+fn assert_same_restart_values(read: RestartValues, expected: &str) {
     let read = serde_json::to_value(read).expect("it can be written");
     let expected: serde_json::Value = serde_json::from_str(expected).expect("it is JSON");
     assert_eq!(read, expected, "{read:#}");
 }
 
-fn keyed(group: DeduplicationScope, window: u64) -> Idempotency {
-    Idempotency::Keyed { scope: group, window }
+fn keyed(scope: DeduplicationScope, window: u64) -> Idempotency {
+    Idempotency::Keyed { scope, window }
 }
 
 fn platform_classes() -> Vec<Class> {
@@ -201,35 +204,50 @@
 fn the_platform_s_settings_read_to_the_same_values() {
     let text = std::fs::read_to_string(PLATFORM).expect("the fixture");
     let file: serde_json::Value = serde_json::from_str(&text).expect("it is JSON");
-    let read = settings::parse(&file["settings"].to_string()).expect("sound settings");
+    let read = settings::parse(&file["settings"].to_string()).expect("valid settings");
     assert_same_resolved_settings(read, platform_settings());
 }
 
 #[test]
 fn the_platform_s_configuration_reads_to_the_same_values() {
-    let Config { path, name, listen, discovery, seed, sockets, memory, peers, known, named, shell, values } =
-        Config::read(Path::new(PLATFORM)).expect("a sound configuration");
+    let Config {
+        path,
+        name,
+        listen,
+        discovery,
+        seed,
+        max_file_descriptors,
+        max_memory,
+        peers,
+        initial_endpoints,
+        settings,
+        operator,
+        restart_values,
+    } = Config::read(Path::new(PLATFORM)).expect("a valid configuration");
     assert_eq!(path, Path::new(PLATFORM));
     assert_eq!(name, "n3");
     assert_eq!(listen, address("127.0.0.4:8443"));
     assert_eq!(discovery, address("127.0.1.1:8500"));
     assert_eq!(seed, 0x8c1f_30d2_7a5b_e964);
-    assert_eq!((sockets, memory), (1000, 192 * MIB));
-    let each = addresses(&["127.0.0.2:7946", "127.0.0.3:7946", "127.0.0.4:7946"]);
-    let all = Some(address("127.0.0.255:7946"));
-    assert_same_peers(peers, PeerAddresses { listen: address("127.0.0.4:7946"), each, all });
-    assert_eq!(known, Some(platform_endpoints()));
-    assert_same_resolved_settings(named, platform_settings());
-    assert_default_shell(shell);
-    assert_same_values(values, PLATFORM_VALUES);
+    assert_eq!((max_file_descriptors, max_memory), (1000, 192 * MIB));
+    let expected_peers = PeerAddresses {
+        listen: address("127.0.0.4:7946"),
+        addresses: addresses(&["127.0.0.2:7946", "127.0.0.3:7946", "127.0.0.4:7946"]),
+        broadcast: Some(address("127.0.0.255:7946")),
+    };
+    assert_same_peers(peers, expected_peers);
+    assert_eq!(initial_endpoints, Some(platform_endpoints()));
+    assert_same_resolved_settings(settings, platform_settings());
+    assert_default_operator_options(operator);
+    assert_same_restart_values(restart_values, PLATFORM_VALUES);
 }
 
 fn example_settings() -> ResolvedSettings {
-    let class = |worth, effect| Class {
+    let class = |priority_weight, idempotency| Class {
         latency_objective: 1_000_000,
         late_weight: 0.2,
-        priority_weight: worth,
-        idempotency: effect,
+        priority_weight,
+        idempotency,
     };
     let basic = Plan {
         rate: 2.5,
@@ -284,7 +302,7 @@
     }
 }
 
-/// Its seed is left out, and drawn anew at each reading.
+/// It has no seed, so that each reading draws another one.
 #[test]
 fn the_example_reads_to_the_same_values() {
     let Config {
@@ -293,23 +311,27 @@
         listen,
         discovery,
         seed: _,
-        sockets,
-        memory,
+        max_file_descriptors,
+        max_memory,
         peers,
-        known,
-        named,
-        shell,
-        values,
-    } = Config::read(Path::new(EXAMPLE)).expect("a sound configuration");
+        initial_endpoints,
+        settings,
+        operator,
+        restart_values,
+    } = Config::read(Path::new(EXAMPLE)).expect("a valid configuration");
     assert_eq!(path, Path::new(EXAMPLE));
     assert_eq!(name, "edge-0");
     assert_eq!(listen, address("127.0.0.1:8443"));
     assert_eq!(discovery, address("127.0.0.1:8500"));
-    assert_eq!((sockets, memory), (1024, 192 * MIB));
-    let each = addresses(&["127.0.0.1:7946", "127.0.0.2:7946", "127.0.0.3:7946"]);
-    assert_same_peers(peers, PeerAddresses { listen: address("127.0.0.1:7946"), each, all: None });
-    assert_eq!(known, None);
-    assert_same_resolved_settings(named, example_settings());
-    assert_default_shell(shell);
-    assert_same_values(values, EXAMPLE_VALUES);
+    assert_eq!((max_file_descriptors, max_memory), (1024, 192 * MIB));
+    let expected_peers = PeerAddresses {
+        listen: address("127.0.0.1:7946"),
+        addresses: addresses(&["127.0.0.1:7946", "127.0.0.2:7946", "127.0.0.3:7946"]),
+        broadcast: None,
+    };
+    assert_same_peers(peers, expected_peers);
+    assert_eq!(initial_endpoints, None);
+    assert_same_resolved_settings(settings, example_settings());
+    assert_default_operator_options(operator);
+    assert_same_restart_values(restart_values, EXAMPLE_VALUES);
 }
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -1,10 +1,10 @@
-//! The log: which events it tells of, in which form, and that it never gets in the way.
+//! The log: its events and formats, and that it never holds up the edge node.
 
 #[path = "../src/bin/edge-node/log/rate_limiter.rs"]
 mod rate_limiter;
 mod support;
 
-use rate_limiter::Limiter;
+use rate_limiter::{Decision, RateLimiter};
 use serde_json::Value;
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
@@ -81,7 +81,7 @@
     let said = node.says("reloaded");
     assert_eq!(node.client().ask(&read("seen")).status(), 200);
     node.reload(|text| text.replacen("\"debug\"", "\"warn\"", 1));
-    // At this level no line tells of it; the watch that is opened anew does.
+    // At this level no line shows that the reload is done; the watch that it opens does.
     (0..3).for_each(|_| drop(discovery.watch()));
     assert_eq!(node.client().ask(&read("hidden")).status(), 200);
     node.terminate();
@@ -97,7 +97,7 @@
     assert_eq!((applied.0.as_str(), applied.1["level"].as_str()), ("applied", Some("INFO")));
 }
 
-/// What comes from elsewhere cannot make a line of its own.
+/// Text from outside cannot forge a line of the log.
 #[test]
 fn a_line_stays_one_line() {
     let discovery = Discovery::start(&[]);
@@ -116,9 +116,9 @@
     assert!(first.contains(r"a\nb\u{1b}[31m: listening on 127.0.0.1:"), "{first}");
 }
 
-/// Whoever reads the log may end; the edge node goes on.
+/// The reader of the log may end; the edge node goes on.
 #[test]
-fn nobody_has_to_read_the_log() {
+fn the_log_needs_no_reader() {
     let discovery = Discovery::start(&[]);
     let path = written("unread.toml", &config(&discovery, ""));
     let mut child =
@@ -146,9 +146,9 @@
     paths.flat_map(|path| if path.is_dir() { source_files(&path) } else { vec![path] }).collect()
 }
 
-/// Each event in the code stands on the page, and the other way round.
+/// The code and the page have the same events.
 #[test]
-fn the_page_tells_every_event() {
+fn the_page_has_every_event() {
     let mut coded = std::collections::BTreeSet::new();
     for file in source_files("src/bin/edge-node".as_ref()) {
         let text = std::fs::read_to_string(file).expect("it is text");
@@ -167,17 +167,20 @@
 }
 
 #[test]
-fn so_many_lines_of_a_kind_pass_in_each_span() {
-    let span = Duration::from_secs(10);
-    let mut limiter = Limiter::new(3, span);
-    let begun = Instant::now();
-    let passed: Vec<_> =
-        (0..6).map(|second| limiter.pass("a", begun + Duration::from_secs(second))).collect();
-    assert_eq!(passed, [Some(0), Some(0), Some(0), None, None, None]);
-    assert_eq!(limiter.pass("b", begun), Some(0), "each kind has its own");
-    assert_eq!(limiter.pass("a", begun + span - Duration::from_nanos(1)), None);
-    assert_eq!(limiter.pass("a", begun + span), Some(4), "what was left out is told once");
-    assert_eq!(limiter.pass("a", begun + span), Some(0));
-    assert_eq!(limiter.pass("a", begun), Some(0), "a clock that goes back is no matter");
-    assert_eq!(limiter.pass("a", begun + span), None);
+fn the_rate_limiter_passes_a_limited_number_of_each_kind_in_each_window() {
+    const PASS: Decision = Decision::Pass { suppressed_before: 0 };
+    const SUPPRESS: Decision = Decision::Suppress;
+    let window = Duration::from_secs(10);
+    let mut limiter = RateLimiter::new(3, window);
+    let start = Instant::now();
+    let decisions: Vec<_> =
+        (0..6).map(|second| limiter.check("a", start + Duration::from_secs(second))).collect();
+    assert_eq!(decisions, [PASS, PASS, PASS, SUPPRESS, SUPPRESS, SUPPRESS]);
+    assert_eq!(limiter.check("b", start), PASS, "each kind has its own window");
+    assert_eq!(limiter.check("a", start + window - Duration::from_nanos(1)), SUPPRESS);
+    let after_suppression = Decision::Pass { suppressed_before: 4 };
+    assert_eq!(limiter.check("a", start + window), after_suppression, "the count is reported once");
+    assert_eq!(limiter.check("a", start + window), PASS);
+    assert_eq!(limiter.check("a", start), PASS, "a clock that goes back does not matter");
+    assert_eq!(limiter.check("a", start + window), SUPPRESS);
 }
--- /dev/null
+++ b/tests/unit/config_translate.rs
@@ -0,0 +1,39 @@
+//! The translation of operators' TOML to the platform's JSON.
+
+use super::*;
+use crate::config::file::parse;
+
+fn translated(text: &str) -> Value {
+    to_platform_json(&parse(ConfigFormat::Toml, text).expect("valid TOML"))
+}
+
+#[test]
+fn values_take_the_platform_s_paths_units_and_words() {
+    let json = translated(
+        "[limits]\nmemory_mib = 192\n[fleet]\nround_ms = 2.5\nlist_changes = \"followed\"\nzones = [\"a\", \"b\"]\n",
+    );
+    assert_eq!(json["limits"]["memory_mb"], json!(192));
+    assert_eq!(json["settings"]["periodUs"], json!(2_500));
+    assert_eq!(json["settings"]["discovery"], json!("subscribe"));
+    assert_eq!(json["settings"]["zones"], json!(["a", "b"]));
+}
+
+#[test]
+fn keys_that_are_left_out_get_their_defaults() {
+    let json = translated("");
+    assert_eq!(json["limits"]["sockets"], json!(1024));
+    assert_eq!(json["settings"]["ceilings"]["connectTimeoutUs"], json!(250_000));
+    assert_eq!(json["settings"]["ceilings"]["mayTell"], json!(true));
+    assert_eq!(json["log"]["level"], json!("info"));
+    assert_eq!(json.get("admin"), None, "a key whose default is to be absent stays left out");
+    assert_eq!(json["settings"].get("packages"), None);
+}
+
+#[test]
+fn each_table_of_a_list_keeps_its_place() {
+    let json = translated("[[plans]]\nname = \"basic\"\n[[plans]]\nconcurrency = 3\n");
+    let plans = json["settings"]["packages"].as_array().expect("a list");
+    assert_eq!(plans.len(), 2);
+    assert_eq!((&plans[0]["name"], &plans[0]["atOnce"]), (&json!("basic"), &json!(0)));
+    assert_eq!((plans[1].get("name"), &plans[1]["atOnce"]), (None, &json!(3)));
+}
