Tests of configurations and of the command line in the field's terms

Change: check returns a struct with named fields; names and comments reworded. No test or assertion is dropped or eased.

--- a/tests/command.rs
+++ b/tests/command.rs
@@ -1,10 +1,11 @@
-//! The command line: what it prints, and with which code it ends.
+//! The command line: what it prints, and its exit codes.
 
 mod support;
 
 use std::process::{Output, Stdio};
 use support::*;
 
+/// Runs the program to its end: its exit code, standard output and standard error.
 fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
     let Output { status, stdout, stderr } =
         program(arguments).stdin(Stdio::null()).output().expect("it runs");
@@ -20,7 +21,7 @@
         let (code, out, err) = run(arguments);
         assert_eq!((code, err.as_str()), (Some(0), ""), "{arguments:?}");
         for word in COMMANDS.iter().chain(&["LB_CONFIG", "Exit codes"]) {
-            assert!(out.contains(word), "{arguments:?} tells nothing of {word}");
+            assert!(out.contains(word), "{arguments:?} does not mention {word}");
         }
     }
     let version = format!("edge-node {}\n", env!("CARGO_PKG_VERSION"));
@@ -71,21 +72,25 @@
 }
 
 #[test]
-fn completions_and_the_manual_know_every_command() {
+fn completions_and_the_manual_page_have_every_command() {
     for shell in ["bash", "zsh", "fish", "elvish", "powershell"] {
         let (code, out, err) = run(&["completions", shell]);
         assert_eq!((code, err.as_str()), (Some(0), ""), "{shell}");
-        COMMANDS.iter().for_each(|command| assert!(out.contains(command), "{shell}: {command}"));
+        for command in COMMANDS {
+            assert!(out.contains(command), "{shell}: {command}");
+        }
     }
     let (code, out, _) = run(&["man"]);
     assert_eq!(code, Some(0));
-    COMMANDS.iter().for_each(|command| assert!(out.contains(&format!("edge\\-node\\-{command}(1)"))));
+    for command in COMMANDS {
+        assert!(out.contains(&format!("edge\\-node\\-{command}(1)")));
+    }
     assert!(out.contains(".TH edge-node 1") && out.contains("LB_DISCOVERY"), "{out}");
 }
 
-/// Whoever reads may have read enough.
+/// A reader such as `head` closes the pipe when it has read enough.
 #[test]
-fn a_reader_that_leaves_early_is_no_error() {
+fn a_reader_that_closes_the_pipe_early_is_no_error() {
     let mut child = program(&["man"]).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("it runs");
     drop(child.stdout.take());
     let output = child.wait_with_output().expect("it ends");
@@ -93,7 +98,7 @@
 }
 
 #[test]
-fn serve_ends_with_0_when_it_left_in_good_order() {
+fn serve_ends_with_0_after_sigterm() {
     let discovery = Discovery::start(&[]);
     let config = std::fs::read_to_string("edge-node.example.toml").expect("the example");
     let config = config
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -1,4 +1,4 @@
-//! Configurations: what is read, what is refused and how that is told, and what a change does in service.
+//! Configuration files: what is accepted, what is refused with which diagnostics, and what a reload does.
 
 mod support;
 
@@ -11,33 +11,41 @@
     std::fs::read_to_string(EXAMPLE).expect("the example")
 }
 
-/// What `check` says of a configuration, line by line, without the file's name; whether it found nothing wrong.
-fn checked(name: &str, config: &str) -> (bool, Vec<String>) {
+/// What `check` says of a configuration.
+struct Checked {
+    is_valid: bool,
+    /// What it prints, line by line, without the file's name.
+    lines: Vec<String>,
+}
+
+/// Runs `check` on a configuration in a file of that name.
+fn check(name: &str, config: &str) -> Checked {
     let path = written(name, config);
     let output = program(&["check"]).arg(&path).stdin(Stdio::null()).output().expect("it runs");
     let _ = std::fs::remove_file(&path);
-    let said = String::from_utf8([output.stdout, output.stderr].concat()).expect("it is text");
+    let printed = String::from_utf8([output.stdout, output.stderr].concat()).expect("it is text");
     let file = format!("{}:", path.display());
-    let lines = said.lines().filter_map(|line| line.strip_prefix(&file));
-    (output.status.success(), lines.map(|line| line.trim_start().to_owned()).collect())
+    let lines = printed.lines().filter_map(|line| line.strip_prefix(&file));
+    let lines = lines.map(|line| line.trim_start().to_owned()).collect();
+    Checked { is_valid: output.status.success(), lines }
 }
 
-/// The number of the first line with these words.
+/// The number, from 1, of the first line that contains these words.
 fn line_of(text: &str, words: &str) -> usize {
     1 + text.lines().position(|line| line.contains(words)).expect("it is there")
 }
 
 #[test]
-fn the_example_is_sound() {
-    let (sound, said) = checked("example.toml", &example());
-    assert!(sound && said == ["nothing is wrong"], "{said:?}");
-    // The same by its content alone, whatever the file is called.
-    assert!(checked("example.conf", &example()).0);
+fn the_example_is_valid() {
+    let Checked { is_valid, lines } = check("example.toml", &example());
+    assert!(is_valid && lines == ["nothing is wrong"], "{lines:?}");
+    // A file name without a known extension leaves the format to its content.
+    assert!(check("example.conf", &example()).is_valid);
 }
 
-/// Each change of the example makes one fault: where, and what is said of it.
+/// Each change of the example causes one diagnostic.
 #[test]
-fn each_fault_is_told_with_its_line_and_key() {
+fn each_diagnostic_has_its_line_and_key() {
     let cases = [
         ("name = \"edge-0\"", "name = 3", "name: has to be a text"),
         ("name = \"edge-0\"", "name = \"\"", "name: has to be a text that is not empty"),
@@ -115,51 +123,51 @@
         ("[requests]", "[reqests]", "reqests: no such key; the nearest known name is requests"),
         ("[limits]", "qqq = 1\n[limits]", "qqq: no such key"),
     ];
-    for (number, (from, to, fault)) in cases.into_iter().enumerate() {
+    for (number, (from, to, expected)) in cases.into_iter().enumerate() {
         let config = example().replacen(from, to, 1);
         assert_ne!(config, example(), "{from}");
-        let (sound, said) = checked(&format!("fault-{number}.toml"), &config);
+        let Checked { is_valid, lines } = check(&format!("diagnostic-{number}.toml"), &config);
         let before = example().split(from).next().map_or(0, |before| before.matches('\n').count());
-        let told = format!("{}: {fault}", before + 1);
-        let told = said.iter().any(|line| line.starts_with(&told));
-        assert!(!sound && told && said.len() == 1, "{to}: {said:?}");
+        let expected = format!("{}: {expected}", before + 1);
+        let is_reported = lines.iter().any(|line| line.starts_with(&expected));
+        assert!(!is_valid && is_reported && lines.len() == 1, "{to}: {lines:?}");
     }
 }
 
 #[test]
-fn what_is_missing_is_told() {
-    for (line, fault) in [
+fn missing_keys_and_lists_are_reported() {
+    for (line, expected) in [
         ("name = \"edge-0\"", "name: is missing"),
         ("gateways = 3", "fleet.gateways: is missing"),
         ("cold_start_ms = 16_000", "servers.cold_start_ms: is missing"),
         ("value = 3", "classes[0].value: is missing"),
         ("burst_units = 10", "plans[0].burst_units: is missing"),
     ] {
-        let (sound, said) = checked("missing.toml", &example().replacen(line, "", 1));
-        assert!(!sound && said.len() == 1 && said[0].ends_with(fault), "{line}: {said:?}");
+        let Checked { is_valid, lines } = check("missing.toml", &example().replacen(line, "", 1));
+        assert!(!is_valid && lines.len() == 1 && lines[0].ends_with(expected), "{line}: {lines:?}");
     }
     let keyed = example().replacen("repeat = \"never\"", "repeat = \"idempotency_key\"", 1);
-    let (_, said) = checked("keyed.toml", &keyed);
-    assert!(said.len() == 1 && said[0].contains("classes[1].idempotency_scope: is missing"), "{said:?}");
-    let (_, said) = checked("none.toml", "");
+    let lines = check("keyed.toml", &keyed).lines;
+    assert!(lines.len() == 1 && lines[0].contains("classes[1].idempotency_scope: is missing"), "{lines:?}");
+    let lines = check("none.toml", "").lines;
     for key in
         ["name", "listen", "discovery", "fleet.gateways", "servers.overload_factor", "classes", "plans"]
     {
-        assert!(said.contains(&format!("{key}: is missing")), "{key}: {said:?}");
+        assert!(lines.contains(&format!("{key}: is missing")), "{key}: {lines:?}");
     }
     let before = example().split("[[plans]]").next().expect("the part before").to_owned();
-    let (_, said) = checked("list.toml", &format!("{before}[plans]\nname = \"p\"\n"));
-    assert!(said.iter().any(|line| line.contains("plans: has to be a list of tables")), "{said:?}");
+    let lines = check("list.toml", &format!("{before}[plans]\nname = \"p\"\n")).lines;
+    assert!(lines.iter().any(|line| line.contains("plans: has to be a list of tables")), "{lines:?}");
 }
 
 #[test]
-fn all_faults_are_told_in_one_go_and_serve_says_them_in_one_line() {
+fn check_reports_all_diagnostics_and_serve_one_line() {
     let config = example()
         .replacen("127.0.0.1:8443", "nowhere", 1)
         .replacen("max_attempts = 5", "max_attempts = \"5\"", 1)
         .replacen("units_per_s = 2.5", "units_per_s = -2.5", 1);
-    let (sound, said) = checked("several.toml", &config);
-    assert!(!sound && said.len() == 3, "{said:?}");
+    let Checked { is_valid, lines } = check("several.toml", &config);
+    assert!(!is_valid && lines.len() == 3, "{lines:?}");
     let path = written("serve-several.toml", &config);
     let output = program(&[]).env("LB_CONFIG", &path).output().expect("it runs");
     let _ = std::fs::remove_file(&path);
@@ -168,17 +176,17 @@
     assert!(error.contains("listen") && error.contains("2 more"), "{error}");
 }
 
-/// Text that is no TOML or JSON at all.
+/// Text that is neither TOML nor JSON.
 #[test]
-fn slips_of_grammar_are_told_with_their_line() {
+fn syntax_errors_are_reported_with_their_line() {
     let config = example().replacen("gateways = 3", "gateways = = 3", 1);
-    let (sound, said) = checked("grammar.toml", &config);
-    assert!(!sound && said[0].starts_with(&format!("{}: ", line_of(&config, "= = 3"))), "{said:?}");
+    let Checked { is_valid, lines } = check("grammar.toml", &config);
+    assert!(!is_valid && lines[0].starts_with(&format!("{}: ", line_of(&config, "= = 3"))), "{lines:?}");
     let twice = example().replacen("number = 0", "number = 0\nnumber = 1", 1);
-    let (sound, said) = checked("twice.toml", &twice);
-    assert!(!sound && said[0].starts_with(&format!("{}: ", line_of(&twice, "number = 1"))), "{said:?}");
-    let (sound, said) = checked("grammar.json", "{\n\"name\": \"n0\",\n\"listen\": }");
-    assert!(!sound && said.len() == 1 && said[0].starts_with("3: "), "{said:?}");
+    let Checked { is_valid, lines } = check("twice.toml", &twice);
+    assert!(!is_valid && lines[0].starts_with(&format!("{}: ", line_of(&twice, "number = 1"))), "{lines:?}");
+    let Checked { is_valid, lines } = check("grammar.json", "{\n\"name\": \"n0\",\n\"listen\": }");
+    assert!(!is_valid && lines.len() == 1 && lines[0].starts_with("3: "), "{lines:?}");
     let (open, close) = ("[".repeat(20_000), "]".repeat(20_000));
     for (name, deep) in [
         ("deep.toml", format!("name = {open}{close}")),
@@ -186,12 +194,12 @@
         ("deep.json", format!("{open}{close}")),
         ("deeper.json", PLATFORM.replacen("\"n3\"", &format!("{open}{close}"), 1)),
     ] {
-        let (sound, said) = checked(name, &deep);
-        assert!(!sound && said.len() == 1, "{name}: {said:?}");
+        let Checked { is_valid, lines } = check(name, &deep);
+        assert!(!is_valid && lines.len() == 1, "{name}: {lines:?}");
     }
 }
 
-/// The platform's form, which people rarely write and now and then have to look into.
+/// A configuration in the platform's JSON, which operators rarely write and now and then have to look into.
 const PLATFORM: &str = r#"{
   "name": "n3", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964", "odd": [{}],
   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -207,9 +215,9 @@
     "rules": {"coldFrom": 0.2, "coldUs": 1000000, "fallMultiple": 3.0, "overloadForUs": 1000000}}}"#;
 
 #[test]
-fn faults_of_the_platform_s_form_are_told_by_its_own_names() {
-    assert!(checked("sound.json", PLATFORM).0, "what is unknown there is passed over");
-    assert!(checked("sound.conf", PLATFORM).0, "it is known by its content");
+fn diagnostics_of_the_platform_s_json_have_its_own_names() {
+    assert!(check("valid.json", PLATFORM).is_valid, "unknown keys are ignored there");
+    assert!(check("valid.conf", PLATFORM).is_valid, "its content shows its format");
     let cases = [
         ("127.0.0.1:0", "nowhere", "2: listen: has to be an address"),
         ("\"sockets\": 1024", "\"sockets\": 63", "3: limits.sockets: is 63, and has to be 64 or more"),
@@ -232,17 +240,17 @@
             "12: settings.packages[0].name: stands twice",
         ),
     ];
-    for (number, (from, to, fault)) in cases.into_iter().enumerate() {
+    for (number, (from, to, expected)) in cases.into_iter().enumerate() {
         let config = PLATFORM.replacen(from, to, 1);
         assert_ne!(config, PLATFORM, "{from}");
-        let (sound, said) = checked(&format!("platform-{number}.json"), &config);
-        assert!(!sound && said.len() == 1 && said[0].starts_with(fault), "{to}: {said:?}");
+        let Checked { is_valid, lines } = check(&format!("platform-{number}.json"), &config);
+        assert!(!is_valid && lines.len() == 1 && lines[0].starts_with(expected), "{to}: {lines:?}");
     }
     let several = PLATFORM.replace("\"sendCap\": 4, ", "").replace("\"name\": \"n3\"", "\"name\": []");
-    assert_eq!(checked("platform-several.json", &several).1.len(), 2);
+    assert_eq!(check("platform-several.json", &several).lines.len(), 2);
 }
 
-/// The example, over loopback ports that the machine chooses.
+/// The example with free loopback ports.
 fn served(discovery: &Discovery) -> String {
     example()
         .replace("127.0.0.1:8443", "127.0.0.1:0")
@@ -251,7 +259,7 @@
 }
 
 /// A request of the example's classes and plans.
-fn loan(id: &str, class: &str, units: &str, deadline: &str) -> String {
+fn example_request(id: &str, class: &str, units: &str, deadline: &str) -> String {
     let (method, more) =
         if class == "post-payment" { ("POST", "Content-Length: 4\r\n") } else { ("GET", "") };
     let body = if more.is_empty() { "" } else { "time" };
@@ -263,27 +271,35 @@
 }
 
 #[test]
-fn people_s_figures_reach_the_edge_node_in_its_own_units() {
+fn values_of_operators_files_reach_the_edge_node_in_its_own_units() {
     let servers = Servers::new();
     let discovery = Discovery::start(&[host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")]);
     let node = Node::of_people("figures", &served(&discovery));
     let status = |words: String| node.client().ask(&words).status();
     for (id, class) in [("a", "balance-read"), ("b", "post-payment")] {
-        assert_eq!(status(loan(id, class, "8", "4000m")), 200);
+        assert_eq!(status(example_request(id, class, "8", "4000m")), 200);
         let left = servers.next().message.header("x-deadline").trim_end_matches('m').parse::<u64>();
         assert!((1..=4000).contains(&left.expect("a number")), "a deadline in the right unit");
     }
-    assert_eq!(status(loan("c", "balance-read", "9", "4000m")), 400, "max_units is 8");
-    assert_eq!(status(loan("d", "balance-read", "8", "4001m")), 400, "the longest deadline is 4 s");
-    assert_eq!(status(loan("e", "post-payment", "8", "4000m").replace("POST", "GET")), 400, "it is unsafe");
+    assert_eq!(status(example_request("c", "balance-read", "9", "4000m")), 400, "max_units is 8");
+    assert_eq!(
+        status(example_request("d", "balance-read", "8", "4001m")),
+        400,
+        "the longest deadline is 4 s"
+    );
+    assert_eq!(
+        status(example_request("e", "post-payment", "8", "4000m").replace("POST", "GET")),
+        400,
+        "it is unsafe"
+    );
     servers.got_no_more();
 }
 
 #[test]
-fn the_environment_overrules_the_file() {
+fn the_environment_overrides_the_file() {
     let discovery = Discovery::start(&[]);
     let path = written(
-        "overruled.toml",
+        "overridden.toml",
         &example().replacen("listen = \"127.0.0.1:7946\"", "listen = \"127.0.0.1:0\"", 1),
     );
     let mut child = program(&["serve", "--config"])
@@ -312,14 +328,14 @@
     );
 }
 
-/// A new configuration is applied whole or not at all; what has to wait for a restart is named.
+/// A new configuration is applied as a whole or not at all; the keys that require a restart are named.
 #[test]
-fn sighup_applies_what_it_can_and_names_what_waits() {
+fn sighup_applies_what_it_can_and_names_what_requires_a_restart() {
     let (old, new) = (Discovery::start(&[]), Discovery::start(&[]));
     let mut node = Node::of_people("hangup", &served(&old));
     old.watch();
     let to_new = |text: String| text.replace(&old.address.to_string(), &new.address.to_string());
-    // A fault elsewhere in it keeps discovery where it is, too.
+    // An error elsewhere in the file leaves discovery where it is, too.
     node.reload(|text| to_new(text).replacen("max_attempts = 5", "max_attempts = 0", 1));
     node.says("the old configuration stays");
     node.reload(|text| {
@@ -336,7 +352,7 @@
     );
     assert!(said.ends_with(&waits), "{said}");
     new.watch();
-    // As it was at the start: nothing waits any more.
+    // The file is as it was at the start, so nothing requires a restart any more.
     node.reload(|text| {
         text.replacen("max_attempts = 4", "max_attempts = 5", 1).replacen(
             "units_per_s = 3.5",
@@ -350,7 +366,7 @@
 }
 
 #[test]
-fn the_page_tells_every_key_as_the_program_has_it() {
+fn the_page_and_the_program_have_the_same_keys() {
     let page = std::fs::read_to_string("docs/CONFIGURATION.md").expect("the page");
     let keys = program(&["keys"]).output().expect("it runs");
     let keys = String::from_utf8(keys.stdout).expect("it is text");
