Structs in place of tuples in the tests of the command line and the log

Seen: run returned a triple and events pairs, taken apart by position; two values were bound in one tuple.

Change: Finished and LogEvent with named fields; one step a line. Each assertion is kept. The table of keys names its module by the crate's path.

--- a/src/bin/edge-node/config/schema/keys/fleet.rs
+++ b/src/bin/edge-node/config/schema/keys/fleet.rs
@@ -1,6 +1,8 @@
 //! Keys of the fleet of edge nodes, and of the datagrams between them.
 
-use super::super::spec::{Choice, DefaultValue, KeySpec, OnReload, PlatformPresence, ValueType, MAX_NUMBER};
+use crate::config::schema::spec::{
+    Choice, DefaultValue, KeySpec, OnReload, PlatformPresence, ValueType, MAX_NUMBER,
+};
 
 /// Edge nodes of the largest fleet.
 const MAX_GATEWAYS: u64 = 100_000;
--- a/src/bin/edge-node/config/schema/keys/node.rs
+++ b/src/bin/edge-node/config/schema/keys/node.rs
@@ -1,10 +1,10 @@
 //! Keys of this edge node alone: its name and addresses, limits of the process, log and admin listener.
 
-use super::super::spec::{Choice, DefaultValue, KeySpec, OnReload, PlatformPresence, ValueType};
+use crate::config::schema::spec::{Choice, DefaultValue, KeySpec, OnReload, PlatformPresence, ValueType};
 
 /// Fewer descriptors than this leave no room for clients beside servers.
 pub(crate) const MIN_FILE_DESCRIPTORS: u64 = 64;
-/// MiB below which the process can't serve.
+/// The least memory that the process can be given, in MiB.
 const MIN_MEMORY_MIB: u64 = 16;
 /// Far above what any machine grants, in descriptors and in MiB.
 const MAX_RESOURCE: u64 = 1 << 20;
--- a/src/bin/edge-node/config/schema/keys/policy.rs
+++ b/src/bin/edge-node/config/schema/keys/policy.rs
@@ -1,6 +1,6 @@
 //! Keys of each class of requests and of each plan.
 
-use super::super::spec::{
+use crate::config::schema::spec::{
     Choice, DefaultValue, KeySpec, OnReload, PlatformPresence, ValueType, HOUR_MS, MAX_NUMBER,
 };
 
--- a/src/bin/edge-node/config/schema/keys/traffic.rs
+++ b/src/bin/edge-node/config/schema/keys/traffic.rs
@@ -1,6 +1,8 @@
 //! Keys of the requests that are forwarded, and of the servers that execute them.
 
-use super::super::spec::{DefaultValue, KeySpec, OnReload, PlatformPresence, ValueType, HOUR_MS, MAX_NUMBER};
+use crate::config::schema::spec::{
+    DefaultValue, KeySpec, OnReload, PlatformPresence, ValueType, HOUR_MS, MAX_NUMBER,
+};
 
 /// Most attempts that one request may take.
 const MAX_ATTEMPTS: u64 = 100;
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -5,12 +5,19 @@
 use std::process::{Output, Stdio};
 use support::*;
 
-/// Runs the program to its end: its exit code, standard output and standard error.
-fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
+/// How a run of the program ended, and what it printed.
+struct Finished {
+    exit_code: Option<i32>,
+    stdout: String,
+    stderr: String,
+}
+
+/// Runs the program to its end.
+fn run(arguments: &[&str]) -> Finished {
     let Output { status, stdout, stderr } =
         program(arguments).stdin(Stdio::null()).output().expect("it runs");
     let text = |bytes| String::from_utf8(bytes).expect("it is text");
-    (status.code(), text(stdout), text(stderr))
+    Finished { exit_code: status.code(), stdout: text(stdout), stderr: text(stderr) }
 }
 
 const COMMANDS: [&str; 6] = ["serve", "check", "keys", "version", "completions", "man"];
@@ -18,18 +25,19 @@
 #[test]
 fn help_and_version_are_no_errors() {
     for arguments in [&["--help"][..], &["-h"], &["help"]] {
-        let (code, out, err) = run(arguments);
-        assert_eq!((code, err.as_str()), (Some(0), ""), "{arguments:?}");
+        let Finished { exit_code, stdout, stderr } = run(arguments);
+        assert_eq!((exit_code, stderr.as_str()), (Some(0), ""), "{arguments:?}");
         for word in COMMANDS.iter().chain(&["LB_CONFIG", "Exit codes"]) {
-            assert!(out.contains(word), "{arguments:?} does not mention {word}");
+            assert!(stdout.contains(word), "{arguments:?} does not mention {word}");
         }
     }
     let version = format!("edge-node {}\n", env!("CARGO_PKG_VERSION"));
     for arguments in [&["version"][..], &["--version"], &["-V"]] {
-        assert_eq!(run(arguments), (Some(0), version.clone(), String::new()));
+        let Finished { exit_code, stdout, stderr } = run(arguments);
+        assert_eq!((exit_code, stdout.as_str(), stderr.as_str()), (Some(0), version.as_str(), ""));
     }
     for command in COMMANDS {
-        assert_eq!(run(&[command, "--help"]).0, Some(0), "{command}");
+        assert_eq!(run(&[command, "--help"]).exit_code, Some(0), "{command}");
     }
 }
 
@@ -44,17 +52,18 @@
         (&["completions", "cmd"], "bash"),
     ];
     for (arguments, why) in cases {
-        let (code, out, err) = run(arguments);
-        assert_eq!((code, out.as_str()), (Some(2), ""), "{arguments:?}: {err}");
-        assert!(err.contains(why), "{arguments:?}: {err}");
+        let Finished { exit_code, stdout, stderr } = run(arguments);
+        assert_eq!((exit_code, stdout.as_str()), (Some(2), ""), "{arguments:?}: {stderr}");
+        assert!(stderr.contains(why), "{arguments:?}: {stderr}");
     }
 }
 
 #[test]
 fn no_configuration_ends_with_1_in_one_plain_line() {
     for arguments in [&["serve"][..], &["serve", "--config", "/nowhere.toml"], &["check", "/nowhere.toml"]] {
-        let (code, out, err) = run(arguments);
-        assert_eq!((code, out.as_str(), err.lines().count()), (Some(1), "", 1), "{arguments:?}: {err}");
+        let Finished { exit_code, stdout, stderr } = run(arguments);
+        let lines = stderr.lines().count();
+        assert_eq!((exit_code, stdout.as_str(), lines), (Some(1), "", 1), "{arguments:?}: {stderr}");
     }
 }
 
@@ -74,18 +83,18 @@
 #[test]
 fn completions_and_the_manual_page_have_every_command() {
     for shell in ["bash", "zsh", "fish", "elvish", "powershell"] {
-        let (code, out, err) = run(&["completions", shell]);
-        assert_eq!((code, err.as_str()), (Some(0), ""), "{shell}");
+        let Finished { exit_code, stdout, stderr } = run(&["completions", shell]);
+        assert_eq!((exit_code, stderr.as_str()), (Some(0), ""), "{shell}");
         for command in COMMANDS {
-            assert!(out.contains(command), "{shell}: {command}");
+            assert!(stdout.contains(command), "{shell}: {command}");
         }
     }
-    let (code, out, _) = run(&["man"]);
-    assert_eq!(code, Some(0));
+    let Finished { exit_code, stdout, stderr: _ } = run(&["man"]);
+    assert_eq!(exit_code, Some(0));
     for command in COMMANDS {
-        assert!(out.contains(&format!("edge\\-node\\-{command}(1)")));
+        assert!(stdout.contains(&format!("edge\\-node\\-{command}(1)")));
     }
-    assert!(out.contains(".TH edge-node 1") && out.contains("LB_DISCOVERY"), "{out}");
+    assert!(stdout.contains(".TH edge-node 1") && stdout.contains("LB_DISCOVERY"), "{stdout}");
 }
 
 /// A reader such as `head` closes the pipe when it has read enough.
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -187,7 +187,8 @@
     assert!(!is_valid && lines[0].starts_with(&format!("{}: ", line_of(&twice, "number = 1"))), "{lines:?}");
     let Checked { is_valid, lines } = check("grammar.json", "{\n\"name\": \"n0\",\n\"listen\": }");
     assert!(!is_valid && lines.len() == 1 && lines[0].starts_with("3: "), "{lines:?}");
-    let (open, close) = ("[".repeat(20_000), "]".repeat(20_000));
+    let open = "[".repeat(20_000);
+    let close = "]".repeat(20_000);
     for (name, deep) in [
         ("deep.toml", format!("name = {open}{close}")),
         ("open.json", open.clone()),
@@ -331,7 +332,8 @@
 /// A new configuration is applied as a whole or not at all; the keys that require a restart are named.
 #[test]
 fn sighup_applies_what_it_can_and_names_what_requires_a_restart() {
-    let (old, new) = (Discovery::start(&[]), Discovery::start(&[]));
+    let old = Discovery::start(&[]);
+    let new = Discovery::start(&[]);
     let mut node = Node::of_people("hangup", &served(&old));
     old.watch();
     let to_new = |text: String| text.replace(&old.address.to_string(), &new.address.to_string());
@@ -374,6 +376,8 @@
     for row in keys.lines() {
         assert!(page.lines().any(|line| line == row), "docs/CONFIGURATION.md lacks: {row}");
     }
-    let (rows, keys) = (page.lines().filter(|line| line.starts_with("| `")), keys.lines().count() - 2);
-    assert_eq!(rows.count(), keys, "docs/CONFIGURATION.md has a key that the program lacks");
+    let rows = page.lines().filter(|line| line.starts_with("| `")).count();
+    // The first two lines are the table's header.
+    let keys = keys.lines().count() - 2;
+    assert_eq!(rows, keys, "docs/CONFIGURATION.md has a key that the program lacks");
 }
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -30,17 +30,21 @@
         .replace("Content-Length: 4\r\n\r\ntime", "\r\n")
 }
 
-/// Lines of a log of JSON.
-fn events(lines: &[String]) -> Vec<(String, Value)> {
-    let event = |line: &String| {
-        let value: Value = serde_json::from_str(line).unwrap_or_else(|_| panic!("no JSON: {line}"));
-        let word =
-            |name: &str| value[name].as_str().unwrap_or_else(|| panic!("no {name}: {line}")).to_owned();
-        assert!(["INFO", "WARN", "ERROR", "DEBUG"].contains(&word("level").as_str()), "{line}");
-        assert!(word("timestamp").ends_with('Z') && !word("message").is_empty(), "{line}");
-        (word("event"), value)
-    };
-    lines.iter().map(event).collect()
+/// An event of a log in JSON.
+struct LogEvent {
+    name: String,
+    fields: Value,
+}
+
+impl LogEvent {
+    /// Parses a line, which has to have the fields that every event has.
+    fn parse(line: &str) -> LogEvent {
+        let fields: Value = serde_json::from_str(line).unwrap_or_else(|_| panic!("no JSON: {line}"));
+        let text = |name: &str| fields[name].as_str().unwrap_or_else(|| panic!("no {name}: {line}"));
+        assert!(["INFO", "WARN", "ERROR", "DEBUG"].contains(&text("level")), "{line}");
+        assert!(text("timestamp").ends_with('Z') && !text("message").is_empty(), "{line}");
+        LogEvent { name: text("event").to_owned(), fields }
+    }
 }
 
 #[test]
@@ -82,19 +86,23 @@
     assert_eq!(node.client().ask(&read("seen")).status(), 200);
     node.reload(|text| text.replacen("\"debug\"", "\"warn\"", 1));
     // At this level no line shows that the reload is done; the watch that it opens does.
-    (0..3).for_each(|_| drop(discovery.watch()));
+    for _ in 0..3 {
+        drop(discovery.watch());
+    }
     assert_eq!(node.client().ask(&read("hidden")).status(), 200);
     node.terminate();
     assert!(node.wait().success());
-    let all = events(&node.said());
+    let events: Vec<LogEvent> = node.said().iter().map(|line| LogEvent::parse(line)).collect();
     let of = |id: &str| -> Vec<&str> {
-        all.iter().filter(|(_, value)| value["id"] == id).map(|(event, _)| event.as_str()).collect()
+        let of_request = events.iter().filter(|event| event.fields["id"] == id);
+        of_request.map(|event| event.name.as_str()).collect()
     };
     assert_eq!(of("seen"), ["request", "send", "ended", "answer"]);
     assert_eq!((of("unseen").len(), of("hidden").len()), (0, 0));
-    assert!(!all.iter().any(|(event, _)| event == "left"), "that is not of level warn");
-    let applied = &events(&[said])[0];
-    assert_eq!((applied.0.as_str(), applied.1["level"].as_str()), ("applied", Some("INFO")));
+    assert!(!events.iter().any(|event| event.name == "left"), "that is not of level warn");
+    let reloaded = LogEvent::parse(&said);
+    assert_eq!(reloaded.name, "applied");
+    assert_eq!(reloaded.fields["level"], "INFO");
 }
 
 /// Text from outside cannot forge a line of the log.
