--- a/src/bin/edge-node/command.rs
+++ b/src/bin/edge-node/command.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::config::{Config, Faulty};
-use crate::schema;
+use crate::{schema, startup};
 use anyhow::{Context, Result};
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
@@ -104,7 +104,7 @@
 }
 
 fn serve(file: Option<PathBuf>) -> Result<()> {
-    crate::run(Config::from_environment(file, |key| std::env::var(key).ok())?)
+    startup::run(Config::from_environment(file, |key| std::env::var(key).ok())?)
 }
 
 fn check(file: &Path) -> Result<()> {
--- /dev/null
+++ b/src/bin/edge-node/startup.rs
@@ -0,0 +1,139 @@
+//! Starts the edge node and serves until SIGTERM.
+
+use crate::admin::Admin;
+use crate::clients::Phase;
+use crate::config::Config;
+use crate::log::Log;
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::peers::Peers;
+use crate::schema::Values;
+use crate::upstream::{Room, Upstream};
+use crate::{admin, bind, clients, discovery, peers, schema};
+use anyhow::{Context, Result};
+use edge_node::reconnect;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::{oneshot, watch};
+use tracing::{error, info, warn};
+
+const VERSION: &str = env!("CARGO_PKG_VERSION");
+
+/// After SIGTERM new connections go on coming for so long at the least.
+const LEAVING_FOR: Duration = Duration::from_millis(600);
+/// Descriptors for all but clients and app servers: listener, discovery, peers, the runtime's own.
+const RESERVED: usize = 32;
+/// One part in so many of the memory is for large bodies: each is held twice for a moment, and once more on its way out.
+const LARGE_SHARE: usize = 8;
+
+/// Serves under a configuration until SIGTERM.
+pub fn run(config: Config) -> Result<()> {
+    let log = Log::start(config.shell.log)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, serve(config, log))
+}
+
+async fn serve(config: Config, log: Log) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
+    // Guards against ending on SIGHUP, which is what it does to a process that does not ask for it.
+    let hangup = signal(SignalKind::hangup()).context("SIGHUP")?;
+    let listener =
+        bind::when_free(format!("listen {}", config.listen), || TcpListener::bind(config.listen)).await?;
+    let peers = match config.peers {
+        Some(addresses) => Some(Peers::bind(addresses, config.named.settings.gateway_id).await?),
+        None => None,
+    };
+    let each_side = (config.sockets - RESERVED) / 2;
+    let longest = Duration::from_micros(config.named.longest_deadline);
+    let room = Room::new(config.memory / LARGE_SHARE);
+    let upstream =
+        Upstream::new(room, each_side, config.named.connection_idle_timeout, config.named.connect_timeout);
+    let admin = match config.shell.admin.listen {
+        Some(address) => {
+            Some(TcpListener::bind(address).await.with_context(|| format!("admin.listen {address}"))?)
+        }
+        None => None,
+    };
+    let metrics = admin.as_ref().map(|_| Rc::new(Metrics::new(&config.named)));
+    let node = Node::new(config.seed, config.named, upstream, peers, metrics.clone())?;
+    let (name, address) = (config.name, listener.local_addr().context("listen")?);
+    info!(event = "start", %name, %address, version = VERSION, "{name}: listening on {address}");
+
+    let (phase, seen) = watch::channel(Phase::Starting);
+    if let (Some(listener), Some(metrics)) = (admin, metrics) {
+        let address = listener.local_addr().context("admin.listen")?;
+        info!(event = "admin", %address, "admin listener on {address}");
+        let (node, phase, started) = (Rc::clone(&node), seen.clone(), Instant::now());
+        tokio::task::spawn_local(admin::serve(listener, Admin { name, node, metrics, phase, started }));
+    }
+    let (moved, discovery) = watch::channel(config.discovery);
+    tokio::task::spawn_local(reload(hangup, config.path, config.values, moved, log));
+    let (heard, first_list) = oneshot::channel();
+    tokio::task::spawn_local(discovery::follow(Rc::clone(&node), discovery, config.known, heard));
+    tokio::task::spawn_local(peers::listen(Rc::clone(&node)));
+    tokio::task::spawn_local(retire(Rc::clone(&node)));
+    // What discovery holds counts as told from the first moment, and the list that is known may be old. Clients wait
+    // in the backlog for that; while discovery is silent, what is known has to do.
+    let heard = tokio::time::timeout(reconnect::first_list_in(node.named.drain_grace), first_list).await;
+    phase.send_replace(Phase::Serving);
+    let clients = tokio::task::spawn_local(clients::serve(listener, Rc::clone(&node), each_side, seen));
+    match heard {
+        Ok(_) => info!(event = "ready", cause = "a list has come", "ready: a list of servers has come"),
+        Err(_) => {
+            warn!(event = "ready", cause = "discovery is silent", "ready on an old list: discovery is silent")
+        }
+    }
+
+    terminate.recv().await;
+    info!(
+        event = "leaving",
+        cause = "SIGTERM",
+        open = node.open(),
+        "leaving on SIGTERM: {} requests open",
+        node.open()
+    );
+    phase.send_replace(Phase::Leaving);
+    tokio::time::sleep(LEAVING_FOR).await;
+    phase.send_replace(Phase::Closing);
+    // All that was taken ends by its own deadline; a client that never reads must not hold up the exit.
+    match tokio::time::timeout(longest, clients).await {
+        Ok(_) => info!(event = "left", "left: every client has its answer"),
+        Err(_) => warn!(
+            event = "left",
+            open = node.open(),
+            "left: {} requests open, past every deadline",
+            node.open()
+        ),
+    }
+    Ok(())
+}
+
+/// Rereads the configuration on each SIGHUP, for ever: whole or not at all. Discovery's address and the level of the
+/// log can change in service; of what else has changed the keys are told.
+async fn reload(
+    mut hangup: Signal, path: PathBuf, values: Values, discovery: watch::Sender<SocketAddr>, log: Log,
+) {
+    while hangup.recv().await.is_some() {
+        match Config::read(&path).and_then(|config| log.set_level(config.shell.log.level).map(|()| config)) {
+            Ok(config) => {
+                let (address, level) = (config.discovery, config.shell.log.level);
+                // Also when it is the same address as before: its numbering may have begun anew.
+                discovery.send_replace(address);
+                let waits = schema::changed(&values, &config.values).join(", ");
+                let more = if waits.is_empty() { "" } else { "; waiting for a restart: " };
+                info!(event = "applied", discovery = %address, log_level = %level, waits, "reloaded: log level {level}, discovery at {address}{more}{waits}");
+            }
+            Err(error) => {
+                error!(event = "not_applied", cause = %format_args!("{error:#}"), "the old configuration stays: {error:#}")
+            }
+        }
+    }
+}
+
+async fn retire(node: Rc<Node>) {
+    node.upstream.retire().await;
+}
