Split the node by concern, and start-up, reload and shutdown from each other

Seen: main.rs had one function of 73 lines from the first signal handler to the exit; node.rs held the clock, requests, attempts, endpoint lists, log lines and figures in one file of 361 lines, with tuples for what belongs together. node and peers imported each other, and so did main and command.

Change: node/{mod,clock,pending_requests,attempts,endpoints,peer_messages,status}.rs, startup.rs, shutdown.rs and reload.rs, main.rs with the module list alone. The loop that receives datagrams stands with the node, so that imports go one way. Help texts are reworded; names, labels, settings, timing constants, admin answers, log fields and messages are those of before. Node::new returns SettingsError. Call sites in clients.rs and discovery.rs follow the new names. Unit tests for what moved: server ids against the test vectors of FNV-1a, zones, numbers and cancellation of attempts, the order of open requests, labels, counters.

--- a/src/bin/edge-node/admin.rs
+++ b/src/bin/edge-node/admin.rs
@@ -1,4 +1,5 @@
-//! The admin listener, for operators and their monitoring. It is there only where a configuration names its address.
+//! The admin listener, for operators and their monitoring. It runs only where a configuration names its address, and
+//! nothing that comes on it touches the requests of clients.
 
 use crate::clients::Phase;
 use crate::metrics::Metrics;
@@ -18,107 +19,151 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-/// Connections at a time; more are closed at once. Guards descriptors and memory against whoever finds the port.
-const CONNECTIONS_MOST: usize = 8;
+/// Connections at a time; more are closed at once. Whoever finds the port could otherwise use up descriptors and
+/// memory.
+const MAX_CONNECTIONS: usize = 8;
 /// A connection has one request and ends within this, whatever comes on it.
-const ENDS_WITHIN: Duration = Duration::from_millis(2500);
-/// Most bytes buffered of a request, which is the least that hyper can do with.
-const HEAD_MOST: usize = 8192;
+const CONNECTION_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Most bytes buffered of a request, which is the least that hyper accepts.
+const MAX_BUFFERED_BYTES: usize = 8192;
 /// Pause after a connection that could not be accepted.
-const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
-/// Open requests that are shown.
-const SHOWN_MOST: usize = 100;
-
-/// What the listener tells of.
-pub struct Admin {
-    pub name: String,
-    pub node: Rc<Node>,
-    pub metrics: Rc<Metrics>,
-    pub phase: watch::Receiver<Phase>,
-    pub started: Instant,
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Most open requests shown by `/debug/state`.
+const MAX_SHOWN_REQUESTS: usize = 100;
+
+const TEXT: &str = "text/plain; charset=utf-8";
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+const JSON: &str = "application/json";
+
+type AdminResponse = Response<Full<Bytes>>;
+
+/// What the admin listener reports on.
+pub(crate) struct Admin {
+    /// Name of this edge node.
+    name: String,
+    /// Asked for its status on each request.
+    node: Rc<Node>,
+    metrics: Rc<Metrics>,
+    phase: watch::Receiver<Phase>,
+    started: Instant,
 }
 
-/// Answers operators, for ever.
-pub async fn serve(listener: TcpListener, admin: Admin) {
+/// Answers operators until the process ends.
+///
+/// The connections' tasks belong to this future's `JoinSet`: dropping the future aborts them. Each ends by itself within
+/// [`CONNECTION_TIMEOUT`].
+pub(crate) async fn serve(listener: TcpListener, admin: Admin) {
     let admin = Rc::new(admin);
-    let mut open = JoinSet::new();
+    let mut connections = JoinSet::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_AGAIN).await;
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        while open.try_join_next().is_some() {}
-        if open.len() < CONNECTIONS_MOST {
-            open.spawn_local(converse(stream, Rc::clone(&admin)));
+        while connections.try_join_next().is_some() {}
+        if connections.len() < MAX_CONNECTIONS {
+            connections.spawn_local(serve_connection(stream, Rc::clone(&admin)));
         }
     }
 }
 
-async fn converse(stream: TcpStream, admin: Rc<Admin>) {
+async fn serve_connection(stream: TcpStream, admin: Rc<Admin>) {
     let service = service_fn(move |request| {
-        let reply = admin.answer(&request);
-        async move { Ok::<_, Infallible>(reply) }
+        let response = admin.respond(&request);
+        async move { Ok::<_, Infallible>(response) }
     });
     let mut http = http1::Builder::new();
-    http.timer(TokioTimer::new()).header_read_timeout(ENDS_WITHIN).max_buf_size(HEAD_MOST).keep_alive(false);
-    // How it ended matters to nobody here.
-    let _ = tokio::time::timeout(ENDS_WITHIN, http.serve_connection(TokioIo::new(stream), service)).await;
-}
-
-type Reply = Response<Full<Bytes>>;
-
-fn reply(status: StatusCode, kind: &'static str, words: impl Into<Bytes>) -> Reply {
-    let mut reply = Response::new(Full::new(words.into()));
-    *reply.status_mut() = status;
-    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
-    reply
+    http.timer(TokioTimer::new());
+    http.header_read_timeout(CONNECTION_TIMEOUT);
+    http.max_buf_size(MAX_BUFFERED_BYTES);
+    http.keep_alive(false);
+    let connection = http.serve_connection(TokioIo::new(stream), service);
+    // A connection that fails or times out concerns nobody but its client.
+    let _ = tokio::time::timeout(CONNECTION_TIMEOUT, connection).await;
 }
 
-const TEXT: &str = "text/plain; charset=utf-8";
-const METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-
 impl Admin {
-    fn answer(&self, request: &Request<Incoming>) -> Reply {
+    /// What reports on this node; the process counts as started now.
+    pub(crate) fn new(
+        name: String, node: Rc<Node>, metrics: Rc<Metrics>, phase: watch::Receiver<Phase>,
+    ) -> Admin {
+        Admin { name, node, metrics, phase, started: Instant::now() }
+    }
+
+    fn respond(&self, request: &Request<Incoming>) -> AdminResponse {
         if request.method() != Method::GET {
-            let mut reply = reply(StatusCode::METHOD_NOT_ALLOWED, TEXT, "only GET\n");
-            reply.headers_mut().insert(ALLOW, HeaderValue::from_static("GET"));
-            return reply;
+            return method_not_allowed();
         }
-        let phase = *self.phase.borrow();
         match request.uri().path() {
-            "/healthz" => reply(StatusCode::OK, TEXT, "ok\n"),
-            "/readyz" if phase == Phase::Serving => reply(StatusCode::OK, TEXT, "serving\n"),
-            "/readyz" => reply(StatusCode::SERVICE_UNAVAILABLE, TEXT, format!("{}\n", phase.word())),
-            "/metrics" => match self.metrics.text(self.node.now(), self.started.elapsed()) {
-                Ok(text) => reply(StatusCode::OK, METRICS, text),
-                Err(_) => reply(StatusCode::INTERNAL_SERVER_ERROR, TEXT, "the figures can't be written\n"),
-            },
-            "/debug/state" => reply(StatusCode::OK, "application/json", self.state(phase).to_string()),
-            _ => reply(StatusCode::NOT_FOUND, TEXT, "/metrics, /healthz, /readyz, /debug/state\n"),
+            "/healthz" => response(StatusCode::OK, TEXT, "ok\n"),
+            "/readyz" => self.readiness(),
+            "/metrics" => self.metrics(),
+            "/debug/state" => response(StatusCode::OK, JSON, self.debug_state().to_string()),
+            _ => response(StatusCode::NOT_FOUND, TEXT, "/metrics, /healthz, /readyz, /debug/state\n"),
+        }
+    }
+
+    fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    fn readiness(&self) -> AdminResponse {
+        match self.phase() {
+            Phase::Serving => response(StatusCode::OK, TEXT, "serving\n"),
+            phase => response(StatusCode::SERVICE_UNAVAILABLE, TEXT, format!("{}\n", phase.word())),
+        }
+    }
+
+    fn metrics(&self) -> AdminResponse {
+        match self.metrics.encode(&self.node.status(), self.started.elapsed()) {
+            Ok(text) => response(StatusCode::OK, OPEN_METRICS, text),
+            Err(_) => response(StatusCode::INTERNAL_SERVER_ERROR, TEXT, "the figures can't be written\n"),
         }
     }
 
-    fn state(&self, phase: Phase) -> serde_json::Value {
-        let now = self.node.now();
-        let requests: Vec<_> = self.node.oldest(SHOWN_MOST).into_iter().map(|(id, age, attempts)| {
-            json!({"id": &*id.0, "age_ms": age.as_millis() as u64, "attempts": attempts})
-        }).collect();
+    fn debug_state(&self) -> serde_json::Value {
+        let status = self.node.status();
         json!({
             "name": self.name,
             "version": env!("CARGO_PKG_VERSION"),
-            "phase": phase.word(),
+            "phase": self.phase().word(),
             "up_s": self.started.elapsed().as_secs(),
-            "open_requests": now.open_requests,
-            "oldest_requests": requests,
-            "connections": {"clients": now.client_connections, "servers": now.server_connections},
-            "open_descriptors": now.descriptors,
-            "datagrams": {"sent": now.datagrams_sent, "received": now.datagrams_received},
+            "open_requests": status.open_requests,
+            "oldest_requests": self.oldest_requests(),
+            "connections": {"clients": status.client_connections, "servers": status.server_connections},
+            "open_descriptors": status.open_descriptors,
+            "datagrams": {"sent": status.datagrams_sent, "received": status.datagrams_received},
             "list": {
-                "sequence": now.list_sequence,
-                "age_ms": now.list_age.map(|age| age.as_millis() as u64),
-                "servers_ready": now.servers_ready,
+                "sequence": status.list_sequence,
+                "age_ms": status.list_age.map(|age| age.as_millis() as u64),
+                "servers_ready": status.servers_ready,
                 "watch_lost": self.node.is_watch_lost(),
             },
         })
     }
+
+    fn oldest_requests(&self) -> Vec<serde_json::Value> {
+        let oldest = self.node.oldest_requests(MAX_SHOWN_REQUESTS);
+        let shown = oldest.into_iter().map(|request| {
+            json!({
+                "id": &*request.id.0,
+                "age_ms": request.age.as_millis() as u64,
+                "attempts": request.attempts,
+            })
+        });
+        shown.collect()
+    }
+}
+
+fn response(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> AdminResponse {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
+
+fn method_not_allowed() -> AdminResponse {
+    let mut response = response(StatusCode::METHOD_NOT_ALLOWED, TEXT, "only GET\n");
+    response.headers_mut().insert(ALLOW, HeaderValue::from_static("GET"));
+    response
 }
--- a/src/bin/edge-node/clients.rs
+++ b/src/bin/edge-node/clients.rs
@@ -159,7 +159,7 @@
                 }
                 // Guards against running out of descriptors: the connection waits until there is one.
                 Err(error) => {
-                    node.not_accepted(&error);
+                    node.accept_failed(&error);
                     tokio::time::sleep(ACCEPT_AGAIN).await;
                 }
             },
@@ -178,7 +178,7 @@
 }
 
 async fn converse(stream: Ahead, node: Rc<Node>, phase: watch::Receiver<Phase>, seat: Rc<Seat>) {
-    let _counted = node.connected();
+    let _counted = node.client_connected();
     let seen = phase.clone();
     let line = stream.clone();
     let service = service_fn(move |request| {
@@ -247,7 +247,7 @@
         return Err(plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""));
     }
     let (head, body) = request.into_parts();
-    let asked = read(&node.named, &head).map_err(|(status, what)| turned_away(status, what))?;
+    let asked = read(&node.settings, &head).map_err(|(status, what)| turned_away(status, what))?;
     // Nothing of a body that is too large is read.
     let Some((most, _held)) = node.upstream.room.take(body.size_hint().lower()) else {
         return Err(turned_away(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
@@ -277,13 +277,13 @@
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        self.node.abandon(&self.id);
+        self.node.abandon_request(&self.id);
     }
 }
 
 async fn decide(node: &Rc<Node>, event: Event, forward: Forward, line: &Ahead) -> Result<Reply, Gone> {
     let (id, overdue) = (forward.id.clone(), forward.deadline + OVERDUE);
-    let Some(answered) = node.take(event, forward) else {
+    let Some(answered) = node.accept_request(event, forward) else {
         return Ok(turned_away(StatusCode::BAD_REQUEST, "X-Request-Id: in use\n"));
     };
     let _waiting = Waiting { node, id };
--- a/src/bin/edge-node/discovery.rs
+++ b/src/bin/edge-node/discovery.rs
@@ -49,9 +49,9 @@
     node: Rc<Node>, mut address: watch::Receiver<SocketAddr>, known: Option<List>, heard: oneshot::Sender<()>,
 ) {
     if let Some(known) = known {
-        node.listed(EndpointUpdate::Snapshot, &known.hosts.read);
+        node.apply_endpoints(EndpointUpdate::Snapshot, &known.hosts.read);
     }
-    let reconnect = Reconnect::new(node.named.drain_grace);
+    let reconnect = Reconnect::new(node.settings.drain_grace);
     let mut follower = Follower { node, reconnect, begun: Instant::now(), heard: Some(heard) };
     loop {
         let now = *address.borrow_and_update();
@@ -150,8 +150,8 @@
         }
         *seq = Some(list.seq);
         let kind = if list.whole { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
-        self.node.listed(kind, &list.hosts.read);
-        self.node.list_came(list);
+        self.node.apply_endpoints(kind, &list.hosts.read);
+        self.node.endpoint_list_applied(list);
         // Whoever waited may have waited long enough.
         if let Some(heard) = self.heard.take() {
             let _ = heard.send(());
@@ -162,7 +162,7 @@
     fn pick(&mut self, piece: Piece) -> bool {
         let Piece::Spoilt(hosts) = piece else { return false };
         if !hosts.is_empty() {
-            self.node.listed(EndpointUpdate::Delta, &hosts);
+            self.node.apply_endpoints(EndpointUpdate::Delta, &hosts);
         }
         true
     }
--- a/src/bin/edge-node/main.rs
+++ b/src/bin/edge-node/main.rs
@@ -1,4 +1,5 @@
-//! The edge node: a shell of sockets round the decision module. It makes no policy.
+//! The edge node (a gateway): sockets, timers and files around the decision module, which is the library. The policy
+//! is all in there.
 #![forbid(unsafe_code)]
 
 mod admin;
@@ -15,7 +16,9 @@
 mod metrics;
 mod node;
 mod peers;
+mod reload;
 mod schema;
+mod shutdown;
 mod startup;
 mod upstream;
 
--- /dev/null
+++ b/src/bin/edge-node/node/endpoints.rs
@@ -0,0 +1,136 @@
+//! Endpoint lists of discovery: how they reach the connection pools and the decision module, and what is known of the
+//! watch that brings them.
+
+use super::Node;
+use crate::lists::{Health, Host, List};
+use edge_node::{CellId, Endpoint, EndpointState, EndpointUpdate, Event, Micros, ServerId, ZoneId};
+use std::cell::Cell;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::time::Instant;
+use tracing::{info, warn};
+
+/// The zone of each server where the settings name no zones: no request crosses a zone boundary then.
+const ONLY_ZONE: u32 = 0;
+/// The zone of a server whose zone the settings don't name.
+const UNKNOWN_ZONE: u32 = u32::MAX;
+const MICROS_PER_MILLI: Micros = 1000;
+/// Parameters of the hash FNV-1a, 64 bits.
+const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+/// The endpoint list that was applied last.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AppliedList {
+    /// Its number, as discovery counts.
+    pub(super) sequence: u64,
+    /// When it was applied.
+    pub(super) applied_at: Instant,
+}
+
+/// What is known of the watch on discovery.
+#[derive(Default)]
+pub(super) struct WatchStatus {
+    /// Whether the watch was logged as lost and no list has come since.
+    is_lost: Cell<bool>,
+    last_list: Cell<Option<AppliedList>>,
+}
+
+impl WatchStatus {
+    /// Whether the watch was logged as lost and no list has come since.
+    pub(super) fn is_lost(&self) -> bool {
+        self.is_lost.get()
+    }
+
+    /// The list that came last; `None` before the first.
+    pub(super) fn last_list(&self) -> Option<AppliedList> {
+        self.last_list.get()
+    }
+}
+
+impl Node {
+    /// Applies endpoints: first to the connection pools, then to the decision module. In this order no request that
+    /// waits for a connection is sent to a server that has left.
+    pub(crate) fn apply_endpoints(self: &Rc<Self>, kind: EndpointUpdate, hosts: &[Host]) {
+        let zones = &self.settings.zone_names;
+        let endpoints = hosts.iter().map(|host| endpoint(host, zones)).collect();
+        let addresses = hosts.iter().map(|host| (server_id(&host.host), dial_address(host)));
+        self.upstream.listed(kind == EndpointUpdate::Snapshot, addresses);
+        self.dispatch(Event::EndpointsUpdated { kind, endpoints });
+    }
+
+    /// Notes and logs that a list from discovery has been applied.
+    pub(crate) fn endpoint_list_applied(&self, list: &List) {
+        let sequence = list.seq;
+        let entries = list.hosts.read.len();
+        self.watch.last_list.set(Some(AppliedList { sequence, applied_at: Instant::now() }));
+        if self.watch.is_lost.take() {
+            info!(event = "watch_back", seq = sequence, "discovery: the watch is back");
+        }
+        let extent = if list.whole { "the whole list" } else { "changes" };
+        info!(
+            event = "list",
+            seq = sequence,
+            entries,
+            whole = list.whole,
+            "list {sequence} applied: {extent}, {entries} entries"
+        );
+    }
+
+    /// Counts a watch on discovery that has ended, whatever the reason.
+    pub(crate) fn watch_ended(&self) {
+        if let Some(metrics) = &self.metrics {
+            metrics.record_watch_reset();
+        }
+    }
+
+    /// Notes and logs that the watch on discovery was lost, for a reason that has not been logged yet.
+    pub(crate) fn watch_lost(&self, address: SocketAddr, error: &dyn fmt::Display) {
+        self.watch.is_lost.set(true);
+        warn!(event = "watch_lost", %address, cause = %format_args!("{error:#}"), "discovery: {error:#}");
+    }
+}
+
+/// An entry of discovery's list in the decision module's terms.
+fn endpoint(host: &Host, zone_names: &[String]) -> Endpoint {
+    Endpoint {
+        server: server_id(&host.host),
+        zone: zone_id(&host.site, zone_names),
+        cell: CellId(host.block),
+        state: endpoint_state(host.health),
+        weight: host.share,
+        started_at: (host.born_ms > 0).then_some(host.born_ms.saturating_mul(MICROS_PER_MILLI)),
+    }
+}
+
+fn endpoint_state(health: Health) -> EndpointState {
+    match health {
+        Health::Ready => EndpointState::Ready,
+        Health::Draining => EndpointState::Draining,
+        Health::Gone => EndpointState::Gone,
+    }
+}
+
+/// Where new connections to a server go; `None` if it takes none.
+fn dial_address(host: &Host) -> Option<SocketAddr> {
+    host.dial.filter(|_| host.health == Health::Ready)
+}
+
+fn zone_id(name: &str, zone_names: &[String]) -> ZoneId {
+    if zone_names.is_empty() {
+        return ZoneId(ONLY_ZONE);
+    }
+    let index = zone_names.iter().position(|known| known == name);
+    ZoneId(index.map_or(UNKNOWN_ZONE, |index| index as u32))
+}
+
+/// A server's id, the same at every edge node: the FNV-1a hash of its name.
+fn server_id(name: &str) -> ServerId {
+    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+    ServerId(name.bytes().fold(FNV_OFFSET_BASIS, step))
+}
+
+#[cfg(test)]
+#[path = "../../../../tests/unit/endpoints.rs"]
+mod tests;
--- /dev/null
+++ b/src/bin/edge-node/node/peer_messages.rs
@@ -0,0 +1,34 @@
+//! Messages of other edge nodes on their way to the decision module, and back.
+
+use super::Node;
+use edge_node::{Event, GatewayId};
+use std::rc::Rc;
+
+/// Hands each message of a peer to the decision module, for ever; returns at once where no peers are configured.
+///
+/// The task ends with the process. The sender is known by its address alone; the messages may be late, lost or forged,
+/// and the decision module has to cope with that.
+pub(crate) async fn receive_peer_messages(node: Rc<Node>) {
+    let Some(peers) = &node.peers else { return };
+    loop {
+        if let Some((from, bytes)) = peers.receive().await {
+            node.dispatch(Event::PeerMessage { from, bytes });
+        }
+    }
+}
+
+impl Node {
+    /// Sends a message to one peer.
+    pub(super) fn send_to_peer(&self, to: GatewayId, bytes: &[u8]) {
+        if let Some(peers) = &self.peers {
+            peers.tell(to, bytes);
+        }
+    }
+
+    /// Sends a message to all peers.
+    pub(super) fn broadcast(&self, bytes: &[u8]) {
+        if let Some(peers) = &self.peers {
+            peers.tell_all(bytes);
+        }
+    }
+}
--- a/src/bin/edge-node/peers.rs
+++ b/src/bin/edge-node/peers.rs
@@ -2,13 +2,11 @@
 
 use crate::bind;
 use crate::config::PeerAddresses;
-use crate::node::Node;
 use anyhow::Result;
-use edge_node::{Event, GatewayId};
+use edge_node::GatewayId;
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use tokio::net::UdpSocket;
 
 /// Most bytes of a datagram.
@@ -64,7 +62,9 @@
         }
     }
 
-    async fn receive(&self) -> Option<(GatewayId, Vec<u8>)> {
+    /// The next datagram and whose it is. `None` for one that is passed over: from an address that is no peer's, or too
+    /// long. Cancel safe: a datagram is taken from the socket only when this returns.
+    pub(crate) async fn receive(&self) -> Option<(GatewayId, Vec<u8>)> {
         let mut buffer = [0; MOST + 1];
         let (length, from) = self.socket.recv_from(&mut buffer).await.ok()?;
         let sender = self.senders.get(&from)?;
@@ -73,14 +73,3 @@
         Some((*sender, bytes.to_vec()))
     }
 }
-
-/// Hands what peers say to the node, for ever. Who sent it is told by its address alone; datagrams from
-/// elsewhere, or too long, are passed over.
-pub async fn listen(node: Rc<Node>) {
-    let Some(peers) = &node.peers else { return };
-    loop {
-        if let Some((from, bytes)) = peers.receive().await {
-            node.post(Event::PeerMessage { from, bytes });
-        }
-    }
-}
--- /dev/null
+++ b/src/bin/edge-node/reload.rs
@@ -0,0 +1,67 @@
+//! Reload on SIGHUP: the configuration is read again and applied whole or not at all.
+
+use crate::config::Config;
+use crate::log::Log;
+use crate::schema::{self, Values};
+use anyhow::Result;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use tokio::signal::unix::Signal;
+use tokio::sync::watch;
+use tracing::{error, info};
+
+/// What a reload reads and changes. Only discovery's address and the log level change while the process runs; of other
+/// keys that differ, the names are logged.
+pub(crate) struct Reload {
+    /// The configuration file.
+    pub(crate) path: PathBuf,
+    /// The values that the process was started with.
+    pub(crate) started_with: Values,
+    /// Takes the address of discovery.
+    pub(crate) discovery: watch::Sender<SocketAddr>,
+    /// Takes the log level.
+    pub(crate) log: Log,
+}
+
+impl Reload {
+    /// Reloads on each SIGHUP, until the process ends. It waits only between reloads: none is cut short.
+    pub(crate) async fn run(self, mut hangup: Signal) {
+        while hangup.recv().await.is_some() {
+            match self.read_and_set_log_level() {
+                Ok(config) => self.apply(&config),
+                Err(error) => log_rejected(&error),
+            }
+        }
+    }
+
+    /// Reads the file and changes the log level, which is the last step that may fail.
+    fn read_and_set_log_level(&self) -> Result<Config> {
+        let config = Config::read(&self.path)?;
+        self.log.set_level(config.shell.log.level)?;
+        Ok(config)
+    }
+
+    fn apply(&self, config: &Config) {
+        let address = config.discovery;
+        // Also sent if the address is the same: discovery may have restarted and count its lists anew.
+        self.discovery.send_replace(address);
+        let level = config.shell.log.level;
+        let waits = schema::changed(&self.started_with, &config.values).join(", ");
+        let waiting = if waits.is_empty() { "" } else { "; waiting for a restart: " };
+        info!(
+            event = "applied",
+            discovery = %address,
+            log_level = %level,
+            waits,
+            "reloaded: log level {level}, discovery at {address}{waiting}{waits}"
+        );
+    }
+}
+
+fn log_rejected(error: &anyhow::Error) {
+    error!(
+        event = "not_applied",
+        cause = %format_args!("{error:#}"),
+        "the old configuration stays: {error:#}"
+    );
+}
--- /dev/null
+++ b/src/bin/edge-node/shutdown.rs
@@ -0,0 +1,58 @@
+//! Shutdown after SIGTERM: announce it, serve what still comes, then close.
+
+use crate::clients::Phase;
+use crate::node::Node;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tracing::{info, warn};
+
+/// After SIGTERM new connections keep arriving for at least this long, and are accepted meanwhile.
+const DRAIN_PERIOD: Duration = Duration::from_millis(600);
+
+/// A shutdown and all that it has to do with.
+pub(crate) struct Shutdown {
+    /// The node, whose open requests are logged.
+    pub(crate) node: Rc<Node>,
+    /// Tells clients' connections and the admin listener how far the shutdown is.
+    pub(crate) phase: watch::Sender<Phase>,
+    /// The task that serves clients.
+    pub(crate) clients: JoinHandle<()>,
+    /// No request that was accepted lasts longer than this.
+    pub(crate) longest_deadline: Duration,
+}
+
+impl Shutdown {
+    /// Runs the shutdown to its end. All other tasks are dropped when the process's `LocalSet` is, after that.
+    pub(crate) async fn run(self) {
+        self.start_draining();
+        tokio::time::sleep(DRAIN_PERIOD).await;
+        self.stop_accepting();
+        self.wait_for_clients().await;
+    }
+
+    /// From here on the readiness probe fails and each answer closes its connection; what comes is served.
+    fn start_draining(&self) {
+        let open = self.node.open_requests();
+        info!(event = "leaving", cause = "SIGTERM", open, "leaving on SIGTERM: {open} requests open");
+        self.phase.send_replace(Phase::Leaving);
+    }
+
+    /// No new connection is accepted any more, and idle ones are closed.
+    fn stop_accepting(&self) {
+        self.phase.send_replace(Phase::Closing);
+    }
+
+    /// Waits until each client has its answer. A client that never reads its answer would hold up the exit for ever, so
+    /// the wait ends when the last deadline has passed.
+    async fn wait_for_clients(self) {
+        match tokio::time::timeout(self.longest_deadline, self.clients).await {
+            Ok(_) => info!(event = "left", "left: every client has its answer"),
+            Err(_) => {
+                let open = self.node.open_requests();
+                warn!(event = "left", open, "left: {open} requests open, past every deadline");
+            }
+        }
+    }
+}
--- a/src/bin/edge-node/startup.rs
+++ b/src/bin/edge-node/startup.rs
@@ -1,139 +1,226 @@
-//! Starts the edge node and serves until SIGTERM.
+//! Start-up: binds the sockets, builds the node, starts its tasks and serves until SIGTERM.
+//!
+//! All tasks run on one thread, in one `LocalSet`. Those that are not said to end earlier run until [`run`] returns and
+//! drops the set.
 
-use crate::admin::Admin;
-use crate::clients::Phase;
-use crate::config::Config;
+use crate::admin::{self, Admin};
+use crate::clients::{self, Phase};
+use crate::config::{Config, PeerAddresses};
+use crate::lists::List;
 use crate::log::Log;
 use crate::metrics::Metrics;
-use crate::node::Node;
+use crate::node::{self, Node, NodeParts};
 use crate::peers::Peers;
-use crate::schema::Values;
+use crate::reload::Reload;
+use crate::shutdown::Shutdown;
 use crate::upstream::{Room, Upstream};
-use crate::{admin, bind, clients, discovery, peers, schema};
+use crate::{bind, discovery};
 use anyhow::{Context, Result};
 use edge_node::reconnect;
+use edge_node::settings::ResolvedSettings;
+use edge_node::GatewayId;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{oneshot, watch};
-use tracing::{error, info, warn};
+use tokio::task::{spawn_local, LocalSet};
+use tracing::{info, warn};
 
 const VERSION: &str = env!("CARGO_PKG_VERSION");
 
-/// After SIGTERM new connections go on coming for so long at the least.
-const LEAVING_FOR: Duration = Duration::from_millis(600);
-/// Descriptors for all but clients and app servers: listener, discovery, peers, the runtime's own.
-const RESERVED: usize = 32;
-/// One part in so many of the memory is for large bodies: each is held twice for a moment, and once more on its way out.
-const LARGE_SHARE: usize = 8;
+/// Descriptors for all but clients and servers: the listener, discovery, peers, and the runtime's own.
+const RESERVED_DESCRIPTORS: usize = 32;
+/// Clients and servers share the other descriptors in equal parts.
+const CONNECTION_SIDES: usize = 2;
+/// One part in so many of the memory is for large bodies: each is held twice for a moment, and once more while it is
+/// written.
+const LARGE_BODY_MEMORY_DIVISOR: usize = 8;
 
 /// Serves under a configuration until SIGTERM.
-pub fn run(config: Config) -> Result<()> {
+///
+/// # Errors
+/// An address can't be bound, a signal can't be handled, or the settings contradict each other. Once clients are
+/// served, it does not fail any more.
+pub(crate) fn run(config: Config) -> Result<()> {
     let log = Log::start(config.shell.log)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    tokio::task::LocalSet::new().block_on(&runtime, serve(config, log))
-}
-
-async fn serve(config: Config, log: Log) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
-    // Guards against ending on SIGHUP, which is what it does to a process that does not ask for it.
-    let hangup = signal(SignalKind::hangup()).context("SIGHUP")?;
-    let listener =
-        bind::when_free(format!("listen {}", config.listen), || TcpListener::bind(config.listen)).await?;
-    let peers = match config.peers {
-        Some(addresses) => Some(Peers::bind(addresses, config.named.settings.gateway_id).await?),
-        None => None,
-    };
-    let each_side = (config.sockets - RESERVED) / 2;
-    let longest = Duration::from_micros(config.named.longest_deadline);
-    let room = Room::new(config.memory / LARGE_SHARE);
-    let upstream =
-        Upstream::new(room, each_side, config.named.connection_idle_timeout, config.named.connect_timeout);
-    let admin = match config.shell.admin.listen {
-        Some(address) => {
-            Some(TcpListener::bind(address).await.with_context(|| format!("admin.listen {address}"))?)
-        }
-        None => None,
-    };
-    let metrics = admin.as_ref().map(|_| Rc::new(Metrics::new(&config.named)));
-    let node = Node::new(config.seed, config.named, upstream, peers, metrics.clone())?;
-    let (name, address) = (config.name, listener.local_addr().context("listen")?);
-    info!(event = "start", %name, %address, version = VERSION, "{name}: listening on {address}");
+    LocalSet::new().block_on(&runtime, serve(config, log))
+}
 
-    let (phase, seen) = watch::channel(Phase::Starting);
-    if let (Some(listener), Some(metrics)) = (admin, metrics) {
-        let address = listener.local_addr().context("admin.listen")?;
-        info!(event = "admin", %address, "admin listener on {address}");
-        let (node, phase, started) = (Rc::clone(&node), seen.clone(), Instant::now());
-        tokio::task::spawn_local(admin::serve(listener, Admin { name, node, metrics, phase, started }));
+async fn serve(mut config: Config, log: Log) -> Result<()> {
+    let mut signals = Signals::install()?;
+    let sockets = Sockets::bind(&mut config).await?;
+    let limits = ResourceLimits::of(&config);
+    let metrics = sockets.admin.as_ref().map(|_| Rc::new(Metrics::new(&config.named)));
+    let node = Node::new(NodeParts {
+        seed: config.seed,
+        upstream: limits.upstream(&config.named),
+        settings: config.named,
+        peers: sockets.peers,
+        metrics: metrics.clone(),
+    })?;
+    log_listening(&config.name, &sockets.clients)?;
+
+    let (phase, phase_seen) = watch::channel(Phase::Starting);
+    if let (Some(listener), Some(metrics)) = (sockets.admin, metrics) {
+        start_admin(listener, Admin::new(config.name, Rc::clone(&node), metrics, phase_seen.clone()))?;
     }
-    let (moved, discovery) = watch::channel(config.discovery);
-    tokio::task::spawn_local(reload(hangup, config.path, config.values, moved, log));
-    let (heard, first_list) = oneshot::channel();
-    tokio::task::spawn_local(discovery::follow(Rc::clone(&node), discovery, config.known, heard));
-    tokio::task::spawn_local(peers::listen(Rc::clone(&node)));
-    tokio::task::spawn_local(retire(Rc::clone(&node)));
-    // What discovery holds counts as told from the first moment, and the list that is known may be old. Clients wait
-    // in the backlog for that; while discovery is silent, what is known has to do.
-    let heard = tokio::time::timeout(reconnect::first_list_in(node.named.drain_grace), first_list).await;
+    let (discovery, discovery_seen) = watch::channel(config.discovery);
+    let reload = Reload { path: config.path, started_with: config.values, discovery, log };
+    spawn_local(reload.run(signals.hangup));
+    let first_list = start_discovery(&node, discovery_seen, config.known);
+    spawn_local(node::receive_peer_messages(Rc::clone(&node)));
+    spawn_local(retire_idle_connections(Rc::clone(&node)));
+
+    let waited = wait_for_first_list(&node, first_list).await;
     phase.send_replace(Phase::Serving);
-    let clients = tokio::task::spawn_local(clients::serve(listener, Rc::clone(&node), each_side, seen));
-    match heard {
-        Ok(_) => info!(event = "ready", cause = "a list has come", "ready: a list of servers has come"),
-        Err(_) => {
-            warn!(event = "ready", cause = "discovery is silent", "ready on an old list: discovery is silent")
-        }
+    // The task ends by itself once the phase is `Closing` and each client has its answer; the shutdown waits for that.
+    let max_clients = limits.connections_per_side;
+    let clients = spawn_local(clients::serve(sockets.clients, Rc::clone(&node), max_clients, phase_seen));
+    log_ready(waited);
+
+    signals.terminate.recv().await;
+    Shutdown { node, phase, clients, longest_deadline: limits.longest_deadline }.run().await;
+    Ok(())
+}
+
+/// The signals that the process handles.
+struct Signals {
+    terminate: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Takes the signals over before anything else is done: a SIGHUP without a handler ends the process.
+    fn install() -> Result<Signals> {
+        let terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
+        let hangup = signal(SignalKind::hangup()).context("SIGHUP")?;
+        Ok(Signals { terminate, hangup })
     }
+}
+
+/// The sockets that are bound at the start, in the order of their fields.
+struct Sockets {
+    clients: TcpListener,
+    peers: Option<Peers>,
+    admin: Option<TcpListener>,
+}
 
-    terminate.recv().await;
-    info!(
-        event = "leaving",
-        cause = "SIGTERM",
-        open = node.open(),
-        "leaving on SIGTERM: {} requests open",
-        node.open()
-    );
-    phase.send_replace(Phase::Leaving);
-    tokio::time::sleep(LEAVING_FOR).await;
-    phase.send_replace(Phase::Closing);
-    // All that was taken ends by its own deadline; a client that never reads must not hold up the exit.
-    match tokio::time::timeout(longest, clients).await {
-        Ok(_) => info!(event = "left", "left: every client has its answer"),
-        Err(_) => warn!(
-            event = "left",
-            open = node.open(),
-            "left: {} requests open, past every deadline",
-            node.open()
-        ),
+impl Sockets {
+    /// Binds all sockets; takes the peers' addresses out of the configuration.
+    async fn bind(config: &mut Config) -> Result<Sockets> {
+        let gateway_id = config.named.settings.gateway_id;
+        Ok(Sockets {
+            clients: bind_clients(config.listen).await?,
+            peers: bind_peers(config.peers.take(), gateway_id).await?,
+            admin: bind_admin(config.shell.admin.listen).await?,
+        })
     }
-    Ok(())
 }
 
-/// Rereads the configuration on each SIGHUP, for ever: whole or not at all. Discovery's address and the level of the
-/// log can change in service; of what else has changed the keys are told.
-async fn reload(
-    mut hangup: Signal, path: PathBuf, values: Values, discovery: watch::Sender<SocketAddr>, log: Log,
-) {
-    while hangup.recv().await.is_some() {
-        match Config::read(&path).and_then(|config| log.set_level(config.shell.log.level).map(|()| config)) {
-            Ok(config) => {
-                let (address, level) = (config.discovery, config.shell.log.level);
-                // Also when it is the same address as before: its numbering may have begun anew.
-                discovery.send_replace(address);
-                let waits = schema::changed(&values, &config.values).join(", ");
-                let more = if waits.is_empty() { "" } else { "; waiting for a restart: " };
-                info!(event = "applied", discovery = %address, log_level = %level, waits, "reloaded: log level {level}, discovery at {address}{more}{waits}");
-            }
-            Err(error) => {
-                error!(event = "not_applied", cause = %format_args!("{error:#}"), "the old configuration stays: {error:#}")
-            }
+async fn bind_clients(address: SocketAddr) -> Result<TcpListener> {
+    bind::when_free(format!("listen {address}"), || TcpListener::bind(address)).await
+}
+
+async fn bind_peers(addresses: Option<PeerAddresses>, gateway_id: GatewayId) -> Result<Option<Peers>> {
+    match addresses {
+        Some(addresses) => Ok(Some(Peers::bind(addresses, gateway_id).await?)),
+        None => Ok(None),
+    }
+}
+
+async fn bind_admin(address: Option<SocketAddr>) -> Result<Option<TcpListener>> {
+    let Some(address) = address else { return Ok(None) };
+    let listener = TcpListener::bind(address).await.with_context(|| format!("admin.listen {address}"))?;
+    Ok(Some(listener))
+}
+
+/// What connections and requests may take of the process.
+struct ResourceLimits {
+    /// Connections of clients, and as many to servers.
+    connections_per_side: usize,
+    /// Bytes that all large bodies together may hold.
+    large_body_bytes: usize,
+    /// No request has a longer deadline.
+    longest_deadline: Duration,
+}
+
+impl ResourceLimits {
+    fn of(config: &Config) -> ResourceLimits {
+        ResourceLimits {
+            connections_per_side: (config.sockets - RESERVED_DESCRIPTORS) / CONNECTION_SIDES,
+            large_body_bytes: config.memory / LARGE_BODY_MEMORY_DIVISOR,
+            longest_deadline: Duration::from_micros(config.named.longest_deadline),
         }
     }
+
+    fn upstream(&self, settings: &ResolvedSettings) -> Upstream {
+        Upstream::new(
+            Room::new(self.large_body_bytes),
+            self.connections_per_side,
+            settings.connection_idle_timeout,
+            settings.connect_timeout,
+        )
+    }
+}
+
+fn log_listening(name: &str, clients: &TcpListener) -> Result<()> {
+    let address = clients.local_addr().context("listen")?;
+    info!(event = "start", %name, %address, version = VERSION, "{name}: listening on {address}");
+    Ok(())
+}
+
+fn start_admin(listener: TcpListener, admin: Admin) -> Result<()> {
+    let address = listener.local_addr().context("admin.listen")?;
+    info!(event = "admin", %address, "admin listener on {address}");
+    spawn_local(admin::serve(listener, admin));
+    Ok(())
 }
 
-async fn retire(node: Rc<Node>) {
+/// Starts to watch discovery; the receiver gets the word that a first list has been applied.
+fn start_discovery(
+    node: &Rc<Node>, address: watch::Receiver<SocketAddr>, known: Option<List>,
+) -> oneshot::Receiver<()> {
+    let (list_came, first_list) = oneshot::channel();
+    spawn_local(discovery::follow(Rc::clone(node), address, known, list_came));
+    first_list
+}
+
+async fn retire_idle_connections(node: Rc<Node>) {
     node.upstream.retire().await;
 }
+
+/// How the wait for the first endpoint list ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FirstList {
+    Received,
+    /// Discovery was silent until the deadline.
+    DeadlinePassed,
+}
+
+/// Waits for the first endpoint list, while clients wait in the backlog. What discovery holds counts as told from the
+/// first moment on, and the list in the configuration may be old; if discovery stays silent, that list has to do.
+async fn wait_for_first_list(node: &Node, first_list: oneshot::Receiver<()>) -> FirstList {
+    let deadline = reconnect::first_list_in(node.settings.drain_grace);
+    match tokio::time::timeout(deadline, first_list).await {
+        Ok(_) => FirstList::Received,
+        Err(_) => FirstList::DeadlinePassed,
+    }
+}
+
+fn log_ready(first_list: FirstList) {
+    match first_list {
+        FirstList::Received => {
+            info!(event = "ready", cause = "a list has come", "ready: a list of servers has come");
+        }
+        FirstList::DeadlinePassed => {
+            warn!(
+                event = "ready",
+                cause = "discovery is silent",
+                "ready on an old list: discovery is silent"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/tests/unit/metrics.rs
@@ -0,0 +1,30 @@
+//! Outcomes and the counters that stand for them.
+
+use super::*;
+
+/// Label values are part of what dashboards read.
+#[test]
+fn each_outcome_has_its_own_label() {
+    let requests = RequestOutcome::ALL.map(RequestOutcome::label);
+    assert_eq!(requests, ["served", "refused", "failed", "abandoned"]);
+    let attempts = ATTEMPT_OUTCOMES.map(attempt_label);
+    let expected = ["ok", "error", "full", "timed_out", "unreachable", "broken", "cancelled", "not_sent"];
+    assert_eq!(attempts, expected);
+}
+
+#[test]
+fn an_outcome_increments_its_counter_alone() {
+    let counters: [Counter; 4] = Default::default();
+    increment(&counters, &RequestOutcome::ALL, RequestOutcome::Failed);
+    assert_eq!(counters.map(|counter| counter.get()), [0, 0, 1, 0]);
+}
+
+#[test]
+fn a_counter_follows_a_total_and_never_falls() {
+    let counter = Counter::default();
+    raise_to(&counter, 5);
+    raise_to(&counter, 3);
+    assert_eq!(counter.get(), 5);
+    raise_to(&counter, 8);
+    assert_eq!(counter.get(), 8);
+}
--- /dev/null
+++ b/tests/unit/status.rs
@@ -0,0 +1,15 @@
+//! The count of client connections.
+
+use super::*;
+
+#[test]
+fn a_client_connection_counts_until_its_guard_is_dropped() {
+    let connections = Rc::new(Cell::new(0));
+    let first = ClientConnectionGuard::new(&connections);
+    let second = ClientConnectionGuard::new(&connections);
+    assert_eq!(connections.get(), 2);
+    drop(first);
+    assert_eq!(connections.get(), 1);
+    drop(second);
+    assert_eq!(connections.get(), 0);
+}
