Log events under the terms of the field, and the page that lists them

Seen: events were called leaving, left, applied, left_out, send, ended and the like; the page on operating spoke in words of its own.

Change: sixteen events renamed (shutdown_started, config_reloaded, attempt_started, ...); fields, levels, messages and rate limits as before. docs/OPERATING.md in plain technical English, with a table of the names before and now. A new test holds that table and the code together: each new name is logged, and no old one. In log.rs one string changes.

--- a/src/bin/edge-node/log.rs
+++ b/src/bin/edge-node/log.rs
@@ -154,7 +154,11 @@
         // The next line comes this way, too.
         drop(limiter);
         if let Some(left_out @ 1..) = passes {
-            tracing::warn!(event = "left_out", lines = left_out, "left out {left_out} lines like the next");
+            tracing::warn!(
+                event = "lines_suppressed",
+                lines = left_out,
+                "left out {left_out} lines like the next"
+            );
         }
         passes.is_some()
     }
--- a/src/bin/edge-node/node/attempts.rs
+++ b/src/bin/edge-node/node/attempts.rs
@@ -60,7 +60,7 @@
         // The decision module is told at once when a request is answered or abandoned, and sends no such request.
         let Some(NextAttempt { request, number }) = self.requests.next_attempt(&id) else { return };
         debug!(
-            event = "send",
+            event = "attempt_started",
             id = %id.0,
             attempt = number.0,
             server = server.0,
@@ -91,7 +91,7 @@
     fn finish_attempt(self: &Rc<Self>, id: RequestId, attempt: AttemptNumber, result: Ending) {
         let Ending { outcome, body, load } = result;
         debug!(
-            event = "ended",
+            event = "attempt_finished",
             id = %id.0,
             attempt = attempt.0,
             ?outcome,
--- a/src/bin/edge-node/node/endpoints.rs
+++ b/src/bin/edge-node/node/endpoints.rs
@@ -66,11 +66,11 @@
         let entries = list.hosts.read.len();
         self.watch.last_list.set(Some(AppliedList { sequence, applied_at: Instant::now() }));
         if self.watch.is_lost.take() {
-            info!(event = "watch_back", seq = sequence, "discovery: the watch is back");
+            info!(event = "watch_restored", seq = sequence, "discovery: the watch is back");
         }
         let extent = if list.whole { "the whole list" } else { "changes" };
         info!(
-            event = "list",
+            event = "endpoints_updated",
             seq = sequence,
             entries,
             whole = list.whole,
--- a/src/bin/edge-node/node/mod.rs
+++ b/src/bin/edge-node/node/mod.rs
@@ -103,7 +103,7 @@
             Action::SetTimer { after, token } => self.set_timer(after, token),
             // The watch on discovery is open from the start on, so that there is nothing to do.
             Action::WatchEndpoints => {}
-            Action::Log(line) => warn!(event = "decision", "{line}"),
+            Action::Log(line) => warn!(event = "policy_warning", "{line}"),
         }
     }
 
--- a/src/bin/edge-node/node/pending_requests.rs
+++ b/src/bin/edge-node/node/pending_requests.rs
@@ -164,7 +164,7 @@
             return None;
         }
         debug!(
-            event = "request",
+            event = "request_received",
             id = %id.0,
             target = request.target,
             "request {}: {}",
@@ -183,7 +183,7 @@
     pub(crate) fn abandon_request(self: &Rc<Self>, id: &RequestId) {
         let Some(pending) = self.requests.remove(id) else { return };
         self.record_outcome(&pending, RequestOutcome::Abandoned);
-        debug!(event = "abandoned", id = %id.0, "request {}: nobody waits any more", id.0);
+        debug!(event = "client_disconnected", id = %id.0, "request {}: nobody waits any more", id.0);
         self.dispatch(Event::ClientDisconnected { id: id.clone() });
     }
 
@@ -192,7 +192,7 @@
         let Some(pending) = self.requests.remove(id) else { return };
         let outcome = answer.outcome();
         debug!(
-            event = "answer",
+            event = "request_answered",
             id = %id.0,
             answer = outcome.label(),
             "request {}: {}",
--- a/src/bin/edge-node/node/status.rs
+++ b/src/bin/edge-node/node/status.rs
@@ -39,7 +39,7 @@
 
     /// Logs that a client's connection could not be accepted; it waits in the backlog.
     pub(crate) fn accept_failed(&self, error: &io::Error) {
-        warn!(event = "not_accepted", cause = %error, "a connection was not accepted: {error}");
+        warn!(event = "accept_failed", cause = %error, "a connection was not accepted: {error}");
     }
 
     /// The figures at this moment.
--- a/src/bin/edge-node/reload.rs
+++ b/src/bin/edge-node/reload.rs
@@ -49,7 +49,7 @@
         let waits = schema::changed(&self.started_with, &config.values).join(", ");
         let waiting = if waits.is_empty() { "" } else { "; waiting for a restart: " };
         info!(
-            event = "applied",
+            event = "config_reloaded",
             discovery = %address,
             log_level = %level,
             waits,
@@ -60,7 +60,7 @@
 
 fn log_rejected(error: &anyhow::Error) {
     error!(
-        event = "not_applied",
+        event = "config_rejected",
         cause = %format_args!("{error:#}"),
         "the old configuration stays: {error:#}"
     );
--- a/src/bin/edge-node/shutdown.rs
+++ b/src/bin/edge-node/shutdown.rs
@@ -35,7 +35,12 @@
     /// From here on the readiness probe fails and each answer closes its connection; what comes is served.
     fn start_draining(&self) {
         let open = self.node.open_requests();
-        info!(event = "leaving", cause = "SIGTERM", open, "leaving on SIGTERM: {open} requests open");
+        info!(
+            event = "shutdown_started",
+            cause = "SIGTERM",
+            open,
+            "leaving on SIGTERM: {open} requests open"
+        );
         self.phase.send_replace(Phase::Leaving);
     }
 
@@ -48,10 +53,10 @@
     /// the wait ends when the last deadline has passed.
     async fn wait_for_clients(self) {
         match tokio::time::timeout(self.longest_deadline, self.clients).await {
-            Ok(_) => info!(event = "left", "left: every client has its answer"),
+            Ok(_) => info!(event = "shutdown_complete", "left: every client has its answer"),
             Err(_) => {
                 let open = self.node.open_requests();
-                warn!(event = "left", open, "left: {open} requests open, past every deadline");
+                warn!(event = "shutdown_complete", open, "left: {open} requests open, past every deadline");
             }
         }
     }
--- a/src/bin/edge-node/startup.rs
+++ b/src/bin/edge-node/startup.rs
@@ -168,13 +168,13 @@
 
 fn log_listening(name: &str, clients: &TcpListener) -> Result<()> {
     let address = clients.local_addr().context("listen")?;
-    info!(event = "start", %name, %address, version = VERSION, "{name}: listening on {address}");
+    info!(event = "listening", %name, %address, version = VERSION, "{name}: listening on {address}");
     Ok(())
 }
 
 fn start_admin(listener: TcpListener, admin: Admin) -> Result<()> {
     let address = listener.local_addr().context("admin.listen")?;
-    info!(event = "admin", %address, "admin listener on {address}");
+    info!(event = "admin_listening", %address, "admin listener on {address}");
     spawn_local(admin::serve(listener, admin));
     Ok(())
 }
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -6,6 +6,7 @@
 
 use limiter::Limiter;
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
@@ -90,11 +91,11 @@
     let of = |id: &str| -> Vec<&str> {
         all.iter().filter(|(_, value)| value["id"] == id).map(|(event, _)| event.as_str()).collect()
     };
-    assert_eq!(of("seen"), ["request", "send", "ended", "answer"]);
+    assert_eq!(of("seen"), ["request_received", "attempt_started", "attempt_finished", "request_answered"]);
     assert_eq!((of("unseen").len(), of("hidden").len()), (0, 0));
-    assert!(!all.iter().any(|(event, _)| event == "left"), "that is not of level warn");
+    assert!(!all.iter().any(|(event, _)| event == "shutdown_complete"), "that is not of level warn");
     let applied = &events(&[said])[0];
-    assert_eq!((applied.0.as_str(), applied.1["level"].as_str()), ("applied", Some("INFO")));
+    assert_eq!((applied.0.as_str(), applied.1["level"].as_str()), ("config_reloaded", Some("INFO")));
 }
 
 /// What comes from elsewhere cannot make a line of its own.
@@ -146,26 +147,47 @@
     paths.flat_map(|path| if path.is_dir() { source_files(&path) } else { vec![path] }).collect()
 }
 
-/// Each event in the code stands on the page, and the other way round.
-#[test]
-fn the_page_tells_every_event() {
-    let mut coded = std::collections::BTreeSet::new();
+/// The names of all log events in the program.
+fn events_in_code() -> BTreeSet<String> {
+    let mut coded = BTreeSet::new();
     for file in source_files("src/bin/edge-node".as_ref()) {
         let text = std::fs::read_to_string(file).expect("it is text");
         let names = text.split("event = \"").skip(1).filter_map(|rest| rest.split('"').next());
         coded.extend(names.map(str::to_owned));
     }
+    coded
+}
+
+/// Each event in the code stands on the page, and the other way round.
+#[test]
+fn the_page_tells_every_event() {
+    let coded = events_in_code();
     let page = std::fs::read_to_string("docs/OPERATING.md").expect("the page");
     let page = page.split("\n## ").find(|part| part.starts_with("The log")).expect("its part on the log");
     let rows = page.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
     let told = rows.filter(|name| *name != "event").map(str::to_owned);
     let at_debug = page.split("followed by its id:").nth(1).and_then(|rest| rest.split(", each").next());
     let words = at_debug.expect("events at debug").split('`').skip(1).step_by(2).map(str::to_owned);
-    let told: std::collections::BTreeSet<_> = told.chain(words).collect();
+    let told: BTreeSet<_> = told.chain(words).collect();
     assert!(coded.len() > 10);
     assert_eq!(coded, told);
 }
 
+/// Of each event that the page says was renamed, the code has the new name and not the old one.
+#[test]
+fn the_page_tells_under_which_name_an_event_went_before() {
+    let coded = events_in_code();
+    let page = std::fs::read_to_string("docs/OPERATING.md").expect("the page");
+    let page = page.split("\n## ").find(|part| part.starts_with("Renamed log events")).expect("its part");
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `")?.strip_suffix("` |"));
+    let renamed: Vec<_> = rows.map(|row| row.split_once("` | `").expect("two names")).collect();
+    assert_eq!(renamed.len(), 16);
+    for (before, now) in renamed {
+        assert!(!coded.contains(before), "{before} is still logged");
+        assert!(coded.contains(now), "{now} is not logged");
+    }
+}
+
 #[test]
 fn so_many_lines_of_a_kind_pass_in_each_span() {
     let span = Duration::from_secs(10);
