Tests of the edge node and its admin listener in the field's terms

Seen: names and comments of these tests spoke of words, crowds and leaving; a fold was used for a loop.

No assertion or bound changes.

--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -1,4 +1,4 @@
-//! The admin listener: what it tells, and that nothing that comes on it touches requests.
+//! The admin listener: what it reports, and that nothing sent to it affects the requests of clients.
 
 mod support;
 
@@ -8,12 +8,12 @@
 use std::time::Instant;
 use support::*;
 
-/// The example with an admin listener and clients of much patience.
+/// The example configuration with an admin listener and long request deadlines.
 fn config(discovery: SocketAddr) -> String {
     with_grace(discovery, 20_000)
 }
 
-/// The same with another grace for drains, half of which a first list is waited for.
+/// The same with another drain grace, half of which the first endpoint list is waited for.
 fn with_grace(discovery: SocketAddr, millis: u32) -> String {
     std::fs::read_to_string("edge-node.example.toml")
         .expect("the example")
@@ -25,7 +25,7 @@
         .replacen("[limits]", "admin.listen = \"127.0.0.1:0\"\n[limits]", 1)
 }
 
-/// A request of the example's classes and plans.
+/// A request under the example's classes and plans.
 fn read(id: &str) -> String {
     request(id, "balance-read", "60000m")
         .replace("POST", "GET")
@@ -51,13 +51,13 @@
     (answer.status(), String::from_utf8(answer.body).expect("it is text"))
 }
 
-/// The value of a series.
+/// The value of a time series.
 fn figure(text: &str, series: &str) -> f64 {
     let line = text.lines().find_map(|line| line.strip_prefix(series)?.strip_prefix(' '));
     line.unwrap_or_else(|| panic!("no {series}: {text}")).parse().expect("a number")
 }
 
-/// Asks until there is something.
+/// Asks again until there is an answer.
 fn until<T>(mut ask: impl FnMut() -> Option<T>) -> T {
     let begun = Instant::now();
     loop {
@@ -69,7 +69,7 @@
 }
 
 #[test]
-fn figures_follow_what_happens() {
+fn metrics_follow_requests_attempts_and_watches() {
     let servers = Servers::new();
     let hosts = [host("s-1", servers.start("s-1", &[SERVES, IS_FULL, SERVES, Does::IsSilent]), 1, "ready")];
     let discovery = Discovery::start(&hosts);
@@ -79,11 +79,13 @@
     let mut client = node.client();
     assert_eq!(client.ask(&read("a")).status(), 200);
     assert_eq!(client.ask(&read("b")).status(), 200, "after one that was full");
-    (0..3).for_each(|_| drop(servers.next()));
+    for _ in 0..3 {
+        drop(servers.next());
+    }
     let mut leaves = node.client();
     leaves.write(&read("open"));
     servers.next();
-    // Only the client that waits stays for as long as it likes.
+    // A connection without an open request may be closed at any time; only the waiting client's stays.
     drop(client);
     let state = until(|| {
         let (status, state) = get(address, "/debug/state");
@@ -96,11 +98,11 @@
     assert_eq!(state["oldest_requests"][0]["id"], "open");
     assert_eq!((&state["list"]["sequence"], &state["list"]["servers_ready"]), (&1.into(), &1.into()));
     drop(leaves);
-    (0..3).fold(watch, |watch, _| {
-        drop(watch);
-        discovery.watch().1
-    });
-    // The client's leaving and the new watch's list are told by what they change.
+    drop(watch);
+    for _ in 0..3 {
+        drop(discovery.watch());
+    }
+    // The metrics show when the client's disconnect has been noticed.
     let series = |class: &str, plan: &str, outcome: &str| {
         format!("edge_node_requests_total{{class=\"{class}\",plan=\"{plan}\",outcome=\"{outcome}\"}}")
     };
@@ -116,8 +118,8 @@
     assert_eq!(figure(&text, "edge_node_attempts_total{outcome=\"ok\"}"), 2.0);
     assert_eq!(figure(&text, "edge_node_attempts_total{outcome=\"full\"}"), 1.0);
     let latency = "edge_node_request_duration_seconds_count{class=\"balance-read\"}";
-    assert_eq!(figure(&text, latency), 2.0, "one that was abandoned has none");
-    // The last watch may have fallen silent by now, and so may those after it.
+    assert_eq!(figure(&text, latency), 2.0, "an abandoned request has no duration");
+    // The last watch may have timed out by now, and so may those after it.
     let opened = 4 + discovery.further();
     let resets = figure(&text, "edge_node_watch_resets_total");
     assert!(resets >= 3.0 && resets <= opened as f64, "{resets} resets of {opened} watches");
@@ -132,7 +134,7 @@
 }
 
 #[test]
-fn it_is_ready_while_it_serves() {
+fn the_readiness_probe_follows_the_phase() {
     let servers = Servers::new();
     let hosts = [host("s-1", servers.start("s-1", &[Does::IsSilent]), 1, "ready")];
     let discovery = Discovery::mute();
@@ -145,7 +147,7 @@
     write_list(&mut watch, &list(1, true, &hosts));
     node.says("ready: ");
     assert_eq!(get(address, "/readyz"), (200, "serving\n".to_owned()));
-    // An open request keeps it for as long as it likes.
+    // An open request keeps the edge node in its shutdown until the deadline.
     node.client().write(&read("gone"));
     let mut client = node.client();
     client.write(&read("open"));
@@ -157,9 +159,9 @@
     assert!(node.runs());
 }
 
-/// Noise, slow clients and crowds get 4xx or an end, and requests are served meanwhile.
+/// Malformed requests, slow clients and too many connections get 4xx or a close, and clients are served meanwhile.
 #[test]
-fn nothing_on_the_admin_port_touches_requests() {
+fn nothing_on_the_admin_port_affects_client_requests() {
     let servers = Servers::new();
     let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
     let discovery = Discovery::start(&hosts);
@@ -178,7 +180,7 @@
     ];
     let answers = noises.map(|noise| {
         let mut stream = connect(address);
-        // It may have answered by then.
+        // The connection may have been answered and closed by then.
         let _ = stream.write_all(noise);
         let mut answer = Vec::new();
         let _ = stream.read_to_end(&mut answer);
@@ -187,26 +189,26 @@
         answer.split(' ').nth(1).unwrap_or("closed").to_owned()
     });
     assert_eq!((answers[4].as_str(), answers[5].as_str()), ("405", "404"));
-    // More than may be open, all silent.
+    // More connections than may be open, all of them silent.
     let before = node.descriptors();
-    let crowd: Vec<_> = (0..40).map(|_| connect(address)).collect();
+    let silent: Vec<_> = (0..40).map(|_| connect(address)).collect();
     let mut client = node.client();
     for number in 0..10 {
         assert_eq!(client.ask(&read(&format!("r{number}"))).status(), 200);
     }
-    // Eight of them, the client's, and some to the server.
+    // Eight of these, the client's own, and some to the server.
     assert!(node.descriptors() <= before + 20, "{} of {before}", node.descriptors());
-    for mut stream in crowd {
+    for mut stream in silent {
         let mut rest = Vec::new();
         let _ = stream.read_to_end(&mut rest);
-        assert!(rest.is_empty() || rest.starts_with(b"HTTP/1.1 4"), "each ends by itself");
+        assert!(rest.is_empty() || rest.starts_with(b"HTTP/1.1 4"), "each is closed by the edge node");
     }
     assert_eq!(get(address, "/healthz"), (200, "ok\n".to_owned()));
     assert!(node.runs());
 }
 
 #[test]
-fn there_is_none_unless_people_configure_it() {
+fn there_is_no_admin_listener_in_the_platforms_configuration() {
     let discovery = Discovery::start(&[]);
     let with = |config: String| config.replacen('{', r#"{"admin":{"listen":"127.0.0.1:0"},"#, 1);
     let mut node = Node::with("off", discovery.address, &[], with);
@@ -217,7 +219,7 @@
 }
 
 #[test]
-fn an_address_that_is_taken_ends_the_start_in_one_plain_line() {
+fn an_address_in_use_ends_the_start_with_one_plain_line() {
     let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = taken.local_addr().expect("an address");
     let discovery = Discovery::start(&[]);
@@ -235,7 +237,7 @@
 }
 
 #[test]
-fn the_page_tells_every_metric() {
+fn the_page_lists_every_metric() {
     let discovery = Discovery::start(&[]);
     let node = Node::of_people("page", &config(discovery.address));
     let (_, text) = get(admin(&node), "/metrics");
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -1,5 +1,5 @@
-//! The edge node over loopback sockets. Each test stands for something that can go wrong there; none asserts
-//! on speed.
+//! The edge node over loopback sockets. Each test covers one way in which clients, servers, peers or discovery can fail;
+//! none asserts on speed.
 
 #[path = "edge/client_disconnect.rs"]
 mod client_disconnect;
@@ -21,7 +21,7 @@
 use std::time::Instant;
 use support::*;
 
-/// An edge node that knows one app server, which does this.
+/// An edge node with one server, which behaves in this way.
 fn with_one(tag: &str, does: &[Does]) -> (Servers, Discovery, Node) {
     let servers = Servers::new();
     let hosts = [host("s-1", servers.start("s-1", does), 1, "ready")];
@@ -30,7 +30,7 @@
     (servers, discovery, node)
 }
 
-/// An edge node that knows two app servers. The first attempt gets one answer, all others another.
+/// An edge node with two servers. The first attempt gets one answer, all others get another.
 fn with_two(tag: &str, blocks: [u32; 2], first: Does, then: Does) -> (Servers, Discovery, Node) {
     let servers = Servers::new();
     let turns = Turns::new(vec![first, then].into());
@@ -42,7 +42,7 @@
 }
 
 #[test]
-fn requests_go_on_unchanged_and_answers_come_back_over_kept_connections() {
+fn requests_are_forwarded_unchanged_and_answered_over_pooled_connections() {
     let (servers, _discovery, node) = with_one("plain", &[SERVES]);
     let mut client = node.client();
     assert_eq!(client.ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
@@ -59,14 +59,14 @@
         let key = if class == "submit" { "5c0f6e1a" } else { "" };
         assert_eq!(got.message.header("idempotency-key"), key);
         assert_eq!(got.connection, 0, "request {number} opened a connection of its own");
-        // One that has just answered is not used again at once.
+        // A connection is not used again right after an answer.
         std::thread::sleep(std::time::Duration::from_millis(100));
     }
     servers.got_no_more();
 }
 
 #[test]
-fn bad_requests_are_answered_400_and_413_and_harm_nobody() {
+fn invalid_requests_are_answered_4xx_and_affect_no_other() {
     let (servers, _discovery, mut node) = with_one("bad", &[SERVES]);
     let good = request("a", "read", "20000m");
     let cases = [
@@ -96,7 +96,7 @@
         ("spread=1", "spread=3", "400"),
         ("spread=1", "spread=-1", "400"),
         ("first=0", "first=2", "400"),
-        // A length and an encoding, in either order: one of them may hide a request in the other's body.
+        // Request smuggling: with a length and an encoding, one of them may hide a request in the other's body.
         ("X-Tier: p", "X-Tier: p\r\nContent-Length: 4\r\nTransfer-Encoding: chunked", "411"),
         ("X-Tier: p", "X-Tier: p\r\nTransfer-Encoding: chunked\r\nContent-Length: 4", "411"),
         ("X-Tier: p", "X-Tier: p\r\nContent-Length: 4\r\nContent-Length: 5", "400"),
@@ -115,7 +115,7 @@
     let large = request("c", "pay", "20000m").replace("Length: 4\r\n\r\ntime", "Length: 60000000\r\n\r\n");
     let mut client = node.client();
     client.write(&large);
-    // It may answer before it has read all.
+    // The edge node may answer, and close, before it has read the whole body.
     let _ = client.stream.write_all(&vec![b'x'; 65537]);
     assert_eq!(client.answer().expect("an answer").status(), 413);
     assert!(node.runs());
@@ -124,7 +124,7 @@
 }
 
 #[test]
-fn a_bad_configuration_ends_in_one_plain_line() {
+fn an_invalid_configuration_ends_the_start_with_one_plain_line() {
     for (number, config) in ["", "{}", "{\"name\":1}", "[]"].into_iter().enumerate() {
         let (child, path) = start(&format!("config-{number}"), config);
         let output = child.wait_with_output().expect("it ends");
@@ -135,7 +135,7 @@
 }
 
 #[test]
-fn an_id_in_use_is_not_taken_twice() {
+fn a_request_id_in_use_is_rejected() {
     let (servers, _discovery, node) = with_one("twice", &[Does::IsSilent]);
     let mut first = node.client();
     first.write(&request("same", "pay", "20000m"));
@@ -146,9 +146,10 @@
     servers.got_no_more();
 }
 
-/// What has never run may be sent again whatever its class; what may have run only as its class allows.
+/// A request that was not executed may be retried whatever its class; one that may have been executed is retried only
+/// if its class allows it.
 #[test]
-fn a_request_is_sent_again_only_as_its_class_allows() {
+fn a_request_that_may_have_been_executed_is_retried_only_if_its_class_allows_it() {
     let reset = Does::Ends("");
     let cut = Does::Ends("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\nran");
     let cases = [
@@ -164,7 +165,7 @@
         ("reset-keyed", reset, "submit", 200, 2),
     ];
     for (tag, first, class, status, attempts) in cases {
-        // Both are of one cell, so that a keyed request may go to either.
+        // Both servers are in one cell, so that a request with an idempotency key may go to either.
         let (servers, _discovery, node) = with_two(tag, [1, 1], first, SERVES);
         let answer = node.client().ask(&request(tag, class, "20000m"));
         assert_eq!(answer.status(), status, "{tag}");
@@ -175,9 +176,9 @@
     }
 }
 
-/// A spoilt answer is a failed attempt that may have run, and its connection is closed.
+/// A malformed answer fails the attempt, which may have been executed, and its connection is closed.
 #[test]
-fn spoilt_answers_are_not_passed_on() {
+fn malformed_answers_are_not_forwarded() {
     let cases = [
         ("noise", "\u{1}\u{2}noise\r\n\r\n"),
         ("status", "HTTP/1.1 2x0 OK\r\nContent-Length: 5\r\n\r\nranks"),
@@ -198,9 +199,9 @@
     }
 }
 
-/// What comes ahead of a good answer, or cannot be read in it, is passed over.
+/// Informational responses before an answer, and a load report that can't be parsed, are ignored.
 #[test]
-fn good_answers_may_bring_more_than_belongs_to_them() {
+fn informational_responses_and_malformed_load_reports_are_ignored() {
     let ahead =
         "HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Load: \
                  inflight=x,,=\r\nContent-Length: 5\r\n\r\nranks";
@@ -210,9 +211,9 @@
     servers.next();
 }
 
-/// Bodies larger than the usual, either way, are taken while memory allows.
+/// Large bodies are accepted in both directions while the memory budget allows.
 #[test]
-fn large_bodies_pass_both_ways() {
+fn large_bodies_are_accepted_in_both_directions() {
     let words = format!("HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n{}", "r".repeat(400_000));
     let (servers, _discovery, node) = with_one("large", &[Does::Answers(Box::leak(words.into_boxed_str()))]);
     let mut client = node.client();
@@ -225,7 +226,7 @@
 }
 
 #[test]
-fn a_keyed_request_that_may_have_run_stays_in_its_cell() {
+fn a_request_with_an_idempotency_key_is_retried_in_its_own_cell() {
     let (servers, _discovery, node) = with_two("cell", [1, 2], Does::Ends(""), SERVES);
     let answer = node.client().ask(&request("a", "submit", "20000m"));
     let (first, second) = (servers.next(), servers.next());
@@ -234,7 +235,7 @@
 }
 
 #[test]
-fn a_refused_connection_proves_that_nothing_ran() {
+fn a_refused_connection_proves_that_nothing_was_executed() {
     let servers = Servers::new();
     let gone = std::net::TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
     let dead = gone.expect("an address");
@@ -249,46 +250,46 @@
 }
 
 #[test]
-fn a_silent_server_costs_one_answer_before_the_deadline() {
+fn a_server_that_never_answers_fails_the_request_by_its_deadline() {
     let (servers, _discovery, node) = with_one("silent", &[Does::IsSilent]);
     let begun = Instant::now();
     let answer = node.client().ask(&request("a", "pay", "700m"));
-    assert_eq!(answer.status(), 502, "an unsafe request that may have run is no refusal");
+    assert_eq!(answer.status(), 502, "a non-idempotent request that may have been executed is not rejected");
     assert!(begun.elapsed().as_millis() < 20_000, "the deadline is enforced");
     assert!(closed(&servers.next()), "the attempt is given up");
     servers.got_no_more();
 }
 
-/// A stalled attempt is called off and its connection closed before the next is written.
+/// A stalled attempt is cancelled and its connection closed before the next attempt is written.
 #[test]
-fn two_attempts_are_never_out_at_once() {
+fn two_attempts_of_a_request_are_never_in_flight_at_once() {
     let (servers, _discovery, node) = with_two("stalled", [1, 1], Does::IsSilent, SERVES);
     for (number, class) in ["read", "submit"].into_iter().enumerate() {
         assert_eq!(node.client().ask(&request(class, class, "20000m")).status(), 200);
         servers.next();
-        // Whether the first was alone is seen as the second comes.
+        // Whether the first attempt had ended shows when the second arrives.
         if number == 0 {
             assert!(servers.next().alone);
         }
     }
 }
 
-/// A connection that the server closed while it was idle is not written to: that would end as a reset.
+/// A connection that the server closed while it was idle is not used again: the request would end in a reset.
 #[test]
-fn a_close_of_an_idle_connection_is_noticed() {
+fn an_idle_connection_that_the_server_closed_is_not_used_again() {
     let (servers, _discovery, node) = with_one("idle", &[SERVES]);
     let mut client = node.client();
     assert_eq!(client.ask(&request("a", "pay", "20000m")).status(), 200);
     let got = servers.next();
     got.stream.shutdown(std::net::Shutdown::Both).expect("it is open");
-    // The edge node closes its side as soon as it has noticed.
+    // The edge node closes its side as soon as it sees the close.
     assert!(closed(&got));
     let answer = client.ask(&request("b", "pay", "20000m"));
     assert_eq!((answer.status(), servers.next().connection), (200, 1));
 }
 
 #[test]
-fn the_list_is_followed_in_order_and_a_broken_watch_is_opened_again() {
+fn endpoint_lists_are_applied_in_order_and_a_broken_watch_is_reopened() {
     let servers = Servers::new();
     let one = servers.start("s-1", &[SERVES]);
     let two = servers.start("s-2", &[SERVES]);
@@ -299,7 +300,7 @@
     let mut client = node.client();
     let mut number = 0;
     let mut until = |name: &str| {
-        // Once a change has shown, it must hold.
+        // Once a change is visible, it has to last.
         let mut held = 0;
         while held < 10 {
             number += 1;
@@ -312,31 +313,31 @@
     until("s-1");
     let (asked, mut watch) = discovery.watch();
     assert!(asked.contains("watch=1") && !asked.contains("from"), "{asked}");
-    // Changes: one drains, another comes.
+    // A change: one server drains, another is added.
     let changed = [host("s-1", one, 1, "draining"), host("s-2", two, 2, "ready")];
     write_list(&mut watch, &list(2, false, &changed));
     until("s-2");
-    // The watch breaks in the midst of a line; the old list stands, and the next watch begins with the whole list.
+    // The watch breaks within a line; the last list stays in use, and the next watch begins with a snapshot.
     discovery.holds(list(2, true, &changed));
     watch.write_all(b"14\r\n{\"seq\":3,").expect("open");
     watch.shutdown(std::net::Shutdown::Both).expect("open");
     let (asked, mut watch) = discovery.watch();
     assert!(asked.contains("watch=1") && !asked.contains("from"), "{asked}");
     until("s-2");
-    // What is old changes nothing; who is not on a whole list is gone.
+    // An outdated change is ignored; a server that is missing from a snapshot is gone.
     write_list(&mut watch, &list(1, false, &[host("s-2", two, 2, "gone"), host("s-1", one, 1, "ready")]));
     write_list(&mut watch, &list(4, true, &[host("s-3", three, 3, "ready")]));
     until("s-3");
-    // The same server at another address.
+    // The server's address changes.
     let moved = servers.start("s-3 moved", &[SERVES]);
     write_list(&mut watch, &list(5, false, &[host("s-3", moved, 3, "ready")]));
     until("s-3 moved");
 }
 
-/// SIGHUP ends a process that does not ask for it. The new discovery's versions are numbered anew, and the old
-/// list stands until it has spoken.
+/// SIGHUP ends a process that has no handler for it. The new discovery numbers its lists from the start again, and the
+/// last list stays in use until the new discovery has sent one.
 #[test]
-fn sighup_moves_to_the_discovery_that_the_file_names() {
+fn sighup_changes_to_the_discovery_address_in_the_file() {
     let (servers, old, mut node) = with_one("reload", &[SERVES]);
     let (asked, mut before) = old.watch();
     assert!(asked.contains("watch=1") && !asked.contains("from"), "{asked}");
@@ -345,9 +346,9 @@
         servers.next().server
     };
     let mut client = node.client();
-    // A file that cannot be read as a configuration changes nothing.
+    // An invalid configuration changes nothing.
     node.reload(|text| text.replacen('{', "", 1));
-    // A signal that is handled late would read the next file, and move to the new discovery twice.
+    // Waits for each reload: a signal that is handled late would read the next file, and change the address twice.
     node.says("the old configuration stays");
     assert_eq!(serves(&mut client, "a"), "s-1");
     node.reload(|text| format!("{{{text}"));
@@ -357,7 +358,7 @@
     node.reload(|text| text.replace(&from, &to));
     let (asked, mut watch) = new.watch();
     assert!(asked.contains("watch=1") && !asked.contains("from"), "{asked}");
-    // The old watch is left at once.
+    // The old watch is closed at once.
     let mut rest = Vec::new();
     before.set_read_timeout(Some(PATIENCE)).expect("a time-out");
     std::io::Read::read_to_end(&mut before, &mut rest).expect("the old watch ends");
@@ -370,13 +371,13 @@
         number += 1;
     }
     node.terminate();
-    // Also on its way out.
+    // A reload during the shutdown is harmless.
     node.reload(|text| text);
     assert!(node.wait().success());
 }
 
 #[test]
-fn peers_are_told_and_noise_is_passed_over() {
+fn peers_get_datagrams_and_malformed_ones_are_ignored() {
     let (_servers, _discovery, mut node) = with_one("peers", &[SERVES]);
     let mut client = node.client();
     let stranger = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
@@ -393,15 +394,15 @@
     assert!(node.runs());
 }
 
-/// Of three hundred peers each is known by its address alone: an answer goes to whoever asked.
+/// Each of three hundred peers is identified by its address alone, and an answer goes to the peer that asked.
 #[test]
-fn each_peer_is_known_by_its_address_and_a_stranger_by_none() {
+fn peers_are_identified_by_address_and_strangers_are_ignored() {
     let socket = || std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
     let (last, stranger) = (socket(), socket());
     last.set_read_timeout(Some(PATIENCE)).expect("a time-out");
     stranger.set_nonblocking(true).expect("it does not wait");
     let address = last.local_addr().expect("an address");
-    // Numbers 2 to 298 are on a net where nobody is.
+    // Peers 2 to 298 have addresses where nobody listens.
     let nobody = (2..299).map(|number| format!(r#""127.1.{}.{}:9","#, number / 250, 1 + number % 250));
     let peers = nobody.collect::<String>() + &format!(r#""{address}"],"known""#);
     let many = |config: String| {
@@ -410,8 +411,8 @@
     let servers = Servers::new();
     let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
     let node = Node::with("senders", Discovery::start(&hosts).address, &hosts, many);
-    // A try of a customer whose only gateway is the node: version, kind, serial, customer, plan, home, first, spread,
-    // units, none wanted on lease, none given back, and no news.
+    // A lease request for a customer whose only gateway is the node: version, kind, sequence, customer, plan, owner, first
+    // gateway, gateway count, units, none requested on lease, none returned, and no health report.
     let ask = |serial: u8| {
         [[4, 1, serial, 0].as_slice(), &[9, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 16, 0], &[0; 6], &[0; 2]].concat()
     };
@@ -421,13 +422,13 @@
         asker.send_to(&ask(serial), node.datagrams).expect("sent");
         asker.recv_from(&mut answer).expect("the asker is answered");
         assert_eq!(answer[..5], [4, 2, serial, 0, 0], "granted");
-        // The stranger's ask was read before the one that has been answered.
+        // The stranger's request was received before the one that has been answered.
         assert!(stranger.recv_from(&mut answer).is_err(), "nobody answers a stranger");
     }
 }
 
 #[test]
-fn a_customer_beyond_its_quota_is_refused_at_once() {
+fn a_customer_over_its_quota_is_rejected_at_once() {
     let (servers, _discovery, node) = with_one("quota", &[SERVES]);
     let mut client = node.client();
     let tiny = |id: &str| request(id, "read", "25000m").replace("X-Tier: p", "X-Tier: tiny");
@@ -441,18 +442,18 @@
     assert_eq!(refused.status(), 503);
     let advice: f64 = refused.header("retry-after").parse().expect("seconds");
     assert!(advice > 0.0 && advice < 60.0, "{advice}");
-    assert!(begun.elapsed().as_secs() < 20, "a refusal is not held back until the deadline");
+    assert!(begun.elapsed().as_secs() < 20, "a rejection does not wait for the deadline");
 }
 
 #[test]
-fn sigterm_serves_out_what_was_taken() {
+fn sigterm_completes_the_requests_that_were_accepted() {
     let (servers, _discovery, mut node) = with_one("term", &[Does::IsSilent, SERVES]);
     let (mut held, mut idle) = (node.client(), node.client());
     assert_eq!(idle.ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
     held.write(&request("a", "read", "20000m"));
     let got = servers.next();
     node.terminate();
-    // New connections are accepted for a while yet, and told to close.
+    // New connections are still accepted for a while, and closed after their answer.
     let late = loop {
         let answer = node.client().ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n");
         if answer.status() != 200 {
@@ -464,15 +465,17 @@
     assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
     idle.ends();
     let mut stream = got.stream;
-    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks").expect("the attempt is still out");
-    let answer = held.answer().expect("what was taken is answered");
+    stream
+        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks")
+        .expect("the attempt is still in flight");
+    let answer = held.answer().expect("an accepted request is answered");
     assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
     assert!(node.wait().success());
 }
 
-/// A client that says nothing, or stops in the midst of a request, does not keep its connection.
+/// The connection of a client that sends nothing, or stops within a request, is closed.
 #[test]
-fn silence_ends_a_connection() {
+fn connections_of_silent_clients_are_closed() {
     let (servers, _discovery, node) = with_one("silence", &[SERVES]);
     let whole = request("a", "submit", "20000m");
     let (half_head, half_body) = (&whole[..60], &whole[..whole.len() - 2]);
--- a/tests/edge/start.rs
+++ b/tests/edge/start.rs
@@ -1,17 +1,17 @@
-//! Starts: nine in ten restarted processes are ready within 10 s, whatever discovery does and whoever still holds
-//! their addresses.
+//! Start-up: nine in ten restarted processes have to be ready within 10 s, whatever discovery does and whichever process
+//! still holds their addresses.
 
 use super::support::*;
 use std::io::Write;
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
-/// The rule's own time.
+/// The requirement's own time limit.
 const READY_WITHIN: Duration = Duration::from_secs(10);
-/// Processes that start at once.
-const FEW: usize = 4;
+/// Processes that start at the same time.
+const PROCESSES: usize = 4;
 
-/// A discovery that does this with each connection, on a thread of its own.
+/// A discovery agent that handles each connection in this way, on a thread of its own.
 fn discovery(does: impl Fn(&mut std::net::TcpStream) + Clone + Send + 'static) -> std::net::SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
@@ -24,14 +24,14 @@
     address
 }
 
-/// Asked at once, all are ready in the rule's time. The grace is so long that a part of it would outlast that.
-fn are_ready(tag: &str, discovery: std::net::SocketAddr) {
+/// All processes have to be ready within the limit. The drain grace is so long that a fraction of it would exceed it.
+fn assert_ready_in_time(tag: &str, discovery: std::net::SocketAddr) {
     let servers = Servers::new();
     let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
     let long = |config: String| config.replace(r#""drainGraceUs":20000000"#, r#""drainGraceUs":600000000"#);
     let begun = Instant::now();
     let start = |number| Node::with(&format!("{tag}-{number}"), discovery, &hosts, long);
-    let nodes: Vec<_> = (0..FEW).map(start).collect();
+    let nodes: Vec<_> = (0..PROCESSES).map(start).collect();
     for node in &nodes {
         let mut client = node.client();
         client.stream.set_read_timeout(Some(READY_WITHIN)).expect("a time-out");
@@ -42,15 +42,15 @@
 
 #[test]
 fn processes_are_ready_in_time_while_discovery_is_silent() {
-    are_ready("s-silent", discovery(|_| std::thread::sleep(PATIENCE)));
+    assert_ready_in_time("s-silent", discovery(|_| std::thread::sleep(PATIENCE)));
 }
 
 #[test]
 fn processes_are_ready_in_time_while_discovery_is_slow() {
-    are_ready(
+    assert_ready_in_time(
         "s-slow",
         discovery(|stream| {
-            // A list that comes byte by byte for longer than any start may take.
+            // A list that arrives byte by byte for longer than any start may take.
             let _ = stream.write_all(WATCH.as_bytes());
             let text = list(2, true, &[]);
             for byte in text.bytes() {
@@ -64,7 +64,7 @@
 #[test]
 fn processes_are_ready_in_time_while_discovery_refuses() {
     let busy = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nRetry-After: 3600\r\n\r\n";
-    are_ready(
+    assert_ready_in_time(
         "s-busy",
         discovery(|stream| {
             let _ = Message::read(&mut std::io::BufReader::new(&*stream));
@@ -72,12 +72,12 @@
         }),
     );
     let nobody = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
-    are_ready("s-down", nobody.expect("an address"));
+    assert_ready_in_time("s-down", nobody.expect("an address"));
 }
 
-/// An address that is still held is waited for. Danger: a process that ends for it, which counts as a crash.
+/// A process that ended because its address is still in use would count as a crash, so it waits for the address.
 #[test]
-fn a_process_waits_for_its_addresses() {
+fn a_process_waits_for_addresses_in_use() {
     let servers = Servers::new();
     let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
     let discovery = Discovery::start(&hosts);
@@ -90,7 +90,7 @@
     };
     std::thread::scope(|scope| {
         let after = scope.spawn(|| Node::with("s-after", discovery.address, &hosts, taken));
-        // By now the new one has tried in vain, or will only find what the old one leaves.
+        // By now the new process has found the addresses in use, or it binds them only after the old one has ended.
         std::thread::sleep(Duration::from_millis(300));
         before.terminate();
         assert!(before.wait().success());
@@ -100,9 +100,9 @@
     });
 }
 
-/// One that is held for good is told of, in bounded time.
+/// An address that stays in use ends the process in bounded time, and the error names it.
 #[test]
-fn an_address_that_stays_taken_ends_the_process_with_its_reason() {
+fn an_address_that_stays_in_use_ends_the_process_with_an_error() {
     let holds = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = holds.local_addr().expect("an address");
     let servers = Servers::new();
