--- /dev/null
+++ b/src/bin/edge-node/node/mod.rs
@@ -0,0 +1,119 @@
+//! The node: owner of the decision module, its clock, and the tables of open requests and attempts in flight.
+//!
+//! Only [`Node::dispatch`] calls the decision module, and what the module asks for is done in the order in which it
+//! asks. All tasks run on one thread and share the node as an `Rc`; no cell is borrowed across an `await`.
+
+mod attempts;
+mod clock;
+mod endpoints;
+mod peer_messages;
+mod pending_requests;
+mod status;
+
+pub(crate) use peer_messages::receive_peer_messages;
+pub(crate) use pending_requests::Answer;
+
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::upstream::Upstream;
+use attempts::InFlightAttempts;
+use clock::Clock;
+use edge_node::settings::{ResolvedSettings, SettingsError};
+use edge_node::{Action, Event, Gateway, Micros};
+use endpoints::WatchStatus;
+use pending_requests::PendingRequests;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::warn;
+
+/// What a node is built from.
+pub(crate) struct NodeParts {
+    /// Seed of the decision module's random numbers.
+    pub(crate) seed: u64,
+    /// The settings, with the names of classes, plans and zones.
+    pub(crate) settings: ResolvedSettings,
+    /// Connections to servers.
+    pub(crate) upstream: Upstream,
+    /// The socket to other edge nodes, where some are configured.
+    pub(crate) peers: Option<Peers>,
+    /// Figures for operators, where the admin listener is configured.
+    pub(crate) metrics: Option<Rc<Metrics>>,
+}
+
+/// The owner of the decision module and of all that the module's events and actions refer to.
+pub(crate) struct Node {
+    /// The settings, with the names of classes, plans and zones.
+    pub(crate) settings: ResolvedSettings,
+    /// Connections to servers.
+    pub(crate) upstream: Upstream,
+    peers: Option<Peers>,
+    metrics: Option<Rc<Metrics>>,
+    clock: Clock,
+    /// The decision module.
+    gateway: RefCell<Gateway>,
+    requests: PendingRequests,
+    attempts: InFlightAttempts,
+    watch: WatchStatus,
+    /// Connections of clients that are open.
+    client_connections: Rc<Cell<usize>>,
+}
+
+impl Node {
+    /// Makes a node and starts its clock.
+    ///
+    /// # Errors
+    /// The settings contradict each other.
+    pub(crate) fn new(parts: NodeParts) -> Result<Rc<Node>, SettingsError> {
+        let clock = Clock::start();
+        let gateway = Gateway::new(parts.seed, parts.settings.settings.clone(), clock.now())?;
+        Ok(Rc::new(Node {
+            settings: parts.settings,
+            upstream: parts.upstream,
+            peers: parts.peers,
+            metrics: parts.metrics,
+            clock,
+            gateway: RefCell::new(gateway),
+            requests: PendingRequests::default(),
+            attempts: InFlightAttempts::default(),
+            watch: WatchStatus::default(),
+            client_connections: Rc::default(),
+        }))
+    }
+
+    /// Hands an event to the decision module and executes the actions that it returns.
+    ///
+    /// No action waits, and none dispatches an event before it returns: the module is never entered twice.
+    pub(crate) fn dispatch(self: &Rc<Self>, event: Event) {
+        let mut actions = Vec::new();
+        self.gateway.borrow_mut().handle(self.clock.now(), event, &mut actions);
+        for action in actions {
+            self.execute(action);
+        }
+    }
+
+    fn execute(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::SendAttempt { id, server, timeout } => self.start_attempt(id, server, timeout),
+            Action::Reject { id, retry_after } => self.reject_request(&id, retry_after),
+            Action::Fail { id } => self.answer_request(&id, Answer::Failed),
+            Action::CancelAttempt { id, attempt } => self.cancel_attempt(&id, attempt),
+            Action::Broadcast { bytes } => self.broadcast(&bytes),
+            Action::SendToPeer { to, bytes } => self.send_to_peer(to, &bytes),
+            Action::SetTimer { after, token } => self.set_timer(after, token),
+            // The watch on discovery is open from the start on, so that there is nothing to do.
+            Action::WatchEndpoints => {}
+            Action::Warn(warning) => warn!(event = "policy_warning", "{warning}"),
+        }
+    }
+
+    /// Dispatches [`Event::TimerFired`] with this token after so many microseconds. A timer can't be stopped: its task
+    /// ends when it fires, or with the process.
+    fn set_timer(self: &Rc<Self>, after: Micros, token: u64) {
+        let node = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_micros(after)).await;
+            node.dispatch(Event::TimerFired { token });
+        });
+    }
+}
