Move the tests of the decision library under tests/policy, by concern

Seen: one file of 890 lines held the tests of every decision. Changed: moves alone, so that history follows: tests/policy.rs is a list of modules now, its tests stand in tests/policy/quota.rs for the moment, and tests/leases.rs is tests/policy/lease.rs. The target `leases` is gone with that; its four tests run in the target `policy`.

--- a/tests/leases.rs
+++ b/tests/policy/lease.rs
@@ -1,9 +1,7 @@
 //! Quotas and ceilings of a large fleet: what is let go on lease, ahead of the tries that use it.
 
-mod common;
-
-use common::fleet::Fleet;
-use common::*;
+use crate::common::fleet::Fleet;
+use crate::common::*;
 use edge_node::*;
 
 /// Mostly one gateway, as customers' tries come unevenly.
