Replay test: a simulation in short functions, with types in place of tuples

Seen: functions of up to 40 lines with several jobs, tuples for attempts, schedule keys and recorded digests, names such as Farm, Machine, Mood and Dark.

Changed: names and structure alone. Simulation, SimulatedServer, ServerHealth, Scheduled, AttemptKey, RecordedDigest; the fleets and seeds are named constants beside the recorded digests. The fourteen digests and the order of random draws are the same.

--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -9,15 +9,16 @@
 mod common;
 
 use common::*;
-use edge_node::Gateway;
 use edge_node::*;
 use fastrand::Rng;
+use fnv::FnvHasher;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::hash::Hasher;
 
 /// Writes one action of a gateway into a digest: its number by kind, then its values in a fixed order, each text and
 /// list of bytes behind its length.
-fn write_action(digest: &mut fnv::FnvHasher, gateway: usize, action: &Action) {
+fn write_action(digest: &mut FnvHasher, gateway: usize, action: &Action) {
     digest.write(&(gateway as u64).to_le_bytes());
     match action {
         Action::SendAttempt { id, server, timeout } => {
@@ -62,206 +63,320 @@
     }
 }
 
-fn write_bytes(digest: &mut fnv::FnvHasher, bytes: &[u8]) {
+fn write_bytes(digest: &mut FnvHasher, bytes: &[u8]) {
     digest.write(&(bytes.len() as u64).to_le_bytes());
     digest.write(bytes);
 }
 
-fn write_optional(digest: &mut fnv::FnvHasher, value: Option<u64>) {
+fn write_optional(digest: &mut FnvHasher, value: Option<u64>) {
     digest.write(&[u8::from(value.is_some())]);
     digest.write(&value.unwrap_or_default().to_le_bytes());
 }
 
 /// The numbers in a warning: its words are for people and may be reworded, what it measures may not change.
-fn write_numbers(digest: &mut fnv::FnvHasher, text: &str) {
+fn write_numbers(digest: &mut FnvHasher, text: &str) {
     let numbers = text.split(|letter: char| !letter.is_ascii_digit() && letter != '.');
     for number in numbers.filter(|number| number.contains(|letter: char| letter.is_ascii_digit())) {
         write_bytes(digest, number.trim_matches('.').as_bytes());
     }
 }
 
-/// Digests by gateways, servers and seed, of the values alone, recorded on e73c6e6: there the digests of the `Debug` text
-/// that stood here before still held.
-const RECORDED: &[(u32, u64, u64, u64)] = &[
-    (3, 14, 1, 0x9bf59f11578f08d0),
-    (3, 14, 2, 0x991729a2125d515a),
-    (3, 60, 1, 0x65c3b3e32ac738c0),
-    (3, 60, 2, 0x363e64363ee82d17),
-    (3, 200, 1, 0xce0f2a757d6f8a7b),
-    (3, 200, 2, 0x2b3c4e7eb2c54060),
-    (30, 200, 1, 0x964eb82532babbff),
-    (30, 200, 2, 0xa6b611fcdb891ef3),
-    (300, 14, 1, 0x9f57ad392c9f67ec),
-    (300, 14, 2, 0xecb5831cfa794157),
-    (300, 60, 1, 0x565633456e888c9f),
-    (300, 60, 2, 0xcae52c683d6fd9f1),
-    (300, 200, 1, 0xf51601c065ccf30b),
-    (300, 200, 2, 0x0ce8e5e2a6414f7a),
+struct FleetSize {
+    gateways: u32,
+    servers: u64,
+}
+
+/// The digest of one simulation.
+#[derive(Clone, Copy, PartialEq)]
+struct RecordedDigest {
+    gateways: u32,
+    servers: u64,
+    seed: u64,
+    digest: u64,
+}
+
+const fn digest(gateways: u32, servers: u64, seed: u64, digest: u64) -> RecordedDigest {
+    RecordedDigest { gateways, servers, seed, digest }
+}
+
+impl fmt::Display for RecordedDigest {
+    /// As its line in [`RECORDED`].
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let RecordedDigest { gateways, servers, seed, digest } = self;
+        write!(f, "    digest({gateways}, {servers}, {seed}, {digest:#018x}),")
+    }
+}
+
+/// Digests of the values alone, recorded on e73c6e6: there the digests of the `Debug` text that stood here before still
+/// held.
+const RECORDED: &[RecordedDigest] = &[
+    digest(3, 14, 1, 0x9bf59f11578f08d0),
+    digest(3, 14, 2, 0x991729a2125d515a),
+    digest(3, 60, 1, 0x65c3b3e32ac738c0),
+    digest(3, 60, 2, 0x363e64363ee82d17),
+    digest(3, 200, 1, 0xce0f2a757d6f8a7b),
+    digest(3, 200, 2, 0x2b3c4e7eb2c54060),
+    digest(30, 200, 1, 0x964eb82532babbff),
+    digest(30, 200, 2, 0xa6b611fcdb891ef3),
+    digest(300, 14, 1, 0x9f57ad392c9f67ec),
+    digest(300, 14, 2, 0xecb5831cfa794157),
+    digest(300, 60, 1, 0x565633456e888c9f),
+    digest(300, 60, 2, 0xcae52c683d6fd9f1),
+    digest(300, 200, 1, 0xf51601c065ccf30b),
+    digest(300, 200, 2, 0x0ce8e5e2a6414f7a),
+];
+
+/// Every fleet that is simulated, whatever was recorded, and with which seeds.
+const FLEETS: [FleetSize; 7] = [
+    FleetSize { gateways: 3, servers: 14 },
+    FleetSize { gateways: 3, servers: 60 },
+    FleetSize { gateways: 3, servers: 200 },
+    FleetSize { gateways: 30, servers: 200 },
+    FleetSize { gateways: 300, servers: 14 },
+    FleetSize { gateways: 300, servers: 60 },
+    FleetSize { gateways: 300, servers: 200 },
 ];
+const SEEDS: [u64; 2] = [1, 2];
 
+const STARTED_AT: Micros = S;
 const SPAN: Micros = 30 * S;
-/// Gateways of a fleet that take part; messages to the others are lost.
-const PLAYED: u32 = 3;
+/// Gateways of a fleet that are simulated; messages to the others are lost.
+const SIMULATED_GATEWAYS: u32 = 3;
+/// Fleets of more gateways than this share quotas by leases.
+const LARGE_FLEET: u32 = 20;
 
-/// How a server of the farm fares.
+/// How a server behaves.
 #[derive(Clone, Copy, PartialEq)]
-enum Mood {
-    Well,
+enum ServerHealth {
+    Healthy,
     Slow,
     Failing,
-    Dark,
+    Unreachable,
     Hung,
 }
 
-struct Machine {
-    entry: Endpoint,
-    mood: Mood,
-    open: u32,
+struct SimulatedServer {
+    endpoint: Endpoint,
+    health: ServerHealth,
+    in_flight: u32,
+}
+
+impl SimulatedServer {
+    fn healthy(endpoint: Endpoint) -> Self {
+        SimulatedServer { endpoint, health: ServerHealth::Healthy, in_flight: 0 }
+    }
+}
+
+/// Names an attempt in flight.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct AttemptKey {
+    gateway: usize,
+    request: RequestId,
+    attempt: AttemptNumber,
+}
+
+struct FinishedAttempt {
+    key: AttemptKey,
+    server: ServerId,
+    outcome: AttemptOutcome,
+}
+
+/// What is to happen.
+enum Scheduled {
+    GatewayEvent { gateway: usize, event: Event },
+    AttemptFinished(FinishedAttempt),
+}
+
+/// When it is to happen; of several at one time, the one that was scheduled first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ScheduleKey {
+    at: Micros,
+    sequence: u64,
 }
 
-/// What lies ahead, besides events for a gateway.
-enum Due {
-    Event(usize, Event),
-    Ended(usize, RequestId, AttemptNumber, ServerId, AttemptOutcome),
+/// How an attempt fares at a server.
+struct ServedAttempt {
+    latency: Micros,
+    outcome: AttemptOutcome,
 }
 
-struct Farm {
+/// When the simulation itself does something next.
+struct NextSteps {
+    request: Micros,
+    endpoint_change: Micros,
+    health_change: Micros,
+}
+
+struct Simulation {
     now: Micros,
     random: Rng,
     gateways: Vec<Gateway>,
-    wide: bool,
-    machines: BTreeMap<ServerId, Machine>,
-    due: BTreeMap<(Micros, u64), Due>,
-    serial: u64,
-    attempts: BTreeMap<(usize, RequestId), u32>,
-    out: BTreeMap<(usize, RequestId, AttemptNumber), (Micros, u64)>,
-    digest: fnv::FnvHasher,
-    /// Names of all that occurred.
-    met: BTreeSet<String>,
+    is_large_fleet: bool,
+    servers: BTreeMap<ServerId, SimulatedServer>,
+    schedule: BTreeMap<ScheduleKey, Scheduled>,
+    last_sequence: u64,
+    requests: u64,
+    /// Attempts sent for each request of a gateway.
+    attempts_sent: BTreeMap<(usize, RequestId), u32>,
+    in_flight: BTreeMap<AttemptKey, ScheduleKey>,
+    digest: FnvHasher,
+    /// Names of all events, actions and outcomes that occurred.
+    occurred: BTreeSet<String>,
+}
+
+fn simulated_gateway(number: u32, gateways: u32, seed: u64) -> Gateway {
+    let settings = SettingsBuilder::new(number, gateways)
+        .rate(SMALL_QUOTA, 20.0)
+        .burst(SMALL_QUOTA, 30.0)
+        .zone(ZoneId(number % 2), 0.02)
+        .build();
+    Gateway::new(seed + u64::from(number), settings, STARTED_AT).expect("sound settings")
 }
 
-impl Farm {
-    fn new(gateways: u32, servers: u64, seed: u64) -> Farm {
-        let gateway = |me: u32| {
-            let mut settings = settings(me, gateways);
-            settings.plans[0] = Plan { rate: 20.0, burst: 30.0, ..settings.plans[0].clone() };
-            settings.zone = ZoneId(me % 2);
-            settings.cross_zone_cost = 0.02;
-            Gateway::new(seed + u64::from(me), settings, S).expect("sound settings")
+impl Simulation {
+    fn new(gateways: u32, servers: u64, seed: u64) -> Simulation {
+        let simulated = 0..SIMULATED_GATEWAYS.min(gateways);
+        let server = |number| {
+            let weight = 1.0 + (number % 3) as f64;
+            let endpoint = Endpoint { weight, ..ready_endpoint(number * 7919 + seed) };
+            (endpoint.server, SimulatedServer::healthy(endpoint))
         };
-        let mut farm = Farm {
-            now: S,
+        let mut simulation = Simulation {
+            now: STARTED_AT,
             random: Rng::with_seed(seed),
-            gateways: (0..PLAYED.min(gateways)).map(gateway).collect(),
-            wide: gateways > 20,
-            machines: BTreeMap::new(),
-            due: BTreeMap::new(),
-            serial: 0,
-            attempts: BTreeMap::new(),
-            out: BTreeMap::new(),
-            digest: fnv::FnvHasher::default(),
-            met: BTreeSet::new(),
+            gateways: simulated.map(|number| simulated_gateway(number, gateways, seed)).collect(),
+            is_large_fleet: gateways > LARGE_FLEET,
+            servers: (0..servers).map(server).collect(),
+            schedule: BTreeMap::new(),
+            last_sequence: 0,
+            requests: 0,
+            attempts_sent: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
+            digest: FnvHasher::default(),
+            occurred: BTreeSet::new(),
         };
-        for number in 0..servers {
-            let size = 1.0 + (number % 3) as f64;
-            let entry = Endpoint { weight: size, ..ready_endpoint(number * 7919 + seed) };
-            farm.machines.insert(entry.server, Machine { entry, mood: Mood::Well, open: 0 });
-        }
-        farm.tell_list(EndpointUpdate::Snapshot, None);
-        farm
+        simulation.send_snapshot();
+        simulation
     }
 
-    fn plan(&mut self, after: Micros, due: Due) -> (Micros, u64) {
-        self.serial += 1;
-        let key = (self.now + after, self.serial);
-        self.due.insert(key, due);
+    fn schedule(&mut self, after: Micros, scheduled: Scheduled) -> ScheduleKey {
+        self.last_sequence += 1;
+        let key = ScheduleKey { at: self.now + after, sequence: self.last_sequence };
+        self.schedule.insert(key, scheduled);
         key
     }
 
-    fn tell_list(&mut self, kind: EndpointUpdate, entries: Option<Vec<Endpoint>>) {
-        let all = || self.machines.values().map(|machine| machine.entry).collect();
-        let entries: Vec<Endpoint> = entries.unwrap_or_else(all);
+    fn schedule_event(&mut self, after: Micros, gateway: usize, event: Event) {
+        self.schedule(after, Scheduled::GatewayEvent { gateway, event });
+    }
+
+    fn send_snapshot(&mut self) {
+        let endpoints = self.servers.values().map(|server| server.endpoint).collect();
+        self.send_endpoints(EndpointUpdate::Snapshot, endpoints);
+    }
+
+    fn send_endpoints(&mut self, kind: EndpointUpdate, endpoints: Vec<Endpoint>) {
         for gateway in 0..self.gateways.len() {
-            // In order: a change that comes after a later whole list would list more servers than there are.
+            // In order: a delta that comes after a later snapshot would list more servers than there are.
             let after = 15 * MS * gateway as u64;
-            self.plan(
-                after,
-                Due::Event(gateway, Event::EndpointsUpdated { kind, endpoints: entries.clone() }),
-            );
+            let event = Event::EndpointsUpdated { kind, endpoints: endpoints.clone() };
+            self.schedule_event(after, gateway, event);
         }
     }
 
     fn some_server(&mut self) -> Option<ServerId> {
-        let place = self.random.usize(0..self.machines.len().max(1));
-        self.machines.keys().nth(place).copied()
+        let index = self.random.usize(0..self.servers.len().max(1));
+        self.servers.keys().nth(index).copied()
     }
 
-    /// Servers drain, go, start anew, are replaced; or the whole list is told again, without one.
-    fn change_list(&mut self) {
-        let mut changes = Vec::new();
+    /// Servers drain, restart or are replaced; then comes a delta, a snapshot, or a snapshot that leaves one out.
+    fn change_endpoints(&mut self) {
+        let mut changed = Vec::new();
         for _ in 0..self.random.usize(1..5) {
             let Some(server) = self.some_server() else { continue };
-            let Some(machine) = self.machines.get_mut(&server) else { continue };
-            match self.random.u8(0..10) {
-                0..=1 => machine.entry.state = EndpointState::Draining,
-                2..=5 => {
-                    machine.entry.state = EndpointState::Ready;
-                    machine.entry.started_at = Some(self.now);
-                    machine.mood = Mood::Well;
-                }
-                6..=8 => {
-                    let (gone, fresh) = (machine.entry, ServerId(server.0 + 1_000_003));
-                    self.machines.remove(&server);
-                    changes.push(Endpoint { state: EndpointState::Gone, ..gone });
-                    let entry = Endpoint { server: fresh, started_at: Some(self.now), ..gone };
-                    let entry = Endpoint { state: EndpointState::Ready, ..entry };
-                    self.machines.insert(fresh, Machine { entry, mood: Mood::Well, open: 0 });
-                    changes.push(entry);
-                    continue;
-                }
-                _ => machine.entry.state = EndpointState::Ready,
-            }
-            changes.push(machine.entry);
+            changed.extend(self.change_server(server));
         }
         match self.random.u8(0..8) {
-            0 => self.tell_list(EndpointUpdate::Snapshot, None),
-            1 => {
-                let left_out = self.some_server();
-                let kept = self.machines.values().map(|machine| machine.entry);
-                let kept = kept.filter(|entry| Some(entry.server) != left_out).collect();
-                self.tell_list(EndpointUpdate::Snapshot, Some(kept));
+            0 => self.send_snapshot(),
+            1 => self.send_snapshot_without_one(),
+            _ => self.send_endpoints(EndpointUpdate::Delta, changed),
+        }
+    }
+
+    fn send_snapshot_without_one(&mut self) {
+        let left_out = self.some_server();
+        let endpoints = self.servers.values().map(|server| server.endpoint);
+        let kept = endpoints.filter(|endpoint| Some(endpoint.server) != left_out).collect();
+        self.send_endpoints(EndpointUpdate::Snapshot, kept);
+    }
+
+    /// Changes one server, and returns the endpoints that differ.
+    fn change_server(&mut self, id: ServerId) -> Vec<Endpoint> {
+        let Some(server) = self.servers.get_mut(&id) else { return Vec::new() };
+        match self.random.u8(0..10) {
+            0..=1 => server.endpoint.state = EndpointState::Draining,
+            2..=5 => {
+                server.endpoint.state = EndpointState::Ready;
+                server.endpoint.started_at = Some(self.now);
+                server.health = ServerHealth::Healthy;
             }
-            _ => self.tell_list(EndpointUpdate::Delta, Some(changes)),
+            6..=8 => return self.replace_server(id).into(),
+            _ => server.endpoint.state = EndpointState::Ready,
         }
+        vec![server.endpoint]
     }
 
-    fn change_mood(&mut self) {
-        let mood = match self.random.u8(0..8) {
-            0 => Mood::Slow,
-            1 => Mood::Failing,
-            2 => Mood::Dark,
-            3 => Mood::Hung,
-            _ => Mood::Well,
+    /// A server goes, and another one starts in its place.
+    fn replace_server(&mut self, id: ServerId) -> [Endpoint; 2] {
+        let before = self.servers.remove(&id).expect("a server that is there").endpoint;
+        let gone = Endpoint { state: EndpointState::Gone, ..before };
+        let fresh = Endpoint {
+            server: ServerId(id.0 + 1_000_003),
+            started_at: Some(self.now),
+            state: EndpointState::Ready,
+            ..before
         };
-        for _ in 0..1 + self.machines.len() / 14 {
-            let Some(server) = self.some_server() else { continue };
-            self.machines.get_mut(&server).into_iter().for_each(|machine| machine.mood = mood);
+        self.servers.insert(fresh.server, SimulatedServer::healthy(fresh));
+        [gone, fresh]
+    }
+
+    fn change_health(&mut self) {
+        let health = match self.random.u8(0..8) {
+            0 => ServerHealth::Slow,
+            1 => ServerHealth::Failing,
+            2 => ServerHealth::Unreachable,
+            3 => ServerHealth::Hung,
+            _ => ServerHealth::Healthy,
+        };
+        for _ in 0..1 + self.servers.len() / 14 {
+            let Some(id) = self.some_server() else { continue };
+            if let Some(server) = self.servers.get_mut(&id) {
+                server.health = health;
+            }
         }
     }
 
-    fn request(&mut self, number: u64) {
+    /// How many gateways a customer's requests come through.
+    fn gateways_of(&self, customer: u64) -> u32 {
+        match customer {
+            36.. if self.is_large_fleet => 300,
+            0..30 if self.is_large_fleet => SIMULATED_GATEWAYS,
+            _ => self.gateways.len() as u32,
+        }
+    }
+
+    fn receive_request(&mut self) {
+        self.requests += 1;
         let gateway = self.random.usize(0..self.gateways.len());
         let customer = self.random.u64(0..40);
-        let spread = if self.wide && customer < 30 { PLAYED } else { self.gateways.len() as u32 };
-        let spread = if self.wide && customer >= 36 { 300 } else { spread };
-        let id = RequestId(format!("r{number}").into());
+        let id = RequestId(format!("r{}", self.requests).into());
         let event = Event::RequestReceived {
             id: id.clone(),
-            class: ClassId(self.random.usize(0..4)),
-            plan: PlanId((customer % 4) as usize),
+            class: ClassId(self.random.usize(0..CLASS_COUNT)),
+            plan: PlanId(customer as usize % PLAN_COUNT),
             customer: CustomerId(customer),
             units: 0.25 + self.random.f64() / 2.0,
-            gateways: GatewaySet { first: GatewayId(0), count: spread },
+            gateways: GatewaySet { first: GatewayId(0), count: self.gateways_of(customer) },
             client_timeout: self.random.u64(200 * MS..3 * S),
         };
         self.handle(gateway, event);
@@ -275,156 +390,213 @@
     }
 
     fn handle(&mut self, gateway: usize, event: Event) {
-        let name = |text: String| text.split([' ', '(']).next().unwrap_or_default().to_owned();
-        self.met.insert(name(format!("{event:?}")));
+        self.occurred.insert(name_of(&event));
         let mut actions = Vec::new();
         self.gateways[gateway].handle(self.now, event, &mut actions);
         for action in actions {
             write_action(&mut self.digest, gateway, &action);
-            self.met.insert(name(format!("{action:?}")));
-            self.act(gateway, action);
+            self.occurred.insert(name_of(&action));
+            self.carry_out(gateway, action);
         }
     }
 
-    fn act(&mut self, gateway: usize, action: Action) {
+    fn carry_out(&mut self, gateway: usize, action: Action) {
         match action {
-            Action::SendAttempt { id, server, .. } => {
-                let count = self.attempts.entry((gateway, id.clone())).or_default();
-                let attempt = AttemptNumber(*count);
-                *count += 1;
-                let (took, outcome) = self.served(server);
-                let due = Due::Ended(gateway, id.clone(), attempt, server, outcome);
-                let key = self.plan(took, due);
-                self.out.insert((gateway, id, attempt), key);
-            }
+            Action::SendAttempt { id, server, .. } => self.send_attempt(gateway, id, server),
             Action::CancelAttempt { id, attempt } => {
-                let Some(key) = self.out.remove(&(gateway, id.clone(), attempt)) else { return };
-                let Some(Due::Ended(_, _, _, server, _)) = self.due.remove(&key) else { return };
-                let due = Due::Ended(gateway, id.clone(), attempt, server, AttemptOutcome::Cancelled);
-                let key = self.plan(MS, due);
-                self.out.insert((gateway, id, attempt), key);
+                self.cancel_attempt(AttemptKey { gateway, request: id, attempt });
             }
             Action::Broadcast { bytes } => {
                 for to in (0..self.gateways.len()).filter(|to| *to != gateway) {
-                    self.tell(gateway, to, bytes.clone());
+                    self.send_message(gateway, to, bytes.clone());
                 }
             }
-            Action::SendToPeer { to, bytes } => self.tell(gateway, to.0 as usize, bytes),
+            Action::SendToPeer { to, bytes } => self.send_message(gateway, to.0 as usize, bytes),
             Action::SetTimer { after, token } => {
-                let late = if self.random.u8(0..200) == 0 { 80 * MS } else { 0 };
-                self.plan(after + late, Due::Event(gateway, Event::TimerFired { token }));
+                let delay = if self.random.u8(0..200) == 0 { 80 * MS } else { 0 };
+                self.schedule_event(after + delay, gateway, Event::TimerFired { token });
             }
             Action::Reject { .. } | Action::Fail { .. } | Action::WatchEndpoints | Action::Warn(_) => {}
         }
     }
 
-    fn tell(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+    fn send_attempt(&mut self, gateway: usize, request: RequestId, server: ServerId) {
+        let sent = self.attempts_sent.entry((gateway, request.clone())).or_default();
+        let key = AttemptKey { gateway, request, attempt: AttemptNumber(*sent) };
+        *sent += 1;
+        let ServedAttempt { latency, outcome } = self.serve(server);
+        self.finish_after(latency, FinishedAttempt { key, server, outcome });
+    }
+
+    fn cancel_attempt(&mut self, key: AttemptKey) {
+        let Some(scheduled) = self.in_flight.remove(&key) else { return };
+        let Some(Scheduled::AttemptFinished(attempt)) = self.schedule.remove(&scheduled) else { return };
+        let cancelled = FinishedAttempt { outcome: AttemptOutcome::Cancelled, ..attempt };
+        self.finish_after(MS, cancelled);
+    }
+
+    fn finish_after(&mut self, after: Micros, attempt: FinishedAttempt) {
+        let key = attempt.key.clone();
+        let scheduled = self.schedule(after, Scheduled::AttemptFinished(attempt));
+        self.in_flight.insert(key, scheduled);
+    }
+
+    fn send_message(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
         let lost = self.random.u8(0..20) == 0 || to >= self.gateways.len();
         let after = self.random.u64(MS..25 * MS);
         if !lost {
             let event = Event::PeerMessage { from: GatewayId(from as u32), bytes };
-            self.plan(after, Due::Event(to, event));
+            self.schedule_event(after, to, event);
         }
     }
 
     /// How long an attempt takes at a server, and how it ends.
-    fn served(&mut self, server: ServerId) -> (Micros, AttemptOutcome) {
-        let Some(machine) = self.machines.get_mut(&server) else { return (MS, AttemptOutcome::Unreachable) };
-        machine.open += 1;
-        let queue = f64::from(machine.open) / machine.entry.weight;
-        let took = (20e3 * (0.5 + self.random.f64()) * queue.max(1.0)) as Micros;
+    fn serve(&mut self, server: ServerId) -> ServedAttempt {
+        use AttemptOutcome::{
+            ConnectionLost, NotSent, Overloaded, ServerError, Success, TimedOut, Unreachable,
+        };
+        let Some(server) = self.servers.get_mut(&server) else {
+            return ServedAttempt { latency: MS, outcome: Unreachable };
+        };
+        server.in_flight += 1;
+        let queue = f64::from(server.in_flight) / server.endpoint.weight;
+        let latency = (20e3 * (0.5 + self.random.f64()) * queue.max(1.0)) as Micros;
         let draw = self.random.u8(0..100);
-        match machine.mood {
-            _ if draw == 0 => (took, AttemptOutcome::ConnectionLost),
-            _ if draw == 1 => (MS, AttemptOutcome::NotSent),
-            Mood::Well if draw == 2 => (took, AttemptOutcome::ServerError),
-            Mood::Well => (took, AttemptOutcome::Success),
-            Mood::Slow => {
-                (8 * took, if draw < 30 { AttemptOutcome::TimedOut } else { AttemptOutcome::Success })
-            }
-            Mood::Failing if draw < 40 => (took, AttemptOutcome::ServerError),
-            Mood::Failing if draw < 60 => (MS, AttemptOutcome::Overloaded),
-            Mood::Failing if draw < 70 => (took, AttemptOutcome::ConnectionLost),
-            Mood::Failing => (took, AttemptOutcome::Success),
-            Mood::Dark => (MS, AttemptOutcome::Unreachable),
-            Mood::Hung => (4 * S, AttemptOutcome::TimedOut),
+        let (latency, outcome) = match server.health {
+            _ if draw == 0 => (latency, ConnectionLost),
+            _ if draw == 1 => (MS, NotSent),
+            ServerHealth::Healthy if draw == 2 => (latency, ServerError),
+            ServerHealth::Healthy => (latency, Success),
+            ServerHealth::Slow if draw < 30 => (8 * latency, TimedOut),
+            ServerHealth::Slow => (8 * latency, Success),
+            ServerHealth::Failing if draw < 40 => (latency, ServerError),
+            ServerHealth::Failing if draw < 60 => (MS, Overloaded),
+            ServerHealth::Failing if draw < 70 => (latency, ConnectionLost),
+            ServerHealth::Failing => (latency, Success),
+            ServerHealth::Unreachable => (MS, Unreachable),
+            ServerHealth::Hung => (4 * S, TimedOut),
+        };
+        ServedAttempt { latency, outcome }
+    }
+
+    fn carry_out_scheduled(&mut self, scheduled: Scheduled) {
+        match scheduled {
+            Scheduled::GatewayEvent { gateway, event } => self.handle(gateway, event),
+            Scheduled::AttemptFinished(attempt) => self.finish_attempt(attempt),
         }
     }
 
-    fn due(&mut self, due: Due) {
-        match due {
-            Due::Event(gateway, event) => self.handle(gateway, event),
-            Due::Ended(gateway, id, attempt, server, outcome) => {
-                self.met.insert(format!("{outcome:?}"));
-                self.out.remove(&(gateway, id.clone(), attempt));
-                let machine = self.machines.get_mut(&server);
-                let held = machine.map_or(0, |machine| {
-                    machine.open = machine.open.saturating_sub(1);
-                    machine.open
-                });
-                let answered = matches!(
-                    outcome,
-                    AttemptOutcome::Success | AttemptOutcome::ServerError | AttemptOutcome::Overloaded
-                );
-                let load = (answered && self.random.bool()).then_some(f64::from(held));
-                let closed = outcome == AttemptOutcome::Success || self.random.u8(0..10) == 0;
-                self.handle(
-                    gateway,
-                    Event::AttemptFinished { id, attempt, outcome, closed, reported_load: load },
-                );
-            }
+    fn finish_attempt(&mut self, FinishedAttempt { key, server, outcome }: FinishedAttempt) {
+        self.occurred.insert(name_of(&outcome));
+        self.in_flight.remove(&key);
+        let in_flight = self.servers.get_mut(&server).map_or(0, |server| {
+            server.in_flight = server.in_flight.saturating_sub(1);
+            server.in_flight
+        });
+        let answered = matches!(
+            outcome,
+            AttemptOutcome::Success | AttemptOutcome::ServerError | AttemptOutcome::Overloaded
+        );
+        let reported_load = (answered && self.random.bool()).then_some(f64::from(in_flight));
+        let closed = outcome == AttemptOutcome::Success || self.random.u8(0..10) == 0;
+        let AttemptKey { gateway, request: id, attempt } = key;
+        self.handle(gateway, Event::AttemptFinished { id, attempt, outcome, closed, reported_load });
+    }
+
+    /// Runs for the whole span, with few requests and many by turns.
+    fn run(mut self) -> SimulationResult {
+        let mut next = NextSteps {
+            request: STARTED_AT,
+            endpoint_change: STARTED_AT + S,
+            health_change: STARTED_AT + 2 * S,
+        };
+        while self.now < STARTED_AT + SPAN {
+            self.step(&mut next);
         }
+        SimulationResult { digest: self.digest.finish(), occurred: self.occurred }
     }
 
-    /// Plays the whole span; calm and crowded by turns.
-    fn play(mut self) -> (u64, BTreeSet<String>) {
-        let (mut next_request, mut next_change, mut next_mood) = (S, 2 * S, 3 * S);
-        let mut number = 0;
-        while self.now < S + SPAN {
-            let first = self.due.keys().next().map_or(Micros::MAX, |key| key.0);
-            let next = first.min(next_request).min(next_change).min(next_mood);
-            self.now = self.now.max(next);
-            if next == first {
-                let taken = self.due.pop_first();
-                taken.into_iter().for_each(|(_, due)| self.due(due));
-            } else if next == next_request {
-                number += 1;
-                self.request(number);
-                let mean = if (self.now / (5 * S)).is_multiple_of(2) { 12 * MS } else { 3 * MS };
-                next_request = self.now + self.random.u64(0..2 * mean);
-            } else if next == next_change {
-                self.change_list();
-                next_change = self.now + self.random.u64(0..800 * MS);
-            } else {
-                self.change_mood();
-                next_mood = self.now + self.random.u64(0..3 * S);
+    /// What comes first: something scheduled, a request, or a change of endpoints or of health.
+    fn step(&mut self, next: &mut NextSteps) {
+        let scheduled = self.schedule.keys().next().map_or(Micros::MAX, |key| key.at);
+        let first = scheduled.min(next.request).min(next.endpoint_change).min(next.health_change);
+        self.now = self.now.max(first);
+        if first == scheduled {
+            if let Some((_, scheduled)) = self.schedule.pop_first() {
+                self.carry_out_scheduled(scheduled);
             }
+        } else if first == next.request {
+            self.receive_request();
+            let is_calm = (self.now / (5 * S)).is_multiple_of(2);
+            let mean_interval = if is_calm { 12 * MS } else { 3 * MS };
+            next.request = self.now + self.random.u64(0..2 * mean_interval);
+        } else if first == next.endpoint_change {
+            self.change_endpoints();
+            next.endpoint_change = self.now + self.random.u64(0..800 * MS);
+        } else {
+            self.change_health();
+            next.health_change = self.now + self.random.u64(0..3 * S);
         }
-        (self.digest.finish(), self.met)
     }
 }
 
+struct SimulationResult {
+    digest: u64,
+    occurred: BTreeSet<String>,
+}
+
+/// The name of a variant, without its fields.
+fn name_of(value: &impl fmt::Debug) -> String {
+    let text = format!("{value:?}");
+    text.split([' ', '(']).next().unwrap_or_default().to_owned()
+}
+
+/// Every event, action and outcome, but `WatchEndpoints`: these endpoints are pushed.
+const EXPECTED_TO_OCCUR: [&str; 24] = [
+    "EndpointsUpdated",
+    "WatchFailed",
+    "RequestReceived",
+    "StreamStarted",
+    "AttemptFinished",
+    "ClientDisconnected",
+    "TimerFired",
+    "PeerMessage",
+    "SendAttempt",
+    "Reject",
+    "Fail",
+    "CancelAttempt",
+    "Broadcast",
+    "SendToPeer",
+    "SetTimer",
+    "Warn",
+    "Success",
+    "ServerError",
+    "Overloaded",
+    "TimedOut",
+    "Unreachable",
+    "ConnectionLost",
+    "Cancelled",
+    "NotSent",
+];
+
 #[test]
 fn the_same_events_give_the_same_actions_as_the_version_that_was_recorded() {
-    let fleets = [(3, 14), (3, 60), (3, 200), (30, 200), (300, 14), (300, 60), (300, 200)];
-    let (mut played, mut met) = (Vec::new(), BTreeSet::new());
-    for (gateways, servers) in fleets {
-        for seed in [1, 2] {
-            let (digest, names) = Farm::new(gateways, servers, seed).play();
-            played.push((gateways, servers, seed, digest));
-            met.extend(names);
+    let mut digests = Vec::new();
+    let mut occurred = BTreeSet::new();
+    for FleetSize { gateways, servers } in FLEETS {
+        for seed in SEEDS {
+            let result = Simulation::new(gateways, servers, seed).run();
+            digests.push(digest(gateways, servers, seed, result.digest));
+            occurred.extend(result.occurred);
         }
     }
-    let all = "EndpointsUpdated WatchFailed RequestReceived StreamStarted AttemptFinished ClientDisconnected TimerFired \
-               PeerMessage SendAttempt Reject Fail CancelAttempt Broadcast SendToPeer SetTimer Warn \
-               Success ServerError Overloaded TimedOut Unreachable ConnectionLost Cancelled NotSent";
-    let missing: Vec<_> = all.split_whitespace().filter(|name| !met.contains(*name)).collect();
+    let missing: Vec<_> = EXPECTED_TO_OCCUR.iter().filter(|name| !occurred.contains(**name)).collect();
     assert!(missing.is_empty(), "the log holds none of {missing:?}");
-    let lines = |digests: &[(u32, u64, u64, u64)]| {
-        let line = |digest: &(u32, u64, u64, u64)| {
-            format!("    ({}, {}, {}, {:#018x}),", digest.0, digest.1, digest.2, digest.3)
-        };
-        digests.iter().map(line).collect::<Vec<_>>().join("\n")
-    };
-    assert!(played == RECORDED, "the actions differ; now they are\n{}", lines(&played));
+    let lines: Vec<_> = digests.iter().map(RecordedDigest::to_string).collect();
+    assert!(
+        digests == RECORDED,
+        "the actions differ; now they are
+{}",
+        lines.join("\n")
+    );
 }
