--- a/src/state/fleet_estimates.rs
+++ b/src/state/fleet_estimates.rs
@@ -68,3 +68,7 @@
         self.unreachable_by_zone.get(&zone).copied().unwrap_or(0.0)
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/fleet_estimates.rs"]
+mod tests;
--- a/src/state/latency_samples.rs
+++ b/src/state/latency_samples.rs
@@ -46,3 +46,7 @@
         self.0.iter()
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/latency_samples.rs"]
+mod tests;
--- a/src/state/lease.rs
+++ b/src/state/lease.rs
@@ -72,3 +72,7 @@
         Some(returned.units.min(granted))
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/lease.rs"]
+mod tests;
--- a/src/state/peer_usage.rs
+++ b/src/state/peer_usage.rs
@@ -57,3 +57,7 @@
         self.recent.iter().map(|usage| usage.units).sum()
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/peer_usage.rs"]
+mod tests;
--- a/src/state/permits.rs
+++ b/src/state/permits.rs
@@ -42,3 +42,7 @@
     let index = index.min(owners - 1);
     ((limit + owners - 1 - index) / owners) as usize
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/permits.rs"]
+mod tests;
--- a/src/state/quota_owners.rs
+++ b/src/state/quota_owners.rs
@@ -28,3 +28,7 @@
         GatewayId((self.gateways.first.0 % self.gateway_count + step) % self.gateway_count)
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/quota_owners.rs"]
+mod tests;
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -197,3 +197,7 @@
         self.queue.iter().filter_map(|id| Some((id, self.open.get(id)?)))
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/request.rs"]
+mod tests;
--- a/src/state/server.rs
+++ b/src/state/server.rs
@@ -196,3 +196,7 @@
 fn half_life_decay(elapsed: Micros, half_life: f64) -> f64 {
     0.5f64.powf(elapsed as f64 / half_life)
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/server.rs"]
+mod tests;
--- a/src/state/token_bucket.rs
+++ b/src/state/token_bucket.rs
@@ -239,3 +239,7 @@
         0.0
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/token_bucket.rs"]
+mod tests;
--- /dev/null
+++ b/tests/unit/lease.rs
@@ -0,0 +1,38 @@
+//! A lease at the gateway that holds it, and in its owner's ledger.
+
+use super::*;
+
+fn lease() -> Lease {
+    Lease { units: 3.0, expires_at: 100, owner_index: 1, sequence: 7, ..Lease::default() }
+}
+
+#[test]
+fn it_covers_what_is_left_until_it_expires() {
+    let mut lease = lease();
+    assert_eq!(lease.consume(100, 2.0), Some(100));
+    assert_eq!(lease.consume(100, 2.0), None, "one unit is left");
+    assert_eq!(lease.consume(101, 1.0), None, "expired");
+    assert_eq!(lease.consume(100, 1.0), Some(100));
+}
+
+#[test]
+fn it_is_given_back_to_its_own_owner_alone() {
+    assert_eq!(lease().give_back(1), ReturnedLease { sequence: 7, units: 3.0 });
+    let mut lease = lease();
+    assert_eq!(lease.give_back(0), ReturnedLease { sequence: 7, units: 0.0 });
+    assert_eq!(lease.consume(0, 1.0), None, "what is given back cannot be used");
+}
+
+#[test]
+fn the_ledger_reclaims_the_latest_lease_of_a_gateway_once_and_no_more_than_was_granted() {
+    let (gateway, other) = (GatewayId(1), GatewayId(2));
+    let mut ledger = LeaseLedger::default();
+    ledger.grant(gateway, 7, 3.0);
+    ledger.grant(gateway, 8, 4.0);
+    ledger.grant(gateway, 9, 0.0); // no lease, so the one before stays
+    let returned = |sequence| ReturnedLease { sequence, units: 9.0 };
+    assert_eq!(ledger.reclaim(gateway, returned(7)), None, "replaced");
+    assert_eq!(ledger.reclaim(other, returned(8)), None, "another gateway's");
+    assert_eq!(ledger.reclaim(gateway, returned(8)), Some(4.0));
+    assert_eq!(ledger.reclaim(gateway, returned(8)), None, "again");
+}
--- /dev/null
+++ b/tests/unit/peer_usage.rs
@@ -0,0 +1,41 @@
+//! Running counts of a peer, and how they age out.
+
+use super::*;
+
+/// A peer of incarnation 5 that has been heard at time 0 with a count of 10.
+fn heard() -> PeerUsage {
+    let mut peer = PeerUsage::default();
+    assert_eq!(peer.delta(0, 5, 10), 0, "what it forwarded before is over");
+    peer
+}
+
+/// The increases that counts of incarnation 5 give, one ms after the other.
+fn deltas(counts: &[u16]) -> Vec<u16> {
+    let mut peer = heard();
+    (1..).zip(counts).map(|(ms, count)| peer.delta(ms * 1000, 5, *count)).collect()
+}
+
+#[test]
+fn lost_repeated_and_reordered_counts_are_taken_in_once() {
+    assert_eq!(deltas(&[11, 14]), [1, 3]);
+    assert_eq!(deltas(&[14]), [4], "lost");
+    assert_eq!(deltas(&[14, 14]), [4, 0], "repeated");
+    assert_eq!(deltas(&[14, 11, 10, 15]), [4, 0, 0, 1], "late");
+}
+
+#[test]
+fn a_peer_that_restarted_or_evicted_the_customer_counts_from_zero() {
+    assert_eq!(heard().delta(1, 6, 3), 3, "restarted");
+    assert_eq!(heard().delta(USAGE_WINDOW, 5, 3), 0, "late");
+    assert_eq!(heard().delta(USAGE_WINDOW + 1, 5, 3), 3, "evicted: it was silent for a window");
+}
+
+#[test]
+fn usage_ages_out_after_a_window() {
+    let mut peer = PeerUsage::default();
+    peer.add(0, 2.0);
+    peer.add(1000, 3.0);
+    assert_eq!(peer.recent_units(USAGE_WINDOW), 5.0);
+    assert_eq!(peer.recent_units(USAGE_WINDOW + 1), 3.0);
+    assert_eq!(peer.recent_units(USAGE_WINDOW + 1001), 0.0);
+}
--- /dev/null
+++ b/tests/unit/request.rs
@@ -0,0 +1,34 @@
+//! What is known of an open request, and the queue.
+
+use super::*;
+
+#[test]
+fn half_time_lies_between_arrival_and_deadline() {
+    assert_eq!(Request::arriving(100, 50).half_time(), 125);
+    assert_eq!(Request::arriving(100, Micros::MAX).deadline, Micros::MAX, "no overflow");
+}
+
+#[test]
+fn attempts_are_numbered_from_zero_and_may_be_cancelled_anew() {
+    let mut request = Request { cancelled: true, ..Request::default() };
+    assert_eq!(request.attempt_sent(ServerId(1)), AttemptNumber(0));
+    assert_eq!(request.attempt_sent(ServerId(2)), AttemptNumber(1));
+    assert_eq!((request.in_flight, request.last_server), (Some(AttemptNumber(1)), Some(ServerId(2))));
+    assert!(!request.cancelled);
+}
+
+#[test]
+fn the_queue_keeps_its_order_and_loses_what_is_removed() {
+    let id = |name: &str| RequestId(name.into());
+    let mut table = RequestTable::default();
+    for name in ["b", "a", "c"] {
+        table.insert(id(name), Request::default());
+        table.enqueue(id(name));
+    }
+    assert!(table.remove(&id("a")).is_some());
+    assert!(table.remove(&id("a")).is_none());
+    assert!(table.queued().map(|(id, _)| id).eq([&id("b"), &id("c")]));
+    table.remove(&id("b"));
+    table.remove(&id("c"));
+    assert!(table.is_queue_empty());
+}
--- /dev/null
+++ b/tests/unit/token_bucket.rs
@@ -0,0 +1,85 @@
+//! Refill, hard limit, reconfiguration and leases of a token bucket.
+
+use super::*;
+
+const SECOND: Micros = 1_000_000;
+
+/// 10 units a second with a burst of 20, under a hard limit of 4 a second and a capacity of 8.
+fn plan() -> Plan {
+    Plan {
+        rate: 10.0,
+        burst: 20.0,
+        max_concurrent: None,
+        weight: 1.0,
+        over_quota_weight: 0.0,
+        over_quota_cost: 0.0,
+        hard_limit: Some(HardLimit { rate: 4.0, capacity: 8.0 }),
+    }
+}
+
+fn config(plan: &Plan, gateways: u32) -> BucketConfig<'_> {
+    let gateways = GatewaySet { first: GatewayId(0), count: gateways };
+    BucketConfig { plan_id: PlanId(0), plan, gateways, max_request_units: 1.0 }
+}
+
+/// A new bucket of a customer with so many gateways, at time 0.
+fn bucket(gateways: u32) -> TokenBucket {
+    TokenBucket::new(0, 0, config(&plan(), gateways))
+}
+
+#[test]
+fn it_refills_at_the_rate_up_to_the_burst() {
+    let mut bucket = bucket(1);
+    bucket.consume(15.0);
+    bucket.refill(SECOND / 2, &plan(), 0.0);
+    assert_eq!(bucket.tokens, 10.0);
+    bucket.refill(60 * SECOND, &plan(), 0.0);
+    assert_eq!(bucket.tokens, 20.0);
+}
+
+#[test]
+fn its_share_of_the_hard_limit_starts_empty_and_refills_to_its_share_of_the_capacity() {
+    let mut bucket = bucket(2);
+    assert_eq!(bucket.hard_limit_tokens, 0.0);
+    bucket.refill(SECOND, &plan(), 0.0);
+    assert_eq!(bucket.hard_limit_tokens, 2.0);
+    bucket.refill(60 * SECOND, &plan(), 0.0);
+    assert_eq!(bucket.hard_limit_tokens, 4.0);
+}
+
+#[test]
+fn a_reconfiguration_gains_nothing() {
+    let mut bucket = bucket(1);
+    bucket.consume(18.0);
+    bucket.attempt_sent(0, 1.0, true);
+    bucket.peer_usage(GatewayId(1)).add(0, 6.0);
+    bucket.reconfigure(TokenBucket::new(0, 0, config(&plan(), 2)), -3.0);
+    assert_eq!((bucket.tokens, bucket.hard_limit_tokens), (2.0, -3.0));
+    assert_eq!((bucket.in_flight, bucket.forwarded_units), (1, 1.0));
+    assert_eq!(bucket.peer_rate(0), 3.0);
+    assert_eq!(bucket.gateway_count, 2.0);
+}
+
+#[test]
+fn a_lease_is_reclaimed_once() {
+    let mut bucket = bucket(1);
+    bucket.grant_lease(GatewayId(1), 5, 6.0);
+    assert_eq!((bucket.tokens, bucket.hard_limit_tokens), (14.0, -6.0));
+    for _ in 0..2 {
+        bucket.reclaim(GatewayId(1), ReturnedLease { sequence: 5, units: 2.0 });
+        assert_eq!((bucket.tokens, bucket.hard_limit_tokens), (16.0, -4.0));
+    }
+}
+
+#[test]
+fn it_is_idle_once_it_is_full_and_has_long_been_unused() {
+    let is_idle = |bucket: &mut TokenBucket, now| bucket.is_idle(now, &plan(), |_| 0.0);
+    let mut bucket = bucket(1);
+    assert!(!is_idle(&mut bucket, MIN_IDLE - 1), "too soon");
+    assert!(is_idle(&mut bucket, MIN_IDLE));
+    bucket.attempt_sent(MIN_IDLE, 1.0, true);
+    assert!(!is_idle(&mut bucket, 2 * MIN_IDLE), "an attempt in flight");
+    bucket.attempt_finished();
+    bucket.consume(1000.0);
+    assert!(!is_idle(&mut bucket, 2 * MIN_IDLE), "not full");
+}
