Unit tests of tables, rings and messages under the terms of the field

Seen: the reference model of the server table had tuples for health, functions with several jobs and names such as Naive, out and bare; tests of messages had Ask, Done and Short for their bytes.

Changed: ReferenceTable, ReferenceHealth and a Comparison that applies one step and checks one aspect at a time. It now compares after every step, also after those that the table ignores, which were passed over before.

--- a/tests/unit/load_report.rs
+++ b/tests/unit/load_report.rs
@@ -3,12 +3,12 @@
 use super::*;
 
 #[test]
-fn a_load_report_that_cannot_be_read_tells_nothing() {
+fn a_malformed_load_report_is_ignored() {
     assert_eq!(parse_in_flight("concurrent=7.5,depth=2,load_share=0.61", '='), Some(7.5));
     assert_eq!(parse_in_flight("depth:2, concurrent : 0", ':'), Some(0.0));
-    for bad in
+    for malformed in
         ["", "concurrent", "concurrent=", "concurrent=-1", "concurrent=NaN", "concurrent=1e99", "depth=3"]
     {
-        assert_eq!(parse_in_flight(bad, '='), None, "{bad:?}");
+        assert_eq!(parse_in_flight(malformed, '='), None, "{malformed:?}");
     }
 }
--- a/tests/unit/message.rs
+++ b/tests/unit/message.rs
@@ -20,7 +20,7 @@
 }
 
 #[test]
-fn a_report_on_a_class_that_cannot_be_named_is_no_report_on_another() {
+fn a_report_on_a_class_beyond_the_field_is_left_out() {
     let reports = [1, MAX_CLASSES, MAX_CLASSES + 1].map(report).into();
     let digest = GossipDigest { reports, ..GossipDigest::default() };
     let bytes = encode(&Message::LeaseAnswer(granted(7, 1.0, 0.0), digest));
@@ -31,7 +31,7 @@
     assert_eq!(classes, [1]);
 }
 
-/// The bytes that a text of hexadecimal digits stands for; blanks part the fields.
+/// The bytes that a text of hexadecimal digits stands for; blanks separate the fields.
 fn bytes_of(hex: &str) -> Vec<u8> {
     let digits: String = hex.split_whitespace().collect();
     assert!(digits.len().is_multiple_of(2), "whole bytes");
@@ -40,20 +40,20 @@
 }
 
 /// Version, kind, incarnation; then customer and units of each.
-const COUNTS: &str = "04 00 0df0adde 0504030201 e803 ffffffffff ffff 0000000000 0000";
+const USAGE_COUNTS: &str = "04 00 0df0adde 0504030201 e803 ffffffffff ffff 0000000000 0000";
 /// Version, kind, sequence, customer, plan, owner, first gateway, gateway count, units, requested units, the returned
 /// lease's sequence and its units; then the gossip digest: throughput, latencies, health reports.
-const ASK: &str = "04 01 3412 0504030201 01 02 0301 2c01 2800 4406 3012 0800 \
+const LEASE_REQUEST: &str = "04 01 3412 0504030201 01 02 0301 2c01 2800 4406 3012 0800 \
     38 03 08 ff 14 efbe 5f 0a 07 0a 0100 e0 00 ff 00";
 /// Version, kind, sequence, decision, probability, units of the lease, the gossip digest.
-const GRANTED: &str = "04 02 3412 00 ff 4401 38 03 08 ff 14 efbe 5f 0a 07 0a 0100 e0 00 ff 00";
-const SHORT: &str = "04 02 ffff 01 33 0000 00 00";
+const LEASE_GRANT: &str = "04 02 3412 00 ff 4401 38 03 08 ff 14 efbe 5f 0a 07 0a 0100 e0 00 ff 00";
+const LEASE_REFUSAL: &str = "04 02 ffff 01 33 0000 00 00";
 /// Version, kind, sequence, customer.
-const DONE: &str = "04 03 3412 0504030201";
+const PERMIT_RELEASE: &str = "04 03 3412 0504030201";
 
 /// Lengths of the head of a lease request and of a grant, up to and with the latencies.
-const ASK_HEAD: usize = 28;
-const GRANTED_HEAD: usize = 13;
+const LEASE_REQUEST_HEAD: usize = 28;
+const LEASE_GRANT_HEAD: usize = 13;
 
 fn counts() -> Vec<UsageCount> {
     let counts = [(0x01_0203_0405, 1000), (0xff_ffff_ffff, u16::MAX), (0, 0)];
@@ -91,7 +91,7 @@
     }
 }
 
-/// Takes each field by name, so that a new one can't be forgotten here.
+/// Destructures, so that a new field can't be forgotten here.
 fn assert_same_digest(decoded: &GossipDigest, expected: &GossipDigest) {
     let GossipDigest { throughput, latency_ratios, reports } = decoded;
     assert_eq!((*throughput, latency_ratios), (expected.throughput, &expected.latency_ratios));
@@ -122,7 +122,7 @@
 
 #[test]
 fn usage_counts_have_fixed_bytes() {
-    let bytes = bytes_of(COUNTS);
+    let bytes = bytes_of(USAGE_COUNTS);
     let usage = UsageCounts { incarnation: 0xdead_f00d, counts: counts() };
     assert_eq!(encode(&Message::UsageCounts(usage)), bytes);
     let Some(Message::UsageCounts(decoded)) = decode(&bytes) else { panic!("usage counts") };
@@ -131,7 +131,7 @@
 
 #[test]
 fn a_lease_request_has_fixed_bytes() {
-    let bytes = bytes_of(ASK);
+    let bytes = bytes_of(LEASE_REQUEST);
     assert_eq!(encode(&Message::LeaseRequest(lease_request(), digest())), bytes);
     let Some(Message::LeaseRequest(request, decoded)) = decode(&bytes) else { panic!("a lease request") };
     assert_same_request(&request, &lease_request());
@@ -140,7 +140,7 @@
 
 #[test]
 fn a_lease_grant_has_fixed_bytes() {
-    let bytes = bytes_of(GRANTED);
+    let bytes = bytes_of(LEASE_GRANT);
     let answer = granted(0x1234, 1.0, 20.25);
     assert_eq!(encode(&Message::LeaseAnswer(answer, digest())), bytes);
     let Some(Message::LeaseAnswer(decoded, decoded_digest)) = decode(&bytes) else { panic!("a grant") };
@@ -150,7 +150,7 @@
 
 #[test]
 fn a_refusal_of_a_lease_has_fixed_bytes() {
-    let bytes = bytes_of(SHORT);
+    let bytes = bytes_of(LEASE_REFUSAL);
     let decision = LeaseDecision::QuotaExceeded;
     let grant = LeaseGrant { decision, request_probability: 0.2, leased_units: 0.0 };
     let answer = LeaseAnswer { sequence: u16::MAX, grant };
@@ -162,14 +162,14 @@
 
 #[test]
 fn a_permit_release_has_fixed_bytes() {
-    let bytes = bytes_of(DONE);
+    let bytes = bytes_of(PERMIT_RELEASE);
     let release = PermitRelease { sequence: 0x1234, customer: CustomerId(0x01_0203_0405) };
     assert_eq!(encode(&Message::PermitRelease(release)), bytes);
     let Some(Message::PermitRelease(decoded)) = decode(&bytes) else { panic!("a permit release") };
     assert_eq!(decoded, release);
 }
 
-/// What has no place in its field is brought to the nearest value that has; classes past the eighth are left out.
+/// What does not fit its field is clamped to the nearest value that does; classes past the eighth are left out.
 #[test]
 fn values_out_of_range_have_fixed_bytes() {
     let extreme = |class: usize, failure_rate: f64| HealthReport {
@@ -202,15 +202,15 @@
     assert_same_digest(&decoded_digest, &expected);
 }
 
-/// Health reports name servers by these numbers; every gateway has to draw the same ones.
+/// Health reports name servers by these ids; every gateway has to derive the same ones.
 #[test]
-fn short_names_of_servers_are_fixed() {
-    let names = [0, 1, 2, 3, u64::MAX].map(|server| short_id(ServerId(server)).0);
-    assert_eq!(names, [0, 0x9e37, 0x3c6e, 0xdaa6, 0x61c8]);
+fn short_ids_of_servers_are_fixed() {
+    let ids = [0, 1, 2, 3, u64::MAX].map(|server| short_id(ServerId(server)).0);
+    assert_eq!(ids, [0, 0x9e37, 0x3c6e, 0xdaa6, 0x61c8]);
 }
 
 #[test]
-fn a_message_holds_no_more_than_a_datagram_has_room_for() {
+fn a_message_is_no_longer_than_a_datagram_holds() {
     let usage_count = UsageCount { customer: CustomerId(1), count: 1 };
     let usage = UsageCounts { incarnation: 0, counts: vec![usage_count; MAX_USAGE_COUNTS + 1] };
     assert_eq!((MAX_USAGE_COUNTS, encode(&Message::UsageCounts(usage)).len()), (35, 251));
@@ -232,8 +232,8 @@
 }
 
 #[test]
-fn bytes_that_are_no_message_are_refused() {
-    for hex in [COUNTS, ASK, GRANTED, SHORT, DONE] {
+fn malformed_bytes_are_refused() {
+    for hex in [USAGE_COUNTS, LEASE_REQUEST, LEASE_GRANT, LEASE_REFUSAL, PERMIT_RELEASE] {
         let message = bytes_of(hex);
         assert!(decode(&message).is_some(), "{hex}");
         for version in (0..=u8::MAX).filter(|version| *version != 4) {
@@ -242,16 +242,16 @@
         }
         for noise in 1..HEALTH_REPORT_BYTES {
             let longer = [message.as_slice(), &vec![0xa5; noise]].concat();
-            assert!(decode(&longer).is_none(), "{noise} bytes behind: {hex}");
+            assert!(decode(&longer).is_none(), "{noise} bytes appended: {hex}");
         }
         let too_long = [message.as_slice(), &vec![0; MAX_MESSAGE_BYTES]].concat();
         assert!(decode(&too_long).is_none(), "too long: {hex}");
     }
-    assert_eq!(lengths_that_decode(&bytes_of(COUNTS)), [6, 13, 20]);
-    assert_eq!(lengths_that_decode(&bytes_of(ASK)), [ASK_HEAD, ASK_HEAD + 6]);
-    assert_eq!(lengths_that_decode(&bytes_of(GRANTED)), [GRANTED_HEAD, GRANTED_HEAD + 6]);
-    assert!(lengths_that_decode(&bytes_of(SHORT)).is_empty());
-    assert!(lengths_that_decode(&bytes_of(DONE)).is_empty());
+    assert_eq!(lengths_that_decode(&bytes_of(USAGE_COUNTS)), [6, 13, 20]);
+    assert_eq!(lengths_that_decode(&bytes_of(LEASE_REQUEST)), [LEASE_REQUEST_HEAD, LEASE_REQUEST_HEAD + 6]);
+    assert_eq!(lengths_that_decode(&bytes_of(LEASE_GRANT)), [LEASE_GRANT_HEAD, LEASE_GRANT_HEAD + 6]);
+    assert!(lengths_that_decode(&bytes_of(LEASE_REFUSAL)).is_empty());
+    assert!(lengths_that_decode(&bytes_of(PERMIT_RELEASE)).is_empty());
     for kind in 4..=u8::MAX {
         assert!(decode(&[4, kind, 0, 0, 0, 0, 0, 0, 0, 0]).is_none(), "kind {kind}");
     }
--- a/tests/unit/server_table.rs
+++ b/tests/unit/server_table.rs
@@ -1,100 +1,175 @@
-//! The server table against a naive one that keeps all and walks all for each sum.
+//! The server table against a reference model that keeps every server and walks over all of them for each sum.
 
 use super::*;
 use crate::settings::{Class, EndpointDiscovery, Idempotency, Permissions, Rules};
+use crate::state::server::ClassHealth;
 use crate::types::{EndpointUpdate, GatewayId, ZoneId};
 use proptest::prelude::*;
 
 const CLASSES: usize = 2;
 const MAX_IDLE: Micros = 50;
 const WARM_UP: Micros = 40;
+/// µs for which observations are looked up.
+const OBSERVED_WITHIN: Micros = 30;
 
-/// What may come to a table.
+type CheckResult = Result<(), TestCaseError>;
+
+/// What may happen to a table.
 #[derive(Clone, Debug)]
 enum Step {
-    Snapshot(Vec<Endpoint>),
-    Delta(Vec<Endpoint>),
-    /// A server's failure rate with a class, and the time of its next probe.
-    Health(ServerId, usize, (f64, Option<Micros>)),
+    Update(EndpointUpdate, Vec<Endpoint>),
+    ObserveHealth { server: ServerId, class: usize, failure_rate: f64, next_probe_at: Option<Micros> },
     Track(ServerId),
-    Sent(ServerId),
-    Finished(ServerId),
+    SendAttempt(ServerId),
+    FinishAttempt(ServerId),
     EvictIdle,
     Wait(Micros),
 }
 
 fn endpoint() -> impl Strategy<Value = Endpoint> {
-    let state = prop_oneof![4 => Just(EndpointState::Ready), 1 => Just(EndpointState::Draining), 1 => Just(EndpointState::Gone)];
-    let started = prop_oneof![2 => Just(None), 1 => (0..60u64).prop_map(Some)];
-    (0..12u64, 0..3u64, state, started).prop_map(|(server, cell, state, started)| Endpoint {
-        server: ServerId(server),
+    let state = prop_oneof![
+        4 => Just(EndpointState::Ready),
+        1 => Just(EndpointState::Draining),
+        1 => Just(EndpointState::Gone),
+    ];
+    let started_at = prop_oneof![2 => Just(None), 1 => (0..60u64).prop_map(Some)];
+    (server(), 0..3u64, state, started_at).prop_map(|(server, cell, state, started_at)| Endpoint {
+        server,
         zone: ZoneId(0),
         cell: CellId(cell),
         state,
         weight: 1.0,
-        started_at: started,
+        started_at,
+    })
+}
+
+fn server() -> impl Strategy<Value = ServerId> {
+    (0..12u64).prop_map(ServerId)
+}
+
+fn update() -> impl Strategy<Value = Step> {
+    let snapshot = proptest::collection::vec(endpoint(), 0..14);
+    let delta = proptest::collection::vec(endpoint(), 1..4);
+    prop_oneof![
+        1 => snapshot.prop_map(|endpoints| Step::Update(EndpointUpdate::Snapshot, endpoints)),
+        3 => delta.prop_map(|endpoints| Step::Update(EndpointUpdate::Delta, endpoints)),
+    ]
+}
+
+fn observe_health() -> impl Strategy<Value = Step> {
+    let next_probe_at = proptest::option::of(1..200u64);
+    (server(), 0..CLASSES, 0..=4u32, next_probe_at).prop_map(|(server, class, quarters, next_probe_at)| {
+        Step::ObserveHealth { server, class, failure_rate: f64::from(quarters) / 4.0, next_probe_at }
     })
 }
 
 fn step() -> impl Strategy<Value = Step> {
-    let server = || (0..12u64).prop_map(ServerId);
-    let health =
-        (0..=4u32, proptest::option::of(1..200u64)).prop_map(|(share, at)| (f64::from(share) / 4.0, at));
     prop_oneof![
-        1 => proptest::collection::vec(endpoint(), 0..14).prop_map(Step::Snapshot),
-        3 => proptest::collection::vec(endpoint(), 1..4).prop_map(Step::Delta),
-        6 => (server(), 0..CLASSES, health).prop_map(|(server, class, health)| Step::Health(server, class, health)),
+        4 => update(),
+        6 => observe_health(),
         2 => server().prop_map(Step::Track),
-        1 => server().prop_map(Step::Sent),
-        1 => server().prop_map(Step::Finished),
+        1 => server().prop_map(Step::SendAttempt),
+        1 => server().prop_map(Step::FinishAttempt),
         2 => Just(Step::EvictIdle),
         2 => (1..40u64).prop_map(Step::Wait),
     ]
 }
 
-/// All that was ever listed and is not dropped, each with its health.
-#[derive(Default)]
-struct Naive {
-    max_walked: usize,
-    all: BTreeMap<ServerId, Known>,
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct ReferenceHealth {
+    failure_rate: f64,
+    next_probe_at: Option<Micros>,
+    observed_at: Micros,
+}
+
+impl From<&ClassHealth> for ReferenceHealth {
+    fn from(health: &ClassHealth) -> Self {
+        ReferenceHealth {
+            failure_rate: health.failure_rate,
+            next_probe_at: health.next_probe_at,
+            observed_at: health.observed_at,
+        }
+    }
 }
 
 #[derive(Clone)]
-struct Known {
+struct ReferenceServer {
     endpoint: Endpoint,
-    health: [(f64, Option<Micros>, Micros); CLASSES],
+    health: [ReferenceHealth; CLASSES],
     in_flight: u32,
     last_used_at: Micros,
 }
 
-impl Naive {
-    fn ready(&self) -> impl Iterator<Item = &Known> + Clone {
-        self.all.values().filter(|known| known.endpoint.state == EndpointState::Ready)
+impl ReferenceServer {
+    fn unknown(endpoint: Endpoint, now: Micros) -> Self {
+        ReferenceServer { endpoint, health: Default::default(), in_flight: 0, last_used_at: now }
     }
 
-    fn list(&mut self, now: Micros, endpoints: &[Endpoint]) {
-        for endpoint in endpoints {
-            let fresh =
-                Known { endpoint: *endpoint, health: Default::default(), in_flight: 0, last_used_at: now };
-            let known = self.all.entry(endpoint.server).or_insert_with(|| fresh.clone());
-            if endpoint.state != EndpointState::Ready {
-                known.endpoint.state = endpoint.state;
-                continue;
-            }
-            if known.endpoint.started_at != endpoint.started_at {
-                *known = Known { in_flight: known.in_flight, ..fresh };
+    fn is_ready(&self) -> bool {
+        self.endpoint.state == EndpointState::Ready
+    }
+
+    fn was_observed(&self) -> bool {
+        self.health.iter().any(|health| health.observed_at > 0)
+    }
+
+    fn is_ejected(&self) -> bool {
+        self.health.iter().any(|health| health.next_probe_at.is_some())
+    }
+}
+
+/// Every server that was ever listed and is not evicted.
+#[derive(Default)]
+struct ReferenceTable {
+    max_walked: usize,
+    servers: BTreeMap<ServerId, ReferenceServer>,
+}
+
+impl ReferenceTable {
+    fn ready(&self) -> impl Iterator<Item = &ReferenceServer> + Clone {
+        self.servers.values().filter(|server| server.is_ready())
+    }
+
+    fn ready_ids(&self) -> Vec<ServerId> {
+        self.ready().map(|server| server.endpoint.server).collect()
+    }
+
+    /// Health of the ready servers with a class.
+    fn health_of(&self, class: usize) -> impl Iterator<Item = (ServerId, ReferenceHealth)> + '_ {
+        self.ready().map(move |server| (server.endpoint.server, server.health[class]))
+    }
+
+    fn apply_update(&mut self, now: Micros, kind: EndpointUpdate, endpoints: &[Endpoint]) {
+        if kind == EndpointUpdate::Snapshot {
+            for server in self.servers.values_mut() {
+                server.endpoint.state = EndpointState::Gone;
             }
-            known.endpoint = *endpoint;
+        }
+        for endpoint in endpoints {
+            self.list(now, *endpoint);
         }
     }
 
+    fn list(&mut self, now: Micros, endpoint: Endpoint) {
+        let fresh = ReferenceServer::unknown(endpoint, now);
+        let server = self.servers.entry(endpoint.server).or_insert_with(|| fresh.clone());
+        if endpoint.state != EndpointState::Ready {
+            server.endpoint.state = endpoint.state;
+            return;
+        }
+        if server.endpoint.started_at != endpoint.started_at {
+            *server = ReferenceServer { in_flight: server.in_flight, ..fresh };
+        }
+        server.endpoint = endpoint;
+    }
+
     fn evict_idle(&mut self, now: Micros) {
-        let forgets = self.ready().count() > self.max_walked;
-        self.all.retain(|_, known| known.in_flight > 0 || known.endpoint.state != EndpointState::Gone);
-        for known in self.all.values_mut() {
-            let out = known.health.iter().any(|health| health.1.is_some());
-            if forgets && known.in_flight == 0 && !out && now - known.last_used_at >= MAX_IDLE {
-                known.health = Default::default();
+        let walks_all = self.ready().count() <= self.max_walked;
+        self.servers.retain(|_, server| server.in_flight > 0 || server.endpoint.state != EndpointState::Gone);
+        for server in self.servers.values_mut() {
+            let is_idle = server.in_flight == 0 && now - server.last_used_at >= MAX_IDLE;
+            if !walks_all && is_idle && !server.is_ejected() {
+                server.health = Default::default();
             }
         }
     }
@@ -133,124 +208,177 @@
     }
 }
 
-fn same(table: &mut ServerTable, naive: &Naive, now: Micros) -> Result<(), TestCaseError> {
-    let ids: Vec<_> = naive.ready().map(|known| known.endpoint.server).collect();
-    prop_assert_eq!(table.ready_count(), ids.len());
-    prop_assert_eq!(table.walks_all(), ids.len() <= naive.max_walked);
-    let ring: HashRing = ids.iter().copied().collect();
-    for after in 0..3 {
-        let round: Vec<_> = table.ring_from(after).collect();
-        prop_assert_eq!(round, ring.iter_from(after).collect::<Vec<_>>());
+/// The table, the reference, and the time.
+struct Comparison {
+    table: ServerTable,
+    reference: ReferenceTable,
+    now: Micros,
+}
+
+impl Comparison {
+    fn new(max_walked: usize) -> Self {
+        Comparison {
+            table: ServerTable::new(&settings(), max_walked),
+            reference: ReferenceTable { max_walked, ..ReferenceTable::default() },
+            now: 60,
+        }
+    }
+
+    fn apply(&mut self, step: Step) -> CheckResult {
+        let now = self.now;
+        match step {
+            Step::Update(kind, endpoints) => {
+                self.reference.apply_update(now, kind, &endpoints);
+                self.table.apply_update(now, kind, endpoints);
+            }
+            Step::ObserveHealth { server, class, failure_rate, next_probe_at } => {
+                let health = ReferenceHealth { failure_rate, next_probe_at, observed_at: now };
+                self.observe_health(&server, class, health)?;
+            }
+            Step::Track(id) => {
+                self.table.track(now, &id);
+                if let Some(server) = self.reference.servers.get_mut(&id) {
+                    server.last_used_at = now;
+                }
+            }
+            Step::SendAttempt(id) => self.send_attempt(&id),
+            Step::FinishAttempt(id) => {
+                self.table.attempt_finished(&id);
+                if let Some(server) = self.reference.servers.get_mut(&id) {
+                    server.in_flight = server.in_flight.saturating_sub(1);
+                }
+            }
+            Step::EvictIdle => {
+                self.table.evict_idle(now, MAX_IDLE);
+                self.reference.evict_idle(now);
+            }
+            Step::Wait(span) => self.now += span,
+        }
+        self.forget_unused()
+    }
+
+    fn observe_health(&mut self, id: &ServerId, class: usize, observed: ReferenceHealth) -> CheckResult {
+        // Of one that is not ready and was never used the table knows nothing: it need not.
+        let Some(mut server) = self.table.get_mut(self.now, id) else { return Ok(()) };
+        let health = &mut server.health[class];
+        health.failure_rate = observed.failure_rate;
+        health.next_probe_at = observed.next_probe_at;
+        health.observed_at = observed.observed_at;
+        let known = self.reference.servers.get_mut(id);
+        prop_assert!(known.is_some());
+        if let Some(known) = known {
+            known.health[class] = observed;
+            known.last_used_at = self.now;
+        }
+        Ok(())
+    }
+
+    fn send_attempt(&mut self, id: &ServerId) {
+        let Some(mut server) = self.table.get_mut(self.now, id) else { return };
+        server.in_flight += 1;
+        if let Some(known) = self.reference.servers.get_mut(id) {
+            known.in_flight += 1;
+            known.last_used_at = self.now;
+        }
+    }
+
+    /// Of a server that is not ready and was never used the table keeps not even when it started: it need not. So it
+    /// may evict only what has no attempt in flight and no observation; the reference then forgets it too.
+    fn forget_unused(&mut self) -> CheckResult {
+        let table = &self.table;
+        let is_evicted =
+            |server: &&ReferenceServer| !server.is_ready() && table.get(&server.endpoint.server).is_none();
+        let evicted: Vec<_> = self.reference.servers.values().filter(is_evicted).cloned().collect();
+        for server in evicted {
+            prop_assert!(server.in_flight == 0 && server.health == [ReferenceHealth::default(); CLASSES]);
+            self.reference.servers.remove(&server.endpoint.server);
+        }
+        Ok(())
+    }
+
+    fn check(&mut self) -> CheckResult {
+        self.check_ready_servers()?;
+        for class in 0..CLASSES {
+            self.check_class(class)?;
+        }
+        self.check_observed_after()?;
+        self.check_kept_health()
     }
-    for cell in (0..3).map(CellId) {
-        let members =
-            naive.ready().filter(|known| known.endpoint.cell == cell).map(|known| known.endpoint.server);
-        prop_assert_eq!(table.in_cell(cell).collect::<Vec<_>>(), members.collect::<Vec<_>>());
+
+    fn check_ready_servers(&mut self) -> CheckResult {
+        let ids = self.reference.ready_ids();
+        prop_assert_eq!(self.table.ready_count(), ids.len());
+        prop_assert_eq!(self.table.walks_all(), ids.len() <= self.reference.max_walked);
+        let ring: HashRing = ids.iter().copied().collect();
+        for position in 0..3 {
+            let servers: Vec<_> = self.table.ring_from(position).collect();
+            prop_assert_eq!(servers, ring.iter_from(position).collect::<Vec<_>>());
+        }
+        for cell in (0..3).map(CellId) {
+            let members = self.reference.ready().filter(|server| server.endpoint.cell == cell);
+            let members: Vec<_> = members.map(|server| server.endpoint.server).collect();
+            prop_assert_eq!(self.table.in_cell(cell).collect::<Vec<_>>(), members);
+        }
+        let is_warm = |started_at: Micros| started_at + WARM_UP <= self.now;
+        let warm = self.reference.ready().filter(|server| server.endpoint.started_at.is_none_or(is_warm));
+        let warm_count = warm.count();
+        prop_assert_eq!(self.table.warm_count(self.now), warm_count);
+        Ok(())
     }
-    let mut seen = Vec::new();
-    for class in 0..CLASSES {
-        let health = || naive.ready().map(move |known| (known.endpoint.server, known.health[class]));
-        let sum: f64 = health().map(|(_, health)| health.0).sum();
-        prop_assert!((table.failure_rate_sum(ClassId(class)) - sum).abs() < 1e-6);
-        prop_assert_eq!(
-            table.ejected_count(ClassId(class)),
-            health().filter(|(_, health)| health.1.is_some()).count()
-        );
-        let mut due: Vec<_> =
-            health().filter_map(|(id, health)| Some((health.1.filter(|at| *at <= now)?, id))).collect();
+
+    fn check_class(&self, class: usize) -> CheckResult {
+        let id = ClassId(class);
+        let health = || self.reference.health_of(class);
+        let sum: f64 = health().map(|(_, health)| health.failure_rate).sum();
+        prop_assert!((self.table.failure_rate_sum(id) - sum).abs() < 1e-6);
+        let ejected = health().filter(|(_, health)| health.next_probe_at.is_some()).count();
+        prop_assert_eq!(self.table.ejected_count(id), ejected);
+        let probe = |(server, health): (ServerId, ReferenceHealth)| Some((health.next_probe_at?, server));
+        let mut due: Vec<_> = health().filter_map(probe).filter(|(at, _)| *at <= self.now).collect();
         due.sort_unstable();
-        let due: Vec<_> = due.into_iter().map(|(_, id)| id).collect();
-        prop_assert_eq!(table.probes_due(ClassId(class), now).collect::<Vec<_>>(), due);
-        let after = health().filter(|(_, health)| health.2 > now.saturating_sub(30));
-        seen.extend(after.map(|(id, health)| (health.2, id, ClassId(class))));
+        let due: Vec<_> = due.into_iter().map(|(_, server)| server).collect();
+        prop_assert_eq!(self.table.probes_due(id, self.now).collect::<Vec<_>>(), due);
+        Ok(())
     }
-    seen.sort_unstable_by(|a, b| b.cmp(a));
-    let seen: Vec<_> = seen.into_iter().map(|(_, id, class)| (id, class)).collect();
-    prop_assert_eq!(table.observed_after(now.saturating_sub(30)).collect::<Vec<_>>(), seen);
-    let warm = naive
-        .ready()
-        .filter(|known| known.endpoint.started_at.is_none_or(|started| started + WARM_UP <= now));
-    prop_assert_eq!(table.warm_count(now), warm.count());
-    for known in naive.all.values().filter(|known| known.health.iter().any(|health| health.2 > 0)) {
-        let server = table.get(&known.endpoint.server);
-        let kept = server.map(|server| {
-            let health = server
-                .health
-                .iter()
-                .map(|health| (health.failure_rate, health.next_probe_at, health.observed_at));
-            (health.collect::<Vec<_>>(), server.in_flight)
-        });
-        prop_assert_eq!(kept, Some((known.health.to_vec(), known.in_flight)));
+
+    fn check_observed_after(&self) -> CheckResult {
+        let start = self.now.saturating_sub(OBSERVED_WITHIN);
+        let mut observed = Vec::new();
+        for class in 0..CLASSES {
+            let recent = self.reference.health_of(class).filter(|(_, health)| health.observed_at > start);
+            observed.extend(recent.map(|(server, health)| (health.observed_at, server, ClassId(class))));
+        }
+        observed.sort_unstable_by(|a, b| b.cmp(a));
+        let observed: Vec<_> = observed.into_iter().map(|(_, server, class)| (server, class)).collect();
+        prop_assert_eq!(self.table.observed_after(start).collect::<Vec<_>>(), observed);
+        Ok(())
+    }
+
+    /// Whatever was observed is kept, with the attempts in flight.
+    fn check_kept_health(&self) -> CheckResult {
+        for known in self.reference.servers.values().filter(|server| server.was_observed()) {
+            let kept = self.table.get(&known.endpoint.server).map(|server| {
+                let health = server.health.iter().map(ReferenceHealth::from);
+                (health.collect::<Vec<_>>(), server.in_flight)
+            });
+            prop_assert_eq!(kept, Some((known.health.to_vec(), known.in_flight)));
+        }
+        Ok(())
     }
-    Ok(())
 }
 
 proptest! {
     #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
-    fn its_sums_are_those_of_a_walk_over_all(
+    fn it_agrees_with_a_walk_over_all_servers(
         max_walked in prop_oneof![Just(0usize), Just(4), Just(100)],
         steps in proptest::collection::vec(step(), 1..60),
     ) {
-        let mut table = ServerTable::new(&settings(), max_walked);
-        let mut naive = Naive { max_walked, ..Naive::default() };
-        let mut now = 60;
+        let mut comparison = Comparison::new(max_walked);
         for step in steps {
-            match step {
-                Step::Snapshot(endpoints) => {
-                    naive.all.values_mut().for_each(|known| known.endpoint.state = EndpointState::Gone);
-                    naive.list(now, &endpoints);
-                    table.apply_update(now, EndpointUpdate::Snapshot, endpoints);
-                }
-                Step::Delta(endpoints) => {
-                    naive.list(now, &endpoints);
-                    table.apply_update(now, EndpointUpdate::Delta, endpoints);
-                }
-                Step::Health(id, class, (failure_rate, probe_at)) => {
-                    // Of one that is not ready and was never used the table knows nothing: it need not.
-                    let Some(mut server) = table.get_mut(now, &id) else { continue };
-                    let health = &mut server.health[class];
-                    health.failure_rate = failure_rate;
-                    health.next_probe_at = probe_at;
-                    health.observed_at = now;
-                    let known = naive.all.get_mut(&id);
-                    prop_assert!(known.is_some());
-                    known.into_iter().for_each(|known| {
-                        (known.health[class], known.last_used_at) = ((failure_rate, probe_at, now), now);
-                    });
-                }
-                Step::Track(id) => {
-                    table.track(now, &id);
-                    naive.all.get_mut(&id).into_iter().for_each(|known| known.last_used_at = now);
-                }
-                Step::Sent(id) => {
-                    let Some(mut server) = table.get_mut(now, &id) else { continue };
-                    server.in_flight += 1;
-                    let known = naive.all.get_mut(&id).into_iter();
-                    known.for_each(|known| (known.in_flight, known.last_used_at) = (known.in_flight + 1, now));
-                }
-                Step::Finished(id) => {
-                    table.attempt_finished(&id);
-                    let known = naive.all.get_mut(&id).into_iter();
-                    known.for_each(|known| known.in_flight = known.in_flight.saturating_sub(1));
-                }
-                Step::EvictIdle => {
-                    table.evict_idle(now, MAX_IDLE);
-                    naive.evict_idle(now);
-                }
-                Step::Wait(span) => now += span,
-            }
-            // Of one that is not ready and was never used the table keeps not even when it started: it need not. So it
-            // may forget only what has no attempt out and no evidence.
-            let leaving = naive.all.values().filter(|known| known.endpoint.state != EndpointState::Ready);
-            let left: Vec<_> = leaving.map(|known| known.endpoint.server).collect();
-            for id in left.into_iter().filter(|id| table.get(id).is_none()) {
-                let known = naive.all.remove(&id);
-                let bare = |known: &Known| known.in_flight == 0 && known.health == <[_; CLASSES]>::default();
-                prop_assert!(known.as_ref().is_some_and(bare));
-            }
-            same(&mut table, &naive, now)?;
+            comparison.apply(step)?;
+            comparison.check()?;
         }
     }
 }
