--- a/src/bin/simulator-adapter/main.rs
+++ b/src/bin/simulator-adapter/main.rs
@@ -1,16 +1,16 @@
 //! Carries the simulator's wire to the decision module and back. Translation only.
 
-mod wire;
+mod line;
 
 use edge_node::{load_report, settings, Gateway};
 use edge_node::{
     Action, AttemptNumber, AttemptOutcome, CellId, ClassId, CustomerId, Endpoint, EndpointState,
     EndpointUpdate, Event, GatewayId, GatewaySet, PlanId, RequestId, ServerId, ZoneId,
 };
+use line::{Fault, Line, Result};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
-use wire::{Fault, Line, Result};
 
 /// An entry as listed; its zone gets a number only by an instance's settings.
 struct Item {
@@ -290,10 +290,10 @@
             writeln!(reply, "revoke\ti={number}\tcall={}\tshot={}", id.0, attempt.0)
         }
         Action::Broadcast { bytes } => {
-            writeln!(reply, "tell\ti={number}\taddressee=*\tblob={}", wire::to_hex(bytes))
+            writeln!(reply, "tell\ti={number}\taddressee=*\tblob={}", line::to_hex(bytes))
         }
         Action::SendToPeer { to, bytes } => {
-            writeln!(reply, "tell\ti={number}\taddressee={}\tblob={}", to.0, wire::to_hex(bytes))
+            writeln!(reply, "tell\ti={number}\taddressee={}\tblob={}", to.0, line::to_hex(bytes))
         }
         Action::SetTimer { after, token } => {
             writeln!(reply, "defer\ti={number}\tdelayUs={after}\tnonce={token}")
