Connections to app servers in one module per job, with typed errors

Seen: upstream.rs held the memory budget of bodies, connections, pools, attempts, the validation of responses and counted sockets in 470 lines; outcomes, bools and tuples stood for errors, and the operating system's errors were bare numbers.

Changed: upstream/ has attempt, body_budget, connection, pool, response and socket; ConnectError, ExchangeError, ResponseError, AttemptError and BodyBudgetError keep their sources and map to the same outcomes as before. Names: BodyBudget and BodyReservation (Room, Held), PooledConnection (Link), ServerPool (Place), AttemptResult (Ending), UpstreamRequest (Forward), update_endpoints with EndpointUpdate in place of a bool. Errno values by their names in libc (24, 23, 99, 105, 12; a test fixes the numbers). Timing constants, the order of effects and the bytes written are as they were. New unit tests: body_budget, connect_error, response. The test of upstream keeps its three cases and all its assertions.

--- a/src/bin/edge-node/clients.rs
+++ b/src/bin/edge-node/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::ahead::Ahead;
 use crate::node::{Answer, Node};
-use crate::upstream::Forward;
+use crate::upstream::UpstreamRequest;
 use bytes::Bytes;
 use edge_node::settings::ResolvedSettings;
 use edge_node::{
@@ -241,7 +241,7 @@
 /// Reads a request whole, or answers what is none.
 async fn admit(
     node: &Rc<Node>, request: Request<Incoming>, phase: &watch::Receiver<Phase>,
-) -> Result<(Event, Forward), Reply> {
+) -> Result<(Event, UpstreamRequest), Reply> {
     if request.method() == Method::GET && request.uri().path() == "/-/ready" {
         let ready = *phase.borrow() == Phase::Serving;
         return Err(plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""));
@@ -249,13 +249,15 @@
     let (head, body) = request.into_parts();
     let asked = read(&node.named, &head).map_err(|(status, what)| turned_away(status, what))?;
     // Nothing of a body that is too large is read.
-    let Some((most, _held)) = node.upstream.room.take(body.size_hint().lower()) else {
+    let Ok(reservation) = node.upstream.body_budget.reserve(body.size_hint().lower()) else {
         return Err(turned_away(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
     };
     if !asked.takes_body && !body.is_end_stream() {
         return Err(turned_away(StatusCode::BAD_REQUEST, "this class takes no body\n"));
     }
-    let body = match tokio::time::timeout(BODY_WITHIN, Limited::new(body, most).collect()).await {
+    let body = match tokio::time::timeout(BODY_WITHIN, Limited::new(body, reservation.max_bytes()).collect())
+        .await
+    {
         Ok(Ok(body)) => body.to_bytes(),
         _ => return Err(turned_away(StatusCode::BAD_REQUEST, "the body did not come whole\n")),
     };
@@ -281,7 +283,9 @@
     }
 }
 
-async fn decide(node: &Rc<Node>, event: Event, forward: Forward, line: &Ahead) -> Result<Reply, Gone> {
+async fn decide(
+    node: &Rc<Node>, event: Event, forward: UpstreamRequest, line: &Ahead,
+) -> Result<Reply, Gone> {
     let (id, overdue) = (forward.id.clone(), forward.deadline + OVERDUE);
     let Some(answered) = node.take(event, forward) else {
         return Ok(turned_away(StatusCode::BAD_REQUEST, "X-Request-Id: in use\n"));
@@ -372,7 +376,7 @@
 
 impl Asked {
     /// The request is whole; its client's time runs.
-    fn arrived(self, head: hyper::http::request::Parts, body: Bytes) -> (Event, Forward) {
+    fn arrived(self, head: hyper::http::request::Parts, body: Bytes) -> (Event, UpstreamRequest) {
         let patience = self.patience.saturating_sub(DELIVERY);
         let deadline = Instant::now() + patience;
         let event = Event::RequestReceived {
@@ -386,7 +390,17 @@
         };
         let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
         let key = head.headers.get(KEY).cloned();
-        (event, Forward { id: self.id, method: head.method, target, key, body, deadline })
+        (
+            event,
+            UpstreamRequest {
+                id: self.id,
+                method: head.method,
+                target,
+                idempotency_key: key,
+                body,
+                deadline,
+            },
+        )
     }
 }
 
--- a/src/bin/edge-node/main.rs
+++ b/src/bin/edge-node/main.rs
@@ -37,7 +37,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{oneshot, watch};
 use tracing::{error, info, warn};
-use upstream::{Room, Upstream};
+use upstream::{BodyBudget, Upstream};
 
 const VERSION: &str = env!("CARGO_PKG_VERSION");
 
@@ -71,7 +71,7 @@
     };
     let each_side = (config.sockets - RESERVED) / 2;
     let longest = Duration::from_micros(config.named.longest_deadline);
-    let room = Room::new(config.memory / LARGE_SHARE);
+    let room = BodyBudget::new(config.memory / LARGE_SHARE);
     let upstream =
         Upstream::new(room, each_side, config.named.connection_idle_timeout, config.named.connect_timeout);
     let admin = match config.shell.admin.listen {
@@ -157,5 +157,5 @@
 }
 
 async fn retire(node: Rc<Node>) {
-    node.upstream.retire().await;
+    node.upstream.evict_idle_connections().await;
 }
--- a/src/bin/edge-node/node.rs
+++ b/src/bin/edge-node/node.rs
@@ -4,7 +4,7 @@
 use crate::lists::{Health, Host, List};
 use crate::metrics::{Final, Metrics, Now};
 use crate::peers::Peers;
-use crate::upstream::{Ending, Forward, Upstream};
+use crate::upstream::{Attempt, AttemptResult, ServerAddress, Upstream, UpstreamRequest};
 use bytes::Bytes;
 use edge_node::settings::ResolvedSettings;
 use edge_node::Gateway;
@@ -49,7 +49,7 @@
 
 /// A request that has no final answer yet.
 struct Pending {
-    forward: Rc<Forward>,
+    forward: Rc<UpstreamRequest>,
     answer: oneshot::Sender<Answer>,
     attempts: u32,
     /// Of which class and plan, and when it was whole.
@@ -154,7 +154,9 @@
     }
 
     /// Takes a request in. `None` if its id is in use: two owners of one id would mix up their answers.
-    pub fn take(self: &Rc<Self>, event: Event, forward: Forward) -> Option<oneshot::Receiver<Answer>> {
+    pub fn take(
+        self: &Rc<Self>, event: Event, forward: UpstreamRequest,
+    ) -> Option<oneshot::Receiver<Answer>> {
         let (answer, answered) = oneshot::channel();
         let id = forward.id.clone();
         if self.is_open(&id) || self.out.borrow().contains_key(&id) {
@@ -215,15 +217,17 @@
         self.out.borrow_mut().insert(id.clone(), (attempt, call_off));
         let node = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            let open = || node.is_open(&id);
-            let ending = node.upstream.attempt(&forward, server, until, called_off, open).await;
+            let is_open = || node.is_open(&id);
+            let attempt_to_make =
+                Attempt { request: &forward, server, deadline: until, cancelled: called_off, is_open };
+            let ending = node.upstream.attempt(attempt_to_make).await;
             node.ended(id, attempt, ending);
         });
     }
 
     /// The connection of the attempt is closed or free again by now, so that no two attempts are ever out.
-    fn ended(self: &Rc<Self>, id: RequestId, attempt: AttemptNumber, ending: Ending) {
-        let Ending { outcome, body, load } = ending;
+    fn ended(self: &Rc<Self>, id: RequestId, attempt: AttemptNumber, ending: AttemptResult) {
+        let AttemptResult { outcome, body, reported_load: load } = ending;
         debug!(event = "ended", id = %id.0, attempt = attempt.0, ?outcome, "request {}: attempt {} ended, {outcome:?}", id.0, attempt.0);
         self.metrics.iter().for_each(|metrics| metrics.attempt(outcome));
         self.out.borrow_mut().remove(&id);
@@ -257,8 +261,9 @@
         });
         let entries = entries.collect();
         let ready = |host: &Host| host.dial.filter(|_| host.health == Health::Ready);
-        let dials = hosts.iter().map(|host| (server_id(&host.host), ready(host)));
-        self.upstream.listed(kind == EndpointUpdate::Snapshot, dials);
+        let dials =
+            hosts.iter().map(|host| ServerAddress { server: server_id(&host.host), address: ready(host) });
+        self.upstream.update_endpoints(kind, dials);
         self.post(Event::EndpointsUpdated { kind, endpoints: entries });
     }
 }
@@ -332,7 +337,7 @@
             server_connections: self.upstream.open_sockets(),
             // The folder that is read is open itself.
             descriptors: std::fs::read_dir("/proc/self/fd").map_or(0, |fds| fds.count().saturating_sub(1)),
-            servers_ready: self.upstream.known(),
+            servers_ready: self.upstream.ready_servers(),
             kept: self.gateway.borrow().tracked_entries(),
             list_age: list.map(|(_, since)| since.elapsed()),
             list_sequence: list.map_or(0, |(seq, _)| seq),
--- /dev/null
+++ b/src/bin/edge-node/upstream/connection.rs
@@ -0,0 +1,230 @@
+//! One HTTP/1.1 connection to an app server.
+
+use super::socket::{ObservedStream, OpenSocketGuard, SharedStream};
+use bytes::Bytes;
+use edge_node::{AttemptOutcome, RequestId};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+/// Bytes of a response's head that are buffered at the most. A head without end could otherwise use up the memory
+/// limit of the process.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Errors of the operating system by which this process, not the server, lacks something: descriptors of the process
+/// or of the whole system, local addresses, buffers or memory.
+const LOCAL_RESOURCE_ERRORS: [i32; 5] =
+    [libc::EMFILE, libc::ENFILE, libc::EADDRNOTAVAIL, libc::ENOBUFS, libc::ENOMEM];
+
+/// Why there is no connection to a server. Nothing was sent.
+#[derive(Debug, Error)]
+pub(super) enum ConnectError {
+    /// The gateway cancelled the attempt before the connection was up.
+    #[error("cancelled while connecting")]
+    Cancelled,
+    /// The attempt's deadline passed before the connection was up.
+    #[error("the attempt's deadline passed while connecting")]
+    DeadlineExceeded,
+    /// No address is known for the server, or it is not ready.
+    #[error("the server has no address")]
+    UnknownServer,
+    /// All sockets that this process may have are in use, and none is idle.
+    #[error("no socket is left")]
+    SocketLimit,
+    /// This process or its machine lacks something that a connection needs.
+    #[error("too few local resources for a connection")]
+    LocalResources(#[source] io::Error),
+    /// The server, or the way there, refused the connection.
+    #[error("the connection failed")]
+    Failed(#[source] io::Error),
+    /// The connection did not come up within the connect timeout.
+    #[error("the connect timeout passed")]
+    TimedOut,
+    /// The connection came up but cannot carry HTTP.
+    #[error("the HTTP handshake failed")]
+    Handshake(#[source] hyper::Error),
+}
+
+impl ConnectError {
+    /// What the gateway is told: a server is reported as unreachable only if the cause may lie with the server.
+    pub(super) fn outcome(&self) -> AttemptOutcome {
+        match self {
+            ConnectError::Cancelled
+            | ConnectError::UnknownServer
+            | ConnectError::SocketLimit
+            | ConnectError::LocalResources(_) => AttemptOutcome::NotSent,
+            ConnectError::DeadlineExceeded
+            | ConnectError::Failed(_)
+            | ConnectError::TimedOut
+            | ConnectError::Handshake(_) => AttemptOutcome::Unreachable,
+        }
+    }
+}
+
+impl From<io::Error> for ConnectError {
+    fn from(error: io::Error) -> ConnectError {
+        match error.raw_os_error() {
+            Some(code) if LOCAL_RESOURCE_ERRORS.contains(&code) => ConnectError::LocalResources(error),
+            _ => ConnectError::Failed(error),
+        }
+    }
+}
+
+/// A connection that carries one request at a time and is kept in a pool in between.
+///
+/// A task, the driver, owns the socket. Whoever has the connection ends it by [`close`](Self::close) or
+/// [`close_in_background`](Self::close_in_background). If it is dropped instead, as when the future of an attempt is
+/// dropped, hyper sees that the sender is gone, ends the driver and so closes the socket.
+pub(super) struct PooledConnection {
+    address: SocketAddr,
+    /// Weak, so that the socket is closed as soon as the driver ends.
+    stream: Weak<RefCell<TokioIo<TcpStream>>>,
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    /// Whether a byte was written since the last [`reset_written`](Self::reset_written).
+    request_written: Rc<Cell<bool>>,
+    idle_since: Instant,
+    /// The last request that was answered on it.
+    last_answered: Option<RequestId>,
+}
+
+impl PooledConnection {
+    /// Connects to a server. Dropping the future closes the socket, then releases its guard.
+    ///
+    /// # Errors
+    /// The connection was refused, did not come up within `connect_timeout`, or lacked local resources.
+    pub(super) async fn open(
+        address: SocketAddr, connect_timeout: Duration, guard: OpenSocketGuard,
+    ) -> Result<PooledConnection, ConnectError> {
+        let stream = connect_tcp(address, connect_timeout).await?;
+        let stream = Rc::new(RefCell::new(TokioIo::new(stream)));
+        PooledConnection::handshake(address, stream, guard).await
+    }
+
+    async fn handshake(
+        address: SocketAddr, stream: SharedStream, guard: OpenSocketGuard,
+    ) -> Result<PooledConnection, ConnectError> {
+        let request_written = Rc::new(Cell::new(false));
+        let weak_stream = Rc::downgrade(&stream);
+        let io = ObservedStream::new(stream, Rc::clone(&request_written), guard);
+        let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(io).await;
+        let (sender, connection) = handshake.map_err(ConnectError::Handshake)?;
+        let driver = tokio::task::spawn_local(async move {
+            // An error of the connection is also reported to the exchange that it ends.
+            let _ = connection.await;
+        });
+        Ok(PooledConnection {
+            address,
+            stream: weak_stream,
+            sender,
+            driver,
+            request_written,
+            idle_since: Instant::now(),
+            last_answered: None,
+        })
+    }
+
+    /// Where it leads to.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the socket and returns when that is done. If the future is dropped, the socket is still closed, but in
+    /// a later turn of the runtime.
+    pub(super) async fn close(self) {
+        self.driver.abort();
+        // An error means that the driver was aborted or had ended: the socket is closed in either case.
+        let _ = self.driver.await;
+    }
+
+    /// Has the socket closed in a later turn of the runtime.
+    pub(super) fn close_in_background(self) {
+        self.driver.abort();
+    }
+
+    /// Whether the server has closed the connection, as far as hyper has noticed.
+    pub(super) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Whether it can take a request and has been idle for less than `idle_timeout`.
+    pub(super) fn is_fresh(&self, idle_timeout: Duration) -> bool {
+        let can_send = self.sender.is_ready() && !self.sender.is_closed();
+        can_send && self.idle_time() < idle_timeout
+    }
+
+    /// Whether nothing has been received since the last response, not even its end. What stands in the socket would
+    /// be read as the response to the next request. The operating system is asked, as hyper may not have read yet.
+    pub(super) fn has_received_nothing(&self) -> bool {
+        let Some(stream) = self.stream.upgrade() else { return false };
+        let stream = stream.borrow();
+        let peeked = SockRef::from(stream.inner()).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// How long it has been idle.
+    pub(super) fn idle_time(&self) -> Duration {
+        self.idle_since.elapsed()
+    }
+
+    /// Since when it has been idle.
+    pub(super) fn idle_since(&self) -> Instant {
+        self.idle_since
+    }
+
+    /// Counts as idle from now on.
+    pub(super) fn mark_idle(&mut self) {
+        self.idle_since = Instant::now();
+    }
+
+    /// Counts as not written to from now on.
+    pub(super) fn reset_written(&self) {
+        self.request_written.set(false);
+    }
+
+    /// Whether a byte was written since the last [`reset_written`](Self::reset_written).
+    pub(super) fn is_written(&self) -> bool {
+        self.request_written.get()
+    }
+
+    /// The last request that was answered on it.
+    pub(super) fn last_answered(&self) -> Option<&RequestId> {
+        self.last_answered.as_ref()
+    }
+
+    /// Records the last request that was answered on it.
+    pub(super) fn set_last_answered(&mut self, id: RequestId) {
+        self.last_answered = Some(id);
+    }
+
+    /// Sends a request and returns the head of its response. If the future is dropped, the connection cannot be used
+    /// any more: the response would be read as that of the next request.
+    pub(super) async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
+        self.sender.send_request(request).await
+    }
+}
+
+async fn connect_tcp(address: SocketAddr, timeout: Duration) -> Result<TcpStream, ConnectError> {
+    let connected = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+    let stream = connected.map_err(|_elapsed| ConnectError::TimedOut)??;
+    // Without this option a request in two segments would wait for an acknowledgement. It also works without it, so
+    // that an error is no reason to give the connection up.
+    let _ = stream.set_nodelay(true);
+    Ok(stream)
+}
+
+#[cfg(test)]
+#[path = "../../../../tests/unit/connect_error.rs"]
+mod tests;
--- /dev/null
+++ b/src/bin/edge-node/upstream/response.rs
@@ -0,0 +1,103 @@
+//! Reads and validates the response to a request.
+
+use super::attempt::AttemptResult;
+use super::body_budget::{BodyBudget, BodyBudgetError};
+use edge_node::{load_report, AttemptOutcome, RequestId};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{Response, StatusCode};
+use thiserror::Error;
+
+/// The header by which a server may name the request that it answers.
+pub(super) const REQUEST_ID: &str = "x-request-id";
+/// The header by which a server reports its load.
+const LOAD: &str = "x-load";
+/// The header, with the value `1`, by which a server says that it has not executed the request.
+const NOT_RUN: &str = "x-not-run";
+
+/// Why a response is not used. Its connection is in an unknown state and has to be closed.
+#[derive(Debug, Error)]
+pub(super) enum ResponseError {
+    /// It names the request that was answered on this connection before.
+    #[error("a copy of the previous response")]
+    RepeatsPrevious,
+    /// Its status is 1xx.
+    #[error("an informational response")]
+    Informational,
+    /// It has neither a length nor a transfer encoding.
+    #[error("the response ends with its connection")]
+    Unframed,
+    /// Its body is too large.
+    #[error("the response's body is not accepted")]
+    NotAccepted(#[from] BodyBudgetError),
+    /// Its body ended early, or is longer than was declared.
+    #[error("the response's body cannot be read")]
+    Body(#[source] Box<dyn std::error::Error + Send + Sync>),
+}
+
+/// Reads a whole response, so that no client ever receives one that was cut. `previous` is the request that was
+/// answered on the same connection before.
+///
+/// If the future is dropped, the rest of the body stays unread and the connection cannot be used any more.
+///
+/// # Errors
+/// The response is not for this request, is not complete, or is too large.
+pub(super) async fn read(
+    response: Response<Incoming>, previous: Option<&RequestId>, budget: &BodyBudget,
+) -> Result<AttemptResult, ResponseError> {
+    check_head(&response, previous)?;
+    let reservation = budget.reserve(response.body().size_hint().lower())?;
+    let outcome = classify(&response);
+    let reported_load = reported_load(response.headers());
+    let body = Limited::new(response.into_body(), reservation.max_bytes());
+    let body = body.collect().await.map_err(ResponseError::Body)?;
+    let body = (outcome == AttemptOutcome::Success).then(|| body.to_bytes());
+    Ok(AttemptResult { outcome, body, reported_load })
+}
+
+/// Checks what can be checked before the body is read.
+fn check_head<B>(response: &Response<B>, previous: Option<&RequestId>) -> Result<(), ResponseError> {
+    // A late copy of the previous response would pass for the response to this request. Only an id that was sent on
+    // this connection tells: a server may use the header as it likes.
+    if let (Some(previous), Some(id)) = (previous, response.headers().get(REQUEST_ID)) {
+        if id.as_bytes() == previous.0.as_bytes() {
+            return Err(ResponseError::RepeatsPrevious);
+        }
+    }
+    // It would turn the connection into something else, or be followed by another response.
+    if response.status().is_informational() {
+        return Err(ResponseError::Informational);
+    }
+    // Whether a response that ends with its connection is complete cannot be known.
+    if !is_framed(response.headers()) {
+        return Err(ResponseError::Unframed);
+    }
+    Ok(())
+}
+
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// How an attempt with this response has ended.
+fn classify<B>(response: &Response<B>) -> AttemptOutcome {
+    let not_run = response.headers().get(NOT_RUN).is_some_and(|value| value == "1");
+    match response.status() {
+        StatusCode::OK => AttemptOutcome::Success,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => {
+            AttemptOutcome::Overloaded
+        }
+        _ => AttemptOutcome::ServerError,
+    }
+}
+
+/// Requests in flight at the server, if it reports them.
+fn reported_load(headers: &HeaderMap) -> Option<f64> {
+    let report = headers.get(LOAD)?.to_str().ok()?;
+    load_report::parse_in_flight(report, '=')
+}
+
+#[cfg(test)]
+#[path = "../../../../tests/unit/response.rs"]
+mod tests;
--- a/tests/unit/upstream.rs
+++ b/tests/unit/upstream.rs
@@ -1,29 +1,42 @@
+//! What happens to an attempt whose request or server changes while its connection comes up.
+
 use super::*;
+use bytes::Bytes;
+use edge_node::{AttemptOutcome, RequestId};
+use hyper::Method;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+const SERVER: ServerId = ServerId(1);
+
+fn endpoint(address: Option<SocketAddr>) -> impl Iterator<Item = ServerAddress> {
+    std::iter::once(ServerAddress { server: SERVER, address })
+}
 
-/// An attempt whose request or server changes as its connection comes up: how it ends, and what was
-/// written before the connection was closed.
-async fn changed(change: impl Fn(&Upstream, SocketAddr) -> bool) -> (AttemptOutcome, Vec<u8>) {
+/// An attempt during whose connecting `change` is called: how it ends, and what was written before the connection was
+/// closed.
+async fn attempt_with(change: impl Fn(&Upstream, SocketAddr) -> bool) -> (AttemptOutcome, Vec<u8>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let dial = listener.local_addr().expect("an address");
-    let (server, wait) = (ServerId(1), Duration::from_secs(60));
-    let upstream = Upstream::new(Room::new(0), 8, 15_000_000, 60_000_000);
-    upstream.listed(true, [(server, Some(dial))].into_iter());
-    let forward = Forward {
+    let address = listener.local_addr().expect("an address");
+    let upstream = Upstream::new(BodyBudget::new(0), 8, 15_000_000, 60_000_000);
+    upstream.update_endpoints(EndpointUpdate::Snapshot, endpoint(Some(address)));
+    let request = UpstreamRequest {
         id: RequestId("a".into()),
         method: Method::GET,
         target: "/read/0".to_owned(),
-        key: None,
+        idempotency_key: None,
         body: Bytes::new(),
-        deadline: Instant::now() + wait,
+        deadline: Instant::now() + Duration::from_secs(60),
     };
-    let (_call_off, called_off) = oneshot::channel();
-    let open = || change(&upstream, dial);
-    let Ending { outcome, body, load } =
-        upstream.attempt(&forward, server, forward.deadline, called_off, open).await;
-    assert!(body.is_none() && load.is_none());
-    upstream.listed(true, std::iter::empty());
+    let (_cancel, cancelled) = oneshot::channel();
+    let is_open = || change(&upstream, address);
+    let attempt =
+        Attempt { request: &request, server: SERVER, deadline: request.deadline, cancelled, is_open };
+    let AttemptResult { outcome, body, reported_load } = upstream.attempt(attempt).await;
+    assert!(body.is_none() && reported_load.is_none());
+    upstream.update_endpoints(EndpointUpdate::Snapshot, std::iter::empty());
     let (mut stream, _) = listener.accept().await.expect("it connected");
     let mut written = Vec::new();
     stream.read_to_end(&mut written).await.expect("it closes");
@@ -31,18 +44,19 @@
 }
 
 async fn all_end_unsent() {
-    assert_eq!(changed(|_, _| false).await, (AttemptOutcome::NotSent, Vec::new()), "answered meanwhile");
+    let answered = |_: &Upstream, _| false;
+    assert_eq!(attempt_with(answered).await, (AttemptOutcome::NotSent, Vec::new()), "answered meanwhile");
     let drains = |upstream: &Upstream, _| {
-        upstream.listed(false, [(ServerId(1), None)].into_iter());
+        upstream.update_endpoints(EndpointUpdate::Delta, endpoint(None));
         true
     };
-    assert_eq!(changed(drains).await, (AttemptOutcome::NotSent, Vec::new()), "drains meanwhile");
-    let moves = |upstream: &Upstream, dial: SocketAddr| {
-        let elsewhere = SocketAddr::new(dial.ip(), dial.port() ^ 1);
-        upstream.listed(false, [(ServerId(1), Some(elsewhere))].into_iter());
+    assert_eq!(attempt_with(drains).await, (AttemptOutcome::NotSent, Vec::new()), "drains meanwhile");
+    let moves = |upstream: &Upstream, address: SocketAddr| {
+        let elsewhere = SocketAddr::new(address.ip(), address.port() ^ 1);
+        upstream.update_endpoints(EndpointUpdate::Delta, endpoint(Some(elsewhere)));
         true
     };
-    assert_eq!(changed(moves).await, (AttemptOutcome::NotSent, Vec::new()), "moves meanwhile");
+    assert_eq!(attempt_with(moves).await, (AttemptOutcome::NotSent, Vec::new()), "moves meanwhile");
 }
 
 #[test]
