The simulator adapter in one module per job, with a typed error

Seen: main.rs read lines, kept lists and gateways, translated both ways and wrote replies; an error was a line number and a String.

LineErrorKind names each case and keeps its source; its texts are as before, and a test fixes them. New unit tests: adapter_line and adapter_reply, the latter with the bytes of each action's line.

--- a/src/bin/simulator-adapter/line.rs
+++ b/src/bin/simulator-adapter/line.rs
@@ -1,122 +1,232 @@
-//! One line of the wire, and what can be wrong with it.
+//! One line of the simulator's protocol, and what can be wrong with it: a name and fields, separated by tabs, each
+//! field as `name=value`.
 
-use std::fmt;
+use edge_node::settings::ParseError;
+use edge_node::SettingsError;
+use std::io;
 use std::str::FromStr;
-
-/// What is wrong, and where.
-#[derive(Debug)]
-pub struct Fault {
-    pub line: usize,
-    pub what: String,
+use thiserror::Error;
+
+/// What is wrong, and in which line.
+#[derive(Debug, Error)]
+#[error("line {line}: {kind}")]
+pub(crate) struct LineError {
+    /// The number of the line; the first one has number 1.
+    pub(crate) line: usize,
+    /// What is wrong with it.
+    #[source]
+    pub(crate) kind: LineErrorKind,
 }
 
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "line {}: {}", self.line, self.what)
-    }
+/// What is wrong with a line.
+#[derive(Debug, Error)]
+pub(crate) enum LineErrorKind {
+    /// The input cannot be read.
+    #[error("cannot be read: {0}")]
+    Read(#[source] io::Error),
+    /// The input ends before the line does.
+    #[error("the line breaks off")]
+    Truncated,
+    /// The input ends before the frame does.
+    #[error("input ends inside a batch; eof_batch is missing")]
+    UnterminatedFrame,
+    /// The reply cannot be written.
+    #[error("the reply cannot be written: {0}")]
+    Write(#[source] io::Error),
+    /// Another line has to stand here.
+    #[error("expected {expected}, found {found:?}")]
+    UnexpectedName {
+        /// The name of the line that has to stand here.
+        expected: &'static str,
+        /// The name of the line that stands here.
+        found: String,
+    },
+    /// No line has this name.
+    #[error("{0:?} is no known message")]
+    UnknownName(String),
+    /// A field that is required is missing.
+    #[error("{name}: field {field} is missing")]
+    MissingField {
+        /// The name of the line.
+        name: String,
+        /// The name of the field.
+        field: &'static str,
+    },
+    /// A field has a value that it cannot have.
+    #[error("{name}: field {field} cannot be {value:?}")]
+    InvalidField {
+        /// The name of the line.
+        name: String,
+        /// The name of the field.
+        field: &'static str,
+        /// Its value; empty if it is missing.
+        value: String,
+    },
+    /// The settings of a gateway cannot be parsed.
+    #[error("hello: field setup: {0}")]
+    UnparsableSettings(#[source] ParseError),
+    /// The settings of a gateway make no sense.
+    #[error("hello: field setup: {0}")]
+    InvalidSettings(#[source] SettingsError),
+    /// The line is for a gateway that was never started, or was stopped.
+    #[error("{name}: field i: {gateway} was never started")]
+    UnknownGateway {
+        /// The name of the line.
+        name: String,
+        /// The number of the gateway.
+        gateway: u64,
+    },
+    /// An endpoint's zone is not in the settings.
+    #[error("update: field list: no zone {zone:?}")]
+    UnknownZone {
+        /// The name of the zone.
+        zone: String,
+    },
 }
 
-pub type Result<T> = std::result::Result<T, Fault>;
-
-/// A line: its name, its fields, its number.
-pub struct Line<'a> {
-    pub number: usize,
-    pub name: &'a str,
-    rest: &'a str,
+/// A line without its end.
+pub(crate) struct Line<'a> {
+    number: usize,
+    /// Says what the line is.
+    pub(crate) name: &'a str,
+    fields: &'a str,
 }
 
 impl<'a> Line<'a> {
-    pub fn parse(number: usize, text: &'a str) -> Self {
-        let (name, rest) = text.split_once('\t').unwrap_or((text, ""));
-        Line { number, name, rest }
+    /// Splits the name from the fields. `number` is the number of the line.
+    pub(crate) fn split(number: usize, text: &'a str) -> Line<'a> {
+        let (name, fields) = text.split_once('\t').unwrap_or((text, ""));
+        Line { number, name, fields }
     }
 
-    pub fn fault<T>(&self, what: impl Into<String>) -> Result<T> {
-        Err(Fault { line: self.number, what: what.into() })
+    /// An error at this line.
+    pub(crate) fn error(&self, kind: LineErrorKind) -> LineError {
+        LineError { line: self.number, kind }
     }
 
-    pub fn optional(&self, field: &str) -> Option<&'a str> {
-        self.rest
-            .split('\t')
-            .find_map(|part| part.strip_prefix(field).and_then(|value| value.strip_prefix('=')))
+    /// The error that a field has a value that it cannot have.
+    pub(crate) fn invalid(&self, field: &'static str) -> LineError {
+        let name = self.name.to_owned();
+        let value = self.optional(field).unwrap_or_default().to_owned();
+        self.error(LineErrorKind::InvalidField { name, field, value })
     }
 
-    pub fn text(&self, field: &str) -> Result<&'a str> {
-        match self.optional(field) {
-            Some(value) => Ok(value),
-            None => self.fault(format!("{}: field {field} is missing", self.name)),
+    fn missing(&self, field: &'static str) -> LineError {
+        self.error(LineErrorKind::MissingField { name: self.name.to_owned(), field })
+    }
+
+    /// Checks that this is the line that has to stand here.
+    ///
+    /// # Errors
+    /// The line has another name.
+    pub(crate) fn expect_name(&self, expected: &'static str) -> Result<(), LineError> {
+        if self.name == expected {
+            return Ok(());
         }
+        Err(self.error(LineErrorKind::UnexpectedName { expected, found: self.name.to_owned() }))
+    }
+
+    /// The value of a field, if the line has it.
+    pub(crate) fn optional(&self, field: &str) -> Option<&'a str> {
+        self.fields.split('\t').find_map(|part| value_of(part, field))
+    }
+
+    /// The value of a field.
+    ///
+    /// # Errors
+    /// The field is missing.
+    pub(crate) fn text(&self, field: &'static str) -> Result<&'a str, LineError> {
+        self.optional(field).ok_or_else(|| self.missing(field))
     }
 
-    /// A field of free text: it runs to the end of the line.
-    pub fn tail(&self, field: &str) -> Result<&'a str> {
-        let mut rest = self.rest;
+    /// The value of a field of free text, which runs to the end of the line and may contain tabs.
+    ///
+    /// # Errors
+    /// The field is missing.
+    pub(crate) fn text_to_end(&self, field: &'static str) -> Result<&'a str, LineError> {
+        let mut rest = self.fields;
         loop {
-            if let Some(value) = rest.strip_prefix(field).and_then(|value| value.strip_prefix('=')) {
+            if let Some(value) = value_of(rest, field) {
                 return Ok(value);
             }
-            match rest.split_once('\t') {
-                Some((_, after)) => rest = after,
-                None => return self.fault(format!("{}: field {field} is missing", self.name)),
-            }
+            let Some((_, after)) = rest.split_once('\t') else { return Err(self.missing(field)) };
+            rest = after;
         }
     }
 
-    pub fn bad<T>(&self, field: &str) -> Result<T> {
-        let value = self.optional(field).unwrap_or_default();
-        self.fault(format!("{}: field {field} cannot be {value:?}", self.name))
-    }
-
-    pub fn number<T: FromStr>(&self, field: &str) -> Result<T> {
-        self.text(field)?.parse().or_else(|_| self.bad(field))
+    /// The value of a field, parsed.
+    ///
+    /// # Errors
+    /// The field is missing or cannot be parsed.
+    pub(crate) fn parsed<T: FromStr>(&self, field: &'static str) -> Result<T, LineError> {
+        self.text(field)?.parse().map_err(|_| self.invalid(field))
     }
 
-    pub fn number_or<T: FromStr>(&self, field: &str, default: T) -> Result<T> {
+    /// The value of a field, parsed, or `default` if it is missing.
+    ///
+    /// # Errors
+    /// The field cannot be parsed.
+    pub(crate) fn parsed_or<T: FromStr>(&self, field: &'static str, default: T) -> Result<T, LineError> {
         match self.optional(field) {
-            Some(value) => value.parse().or_else(|_| self.bad(field)),
+            Some(value) => value.parse().map_err(|_| self.invalid(field)),
             None => Ok(default),
         }
     }
 
-    /// A measure: a number that is finite and not below nothing.
-    pub fn measure(&self, field: &str) -> Result<f64> {
-        let value: f64 = self.number(field)?;
+    /// A number that is finite and not negative.
+    ///
+    /// # Errors
+    /// The field is missing or is no such number.
+    pub(crate) fn non_negative(&self, field: &'static str) -> Result<f64, LineError> {
+        let value: f64 = self.parsed(field)?;
         if value.is_finite() && value >= 0.0 {
             Ok(value)
         } else {
-            self.bad(field)
+            Err(self.invalid(field))
         }
     }
 
-    pub fn flag(&self, field: &str) -> Result<bool> {
+    /// A flag: `1` for true, `0` or a missing field for false.
+    ///
+    /// # Errors
+    /// The field has another value.
+    pub(crate) fn flag(&self, field: &'static str) -> Result<bool, LineError> {
         match self.optional(field) {
             Some("1") => Ok(true),
             Some("0") | None => Ok(false),
-            Some(_) => self.bad(field),
+            Some(_) => Err(self.invalid(field)),
         }
     }
 
-    pub fn hex(&self, field: &str) -> Result<Vec<u8>> {
+    /// Bytes in hexadecimal digits, `-` for none.
+    ///
+    /// # Errors
+    /// The field is missing, has an odd number of digits, or contains another character.
+    pub(crate) fn hex(&self, field: &'static str) -> Result<Vec<u8>, LineError> {
         let text = self.text(field)?;
         if text == "-" {
             return Ok(Vec::new());
         }
-        let digit = |byte: u8| (byte as char).to_digit(16).map(|value| value as u8);
-        let pairs = text.as_bytes().chunks(2).map(|pair| match pair {
-            [high, low] => Some(digit(*high)? << 4 | digit(*low)?),
-            _ => None,
-        });
-        match pairs.collect() {
-            Some(bytes) => Ok(bytes),
-            None => self.bad(field),
-        }
+        let bytes: Option<Vec<u8>> = text.as_bytes().chunks(2).map(hex_byte).collect();
+        bytes.ok_or_else(|| self.invalid(field))
     }
 }
 
-/// Bytes as the wire writes them.
-pub fn to_hex(bytes: &[u8]) -> String {
-    if bytes.is_empty() {
-        return "-".to_owned();
-    }
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+/// The value in `name=value`, if the name is `field`.
+fn value_of<'a>(text: &'a str, field: &str) -> Option<&'a str> {
+    text.strip_prefix(field)?.strip_prefix('=')
 }
+
+fn hex_byte(digits: &[u8]) -> Option<u8> {
+    let [high, low] = digits else { return None };
+    Some(hex_digit(*high)? << 4 | hex_digit(*low)?)
+}
+
+fn hex_digit(digit: u8) -> Option<u8> {
+    let value = char::from(digit).to_digit(16)?;
+    u8::try_from(value).ok()
+}
+
+#[cfg(test)]
+#[path = "../../../tests/unit/adapter_line.rs"]
+mod tests;
--- /dev/null
+++ b/src/bin/simulator-adapter/reply.rs
@@ -0,0 +1,74 @@
+//! Actions of a gateway as lines of the simulator's protocol.
+
+use edge_node::{Action, Micros};
+use std::fmt::{self, Write};
+
+/// Appends an action of a gateway to a reply.
+pub(crate) fn append(reply: &mut String, gateway: u64, action: &Action) {
+    // Writing to a string never fails.
+    let _ = writeln!(reply, "{}", ActionLine { gateway, action });
+}
+
+/// An action of a gateway; displayed as its line, without the end of the line.
+struct ActionLine<'a> {
+    gateway: u64,
+    action: &'a Action,
+}
+
+impl fmt::Display for ActionLine<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let gateway = self.gateway;
+        match self.action {
+            Action::SendAttempt { id, server, timeout } => {
+                write!(f, "send\ti={gateway}\tcall={}\tserver={}", id.0, server.0)?;
+                write_optional(f, "tryForUs", *timeout)
+            }
+            Action::Reject { id, retry_after } => {
+                write!(f, "not_now\ti={gateway}\tcall={}", id.0)?;
+                write_optional(f, "retryInUs", *retry_after)
+            }
+            Action::Fail { id } => write!(f, "finish_error\ti={gateway}\tcall={}", id.0),
+            Action::CancelAttempt { id, attempt } => {
+                write!(f, "revoke\ti={gateway}\tcall={}\tshot={}", id.0, attempt.0)
+            }
+            Action::Broadcast { bytes } => {
+                write!(f, "tell\ti={gateway}\taddressee=*\tblob={}", Hex(bytes))
+            }
+            Action::SendToPeer { to, bytes } => {
+                write!(f, "tell\ti={gateway}\taddressee={}\tblob={}", to.0, Hex(bytes))
+            }
+            Action::SetTimer { after, token } => {
+                write!(f, "defer\ti={gateway}\tdelayUs={after}\tnonce={token}")
+            }
+            Action::WatchEndpoints => write!(f, "track\ti={gateway}\tactive=1"),
+            Action::Log(text) => write!(f, "say_log\ti={gateway}\twords={text}"),
+        }
+    }
+}
+
+/// Writes a field that is left out if it has no value.
+fn write_optional(f: &mut fmt::Formatter<'_>, field: &str, value: Option<Micros>) -> fmt::Result {
+    match value {
+        Some(value) => write!(f, "\t{field}={value}"),
+        None => Ok(()),
+    }
+}
+
+/// Bytes in hexadecimal digits, `-` for none.
+struct Hex<'a>(&'a [u8]);
+
+impl fmt::Display for Hex<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.0.is_empty() {
+            return f.write_str("-");
+        }
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+#[path = "../../../tests/unit/adapter_reply.rs"]
+mod tests;
--- /dev/null
+++ b/src/bin/simulator-adapter/translate.rs
@@ -0,0 +1,162 @@
+//! Lines of the simulator's protocol as events of a gateway.
+
+use crate::line::{Line, LineError, LineErrorKind};
+use edge_node::settings::ResolvedSettings;
+use edge_node::{
+    load_report, AttemptNumber, AttemptOutcome, CellId, ClassId, CustomerId, Endpoint, EndpointState,
+    EndpointUpdate, Event, GatewayId, GatewaySet, Micros, PlanId, RequestId, ServerId, ZoneId,
+};
+use std::collections::BTreeMap;
+
+/// An endpoint of a list. Its zone gets its id only from the settings of the gateway that is told of it.
+pub(crate) struct ListedEndpoint {
+    zone_name: String,
+    /// The endpoint, with a zone that means nothing yet.
+    endpoint: Endpoint,
+}
+
+impl ListedEndpoint {
+    fn resolve(&self, line: &Line, zone_names: &[String]) -> Result<Endpoint, LineError> {
+        let Some(zone) = zone_names.iter().position(|name| *name == self.zone_name) else {
+            return Err(line.error(LineErrorKind::UnknownZone { zone: self.zone_name.clone() }));
+        };
+        Ok(Endpoint { zone: ZoneId(zone as u32), ..self.endpoint })
+    }
+}
+
+/// Parses one line of an endpoint list.
+///
+/// # Errors
+/// The line is no such line, or is malformed.
+pub(crate) fn listed_endpoint(line: &Line) -> Result<ListedEndpoint, LineError> {
+    line.expect_name("item")?;
+    let weight = line.non_negative("capacityHint")?;
+    let zone_name = line.text("campus")?.to_owned();
+    let endpoint = Endpoint {
+        server: ServerId(line.parsed("server")?),
+        zone: ZoneId(0),
+        cell: CellId(line.parsed("bay")?),
+        state: endpoint_state(line)?,
+        weight,
+        started_at: started_at(line)?,
+    };
+    Ok(ListedEndpoint { zone_name, endpoint })
+}
+
+fn endpoint_state(line: &Line) -> Result<EndpointState, LineError> {
+    match line.text("readiness")? {
+        "Ready" => Ok(EndpointState::Ready),
+        "Terminating" => Ok(EndpointState::Draining),
+        "Gone" => Ok(EndpointState::Gone),
+        _ => Err(line.invalid("readiness")),
+    }
+}
+
+/// When the server started, in µs; 0 stands for a time that is not known.
+fn started_at(line: &Line) -> Result<Option<Micros>, LineError> {
+    let started_at: Micros = line.parsed_or("cameUpUs", 0)?;
+    Ok((started_at != 0).then_some(started_at))
+}
+
+/// The event that a line reports to a gateway with these settings; `None` for a line that the gateway need not know.
+///
+/// # Errors
+/// No line has this name, or the line is malformed.
+pub(crate) fn event(
+    line: &Line, settings: &ResolvedSettings, lists: &BTreeMap<u8, Vec<ListedEndpoint>>,
+) -> Result<Option<Event>, LineError> {
+    let event = match line.name {
+        "update" => endpoints_updated(line, settings, lists)?,
+        "knock" => request_received(line, settings)?,
+        "opened" => Event::StreamStarted { id: request_id(line)? },
+        "finished" => attempt_finished(line)?,
+        "gone" => Event::ClientDisconnected { id: request_id(line)? },
+        "elapsed" => Event::TimerFired { token: line.parsed("nonce")? },
+        "whisper" => peer_message(line)?,
+        // Responses to health probes and to calls of the counter: a gateway makes neither. They are only validated.
+        "echo" | "counter_reply" => {
+            attempt_outcome(line)?;
+            return Ok(None);
+        }
+        other => return Err(line.error(LineErrorKind::UnknownName(other.to_owned()))),
+    };
+    Ok(Some(event))
+}
+
+fn endpoints_updated(
+    line: &Line, settings: &ResolvedSettings, lists: &BTreeMap<u8, Vec<ListedEndpoint>>,
+) -> Result<Event, LineError> {
+    let kind = match line.text("kind")? {
+        "Error" => return Ok(Event::WatchFailed),
+        "Partial" => EndpointUpdate::Delta,
+        "Complete" | "Persisted" => EndpointUpdate::Snapshot,
+        _ => return Err(line.invalid("kind")),
+    };
+    let list = lists.get(&line.parsed("list")?).ok_or_else(|| line.invalid("list"))?;
+    let mut endpoints = Vec::with_capacity(list.len());
+    for listed in list {
+        endpoints.push(listed.resolve(line, &settings.zone_names)?);
+    }
+    Ok(Event::EndpointsUpdated { kind, endpoints })
+}
+
+fn request_received(line: &Line, settings: &ResolvedSettings) -> Result<Event, LineError> {
+    Ok(Event::RequestReceived {
+        id: request_id(line)?,
+        class: ClassId(index_of(line, "grade", &settings.class_names)?),
+        plan: PlanId(index_of(line, "package", &settings.plan_names)?),
+        customer: CustomerId(line.parsed("clientId")?),
+        units: line.non_negative("quotaUnits")?,
+        gateways: GatewaySet { first: GatewayId(line.parsed("base")?), count: line.parsed("setSize")? },
+        client_timeout: line.parsed("ttlUs")?,
+    })
+}
+
+fn attempt_finished(line: &Line) -> Result<Event, LineError> {
+    Ok(Event::AttemptFinished {
+        id: request_id(line)?,
+        attempt: AttemptNumber(line.parsed("shot")?),
+        outcome: attempt_outcome(line)?,
+        closed: line.flag("doneFlag")?,
+        reported_load: reported_load(line),
+    })
+}
+
+fn peer_message(line: &Line) -> Result<Event, LineError> {
+    let from = GatewayId(line.parsed("originPeer")?);
+    let bytes = line.hex("blob")?;
+    Ok(Event::PeerMessage { from, bytes })
+}
+
+fn request_id(line: &Line) -> Result<RequestId, LineError> {
+    match line.text("call")? {
+        "" => Err(line.invalid("call")),
+        id => Ok(RequestId(id.into())),
+    }
+}
+
+fn attempt_outcome(line: &Line) -> Result<AttemptOutcome, LineError> {
+    match line.parsed("ending")? {
+        100 => Ok(AttemptOutcome::Success),
+        301 => Ok(AttemptOutcome::ServerError),
+        302 => Ok(AttemptOutcome::Overloaded),
+        303 => Ok(AttemptOutcome::TimedOut),
+        304 => Ok(AttemptOutcome::Unreachable),
+        305 => Ok(AttemptOutcome::ConnectionLost),
+        306 => Ok(AttemptOutcome::Cancelled),
+        307 => Ok(AttemptOutcome::NotSent),
+        _ => Err(line.invalid("ending")),
+    }
+}
+
+/// Requests in flight at the server, if the line reports them. A malformed report counts as none.
+fn reported_load(line: &Line) -> Option<f64> {
+    let report = line.optional("telemetry")?;
+    load_report::parse_in_flight(report, ':')
+}
+
+/// The index of a field's value among the names that the settings define.
+fn index_of(line: &Line, field: &'static str, names: &[String]) -> Result<usize, LineError> {
+    let name = line.text(field)?;
+    names.iter().position(|known| known == name).ok_or_else(|| line.invalid(field))
+}
