--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -9,11 +9,11 @@
 mod discovery_deadline;
 #[path = "edge/shutdown.rs"]
 mod shutdown;
-#[path = "edge/slow_server.rs"]
-mod slow_server;
 #[path = "edge/start.rs"]
 mod start;
 mod support;
+#[path = "edge/unexpected_response.rs"]
+mod unexpected_response;
 #[path = "edge/watch.rs"]
 mod watch;
 
