Test each way in which an attempt ends, and the bytes of its request

Seen: the ends of an attempt were tested through the whole program alone. Changed: tests/unit/attempt.rs asserts the outcome of each error, written or not, the bytes of a request, cancellation, the deadline, a cut response, the limit of sockets, and that a dropped attempt closes its connection.

--- a/src/bin/edge-node/upstream/attempt.rs
+++ b/src/bin/edge-node/upstream/attempt.rs
@@ -230,3 +230,7 @@
     }
     builder.body(Full::new(request.body.clone()))
 }
+
+#[cfg(test)]
+#[path = "../../../../tests/unit/attempt.rs"]
+mod tests;
