--- a/src/bin/simulator-adapter/reply.rs
+++ b/src/bin/simulator-adapter/reply.rs
@@ -41,7 +41,7 @@
                 write!(f, "defer\ti={gateway}\tdelayUs={after}\tnonce={token}")
             }
             Action::WatchEndpoints => write!(f, "track\ti={gateway}\tactive=1"),
-            Action::Log(text) => write!(f, "say_log\ti={gateway}\twords={text}"),
+            Action::Warn(warning) => write!(f, "say_log\ti={gateway}\twords={warning}"),
         }
     }
 }
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -1,12 +1,13 @@
-//! The log: which events it tells of, in which form, and that it never gets in the way.
+//! The log: its events and formats, and that it never holds up the edge node.
 
-#[path = "../src/bin/edge-node/limiter.rs"]
-mod limiter;
+#[path = "../src/bin/edge-node/log/rate_limiter.rs"]
+mod rate_limiter;
 mod support;
 
-use limiter::Limiter;
+use rate_limiter::{Decision, RateLimiter};
 use serde_json::Value;
 use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::{Duration, Instant};
 use support::*;
@@ -29,17 +30,21 @@
         .replace("Content-Length: 4\r\n\r\ntime", "\r\n")
 }
 
-/// Lines of a log of JSON.
-fn events(lines: &[String]) -> Vec<(String, Value)> {
-    let event = |line: &String| {
-        let value: Value = serde_json::from_str(line).unwrap_or_else(|_| panic!("no JSON: {line}"));
-        let word =
-            |name: &str| value[name].as_str().unwrap_or_else(|| panic!("no {name}: {line}")).to_owned();
-        assert!(["INFO", "WARN", "ERROR", "DEBUG"].contains(&word("level").as_str()), "{line}");
-        assert!(word("timestamp").ends_with('Z') && !word("message").is_empty(), "{line}");
-        (word("event"), value)
-    };
-    lines.iter().map(event).collect()
+/// An event of a log in JSON.
+struct LogEvent {
+    name: String,
+    fields: Value,
+}
+
+impl LogEvent {
+    /// Parses a line, which has to have the fields that every event has.
+    fn parse(line: &str) -> LogEvent {
+        let fields: Value = serde_json::from_str(line).unwrap_or_else(|_| panic!("no JSON: {line}"));
+        let text = |name: &str| fields[name].as_str().unwrap_or_else(|| panic!("no {name}: {line}"));
+        assert!(["INFO", "WARN", "ERROR", "DEBUG"].contains(&text("level")), "{line}");
+        assert!(text("timestamp").ends_with('Z') && !text("message").is_empty(), "{line}");
+        LogEvent { name: text("event").to_owned(), fields }
+    }
 }
 
 #[test]
@@ -80,23 +85,27 @@
     let said = node.says("reloaded");
     assert_eq!(node.client().ask(&read("seen")).status(), 200);
     node.reload(|text| text.replacen("\"debug\"", "\"warn\"", 1));
-    // At this level no line tells of it; the watch that is opened anew does.
-    (0..3).for_each(|_| drop(discovery.watch()));
+    // At this level no line shows that the reload is done; the watch that it opens does.
+    for _ in 0..3 {
+        drop(discovery.watch());
+    }
     assert_eq!(node.client().ask(&read("hidden")).status(), 200);
     node.terminate();
     assert!(node.wait().success());
-    let all = events(&node.said());
+    let events: Vec<LogEvent> = node.said().iter().map(|line| LogEvent::parse(line)).collect();
     let of = |id: &str| -> Vec<&str> {
-        all.iter().filter(|(_, value)| value["id"] == id).map(|(event, _)| event.as_str()).collect()
+        let of_request = events.iter().filter(|event| event.fields["id"] == id);
+        of_request.map(|event| event.name.as_str()).collect()
     };
     assert_eq!(of("seen"), ["request", "send", "ended", "answer"]);
     assert_eq!((of("unseen").len(), of("hidden").len()), (0, 0));
-    assert!(!all.iter().any(|(event, _)| event == "left"), "that is not of level warn");
-    let applied = &events(&[said])[0];
-    assert_eq!((applied.0.as_str(), applied.1["level"].as_str()), ("applied", Some("INFO")));
+    assert!(!events.iter().any(|event| event.name == "left"), "that is not of level warn");
+    let reloaded = LogEvent::parse(&said);
+    assert_eq!(reloaded.name, "applied");
+    assert_eq!(reloaded.fields["level"], "INFO");
 }
 
-/// What comes from elsewhere cannot make a line of its own.
+/// Text from outside cannot forge a line of the log.
 #[test]
 fn a_line_stays_one_line() {
     let discovery = Discovery::start(&[]);
@@ -115,9 +124,9 @@
     assert!(first.contains(r"a\nb\u{1b}[31m: listening on 127.0.0.1:"), "{first}");
 }
 
-/// Whoever reads the log may end; the edge node goes on.
+/// The reader of the log may end; the edge node goes on.
 #[test]
-fn nobody_has_to_read_the_log() {
+fn the_log_needs_no_reader() {
     let discovery = Discovery::start(&[]);
     let path = written("unread.toml", &config(&discovery, ""));
     let mut child =
@@ -138,12 +147,19 @@
     let _ = std::fs::remove_file(&path);
 }
 
-/// Each event in the code stands on the page, and the other way round.
+/// All files below a directory, also those in directories of it.
+fn source_files(directory: &Path) -> Vec<PathBuf> {
+    let entries = std::fs::read_dir(directory).expect("the code");
+    let paths = entries.map(|entry| entry.expect("an entry").path());
+    paths.flat_map(|path| if path.is_dir() { source_files(&path) } else { vec![path] }).collect()
+}
+
+/// The code and the page have the same events.
 #[test]
-fn the_page_tells_every_event() {
+fn the_page_has_every_event() {
     let mut coded = std::collections::BTreeSet::new();
-    for file in std::fs::read_dir("src/bin/edge-node").expect("the code") {
-        let text = std::fs::read_to_string(file.expect("a file").path()).expect("it is text");
+    for file in source_files("src/bin/edge-node".as_ref()) {
+        let text = std::fs::read_to_string(file).expect("it is text");
         let names = text.split("event = \"").skip(1).filter_map(|rest| rest.split('"').next());
         coded.extend(names.map(str::to_owned));
     }
@@ -159,17 +175,20 @@
 }
 
 #[test]
-fn so_many_lines_of_a_kind_pass_in_each_span() {
-    let span = Duration::from_secs(10);
-    let mut limiter = Limiter::new(3, span);
-    let begun = Instant::now();
-    let passed: Vec<_> =
-        (0..6).map(|second| limiter.pass("a", begun + Duration::from_secs(second))).collect();
-    assert_eq!(passed, [Some(0), Some(0), Some(0), None, None, None]);
-    assert_eq!(limiter.pass("b", begun), Some(0), "each kind has its own");
-    assert_eq!(limiter.pass("a", begun + span - Duration::from_nanos(1)), None);
-    assert_eq!(limiter.pass("a", begun + span), Some(4), "what was left out is told once");
-    assert_eq!(limiter.pass("a", begun + span), Some(0));
-    assert_eq!(limiter.pass("a", begun), Some(0), "a clock that goes back is no matter");
-    assert_eq!(limiter.pass("a", begun + span), None);
+fn the_rate_limiter_passes_a_limited_number_of_each_kind_in_each_window() {
+    const PASS: Decision = Decision::Pass { suppressed_before: 0 };
+    const SUPPRESS: Decision = Decision::Suppress;
+    let window = Duration::from_secs(10);
+    let mut limiter = RateLimiter::new(3, window);
+    let start = Instant::now();
+    let decisions: Vec<_> =
+        (0..6).map(|second| limiter.check("a", start + Duration::from_secs(second))).collect();
+    assert_eq!(decisions, [PASS, PASS, PASS, SUPPRESS, SUPPRESS, SUPPRESS]);
+    assert_eq!(limiter.check("b", start), PASS, "each kind has its own window");
+    assert_eq!(limiter.check("a", start + window - Duration::from_nanos(1)), SUPPRESS);
+    let after_suppression = Decision::Pass { suppressed_before: 4 };
+    assert_eq!(limiter.check("a", start + window), after_suppression, "the count is reported once");
+    assert_eq!(limiter.check("a", start + window), PASS);
+    assert_eq!(limiter.check("a", start), PASS, "a clock that goes back does not matter");
+    assert_eq!(limiter.check("a", start + window), SUPPRESS);
 }
--- a/tests/unit/adapter_reply.rs
+++ b/tests/unit/adapter_reply.rs
@@ -1,7 +1,7 @@
 //! Each action as its line, byte for byte.
 
 use super::*;
-use edge_node::{AttemptNumber, GatewayId, RequestId, ServerId};
+use edge_node::{AttemptNumber, GatewayId, RequestId, ServerId, Warning};
 
 #[test]
 fn each_action_has_its_line() {
@@ -24,7 +24,10 @@
         ),
         (Action::SetTimer { after: 10, token: 4 }, "defer\ti=3\tdelayUs=10\tnonce=4\n"),
         (Action::WatchEndpoints, "track\ti=3\tactive=1\n"),
-        (Action::Log("some words".to_owned()), "say_log\ti=3\twords=some words\n"),
+        (
+            Action::Warn(Warning::ServerStalled { server }),
+            "say_log\ti=3\twords=server 51 stalled: ejected until a probe succeeds\n",
+        ),
     ];
     for (action, expected) in cases {
         let mut reply = "before\n".to_owned();
