--- a/src/bin/edge-node/command.rs
+++ b/src/bin/edge-node/command.rs
@@ -1,6 +1,7 @@
 //! The command line: what it may hold, and which part of the program does it.
 
 use crate::config::{markdown_table, Config, ConfigError, CONFIG_VARIABLE};
+use crate::startup;
 use anyhow::{bail, Context, Result};
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
@@ -105,7 +106,7 @@
 
 fn serve(file: Option<PathBuf>) -> Result<()> {
     let config = Config::from_environment(file, |name| std::env::var(name).ok())?;
-    crate::run(config)
+    startup::run(config)
 }
 
 /// Prints all that is wrong with a configuration.
