--- a/src/bin/edge-node/upstream/attempt.rs
+++ b/src/bin/edge-node/upstream/attempt.rs
@@ -232,5 +232,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../../tests/unit/attempt.rs"]
+#[path = "../../../../tests/unit/upstream_attempt.rs"]
 mod tests;
--- a/src/bin/edge-node/upstream/connection.rs
+++ b/src/bin/edge-node/upstream/connection.rs
@@ -226,5 +226,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../../tests/unit/connect_error.rs"]
+#[path = "../../../../tests/unit/upstream_connect_error.rs"]
 mod tests;
--- a/src/bin/edge-node/upstream/response.rs
+++ b/src/bin/edge-node/upstream/response.rs
@@ -99,5 +99,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../../tests/unit/response.rs"]
+#[path = "../../../../tests/unit/upstream_response.rs"]
 mod tests;
