--- a/src/event.rs
+++ b/src/event.rs
@@ -1,4 +1,4 @@
-//! Events: everything that a gateway is told about the world.
+//! Events: everything that a gateway learns about the world.
 
 use crate::types::{
     AttemptNumber, AttemptOutcome, ClassId, CustomerId, Endpoint, EndpointUpdate, GatewayId, GatewaySet,
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -15,6 +15,7 @@
 use crate::Action;
 
 /// How an attempt ended.
+#[derive(Clone, Copy)]
 pub(super) struct AttemptResult {
     pub(super) outcome: AttemptOutcome,
     /// Whether its request is closed.
@@ -66,10 +67,8 @@
                 self.controller.consume_pacing_token();
             }
             self.send_attempt(now, id, server, actions);
-            selectable = match self.requests.is_queue_empty() {
-                true => Vec::new(),
-                false => self.selectable_servers(now),
-            };
+            selectable =
+                if self.requests.is_queue_empty() { Vec::new() } else { self.selectable_servers(now) };
         }
     }
 
--- a/src/message/encode.rs
+++ b/src/message/encode.rs
@@ -55,7 +55,7 @@
         LeaseDecision::QuotaExceeded => DECISION_QUOTA_EXCEEDED,
     });
     bytes.push(rounded_byte(answer.grant.request_probability * f64::from(u8::MAX)));
-    // Rounded down: no more is told than was granted.
+    // Rounded down: no more is announced than was granted.
     let leased = (answer.grant.leased_units * FRACTION_STEPS).floor() as u16;
     bytes.extend_from_slice(&leased.to_le_bytes());
 }
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -47,7 +47,7 @@
 
 /// The name by which health reports call a server. Two servers may share one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct ShortServerId(pub u16);
+pub(crate) struct ShortServerId(pub(crate) u16);
 
 /// The short name of a server.
 pub(crate) fn short_id(server: ServerId) -> ShortServerId {
@@ -56,60 +56,60 @@
 
 /// A server as the sender sees it for one class.
 pub(crate) struct HealthReport {
-    pub server: ShortServerId,
-    pub class: ClassId,
-    pub failure_rate: f64,
+    pub(crate) server: ShortServerId,
+    pub(crate) class: ClassId,
+    pub(crate) failure_rate: f64,
     /// µs of wait for one place, 0 while unknown.
-    pub wait: f64,
+    pub(crate) wait: f64,
     /// Requests that it has in flight, if that is known.
-    pub load: Option<f64>,
+    pub(crate) load: Option<f64>,
     /// µs since it was observed.
-    pub age: Micros,
+    pub(crate) age: Micros,
 }
 
 /// How the fleet fares as the sender sees it; rides on lease requests and answers.
 #[derive(Default)]
 pub(crate) struct GossipDigest {
     /// Answers a second at one gateway.
-    pub throughput: f64,
+    pub(crate) throughput: f64,
     /// By class: mean latency in objectives, or [`UNKNOWN_RATIO`].
-    pub latency_ratios: Vec<f64>,
-    pub reports: Vec<HealthReport>,
+    pub(crate) latency_ratios: Vec<f64>,
+    pub(crate) reports: Vec<HealthReport>,
 }
 
 /// A customer's usage: the sender's running count of units, in steps of which sender and recipient agree.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct UsageCount {
-    pub customer: CustomerId,
-    pub count: u16,
+    pub(crate) customer: CustomerId,
+    pub(crate) count: u16,
 }
 
 /// Usage counts, broadcast to all peers.
 pub(crate) struct UsageCounts {
     /// When the sender started, in ms.
-    pub incarnation: u32,
-    pub counts: Vec<UsageCount>,
+    pub(crate) incarnation: u32,
+    pub(crate) counts: Vec<UsageCount>,
 }
 
 /// What is left of an ended lease, by the lease request that it was granted under.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct ReturnedLease {
-    pub sequence: u16,
-    pub units: f64,
+    pub(crate) sequence: u16,
+    pub(crate) units: f64,
 }
 
 /// A request that asks one of its customer's quota owners for its units, and for a lease beyond them.
 pub(crate) struct LeaseRequest {
-    pub sequence: u16,
-    pub customer: CustomerId,
-    pub plan: PlanId,
-    pub gateways: GatewaySet,
+    pub(crate) sequence: u16,
+    pub(crate) customer: CustomerId,
+    pub(crate) plan: PlanId,
+    pub(crate) gateways: GatewaySet,
     /// Which of the customer's owners is meant.
-    pub owner_index: u32,
-    pub units: f64,
+    pub(crate) owner_index: u32,
+    pub(crate) units: f64,
     /// Units that the sender is likely to use beyond this request's within a lease's lifetime.
-    pub requested_units: f64,
-    pub returned: ReturnedLease,
+    pub(crate) requested_units: f64,
+    pub(crate) returned: ReturnedLease,
 }
 
 /// An owner's decision.
@@ -122,30 +122,30 @@
 /// What an owner answers.
 #[derive(Clone, Copy)]
 pub(crate) struct LeaseGrant {
-    pub decision: LeaseDecision,
+    pub(crate) decision: LeaseDecision,
     /// The share of the customer's requests that may ask.
-    pub request_probability: f64,
-    pub leased_units: f64,
+    pub(crate) request_probability: f64,
+    pub(crate) leased_units: f64,
 }
 
 impl LeaseGrant {
     /// What stands in for an answer that can't be had.
-    pub const REJECTED: LeaseGrant =
+    pub(crate) const REJECTED: LeaseGrant =
         LeaseGrant { decision: LeaseDecision::QuotaExceeded, request_probability: 1.0, leased_units: 0.0 };
 }
 
 /// An owner's answer to one lease request.
 #[derive(Clone, Copy)]
 pub(crate) struct LeaseAnswer {
-    pub sequence: u16,
-    pub grant: LeaseGrant,
+    pub(crate) sequence: u16,
+    pub(crate) grant: LeaseGrant,
 }
 
 /// Releases the concurrency permit that was granted under a lease request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PermitRelease {
-    pub sequence: u16,
-    pub customer: CustomerId,
+    pub(crate) sequence: u16,
+    pub(crate) customer: CustomerId,
 }
 
 /// A message between two gateways.
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -9,8 +9,8 @@
 use crate::state::token_bucket::TokenBucket;
 use crate::types::{Micros, RejectReason};
 
-/// Seconds of the peers' usage that a bucket keeps back: forwarded, but not yet told.
-const UNTOLD_USAGE: f64 = 0.5;
+/// Seconds of the peers' usage that a bucket keeps back: forwarded, but not heard of yet.
+const UNHEARD_USAGE: f64 = 0.5;
 /// µs in which a gateway forgets what share of a customer's requests may ask its owners.
 const PROBABILITY_LIFETIME: f64 = 2e6;
 
@@ -35,7 +35,7 @@
     bucket.record_demand(now, request.units, MAX_LEASE_LIFETIME);
     let may_ask = lease_request_probability(bucket, now);
     let plan = &context.deployment.settings.plans[bucket.plan.0];
-    let kept_back = (bucket.peer_rate(now) * UNTOLD_USAGE).min(plan.burst - bucket.capacity).max(0.0);
+    let kept_back = (bucket.peer_rate(now) * UNHEARD_USAGE).min(plan.burst - bucket.capacity).max(0.0);
     let quota_exceeded = plan.rate > 0.0 && bucket.tokens - kept_back < request.units;
     bucket.tokens -= request.units;
     if context.deployment.mode == FleetMode::Gossip {
@@ -64,7 +64,7 @@
     Admission::AskOwner
 }
 
-/// The share of a customer's requests that may ask its owners: what they last told, which fades.
+/// The share of a customer's requests that may ask its owners: what they last granted, which fades.
 fn lease_request_probability(bucket: &TokenBucket, now: Micros) -> f64 {
     let forgotten = (now.saturating_sub(bucket.probability_set_at) as f64 / PROBABILITY_LIFETIME).min(1.0);
     bucket.lease_request_probability + (1.0 - bucket.lease_request_probability) * forgotten
--- a/src/policy/deadlines.rs
+++ b/src/policy/deadlines.rs
@@ -20,8 +20,8 @@
 }
 
 /// What is to be done about a request because of its age. Two exceptions to the design, which refuses at the
-/// deadline: a client that is told by half of its time that nothing was sent can still try elsewhere; and
-/// where a late answer earns nothing, there is nothing to wait for.
+/// deadline: a client that hears by half of its time that nothing was sent can still try elsewhere; and where
+/// a late answer earns nothing, there is nothing to wait for.
 pub(crate) fn expiry(context: Context<'_>, request: &Request) -> Option<Expiry> {
     let now = context.now;
     let class = context.deployment.class_of(request);
--- a/src/policy/fleet_mode.rs
+++ b/src/policy/fleet_mode.rs
@@ -34,22 +34,22 @@
 /// Figures that differ between the modes.
 pub(crate) struct ModeParameters {
     /// Ready servers up to which all are walked; beyond, each choice looks at a sample.
-    pub max_walked_servers: usize,
+    pub(crate) max_walked_servers: usize,
     /// How observations of servers fade. In a small fleet a wait that is ten times too long is over in 5 s;
     /// in a large one a gateway sees a server seldom. There reported loads count, too: latency tells of a
     /// queue only once it was waited out, and by then hundreds of gateways have sent more.
-    pub fading: Fading,
+    pub(crate) fading: Fading,
     /// Weights of this gateway's own sample at a control tick in the means of latency ratios, attempts in
     /// flight and throughput. In a small fleet it is all there is; a gateway of a large one has mostly
     /// nothing in flight.
-    pub latency_ratio_weight: f64,
-    pub in_flight_weight: f64,
-    pub throughput_weight: f64,
+    pub(crate) latency_ratio_weight: f64,
+    pub(crate) in_flight_weight: f64,
+    pub(crate) throughput_weight: f64,
     /// Least failure rate that one stalled attempt proves: less where each gateway sees few.
-    pub stall_failure_rate: f64,
+    pub(crate) stall_failure_rate: f64,
     /// Of two in the middle of ascending values, whether the median is the lesser: of a pair of servers, one
     /// that stays unused then sets no mark for itself. Large fleets were not measured with that.
-    pub lesser_median: bool,
+    pub(crate) lesser_median: bool,
 }
 
 const GOSSIP: ModeParameters = ModeParameters {
--- a/src/policy/load_balancing.rs
+++ b/src/policy/load_balancing.rs
@@ -36,11 +36,12 @@
 /// ejected (iac7c0b: ejection feeds on itself).
 const MIN_HEALTHY_SHARE: f64 = 0.5;
 
-/// Servers that a gateway of a large fleet uses, and at the least gateways that use each server. A pair that meets
-/// seldom costs a handshake each time, and holds a connection in between.
+/// Servers that a gateway of a large fleet uses, and at the least gateways that use each server. A pair that
+/// meets seldom costs a handshake each time, and holds a connection in between.
 const SUBSET_SIZE: f64 = 7.0;
 
-/// How many of the ready servers a gateway uses: more where servers are many, or some would be used by no gateway.
+/// How many of the ready servers a gateway uses: more where servers are many, or some would be used by no
+/// gateway.
 pub(super) fn subset_size(settings: &Settings, ready: usize) -> usize {
     let per_gateway = SUBSET_SIZE * ready as f64 / f64::from(settings.gateway_count);
     SUBSET_SIZE.max(per_gateway).ceil() as usize
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,5 +1,5 @@
 //! Every decision of a gateway, by concern: each choice, threshold and refusal, listed as `policy` in
-//! `deploy/balancer.toml`. The [`gateway`](crate::gateway) carries them out on the [`state`](crate::state).
+//! `deploy/balancer.toml`. The module `gateway` carries them out on what `state` remembers.
 
 pub(crate) mod admission;
 pub(crate) mod deadlines;
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -10,8 +10,9 @@
 use crate::types::Micros;
 use std::ops::Range;
 
-/// µs of silence for which a gateway counts as partitioned, before it counts as dead. In a partition each side would
-/// grant the whole rate, so each keeps back the even shares of the silent ones; the price is paid while one is down.
+/// µs of silence for which a gateway counts as partitioned, before it counts as dead. In a partition each
+/// side would grant the whole rate, so each keeps back the even shares of the silent ones; the price is paid
+/// while one is down.
 pub(crate) const PARTITIONED: Range<Micros> = 800_000..25_000_000;
 /// µs by which peers have been up longer, and for which that matters, where this gateway restarted.
 const RESTART_WINDOW: Micros = 4_000_000;
@@ -79,7 +80,7 @@
         return false;
     }
     let Some(limit) = plan.max_concurrent else { return true };
-    // Peers' attempts are not told in time: their rate and the latency make so many likely.
+    // Peers' attempts are not heard of in time: their rate and the latency make so many likely.
     let even_share = (f64::from(limit) / bucket.gateway_count).round().max(1.0);
     let likely = bucket.peer_rate(context.now) * context.fleet.mean_latency / 1e6;
     let below_limit = poisson_below(limit.saturating_sub(bucket.in_flight), likely);
--- a/src/policy/quota_owner.rs
+++ b/src/policy/quota_owner.rs
@@ -1,7 +1,6 @@
-//! Quota owners, an addition to the design for large fleets (see
-//! [`FleetMode`](super::fleet_mode::FleetMode)). One or two of a customer's gateways own its quota in parts;
-//! where they do not answer, a standby owner keeps a small part. Without owners each of hundreds of gateways
-//! would grant a burst of its own.
+//! Quota owners, an addition to the design for large fleets, where each gateway would grant a burst of its
+//! own. One or two of a customer's gateways own its quota in parts; a standby owner keeps a small part in
+//! case they are silent.
 
 use super::lease::lease_lifetime;
 use crate::message::{LeaseDecision, LeaseGrant, LeaseRequest};
@@ -42,10 +41,10 @@
 
 /// A lease request as its owner decides on it.
 pub(crate) struct OwnerRequest<'a> {
-    pub from: GatewayId,
-    pub request: &'a LeaseRequest,
-    pub owners: QuotaOwners,
-    pub plan: &'a Plan,
+    pub(crate) from: GatewayId,
+    pub(crate) request: &'a LeaseRequest,
+    pub(crate) owners: QuotaOwners,
+    pub(crate) plan: &'a Plan,
 }
 
 impl OwnerRequest<'_> {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,4 +1,4 @@
-//! Settings: what a gateway is told at its start, and how they are parsed and validated.
+//! Settings: what a gateway is configured with, and how they are parsed and validated.
 
 mod parse;
 mod validate;
@@ -120,11 +120,11 @@
     pub cancel_attempts: bool,
     /// Whether gateways may send each other messages.
     pub peer_messages: bool,
-    /// The longest `Retry-After`, in µs; `None` where clients are not told.
+    /// The longest `Retry-After`, in µs; `None` where it is not sent.
     pub max_retry_after: Option<Micros>,
 }
 
-/// All that a gateway is told at its start.
+/// All that a gateway is configured with.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// This gateway.
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -35,7 +35,7 @@
 /// Settings with the names that requests use, and what only the network code needs.
 #[derive(Clone, Debug)]
 pub struct ResolvedSettings {
-    /// What the gateway is told.
+    /// What the gateway is configured with.
     pub settings: Settings,
     /// Names of the classes, in the order of their ids.
     pub class_names: Vec<String>,
--- a/src/state/attempt.rs
+++ b/src/state/attempt.rs
@@ -6,20 +6,20 @@
 /// Names an attempt.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct AttemptKey {
-    pub request: RequestId,
-    pub number: AttemptNumber,
+    pub(crate) request: RequestId,
+    pub(crate) number: AttemptNumber,
 }
 
 /// An attempt in flight.
 pub(crate) struct Attempt {
-    pub server: ServerId,
-    pub customer: CustomerId,
-    pub class: ClassId,
+    pub(crate) server: ServerId,
+    pub(crate) customer: CustomerId,
+    pub(crate) class: ClassId,
     /// Since when only the servers delayed its request.
-    pub due_since: Micros,
-    pub sent_at: Micros,
+    pub(crate) due_since: Micros,
+    pub(crate) sent_at: Micros,
     /// Attempts in flight at the server when it was sent, with this one.
-    pub server_in_flight: f64,
+    pub(crate) server_in_flight: f64,
 }
 
 /// All attempts in flight.
@@ -27,26 +27,26 @@
 pub(crate) struct AttemptTable(BTreeMap<AttemptKey, Attempt>);
 
 impl AttemptTable {
-    pub fn insert(&mut self, key: AttemptKey, attempt: Attempt) {
+    pub(crate) fn insert(&mut self, key: AttemptKey, attempt: Attempt) {
         self.0.insert(key, attempt);
     }
 
-    pub fn remove(&mut self, key: &AttemptKey) -> Option<Attempt> {
+    pub(crate) fn remove(&mut self, key: &AttemptKey) -> Option<Attempt> {
         self.0.remove(key)
     }
 
     /// All of them, by request.
-    pub fn iter(&self) -> impl Iterator<Item = (&AttemptKey, &Attempt)> {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&AttemptKey, &Attempt)> {
         self.0.iter()
     }
 
     /// How many there are.
-    pub fn count(&self) -> f64 {
+    pub(crate) fn count(&self) -> f64 {
         self.0.len() as f64
     }
 
     /// How many there are of a class.
-    pub fn count_of(&self, class: ClassId) -> f64 {
+    pub(crate) fn count_of(&self, class: ClassId) -> f64 {
         self.0.values().filter(|attempt| attempt.class == class).count() as f64
     }
 }
--- a/src/state/deployment.rs
+++ b/src/state/deployment.rs
@@ -18,16 +18,16 @@
 
 /// The settings, the mode of the fleet, and figures derived from them.
 pub(crate) struct Deployment {
-    pub settings: Settings,
-    pub mode: FleetMode,
+    pub(crate) settings: Settings,
+    pub(crate) mode: FleetMode,
     /// The shortest latency objective of all classes, in µs.
-    pub shortest_objective: f64,
+    pub(crate) shortest_objective: f64,
     /// The class of the lowest priority weight, the first of several.
-    pub lowest_class: ClassId,
+    pub(crate) lowest_class: ClassId,
 }
 
 impl Deployment {
-    pub fn new(settings: Settings, mode: FleetMode) -> Self {
+    pub(crate) fn new(settings: Settings, mode: FleetMode) -> Self {
         let classes = &settings.classes;
         let shortest = classes.iter().map(|class| class.latency_objective).min();
         let weight = |index: &usize| classes[*index].priority_weight;
@@ -40,17 +40,17 @@
         }
     }
 
-    pub fn class_of(&self, request: &Request) -> &Class {
+    pub(crate) fn class_of(&self, request: &Request) -> &Class {
         &self.settings.classes[request.class.0]
     }
 
     /// Priority of a request, while its answer is in time.
-    pub fn priority(&self, request: &Request) -> f64 {
+    pub(crate) fn priority(&self, request: &Request) -> f64 {
         self.class_of(request).priority_weight * self.plan_of(request).weight
     }
 
     /// Share of all combinations of class and plan that have a lower priority than a request.
-    pub fn priority_rank(&self, request: &Request) -> f64 {
+    pub(crate) fn priority_rank(&self, request: &Request) -> f64 {
         let plans = &self.settings.plans;
         let of_class = |class: &Class| {
             let weight = class.priority_weight;
@@ -60,7 +60,7 @@
         percentile_rank(self.priority(request), all)
     }
 
-    pub fn plan_of(&self, request: &Request) -> &Plan {
+    pub(crate) fn plan_of(&self, request: &Request) -> &Plan {
         &self.settings.plans[request.plan.0]
     }
 }
@@ -68,7 +68,7 @@
 /// What decisions depend on, apart from the request, bucket or server in question.
 #[derive(Clone, Copy)]
 pub(crate) struct Context<'a> {
-    pub now: Micros,
-    pub deployment: &'a Deployment,
-    pub fleet: &'a FleetEstimates,
+    pub(crate) now: Micros,
+    pub(crate) deployment: &'a Deployment,
+    pub(crate) fleet: &'a FleetEstimates,
 }
--- a/src/state/fleet_estimates.rs
+++ b/src/state/fleet_estimates.rs
@@ -9,28 +9,28 @@
 #[derive(Default)]
 pub(crate) struct FleetEstimates {
     /// µs: mean latency of attempts.
-    pub mean_latency: f64,
+    pub(crate) mean_latency: f64,
     /// µs: median wait for one place at a server.
-    pub median_wait: f64,
+    pub(crate) median_wait: f64,
     /// µs that a server with free capacity takes.
-    pub service_time: f64,
+    pub(crate) service_time: f64,
     /// Load factor of the median server, where servers report their load.
-    pub load_factor: Option<f64>,
+    pub(crate) load_factor: Option<f64>,
     /// Mean attempts in flight, of the lowest class and in all.
-    pub lowest_in_flight: f64,
-    pub total_in_flight: f64,
+    pub(crate) lowest_in_flight: f64,
+    pub(crate) total_in_flight: f64,
     /// By class: mean latency in objectives, or [`UNKNOWN_RATIO`].
-    pub latency_ratios: Vec<f64>,
+    pub(crate) latency_ratios: Vec<f64>,
     /// Answers a second at one gateway, and answers here since the last control tick.
-    pub throughput: f64,
-    pub completed_since_tick: f64,
+    pub(crate) throughput: f64,
+    pub(crate) completed_since_tick: f64,
     /// By zone: share of the attempts that found no connection.
     unreachable_by_zone: BTreeMap<ZoneId, f64>,
 }
 
 impl FleetEstimates {
     /// `expected`: the wait to start from, in µs.
-    pub fn new(classes: usize, expected: f64) -> Self {
+    pub(crate) fn new(classes: usize, expected: f64) -> Self {
         FleetEstimates {
             mean_latency: expected,
             median_wait: expected,
@@ -42,7 +42,7 @@
 
     /// The largest latency ratio of all classes but `lowest`; of all, if there is only one. `None` while
     /// unknown.
-    pub fn worst_latency_ratio(&self, lowest: ClassId) -> Option<f64> {
+    pub(crate) fn worst_latency_ratio(&self, lowest: ClassId) -> Option<f64> {
         let only = self.latency_ratios.len() == 1;
         let ratios = self.latency_ratios.iter().enumerate();
         let controlled = ratios.filter(|(class, _)| *class != lowest.0 || only);
@@ -51,20 +51,20 @@
     }
 
     /// Takes in how another gateway's requests of a class fare.
-    pub fn merge_latency_ratio(&mut self, class: ClassId, ratio: f64, weight: f64) {
+    pub(crate) fn merge_latency_ratio(&mut self, class: ClassId, ratio: f64, weight: f64) {
         let Some(mean) = self.latency_ratios.get_mut(class.0) else { return };
         let weight = if *mean < 0.0 { 1.0 } else { weight };
         update_mean(mean, ratio, weight);
     }
 
     /// Takes in whether an attempt into a zone found a connection.
-    pub fn observe_zone(&mut self, zone: ZoneId, unreachable: bool, weight: f64) {
+    pub(crate) fn observe_zone(&mut self, zone: ZoneId, unreachable: bool, weight: f64) {
         let share = self.unreachable_by_zone.entry(zone).or_default();
         update_mean(share, f64::from(u8::from(unreachable)), weight);
     }
 
     /// Share of the attempts into a zone that found no connection.
-    pub fn unreachable_share(&self, zone: ZoneId) -> f64 {
+    pub(crate) fn unreachable_share(&self, zone: ZoneId) -> f64 {
         self.unreachable_by_zone.get(&zone).copied().unwrap_or(0.0)
     }
 }
--- a/src/state/hash_ring.rs
+++ b/src/state/hash_ring.rs
@@ -17,27 +17,27 @@
         (fibonacci_hash(server.0 ^ (server.0 >> 32)), server)
     }
 
-    pub fn insert(&mut self, server: ServerId) {
+    pub(crate) fn insert(&mut self, server: ServerId) {
         self.0.insert(Self::key(server));
     }
 
-    pub fn remove(&mut self, server: ServerId) {
+    pub(crate) fn remove(&mut self, server: ServerId) {
         self.0.remove(&Self::key(server));
     }
 
-    pub fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.0.len()
     }
 
     /// A gateway's place on the ring. Steps of the golden ratio put the gateways of any run of numbers, as a
     /// customer's are, far apart, so that they cover the servers evenly.
-    pub fn position_of(&self, gateway: GatewayId) -> usize {
+    pub(crate) fn position_of(&self, gateway: GatewayId) -> usize {
         let turn = GOLDEN_RATIO.wrapping_mul(u64::from(gateway.0));
         ((u128::from(turn) * self.len() as u128) >> 64) as usize
     }
 
     /// All servers in order from a position on, wrapping round.
-    pub fn iter_from(&self, position: usize) -> impl Iterator<Item = ServerId> + '_ {
+    pub(crate) fn iter_from(&self, position: usize) -> impl Iterator<Item = ServerId> + '_ {
         self.0.iter_from(position % self.len().max(1)).map(|(_, server)| server)
     }
 }
--- a/src/state/latency_samples.rs
+++ b/src/state/latency_samples.rs
@@ -11,13 +11,13 @@
 
 impl ClassSamples {
     /// Adds a latency, in objectives.
-    pub fn add(&mut self, ratio: f64) {
+    pub(crate) fn add(&mut self, ratio: f64) {
         self.sum += ratio;
         self.count += 1.0;
     }
 
     /// The mean; `None` without samples.
-    pub fn mean(&self) -> Option<f64> {
+    pub(crate) fn mean(&self) -> Option<f64> {
         (self.count > 0.0).then(|| self.sum / self.count)
     }
 }
@@ -26,23 +26,23 @@
 pub(crate) struct LatencySamples(Vec<ClassSamples>);
 
 impl LatencySamples {
-    pub fn new(classes: usize) -> Self {
+    pub(crate) fn new(classes: usize) -> Self {
         LatencySamples(vec![ClassSamples::default(); classes])
     }
 
     /// The samples of one class.
-    pub fn of(&mut self, class: ClassId) -> &mut ClassSamples {
+    pub(crate) fn of(&mut self, class: ClassId) -> &mut ClassSamples {
         &mut self.0[class.0]
     }
 
     /// All of them, by class; the next period begins with none.
-    pub fn take(&mut self) -> LatencySamples {
+    pub(crate) fn take(&mut self) -> LatencySamples {
         let empty = LatencySamples::new(self.0.len());
         std::mem::replace(self, empty)
     }
 
     /// By class.
-    pub fn iter(&self) -> impl Iterator<Item = &ClassSamples> {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &ClassSamples> {
         self.0.iter()
     }
 }
--- a/src/state/lease.rs
+++ b/src/state/lease.rs
@@ -8,18 +8,18 @@
 /// Units that this gateway may use without asking, until they expire.
 #[derive(Default)]
 pub(crate) struct Lease {
-    pub units: f64,
-    pub expires_at: Micros,
+    pub(crate) units: f64,
+    pub(crate) expires_at: Micros,
     /// Index of the owner that granted it, and the lease request it was granted under.
-    pub owner_index: u32,
-    pub sequence: u16,
+    pub(crate) owner_index: u32,
+    pub(crate) sequence: u16,
     /// When one was last requested.
-    pub requested_at: Micros,
+    pub(crate) requested_at: Micros,
 }
 
 impl Lease {
     /// Consumes units, if so many are left in time; returns until when they may be used.
-    pub fn consume(&mut self, now: Micros, units: f64) -> Option<Micros> {
+    pub(crate) fn consume(&mut self, now: Micros, units: f64) -> Option<Micros> {
         let covered = self.units > 0.0 && self.units >= units && now <= self.expires_at;
         if !covered {
             return None;
@@ -29,7 +29,7 @@
     }
 
     /// What is left, to be returned to the owner that granted it; it can't be used here any more.
-    pub fn give_back(&mut self, owner_index: u32) -> ReturnedLease {
+    pub(crate) fn give_back(&mut self, owner_index: u32) -> ReturnedLease {
         let left = std::mem::take(&mut self.units);
         if owner_index == self.owner_index {
             ReturnedLease { sequence: self.sequence, units: left }
@@ -42,8 +42,8 @@
 /// A lease as it is asked for: the units, and what comes back of the last one.
 #[derive(Default)]
 pub(crate) struct LeaseRenewal {
-    pub requested_units: f64,
-    pub returned: ReturnedLease,
+    pub(crate) requested_units: f64,
+    pub(crate) returned: ReturnedLease,
 }
 
 struct GrantedLease {
@@ -57,7 +57,7 @@
 
 impl LeaseLedger {
     /// Notes a lease; it replaces the one before.
-    pub fn grant(&mut self, to: GatewayId, sequence: u16, units: f64) {
+    pub(crate) fn grant(&mut self, to: GatewayId, sequence: u16, units: f64) {
         if units > 0.0 {
             self.0.insert(to, GrantedLease { sequence, units });
         }
@@ -66,7 +66,7 @@
     /// Units of a gateway's lease that come back. Only the known lease does, once, and no more than was
     /// granted: otherwise what comes back twice, of a lost answer or from before a restart, would pass a hard
     /// limit.
-    pub fn reclaim(&mut self, from: GatewayId, returned: ReturnedLease) -> Option<f64> {
+    pub(crate) fn reclaim(&mut self, from: GatewayId, returned: ReturnedLease) -> Option<f64> {
         let granted = self.0.get(&from).filter(|lease| lease.sequence == returned.sequence)?.units;
         self.0.remove(&from);
         Some(returned.units.min(granted))
--- a/src/state/peer_usage.rs
+++ b/src/state/peer_usage.rs
@@ -26,7 +26,7 @@
     /// Takes in a running count, and returns by how much it rose. Messages may be late, repeated or out of
     /// order; a count that is lower after a silence of a whole window has begun anew, as its sender had
     /// dropped the customer.
-    pub fn delta(&mut self, now: Micros, incarnation: u32, count: u16) -> u16 {
+    pub(crate) fn delta(&mut self, now: Micros, incarnation: u32, count: u16) -> u16 {
         let silence = now.saturating_sub(self.heard_at);
         self.heard_at = now;
         let restarted = silence > USAGE_WINDOW && count < self.count;
@@ -45,12 +45,12 @@
     }
 
     /// Adds units that the peer has just been heard to forward.
-    pub fn add(&mut self, now: Micros, units: f64) {
+    pub(crate) fn add(&mut self, now: Micros, units: f64) {
         self.recent.push_back(Usage { at: now, units });
     }
 
     /// Units within the last window.
-    pub fn recent_units(&mut self, now: Micros) -> f64 {
+    pub(crate) fn recent_units(&mut self, now: Micros) -> f64 {
         while self.recent.front().is_some_and(|usage| usage.at + USAGE_WINDOW < now) {
             self.recent.pop_front();
         }
--- a/src/state/permits.rs
+++ b/src/state/permits.rs
@@ -5,8 +5,8 @@
 /// Who holds a permit, and under which lease request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PermitHolder {
-    pub gateway: GatewayId,
-    pub sequence: u16,
+    pub(crate) gateway: GatewayId,
+    pub(crate) sequence: u16,
 }
 
 struct Permit {
@@ -19,19 +19,19 @@
 pub(crate) struct ConcurrencyPermits(Vec<Permit>);
 
 impl ConcurrencyPermits {
-    pub fn in_use(&self) -> usize {
+    pub(crate) fn in_use(&self) -> usize {
         self.0.len()
     }
 
-    pub fn acquire(&mut self, holder: PermitHolder, expires_at: Micros) {
+    pub(crate) fn acquire(&mut self, holder: PermitHolder, expires_at: Micros) {
         self.0.push(Permit { holder, expires_at });
     }
 
-    pub fn release(&mut self, holder: PermitHolder) {
+    pub(crate) fn release(&mut self, holder: PermitHolder) {
         self.0.retain(|permit| permit.holder != holder);
     }
 
-    pub fn drop_expired(&mut self, now: Micros) {
+    pub(crate) fn drop_expired(&mut self, now: Micros) {
         self.0.retain(|permit| permit.expires_at > now);
     }
 }
--- a/src/state/quota_owners.rs
+++ b/src/state/quota_owners.rs
@@ -6,7 +6,7 @@
 /// The owners of one customer's quota, numbered from 0. The one after the last is the standby owner.
 #[derive(Clone, Copy)]
 pub(crate) struct QuotaOwners {
-    pub count: u32,
+    pub(crate) count: u32,
     gateways: GatewaySet,
     /// Gateways in the fleet.
     gateway_count: u32,
@@ -15,13 +15,13 @@
 
 impl QuotaOwners {
     /// `count` owners among the customer's gateways, one of them at the least.
-    pub fn new(customer: CustomerId, gateways: GatewaySet, count: u32, gateway_count: u32) -> Self {
+    pub(crate) fn new(customer: CustomerId, gateways: GatewaySet, count: u32, gateway_count: u32) -> Self {
         let hash = (fibonacci_hash(customer.0) >> 33) as u32;
         QuotaOwners { count, gateways, gateway_count, hash }
     }
 
     /// The owner of that index, or the standby owner.
-    pub fn gateway(&self, index: u32) -> GatewayId {
+    pub(crate) fn gateway(&self, index: u32) -> GatewayId {
         let members = self.gateways.count;
         let distance = (members / (self.count + 1)).max(1);
         let step = (self.hash % members + index * distance) % members;
--- a/src/state/quota_state.rs
+++ b/src/state/quota_state.rs
@@ -11,32 +11,32 @@
 #[derive(Clone, Copy, Default)]
 pub(crate) struct OwnerMisses {
     /// Lease requests on end without an answer.
-    pub count: u32,
+    pub(crate) count: u32,
     /// Until when it is passed over, if there were enough of them.
-    pub cooldown_until: Micros,
+    pub(crate) cooldown_until: Micros,
 }
 
 /// Quotas as this gateway sees them.
 pub(crate) struct QuotaState {
     /// When this gateway started.
-    pub started_at: Micros,
+    pub(crate) started_at: Micros,
     /// Whether peers have been up for much longer: this gateway has been restarted.
-    pub restarted_recently: bool,
+    pub(crate) restarted_recently: bool,
     /// This gateway's own bucket of each customer.
-    pub local: BTreeMap<CustomerId, TokenBucket>,
+    pub(crate) local: BTreeMap<CustomerId, TokenBucket>,
     /// The buckets, or parts of them, that it keeps as a quota owner.
-    pub owned: BTreeMap<CustomerId, TokenBucket>,
+    pub(crate) owned: BTreeMap<CustomerId, TokenBucket>,
     /// Requests that wait for the answer to a lease request, by its sequence number.
-    pub pending: BTreeMap<u16, RequestId>,
+    pub(crate) pending: BTreeMap<u16, RequestId>,
     last_sequence: u16,
     /// Owners that did not answer of late.
-    pub unresponsive: BTreeMap<GatewayId, OwnerMisses>,
+    pub(crate) unresponsive: BTreeMap<GatewayId, OwnerMisses>,
     /// When each gateway's usage was last heard; the own entry lies in the future for ever.
-    pub last_heard: Vec<Micros>,
+    pub(crate) last_heard: Vec<Micros>,
 }
 
 impl QuotaState {
-    pub fn new(now: Micros, this_gateway: GatewayId, gateway_count: u32) -> Self {
+    pub(crate) fn new(now: Micros, this_gateway: GatewayId, gateway_count: u32) -> Self {
         let mut last_heard = vec![now; gateway_count as usize];
         last_heard[this_gateway.0 as usize] = Micros::MAX;
         QuotaState {
@@ -52,24 +52,24 @@
     }
 
     /// How long this gateway has been up.
-    pub fn uptime(&self, now: Micros) -> Micros {
+    pub(crate) fn uptime(&self, now: Micros) -> Micros {
         now.saturating_sub(self.started_at)
     }
 
-    /// This gateway's incarnation, as peers are told: when it started, in ms.
-    pub fn incarnation(&self) -> u32 {
+    /// This gateway's incarnation, as sent to peers: when it started, in ms.
+    pub(crate) fn incarnation(&self) -> u32 {
         (self.started_at / 1000) as u32
     }
 
     /// The sequence number of the next lease request.
-    pub fn next_sequence(&mut self) -> u16 {
+    pub(crate) fn next_sequence(&mut self) -> u16 {
         self.last_sequence = self.last_sequence.wrapping_add(1);
         self.last_sequence
     }
 
     /// Running counts of what was forwarded here, in units of `step`: of customers with peers that were busy
     /// within `max_age` µs, the latest first.
-    pub fn usage_counts(&self, now: Micros, max_age: Micros, step: f64) -> Vec<UsageCount> {
+    pub(crate) fn usage_counts(&self, now: Micros, max_age: Micros, step: f64) -> Vec<UsageCount> {
         let is_told = |bucket: &TokenBucket| {
             bucket.forwarded_units > 0.0 && bucket.gateway_count > 1.0 && now <= bucket.forwarded_at + max_age
         };
--- a/src/state/ranked_set.rs
+++ b/src/state/ranked_set.rs
@@ -29,7 +29,7 @@
 
 impl<T: Ord + Copy> RankedSet<T> {
     /// How many items there are.
-    pub fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.len
     }
 
@@ -40,7 +40,7 @@
     }
 
     /// Adds an item, unless it is there.
-    pub fn insert(&mut self, item: T) {
+    pub(crate) fn insert(&mut self, item: T) {
         let at = self.chunk_of(&item);
         let Some(chunk) = self.chunks.get_mut(at) else {
             self.chunks = vec![vec![item]];
@@ -57,7 +57,7 @@
     }
 
     /// Removes an item, if it is there.
-    pub fn remove(&mut self, item: &T) {
+    pub(crate) fn remove(&mut self, item: &T) {
         let at = self.chunk_of(item);
         let Some(chunk) = self.chunks.get_mut(at) else { return };
         let Ok(place) = chunk.binary_search(item) else { return };
@@ -69,7 +69,7 @@
     }
 
     /// All items in order from that rank on, wrapping round.
-    pub fn iter_from(&self, rank: usize) -> impl Iterator<Item = T> + '_ {
+    pub(crate) fn iter_from(&self, rank: usize) -> impl Iterator<Item = T> + '_ {
         let mut at = 0;
         let mut place = rank.min(self.len);
         while self.chunks.get(at).is_some_and(|chunk| chunk.len() <= place) {
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -10,40 +10,40 @@
 #[derive(Clone, Copy)]
 pub(crate) struct PossibleExecution {
     /// The server, as listed when the attempt ended.
-    pub endpoint: Endpoint,
+    pub(crate) endpoint: Endpoint,
     /// When the attempt was sent.
-    pub sent_at: Micros,
+    pub(crate) sent_at: Micros,
 }
 
 /// A request without a final answer.
 #[derive(Default)]
 pub(crate) struct Request {
-    pub class: ClassId,
-    pub plan: PlanId,
-    pub customer: CustomerId,
-    pub units: f64,
-    pub arrived_at: Micros,
+    pub(crate) class: ClassId,
+    pub(crate) plan: PlanId,
+    pub(crate) customer: CustomerId,
+    pub(crate) units: f64,
+    pub(crate) arrived_at: Micros,
     /// Since when only the servers delay it, not its customer's own quota.
-    pub due_since: Micros,
-    pub deadline: Micros,
+    pub(crate) due_since: Micros,
+    pub(crate) deadline: Micros,
     /// Attempts sent so far.
-    pub attempts: u32,
+    pub(crate) attempts: u32,
     /// The attempt in flight; there is one at most.
-    pub in_flight: Option<AttemptNumber>,
+    pub(crate) in_flight: Option<AttemptNumber>,
     /// Whether that attempt was cancelled, or must not be.
-    pub cancelled: bool,
+    pub(crate) cancelled: bool,
     /// Whether it has been counted as late while it was open.
-    pub counted_late: bool,
+    pub(crate) counted_late: bool,
     /// Whether an attempt has reached a server.
-    pub reached_server: bool,
-    pub possibly_executed: Option<PossibleExecution>,
-    pub last_server: Option<ServerId>,
-    pub quota: QuotaProgress,
+    pub(crate) reached_server: bool,
+    pub(crate) possibly_executed: Option<PossibleExecution>,
+    pub(crate) last_server: Option<ServerId>,
+    pub(crate) quota: QuotaProgress,
 }
 
 impl Request {
     /// A request that arrives now. `timeout`: how long its client waits, in µs.
-    pub fn arriving(now: Micros, timeout: Micros) -> Self {
+    pub(crate) fn arriving(now: Micros, timeout: Micros) -> Self {
         Request {
             arrived_at: now,
             due_since: now,
@@ -53,18 +53,18 @@
     }
 
     /// When half of its client's time is over.
-    pub fn half_time(&self) -> Micros {
+    pub(crate) fn half_time(&self) -> Micros {
         self.arrived_at + self.deadline.saturating_sub(self.arrived_at) / 2
     }
 
     /// A stream has begun: there is no deadline any more, and nothing to cancel.
-    pub fn hand_to_client(&mut self) {
+    pub(crate) fn hand_to_client(&mut self) {
         self.deadline = Micros::MAX;
         self.cancelled = true;
     }
 
     /// Notes that a new attempt is in flight at this server.
-    pub fn attempt_sent(&mut self, server: ServerId) -> AttemptNumber {
+    pub(crate) fn attempt_sent(&mut self, server: ServerId) -> AttemptNumber {
         let number = AttemptNumber(self.attempts);
         self.attempts += 1;
         self.in_flight = Some(number);
@@ -75,7 +75,7 @@
 
     /// The attempt that has just been sent. `server_in_flight`: attempts in flight at the server, with this
     /// one.
-    pub fn attempt_record(&self, server: ServerId, now: Micros, server_in_flight: f64) -> Attempt {
+    pub(crate) fn attempt_record(&self, server: ServerId, now: Micros, server_in_flight: f64) -> Attempt {
         Attempt {
             server,
             customer: self.customer,
@@ -91,49 +91,49 @@
 #[derive(Clone, Copy, Default)]
 pub(crate) struct QuotaOwner {
     /// Its index among the customer's owners.
-    pub index: u32,
+    pub(crate) index: u32,
     /// The gateway.
-    pub gateway: GatewayId,
+    pub(crate) gateway: GatewayId,
 }
 
 /// A lease request without an answer.
 #[derive(Clone, Copy)]
 pub(crate) struct PendingLeaseRequest {
-    pub sequence: u16,
-    pub sent_at: Micros,
+    pub(crate) sequence: u16,
+    pub(crate) sent_at: Micros,
 }
 
 /// Who granted a request its quota, and under which lease request.
 #[derive(Clone, Copy)]
 pub(crate) struct QuotaGrant {
-    pub owner: GatewayId,
-    pub sequence: u16,
+    pub(crate) owner: GatewayId,
+    pub(crate) sequence: u16,
 }
 
 /// How a request fares with its customer's quota owners.
 #[derive(Default)]
 pub(crate) struct QuotaProgress {
     /// The owner asked last.
-    pub owner: QuotaOwner,
-    pub pending: Option<PendingLeaseRequest>,
+    pub(crate) owner: QuotaOwner,
+    pub(crate) pending: Option<PendingLeaseRequest>,
     /// Answers that the quota is exceeded.
-    pub rejections: u32,
+    pub(crate) rejections: u32,
     /// Lease requests without an answer.
-    pub misses: u32,
-    pub grant: Option<QuotaGrant>,
+    pub(crate) misses: u32,
+    pub(crate) grant: Option<QuotaGrant>,
     /// Until when the grant may be used under a hard limit.
-    pub grant_expires_at: Micros,
+    pub(crate) grant_expires_at: Micros,
 }
 
 impl QuotaProgress {
     /// Notes that an owner has been asked.
-    pub fn ask(&mut self, now: Micros, sequence: u16, owner: QuotaOwner) {
+    pub(crate) fn ask(&mut self, now: Micros, sequence: u16, owner: QuotaOwner) {
         self.owner = owner;
         self.pending = Some(PendingLeaseRequest { sequence, sent_at: now });
     }
 
     /// Whether no owner has rejected it or kept silent so far.
-    pub fn is_first_try(&self) -> bool {
+    pub(crate) fn is_first_try(&self) -> bool {
         self.rejections + self.misses == 0
     }
 }
@@ -147,53 +147,53 @@
 }
 
 impl RequestTable {
-    pub fn is_empty(&self) -> bool {
+    pub(crate) fn is_empty(&self) -> bool {
         self.open.is_empty()
     }
 
-    pub fn insert(&mut self, id: RequestId, request: Request) {
+    pub(crate) fn insert(&mut self, id: RequestId, request: Request) {
         self.open.insert(id, request);
     }
 
-    pub fn get(&self, id: &RequestId) -> Option<&Request> {
+    pub(crate) fn get(&self, id: &RequestId) -> Option<&Request> {
         self.open.get(id)
     }
 
-    pub fn get_mut(&mut self, id: &RequestId) -> Option<&mut Request> {
+    pub(crate) fn get_mut(&mut self, id: &RequestId) -> Option<&mut Request> {
         self.open.get_mut(id)
     }
 
     /// Takes a request off the table and the queue.
-    pub fn remove(&mut self, id: &RequestId) -> Option<Request> {
+    pub(crate) fn remove(&mut self, id: &RequestId) -> Option<Request> {
         let request = self.open.remove(id)?;
         self.dequeue(id);
         Some(request)
     }
 
     /// All open requests, in the order of their ids.
-    pub fn iter(&self) -> impl Iterator<Item = (&RequestId, &Request)> {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&RequestId, &Request)> {
         self.open.iter()
     }
 
     /// The same, to be changed.
-    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut Request> {
+    pub(crate) fn values_mut(&mut self) -> impl Iterator<Item = &mut Request> {
         self.open.values_mut()
     }
 
-    pub fn enqueue(&mut self, id: RequestId) {
+    pub(crate) fn enqueue(&mut self, id: RequestId) {
         self.queue.push(id);
     }
 
-    pub fn dequeue(&mut self, id: &RequestId) {
+    pub(crate) fn dequeue(&mut self, id: &RequestId) {
         self.queue.retain(|other| other != id);
     }
 
-    pub fn is_queue_empty(&self) -> bool {
+    pub(crate) fn is_queue_empty(&self) -> bool {
         self.queue.is_empty()
     }
 
     /// The requests that wait to be sent, in the order in which they began to wait.
-    pub fn queued(&self) -> impl Iterator<Item = (&RequestId, &Request)> {
+    pub(crate) fn queued(&self) -> impl Iterator<Item = (&RequestId, &Request)> {
         self.queue.iter().filter_map(|id| Some((id, self.open.get(id)?)))
     }
 }
--- a/src/state/server.rs
+++ b/src/state/server.rs
@@ -8,38 +8,38 @@
 /// A server and how it fares.
 #[derive(Default)]
 pub(crate) struct Server {
-    pub endpoint: Endpoint,
+    pub(crate) endpoint: Endpoint,
     /// Attempts of this gateway in flight.
-    pub in_flight: u32,
+    pub(crate) in_flight: u32,
     /// µs of wait that one place here costs, 0 while unknown, and when that was last observed.
     wait: f64,
     wait_observed_at: Micros,
-    pub answered_at: Micros,
+    pub(crate) answered_at: Micros,
     /// By class.
-    pub health: Vec<ClassHealth>,
+    pub(crate) health: Vec<ClassHealth>,
     /// Attempts that may be sent while it warms up.
-    pub slow_start_credit: f64,
+    pub(crate) slow_start_credit: f64,
     /// Requests in flight that it last reported, and when it did.
-    pub reported_load: Option<f64>,
-    pub load_reported_at: Micros,
+    pub(crate) reported_load: Option<f64>,
+    pub(crate) load_reported_at: Micros,
     /// Attempts on end that found no connection, and until when it is left alone for that.
     failed_connects: u32,
-    pub connect_backoff_until: Micros,
+    pub(crate) connect_backoff_until: Micros,
     /// When it was last used or heard of.
-    pub last_used_at: Micros,
+    pub(crate) last_used_at: Micros,
 }
 
 /// How a server fares with one class.
 #[derive(Clone, Default)]
 pub(crate) struct ClassHealth {
-    pub failure_rate: f64,
-    pub answered_at: Micros,
+    pub(crate) failure_rate: f64,
+    pub(crate) answered_at: Micros,
     /// Set while it is ejected: when the next half-open probe may be sent.
-    pub next_probe_at: Option<Micros>,
+    pub(crate) next_probe_at: Option<Micros>,
     /// When the newest observation was made, here or elsewhere.
-    pub observed_at: Micros,
+    pub(crate) observed_at: Micros,
     /// What the server index holds of this.
-    pub indexed: IndexedHealth,
+    pub(crate) indexed: IndexedHealth,
 }
 
 /// Steps of a failure rate in the sum over all servers: as whole numbers, so that no rounding error adds up.
@@ -48,9 +48,9 @@
 /// What the server index holds of a server's health with one class.
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct IndexedHealth {
-    pub next_probe_at: Option<Micros>,
-    pub failure_rate_steps: u64,
-    pub observed_at: Micros,
+    pub(crate) next_probe_at: Option<Micros>,
+    pub(crate) failure_rate_steps: u64,
+    pub(crate) observed_at: Micros,
 }
 
 impl From<&ClassHealth> for IndexedHealth {
@@ -64,7 +64,7 @@
 }
 
 impl ClassHealth {
-    pub fn is_ejected(&self) -> bool {
+    pub(crate) fn is_ejected(&self) -> bool {
         self.next_probe_at.is_some()
     }
 }
@@ -73,14 +73,14 @@
 #[derive(Clone, Copy)]
 pub(crate) struct ConnectBackoff {
     /// µs after the first such attempt.
-    pub first: Micros,
+    pub(crate) first: Micros,
     /// How often that is doubled at the most.
-    pub max_doublings: u32,
+    pub(crate) max_doublings: u32,
 }
 
 impl Server {
     /// A server of which nothing is known but its entry on the list.
-    pub fn unknown(endpoint: Endpoint, now: Micros, classes: usize) -> Self {
+    pub(crate) fn unknown(endpoint: Endpoint, now: Micros, classes: usize) -> Self {
         Server {
             endpoint,
             wait_observed_at: now,
@@ -91,37 +91,37 @@
     }
 
     /// The same server with attempts in flight, which a restart of its process does not end.
-    pub fn with_in_flight(self, in_flight: u32) -> Self {
+    pub(crate) fn with_in_flight(self, in_flight: u32) -> Self {
         Server { in_flight, ..self }
     }
 
     /// The wait as last observed; `None` while unknown.
-    pub fn known_wait(&self) -> Option<f64> {
+    pub(crate) fn known_wait(&self) -> Option<f64> {
         Some(self.wait).filter(|wait| *wait > 0.0)
     }
 
     /// The wait by now: what was observed fades to the fleet's, halfway in each half-life. `None` while
     /// unknown.
-    pub fn faded_wait(&self, now: Micros, fleet_wait: f64, half_life: f64) -> Option<f64> {
+    pub(crate) fn faded_wait(&self, now: Micros, fleet_wait: f64, half_life: f64) -> Option<f64> {
         let wait = self.known_wait()?;
         let keep = half_life_decay(now.saturating_sub(self.wait_observed_at), half_life);
         Some(wait * keep + fleet_wait * (1.0 - keep))
     }
 
     /// Lets the known wait fade to the fleet's before a new sample is taken in.
-    pub fn fade_wait(&mut self, now: Micros, fleet_wait: f64, half_life: f64) {
+    pub(crate) fn fade_wait(&mut self, now: Micros, fleet_wait: f64, half_life: f64) {
         self.wait = self.faded_wait(now, fleet_wait, half_life).unwrap_or(0.0);
     }
 
     /// Takes in a sample of the wait; `unknown` stands for the mean while there is none.
-    pub fn observe_wait(&mut self, at: Micros, sample: f64, weight: f64, unknown: f64) {
+    pub(crate) fn observe_wait(&mut self, at: Micros, sample: f64, weight: f64, unknown: f64) {
         let before = self.known_wait().unwrap_or(unknown);
         self.wait = before + (sample - before) * weight;
         self.wait_observed_at = self.wait_observed_at.max(at);
     }
 
     /// Takes in a health report if it is newer than what is known, and returns whether it was.
-    pub fn merge_report(
+    pub(crate) fn merge_report(
         &mut self, now: Micros, report: &HealthReport, weight: f64, unknown_wait: f64,
     ) -> bool {
         let observed_at = now.saturating_sub(report.age);
@@ -137,7 +137,7 @@
     }
 
     /// Takes in how many requests it had in flight; an older report than the newest is ignored.
-    pub fn observe_load(&mut self, at: Micros, load: Option<f64>) {
+    pub(crate) fn observe_load(&mut self, at: Micros, load: Option<f64>) {
         if load.is_some() && at >= self.load_reported_at {
             self.reported_load = load;
             self.load_reported_at = at;
@@ -145,18 +145,18 @@
     }
 
     /// Load factor: requests in flight for each unit of its capacity, with one more.
-    pub fn load_factor(&self, in_flight: f64) -> f64 {
+    pub(crate) fn load_factor(&self, in_flight: f64) -> f64 {
         (in_flight + 1.0) / self.endpoint.weight.max(1.0)
     }
 
     /// The reported load factor, which fades to the fleet's, halfway in each half-life.
-    pub fn faded_load_factor(&self, now: Micros, fleet_factor: f64, half_life: f64) -> Option<f64> {
+    pub(crate) fn faded_load_factor(&self, now: Micros, fleet_factor: f64, half_life: f64) -> Option<f64> {
         let keep = half_life_decay(now.saturating_sub(self.load_reported_at), half_life);
         Some(self.load_factor(self.reported_load?) * keep + fleet_factor * (1.0 - keep))
     }
 
     /// Takes in whether an attempt found a connection. The backoff doubles with each one that does not.
-    pub fn observe_connect(&mut self, now: Micros, unreachable: bool, backoff: ConnectBackoff) {
+    pub(crate) fn observe_connect(&mut self, now: Micros, unreachable: bool, backoff: ConnectBackoff) {
         if unreachable {
             let pause = backoff.first << self.failed_connects.min(backoff.max_doublings);
             self.failed_connects += 1;
@@ -169,25 +169,25 @@
 
     /// Takes in whether an attempt of a class failed. `other_share`: part of the weight that counts for other
     /// classes.
-    pub fn observe_failure(&mut self, class: ClassId, failed: bool, weight: f64, other_share: f64) {
+    pub(crate) fn observe_failure(&mut self, class: ClassId, failed: bool, weight: f64, other_share: f64) {
         for (other, health) in self.health.iter_mut().enumerate() {
             let weight = if other == class.0 { weight } else { weight * other_share };
             update_mean(&mut health.failure_rate, f64::from(u8::from(failed)), weight);
         }
     }
 
-    pub fn is_ready(&self) -> bool {
+    pub(crate) fn is_ready(&self) -> bool {
         self.endpoint.state == EndpointState::Ready
     }
 
     /// Least share of its capacity that it has by now: 1 once it is warm.
-    pub fn warm_up_fraction(&self, rules: &Rules, now: Micros) -> f64 {
+    pub(crate) fn warm_up_fraction(&self, rules: &Rules, now: Micros) -> f64 {
         let Some(started_at) = self.endpoint.started_at else { return 1.0 };
         let age = now.saturating_sub(started_at) as f64 / rules.warm_up_period.max(1) as f64;
         (rules.warm_up_from + (1.0 - rules.warm_up_from) * age).min(1.0)
     }
 
-    pub fn is_warm(&self, rules: &Rules, now: Micros) -> bool {
+    pub(crate) fn is_warm(&self, rules: &Rules, now: Micros) -> bool {
         self.warm_up_fraction(rules, now) >= 1.0
     }
 }
--- a/src/state/server_index.rs
+++ b/src/state/server_index.rs
@@ -17,7 +17,7 @@
 }
 
 impl ServerIndex {
-    pub fn new(classes: usize) -> Self {
+    pub(crate) fn new(classes: usize) -> Self {
         ServerIndex {
             probes: vec![BTreeSet::new(); classes],
             failure_rates: vec![0; classes],
@@ -26,7 +26,7 @@
     }
 
     /// Follows a server's health. One that is not `included` any more is taken off.
-    pub fn update(&mut self, server: &mut Server, included: bool) {
+    pub(crate) fn update(&mut self, server: &mut Server, included: bool) {
         let id = server.endpoint.server;
         for (class, health) in server.health.iter_mut().enumerate() {
             let now = if included { IndexedHealth::from(&*health) } else { IndexedHealth::default() };
@@ -61,23 +61,23 @@
     }
 
     /// Ejected servers whose probe with a class is due, the longest due first.
-    pub fn probes_due(&self, class: ClassId, now: Micros) -> impl Iterator<Item = ServerId> + '_ {
+    pub(crate) fn probes_due(&self, class: ClassId, now: Micros) -> impl Iterator<Item = ServerId> + '_ {
         let due = self.probes[class.0].range(..=(now, ServerId(u64::MAX)));
         due.map(|(_, server)| *server)
     }
 
     /// How many are ejected for a class.
-    pub fn ejected_count(&self, class: ClassId) -> usize {
+    pub(crate) fn ejected_count(&self, class: ClassId) -> usize {
         self.probes[class.0].len()
     }
 
     /// Sum of the failure rates with a class.
-    pub fn failure_rate_sum(&self, class: ClassId) -> f64 {
+    pub(crate) fn failure_rate_sum(&self, class: ClassId) -> f64 {
         self.failure_rates[class.0] as f64 / FAILURE_RATE_STEPS
     }
 
     /// Observations made after some time, the newest first.
-    pub fn observed_after(&self, start: Micros) -> impl Iterator<Item = (ServerId, ClassId)> + '_ {
+    pub(crate) fn observed_after(&self, start: Micros) -> impl Iterator<Item = (ServerId, ClassId)> + '_ {
         let after = (start.saturating_add(1), ServerId(0), ClassId(0));
         self.observations.range(after..).rev().map(|(_, server, class)| (*server, *class))
     }
--- a/src/state/server_table/mod.rs
+++ b/src/state/server_table/mod.rs
@@ -1,5 +1,5 @@
-//! The server table: all servers that a gateway has been told of. A server that this gateway uses is tracked,
-//! with its health; of the others, where there are too many to track all, only the endpoint is kept.
+//! The server table: all servers that a gateway has been notified of. A server that this gateway uses is
+//! tracked, with its health; of the others, where there are too many to track all, only the endpoint is kept.
 
 mod update;
 
@@ -13,7 +13,7 @@
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// All servers that a gateway has been told of.
+/// All servers that a gateway has been notified of.
 #[derive(Default)]
 pub(crate) struct ServerTable {
     classes: usize,
@@ -35,27 +35,27 @@
 /// Which servers [`ServerTable::find_candidates`] looks at, in this order: of a cell, if one is named; of a
 /// subset of the ring, from a place in it on and round; those beyond the subset.
 pub(crate) struct CandidateQuery {
-    pub cell: Option<CellId>,
+    pub(crate) cell: Option<CellId>,
     /// Where the subset begins on the ring.
-    pub subset_position: usize,
-    pub subset_size: usize,
+    pub(crate) subset_position: usize,
+    pub(crate) subset_size: usize,
     /// Place in the subset to begin at.
-    pub subset_start: usize,
+    pub(crate) subset_start: usize,
     /// The most servers to look at, and the most to find.
-    pub max_visited: usize,
-    pub max_found: usize,
+    pub(crate) max_visited: usize,
+    pub(crate) max_found: usize,
 }
 
 /// A server found by [`ServerTable::find_candidates`].
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Candidate {
-    pub server: ServerId,
-    pub tracked: bool,
+    pub(crate) server: ServerId,
+    pub(crate) tracked: bool,
 }
 
 impl ServerTable {
     /// An empty table. All servers are tracked, and may be walked, as long as at most `max_walked` are ready.
-    pub fn new(settings: &Settings, max_walked: usize) -> Self {
+    pub(crate) fn new(settings: &Settings, max_walked: usize) -> Self {
         let classes = settings.classes.len();
         ServerTable {
             classes,
@@ -67,12 +67,12 @@
     }
 
     /// Whether so few are ready that all are tracked and may be walked.
-    pub fn walks_all(&self) -> bool {
+    pub(crate) fn walks_all(&self) -> bool {
         self.ring.len() <= self.max_walked
     }
 
     /// How many servers were looked at since the start: work that tests can count.
-    pub fn visited(&self) -> u64 {
+    pub(crate) fn visited(&self) -> u64 {
         self.visited.get()
     }
 
@@ -81,17 +81,17 @@
     }
 
     /// How many servers and names are kept.
-    pub fn tracked_entries(&self) -> usize {
+    pub(crate) fn tracked_entries(&self) -> usize {
         self.tracked.len() + self.untracked.len() + self.by_short_id.len()
     }
 
     /// The server that health reports call by this short id.
-    pub fn by_short_id(&self, short: ShortServerId) -> Option<ServerId> {
+    pub(crate) fn by_short_id(&self, short: ShortServerId) -> Option<ServerId> {
         self.by_short_id.get(&short).copied()
     }
 
     /// A tracked server.
-    pub fn get(&self, id: &ServerId) -> Option<&Server> {
+    pub(crate) fn get(&self, id: &ServerId) -> Option<&Server> {
         self.visit();
         self.tracked.get(id)
     }
@@ -107,7 +107,7 @@
 
     /// Servers of which something holds, in the order of their ids: for each class the ejected one whose
     /// probe is longest due, then those that the query finds.
-    pub fn find_candidates(
+    pub(crate) fn find_candidates(
         &self, now: Micros, query: &CandidateQuery, holds: impl Fn(&Server) -> bool + Copy,
     ) -> Vec<Candidate> {
         let candidate = |id| self.candidate_if(id, holds);
@@ -132,12 +132,12 @@
     }
 
     /// Tracks a server from now on.
-    pub fn track(&mut self, now: Micros, id: &ServerId) {
+    pub(crate) fn track(&mut self, now: Micros, id: &ServerId) {
         self.get_mut(now, id);
     }
 
     /// A server to be changed. It is tracked from now on.
-    pub fn get_mut(&mut self, now: Micros, id: &ServerId) -> Option<ServerGuard<'_>> {
+    pub(crate) fn get_mut(&mut self, now: Micros, id: &ServerId) -> Option<ServerGuard<'_>> {
         self.visit();
         let server = match self.tracked.entry(*id) {
             Entry::Occupied(known) => known.into_mut(),
@@ -151,7 +151,7 @@
     }
 
     /// One attempt fewer is in flight at a server.
-    pub fn attempt_finished(&mut self, id: &ServerId) {
+    pub(crate) fn attempt_finished(&mut self, id: &ServerId) {
         self.visit();
         if let Some(server) = self.tracked.get_mut(id) {
             server.in_flight = server.in_flight.saturating_sub(1);
@@ -159,73 +159,75 @@
     }
 
     /// The tracked ones, in the order of their ids.
-    pub fn iter_tracked(&self) -> impl Iterator<Item = &Server> {
+    pub(crate) fn iter_tracked(&self) -> impl Iterator<Item = &Server> {
         self.tracked.values().inspect(|_| self.visit())
     }
 
     /// The same, to change their slow-start credit; nothing that is indexed may be changed.
-    pub fn iter_tracked_mut(&mut self) -> impl Iterator<Item = &mut Server> {
+    pub(crate) fn iter_tracked_mut(&mut self) -> impl Iterator<Item = &mut Server> {
         let visited = &self.visited;
         self.tracked.values_mut().inspect(|_| visited.set(visited.get() + 1))
     }
 
     /// The tracked ones that are ready.
-    pub fn iter_ready(&self) -> impl Iterator<Item = &Server> {
+    pub(crate) fn iter_ready(&self) -> impl Iterator<Item = &Server> {
         self.iter_tracked().filter(|server| server.is_ready())
     }
 
     /// A gateway's place on the ring of ready servers.
-    pub fn ring_position(&self, gateway: GatewayId) -> usize {
+    pub(crate) fn ring_position(&self, gateway: GatewayId) -> usize {
         self.ring.position_of(gateway)
     }
 
     /// The ready ones in ring order from a position on, wrapping round.
-    pub fn ring_from(&self, position: usize) -> impl Iterator<Item = ServerId> + '_ {
+    pub(crate) fn ring_from(&self, position: usize) -> impl Iterator<Item = ServerId> + '_ {
         self.ring.iter_from(position)
     }
 
     /// The first `count` of some servers, which are in the order of their ids, on the ring from a position
     /// on.
-    pub fn first_on_ring<'s>(&self, position: usize, among: &[&'s Server], count: usize) -> Vec<&'s Server> {
+    pub(crate) fn first_on_ring<'s>(
+        &self, position: usize, among: &[&'s Server], count: usize,
+    ) -> Vec<&'s Server> {
         let place = |id| among.binary_search_by_key(&id, |server| server.endpoint.server).ok();
         let places = self.ring_from(position).filter_map(place);
         places.map(|place| among[place]).take(count).collect()
     }
 
     /// The ready ones of a cell.
-    pub fn in_cell(&self, cell: CellId) -> impl Iterator<Item = ServerId> + '_ {
+    pub(crate) fn in_cell(&self, cell: CellId) -> impl Iterator<Item = ServerId> + '_ {
         let members = self.cells.range((cell, ServerId(0))..=(cell, ServerId(u64::MAX)));
         members.map(|(_, server)| *server)
     }
 
     /// The ejected ones whose probe with a class is due, the longest due first.
-    pub fn probes_due(&self, class: ClassId, now: Micros) -> impl Iterator<Item = ServerId> + '_ {
+    pub(crate) fn probes_due(&self, class: ClassId, now: Micros) -> impl Iterator<Item = ServerId> + '_ {
         self.index.probes_due(class, now)
     }
 
     /// Observations of the ready ones made after some time, the newest first.
-    pub fn observed_after(&self, start: Micros) -> impl Iterator<Item = (ServerId, ClassId)> + '_ {
+    pub(crate) fn observed_after(&self, start: Micros) -> impl Iterator<Item = (ServerId, ClassId)> + '_ {
         self.index.observed_after(start)
     }
 
     /// How many are ready.
-    pub fn ready_count(&self) -> usize {
+    pub(crate) fn ready_count(&self) -> usize {
         self.ring.len()
     }
 
     /// How many of the ready ones are ejected for a class.
-    pub fn ejected_count(&self, class: ClassId) -> usize {
+    pub(crate) fn ejected_count(&self, class: ClassId) -> usize {
         self.index.ejected_count(class)
     }
 
     /// How many of the ready ones are not ejected for a class.
-    pub fn healthy_count(&self, class: ClassId) -> usize {
+    pub(crate) fn healthy_count(&self, class: ClassId) -> usize {
         self.ready_count().saturating_sub(self.ejected_count(class))
     }
 
     /// Sum of the ready ones' failure rates with a class; of all, if these are walked, added in the order of
     /// their ids.
-    pub fn failure_rate_sum(&self, class: ClassId) -> f64 {
+    pub(crate) fn failure_rate_sum(&self, class: ClassId) -> f64 {
         if self.walks_all() {
             return self.iter_ready().map(|server| server.health[class.0].failure_rate).sum();
         }
@@ -233,12 +235,12 @@
     }
 
     /// Mean of the ready ones' failure rates with a class.
-    pub fn mean_failure_rate(&self, class: ClassId) -> f64 {
+    pub(crate) fn mean_failure_rate(&self, class: ClassId) -> f64 {
         self.failure_rate_sum(class) / self.ready_count().max(1) as f64
     }
 
     /// How many of the ready ones are warm by now.
-    pub fn warm_count(&mut self, now: Micros) -> usize {
+    pub(crate) fn warm_count(&mut self, now: Micros) -> usize {
         let period = self.warm_up_period;
         while self.warming_up.first().is_some_and(|(started_at, _)| started_at.saturating_add(period) <= now)
         {
@@ -248,7 +250,7 @@
     }
 
     /// What the ready ones have shown, in ascending order.
-    pub fn sorted(&self, value: impl Fn(&Server) -> Option<f64>) -> Vec<f64> {
+    pub(crate) fn sorted(&self, value: impl Fn(&Server) -> Option<f64>) -> Vec<f64> {
         let mut values: Vec<f64> = self.iter_ready().filter_map(value).collect();
         values.sort_by(f64::total_cmp);
         values
@@ -256,7 +258,9 @@
 
     /// Reports on ready servers from observations younger than `max_age`: the newest `max_reports` of them,
     /// in the order of the servers.
-    pub fn recent_reports(&self, now: Micros, max_age: Micros, max_reports: usize) -> Vec<HealthReport> {
+    pub(crate) fn recent_reports(
+        &self, now: Micros, max_age: Micros, max_reports: usize,
+    ) -> Vec<HealthReport> {
         let newest = self.observed_after(now.saturating_sub(max_age)).take(max_reports);
         let mut newest: Vec<_> = newest.collect();
         newest.sort_unstable();
@@ -278,7 +282,7 @@
 
     /// Drops servers that are gone and have no attempt in flight. Where not all are walked, stops to track
     /// those that tell nothing any more: not used for `max_idle` µs, not ejected, with no attempt in flight.
-    pub fn evict_idle(&mut self, now: Micros, max_idle: Micros) {
+    pub(crate) fn evict_idle(&mut self, now: Micros, max_idle: Micros) {
         let walks_all = self.walks_all();
         let mut gone = Vec::new();
         let mut idle = Vec::new();
--- a/src/state/server_table/update.rs
+++ b/src/state/server_table/update.rs
@@ -13,7 +13,7 @@
 
 impl ServerTable {
     /// Takes in an endpoint list, or changes to it. A server that started anew is unknown again.
-    pub fn apply_update(&mut self, now: Micros, kind: EndpointUpdate, endpoints: Vec<Endpoint>) {
+    pub(crate) fn apply_update(&mut self, now: Micros, kind: EndpointUpdate, endpoints: Vec<Endpoint>) {
         match kind {
             EndpointUpdate::Snapshot => self.apply_snapshot(now, endpoints),
             EndpointUpdate::Delta => {
--- a/src/state/server_view.rs
+++ b/src/state/server_view.rs
@@ -10,24 +10,24 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Fading {
     /// µs in which an observed wait fades halfway to the fleet's.
-    pub wait_half_life: f64,
+    pub(crate) wait_half_life: f64,
     /// µs in which a reported load does; `None` where reported loads do not count.
-    pub load_half_life: Option<f64>,
+    pub(crate) load_half_life: Option<f64>,
     /// Least warm-up fraction that the wait of an unknown server is divided by.
-    pub min_warm_up_fraction: f64,
+    pub(crate) min_warm_up_fraction: f64,
 }
 
 /// Servers as they are at one moment.
 pub(crate) struct ServerView<'a> {
-    pub now: Micros,
-    pub rules: &'a Rules,
-    pub fleet: &'a FleetEstimates,
-    pub fading: Fading,
+    pub(crate) now: Micros,
+    pub(crate) rules: &'a Rules,
+    pub(crate) fleet: &'a FleetEstimates,
+    pub(crate) fading: Fading,
 }
 
 impl ServerView<'_> {
     /// µs of wait for one place at a server.
-    pub fn expected_wait(&self, server: &Server) -> f64 {
+    pub(crate) fn expected_wait(&self, server: &Server) -> f64 {
         let median = self.fleet.median_wait;
         match server.faded_wait(self.now, median, self.fading.wait_half_life) {
             Some(wait) => wait.max(self.wait_by_load(server).unwrap_or(0.0)),
@@ -45,9 +45,9 @@
         Some(self.fleet.service_time * load_factor.max(1.0))
     }
 
-    /// Attempts that the ready servers finish within `objective` µs. Those that are not tracked count as the median
-    /// one.
-    pub fn capacity(&self, servers: &ServerTable, objective: f64) -> f64 {
+    /// Attempts that the ready servers finish within `objective` µs. Those that are not tracked count as the
+    /// median one.
+    pub(crate) fn capacity(&self, servers: &ServerTable, objective: f64) -> f64 {
         let mut walked = 0;
         let attempts_at = |server| objective / self.expected_wait(server).max(1.0);
         let sum: f64 = servers.iter_ready().inspect(|_| walked += 1).map(attempts_at).sum();
@@ -55,7 +55,7 @@
         sum + others * (objective / self.fleet.median_wait.max(1.0))
     }
 
-    pub fn is_warm(&self, server: &Server) -> bool {
+    pub(crate) fn is_warm(&self, server: &Server) -> bool {
         server.is_warm(self.rules, self.now)
     }
 }
@@ -63,6 +63,6 @@
 /// The attempts that all servers together finish in time, which are not summed anew for each request.
 #[derive(Default)]
 pub(crate) struct FleetCapacity {
-    pub attempts: f64,
-    pub valid_until: Micros,
+    pub(crate) attempts: f64,
+    pub(crate) valid_until: Micros,
 }
--- a/src/state/token_bucket.rs
+++ b/src/state/token_bucket.rs
@@ -16,53 +16,53 @@
 /// What a customer's token bucket is made from.
 #[derive(Clone, Copy)]
 pub(crate) struct BucketConfig<'a> {
-    pub plan_id: PlanId,
-    pub plan: &'a Plan,
+    pub(crate) plan_id: PlanId,
+    pub(crate) plan: &'a Plan,
     /// The gateways that the customer's requests come through.
-    pub gateways: GatewaySet,
+    pub(crate) gateways: GatewaySet,
     /// Units of the largest request.
-    pub max_request_units: f64,
+    pub(crate) max_request_units: f64,
 }
 
 /// A customer's token bucket, or the part of it that a quota owner keeps.
 #[derive(Default)]
 pub(crate) struct TokenBucket {
-    pub plan: PlanId,
+    pub(crate) plan: PlanId,
     /// First of the customer's gateways, and how many there are.
-    pub first_gateway: GatewayId,
-    pub gateway_count: f64,
-    pub capacity: f64,
-    pub tokens: f64,
-    pub refilled_at: Micros,
+    pub(crate) first_gateway: GatewayId,
+    pub(crate) gateway_count: f64,
+    pub(crate) capacity: f64,
+    pub(crate) tokens: f64,
+    pub(crate) refilled_at: Micros,
     /// Requests on end that named another plan or gateway set.
-    pub conflicting_hints: u32,
+    pub(crate) conflicting_hints: u32,
     /// When a request last consumed from it.
-    pub used_at: Micros,
+    pub(crate) used_at: Micros,
     /// Units that requests consumed of late: those of the longest lease in the mean, also where a hard limit
     /// makes it shorter.
-    pub recent_demand: f64,
+    pub(crate) recent_demand: f64,
     /// Units that an owner has granted ahead of the requests that will use them.
-    pub lease: Lease,
+    pub(crate) lease: Lease,
     /// As an owner: what is on lease to others.
     ledger: LeaseLedger,
     /// Running count of the units forwarded here, and when it last rose.
-    pub forwarded_units: f64,
-    pub forwarded_at: Micros,
-    pub in_flight: u32,
+    pub(crate) forwarded_units: f64,
+    pub(crate) forwarded_at: Micros,
+    pub(crate) in_flight: u32,
     peers: BTreeMap<GatewayId, PeerUsage>,
-    pub hard_limit_tokens: f64,
+    pub(crate) hard_limit_tokens: f64,
     /// What part of the quota and of the hard limit is kept here.
-    pub share: f64,
-    pub hard_limit_share: f64,
+    pub(crate) share: f64,
+    pub(crate) hard_limit_share: f64,
     /// µs for which grants may be used: so much of the hard limit's refill is kept back.
-    pub grant_lifetime: Micros,
+    pub(crate) grant_lifetime: Micros,
     /// As an owner: permits of the limit on attempts in flight.
-    pub permits: ConcurrencyPermits,
+    pub(crate) permits: ConcurrencyPermits,
     /// As an owner: lease requests in about a second.
-    pub lease_request_rate: f64,
-    /// The share of requests that may request a lease, and when an owner last told it.
-    pub lease_request_probability: f64,
-    pub probability_set_at: Micros,
+    pub(crate) lease_request_rate: f64,
+    /// The share of requests that may request a lease, and when an owner last set it.
+    pub(crate) lease_request_probability: f64,
+    pub(crate) probability_set_at: Micros,
 }
 
 impl TokenBucket {
@@ -70,7 +70,7 @@
     /// first, what is missing would stay missing for a customer that uses nearly all, and peers' usage is
     /// heard soon enough. Its part of the hard limit holds what has come in over `unused` alone, as it may
     /// have been used up before.
-    pub fn new(now: Micros, unused: Micros, config: BucketConfig<'_>) -> Self {
+    pub(crate) fn new(now: Micros, unused: Micros, config: BucketConfig<'_>) -> Self {
         let gateway_count = f64::from(config.gateways.count.max(1));
         let capacity = (config.plan.burst / gateway_count).max(config.max_request_units);
         let mut bucket = TokenBucket {
@@ -90,7 +90,7 @@
     }
 
     /// An owner's part of the bucket, full, with nothing under its part of the hard limit.
-    pub fn into_part(
+    pub(crate) fn into_part(
         self, config: BucketConfig<'_>, share: f64, hard_limit_share: f64, grant_lifetime: Micros,
     ) -> Self {
         let capacity = (config.plan.burst * share).max(config.max_request_units);
@@ -98,20 +98,20 @@
     }
 
     /// The gateways that the customer's requests come through.
-    pub fn gateways(&self) -> GatewaySet {
+    pub(crate) fn gateways(&self) -> GatewaySet {
         GatewaySet { first: self.first_gateway, count: self.gateway_count as u32 }
     }
 
     /// Whether it stands for this plan and these gateways.
-    pub fn matches(&self, plan: PlanId, gateways: GatewaySet) -> bool {
+    pub(crate) fn matches(&self, plan: PlanId, gateways: GatewaySet) -> bool {
         self.plan == plan
             && self.first_gateway == gateways.first
             && self.gateway_count == f64::from(gateways.count)
     }
 
     /// Goes over to another plan or gateway set. Nothing is gained by that, and what is in flight or has been
-    /// told to peers stays so.
-    pub fn reconfigure(&mut self, fresh: TokenBucket, hard_limit_tokens: f64) {
+    /// announced to peers stays so.
+    pub(crate) fn reconfigure(&mut self, fresh: TokenBucket, hard_limit_tokens: f64) {
         *self = TokenBucket {
             tokens: self.tokens.min(fresh.tokens),
             hard_limit_tokens,
@@ -124,7 +124,7 @@
     }
 
     /// Refills at the plan's rate, less the share of the customer's gateways that are `silent`.
-    pub fn refill(&mut self, now: Micros, plan: &Plan, silent: f64) {
+    pub(crate) fn refill(&mut self, now: Micros, plan: &Plan, silent: f64) {
         let seconds = now.saturating_sub(self.refilled_at) as f64 / MICROS_PER_SECOND;
         self.refilled_at = now;
         let refill = self.share * plan.rate * (1.0 - silent / self.gateway_count) * seconds;
@@ -154,20 +154,20 @@
     }
 
     /// Takes part of the quota and of the hard limit for use at once.
-    pub fn consume(&mut self, units: f64) {
+    pub(crate) fn consume(&mut self, units: f64) {
         self.tokens -= units;
         self.hard_limit_tokens -= units;
     }
 
     /// Notes what a request asks for; earlier demand decays over `window` µs.
-    pub fn record_demand(&mut self, now: Micros, units: f64, window: Micros) {
+    pub(crate) fn record_demand(&mut self, now: Micros, units: f64, window: Micros) {
         let idle = now.saturating_sub(self.used_at) as f64;
         self.used_at = now;
         self.recent_demand = self.recent_demand * (-idle / window as f64).exp() + units;
     }
 
-    /// One more attempt of the customer is in flight here. The units of a first one are told to peers.
-    pub fn attempt_sent(&mut self, now: Micros, units: f64, first: bool) {
+    /// One more attempt of the customer is in flight here. The units of a first one are announced to peers.
+    pub(crate) fn attempt_sent(&mut self, now: Micros, units: f64, first: bool) {
         self.in_flight += 1;
         if first {
             self.forwarded_units += units;
@@ -177,24 +177,24 @@
     }
 
     /// One attempt fewer is in flight.
-    pub fn attempt_finished(&mut self) {
+    pub(crate) fn attempt_finished(&mut self) {
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
     /// What a peer has been heard to use.
-    pub fn peer_usage(&mut self, peer: GatewayId) -> &mut PeerUsage {
+    pub(crate) fn peer_usage(&mut self, peer: GatewayId) -> &mut PeerUsage {
         self.peers.entry(peer).or_default()
     }
 
     /// Units a second that the peers were heard to use.
-    pub fn peer_rate(&mut self, now: Micros) -> f64 {
+    pub(crate) fn peer_rate(&mut self, now: Micros) -> f64 {
         let units: f64 = self.peers.values_mut().fold(0.0, |sum, peer| sum + peer.recent_units(now));
         units / (USAGE_WINDOW as f64 / MICROS_PER_SECOND)
     }
 
     /// µs until it is likely to hold `units`. What a request consumes is off the tokens already, and comes
     /// back if it was never sent.
-    pub fn time_until_available(&self, plan: &Plan, units: f64) -> f64 {
+    pub(crate) fn time_until_available(&self, plan: &Plan, units: f64) -> f64 {
         let quota = if plan.rate > 0.0 { refill_time(-self.tokens, plan.rate * self.share) } else { 0.0 };
         let hard_limit = plan.hard_limit.map_or(0.0, |limit| {
             refill_time(units - self.hard_limit_tokens, limit.rate * self.hard_limit_share)
@@ -203,13 +203,13 @@
     }
 
     /// As an owner: grants units on lease; they count as used until they come back.
-    pub fn grant_lease(&mut self, to: GatewayId, sequence: u16, units: f64) {
+    pub(crate) fn grant_lease(&mut self, to: GatewayId, sequence: u16, units: f64) {
         self.consume(units);
         self.ledger.grant(to, sequence, units);
     }
 
     /// As an owner: takes back what is left of a gateway's lease.
-    pub fn reclaim(&mut self, from: GatewayId, returned: ReturnedLease) {
+    pub(crate) fn reclaim(&mut self, from: GatewayId, returned: ReturnedLease) {
         if let Some(units) = self.ledger.reclaim(from, returned) {
             self.tokens += units;
             self.hard_limit_tokens += units;
@@ -218,7 +218,7 @@
 
     /// Whether dropping it neither gains nor loses anything: it has stood unused, and is full. `silent`
     /// counts the silent ones of the customer's gateways.
-    pub fn is_idle(&mut self, now: Micros, plan: &Plan, silent: impl Fn(GatewaySet) -> f64) -> bool {
+    pub(crate) fn is_idle(&mut self, now: Micros, plan: &Plan, silent: impl Fn(GatewaySet) -> f64) -> bool {
         if self.in_flight > 0 || now.saturating_sub(self.used_at) < MIN_IDLE {
             return false;
         }
