Move the lab's files to where they belong: plots to scaling, nodes named by their kind

Seen: plots and scaling imported each other from the crate's root; hybrid's files were named real, hollow and world. Changed: scaling/plot.rs, scaling/mod.rs, hybrid/{real_node,hollow_node,environment}.rs; only paths in their imports.

--- a/fleet-lab/src/hybrid/discovery.rs
+++ b/fleet-lab/src/hybrid/discovery.rs
@@ -1,7 +1,7 @@
 //! The stand-in for discovery: the list of loan servers, and an agent beside each real node that tells it by watches.
 
+use super::environment::World;
 use super::scenario::Listed;
-use super::world::World;
 use anyhow::Result;
 use bytes::Bytes;
 use edge_node::{CellId, Endpoint, EndpointState, GatewayId, Micros, ServerId, ZoneId};
--- a/fleet-lab/src/hybrid/hollow.rs
+++ b/fleet-lab/src/hybrid/hollow_node.rs
@@ -1,10 +1,10 @@
 //! A hollow node: the decision module with the lab for its sockets. It meets clients and servers by calls and
 //! other nodes, real ones too, by datagrams.
 
+use super::environment::World;
 use super::ledger::Answer;
 use super::scenario::{Wish, DEADLINE};
 use super::servers::{Reply, Status};
-use super::world::World;
 use anyhow::{Context, Result};
 use edge_node::Gateway;
 use edge_node::{
--- a/fleet-lab/src/hybrid/mod.rs
+++ b/fleet-lab/src/hybrid/mod.rs
@@ -7,21 +7,22 @@
 
 mod datagrams;
 mod discovery;
-mod hollow;
-mod real;
+mod environment;
+mod hollow_node;
+mod real_node;
 mod servers;
-mod world;
 
 use crate::Failure;
 use anyhow::{Context, Result};
 use datagrams::Datagrams;
 use discovery::Roster;
 use edge_node::{GatewayId, RequestId};
-use hollow::Hollow;
+use environment::{Clock, World};
+use hollow_node::Hollow;
 use ledger::{Ledger, Try};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use real::Real;
+use real_node::Real;
 use report::{Report, Tally};
 use scenario::{Scene, Trouble, Wish, DEADLINE, DRAIN_GRACE};
 use servers::Server;
@@ -34,7 +35,6 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
-use world::{Clock, World};
 
 /// A run takes no longer than this on top of the time in which clients come.
 const OVERTIME: Duration = Duration::from_secs(14);
@@ -302,7 +302,7 @@
     };
     world.ledger.borrow_mut().asked(asked, id.0.clone(), entry);
     let node = &nodes[wish.node.0 as usize];
-    let until = real::lost_at(asked);
+    let until = real_node::lost_at(asked);
     let answer = match node {
         Node::Real(real) => real.ask(&world, &id, &wish, until).await,
         Node::Hollow(hollow) => hollow.ask(&id, &wish, until).await,
--- a/fleet-lab/src/hybrid/real.rs
+++ b/fleet-lab/src/hybrid/real_node.rs
@@ -1,9 +1,9 @@
 //! A real node: a process of the edge node's program, and its clients over HTTP.
 
 use super::discovery;
+use super::environment::World;
 use super::ledger::{Answer, LOST_AFTER};
 use super::scenario::{Wish, CLASSES, DEADLINE};
-use super::world::World;
 use anyhow::{bail, Context, Result};
 use bytes::Bytes;
 use edge_node::{GatewayId, Micros, RequestId};
--- a/fleet-lab/src/hybrid/servers.rs
+++ b/fleet-lab/src/hybrid/servers.rs
@@ -1,8 +1,8 @@
 //! Stand-ins for the loan servers. Attempts of hollow nodes come by a call, those of real ones over HTTP; both meet
 //! the same queue.
 
+use super::environment::World;
 use super::scenario::{Mode, SERVERS, WORK};
-use super::world::World;
 use bytes::Bytes;
 use edge_node::ServerId;
 use http_body_util::{BodyExt, Full};
--- a/fleet-lab/src/lib.rs
+++ b/fleet-lab/src/lib.rs
@@ -3,7 +3,6 @@
 #![warn(missing_docs)]
 
 pub mod hybrid;
-pub mod plots;
 pub mod scaling;
 pub mod simulate;
 pub mod world;
--- a/fleet-lab/src/scaling.rs
+++ b/fleet-lab/src/scaling/mod.rs
@@ -5,11 +5,12 @@
 
 mod fixture;
 mod measure;
+mod plot;
 mod report;
 
 pub use report::{Figure, Point, Report, Slope, Spread};
 
-use crate::{plots, Failure};
+use crate::Failure;
 use anyhow::Context;
 use std::fmt;
 use std::io::{IsTerminal, Write};
@@ -172,7 +173,7 @@
         std::fs::write(file, text + "\n").with_context(|| format!("{}", file.display()))?;
     }
     if let Some(file) = &args.plot {
-        plots::slopes(&report, file).with_context(|| format!("{}", file.display()))?;
+        plot::slopes(&report, file).with_context(|| format!("{}", file.display()))?;
     }
     Ok(())
 }
--- a/fleet-lab/src/plots.rs
+++ b/fleet-lab/src/scaling/plot.rs
@@ -1,6 +1,6 @@
 //! Plots of experiments, as SVG.
 
-use crate::scaling::{Report, Slope, Spread};
+use super::report::{Point, Report, Slope, Spread};
 use anyhow::{anyhow, Result};
 use plotters::prelude::*;
 use std::path::Path;
@@ -56,7 +56,7 @@
 
 /// A slope's processor times by size; `None` where it has none above 0, which no logarithm shows.
 fn times(slope: &Slope) -> Option<Vec<(f64, Spread)>> {
-    let time = |point: &crate::scaling::Point| Some((point.size as f64, *point.figures.get("time_us")?));
+    let time = |point: &Point| Some((point.size as f64, *point.figures.get("time_us")?));
     let times: Vec<_> = slope.points.iter().filter_map(time).filter(|(_, time)| time.min > 0.0).collect();
     (!times.is_empty()).then_some(times)
 }
