--- a/fleet-lab/tests/world.rs
+++ b/fleet-lab/tests/world.rs
@@ -1,13 +1,16 @@
-//! The lab's model of the world, part by part.
+//! The lab's model of what surrounds the gateways, part by part.
 
 use edge_node::*;
-use fleet_lab::world::clients::{Clients, Demand, Heard};
-use fleet_lab::world::datagrams::{Cut, Cuts, Datagrams, Weather};
-use fleet_lab::world::discovery::{Discovery, Told};
-use fleet_lab::world::invariant_checker::{Referee, Rule, Tally, Verdict};
-use fleet_lab::world::servers::{Job, Machine, Pressure, Server, ServerEvent as Does};
-use fleet_lab::world::{micros, stream, Bucket, RequestNo, Span, START};
+use fleet_lab::world::clients::{ClientError, Clients, Demand};
+use fleet_lab::world::datagrams::{Datagrams, NetworkConditions, Partition, Partitions, Received};
+use fleet_lab::world::discovery::{Discovery, PollKind, PollResult};
+use fleet_lab::world::invariant_checker::{FinalAnswer, Invariant, InvariantChecker, SentAttempt};
+use fleet_lab::world::request_counts::RequestCounts;
+use fleet_lab::world::servers::{ColdStartLoad, Job, Machine, Server, ServerEvent};
+use fleet_lab::world::token_bucket::TokenBucket;
+use fleet_lab::world::{micros, random_stream, RequestNumber, TimeSpan, START};
 
+/// A second, µs.
 const S: Micros = 1_000_000;
 const RULES: Rules =
     Rules { warm_up_from: 0.25, warm_up_period: 10 * S, overload_multiple: 2.0, overload_window: 2 * S };
@@ -18,84 +21,92 @@
     edge_node::settings::parse(&text).expect("sound settings").settings
 }
 
-fn entry(server: u64, started: Option<Micros>) -> Endpoint {
+fn endpoint(server: u64, started_at: Option<Micros>) -> Endpoint {
     let (zone, cell) = (ZoneId(server as u32 % 3), CellId(server % 3));
-    Endpoint {
-        server: ServerId(server),
-        zone,
-        cell,
-        state: EndpointState::Ready,
-        weight: 1.0,
-        started_at: started,
-    }
+    Endpoint { server: ServerId(server), zone, cell, state: EndpointState::Ready, weight: 1.0, started_at }
 }
 
 /// Every request takes 100 ms on one of two cores.
 fn machine() -> Machine {
-    Machine { cores: 2, slots: 10, work: 100_000..100_000, refresh: 1..2 }
+    Machine { cores: 2, slots: 10, work: 100_000..100_000, report_interval: 1..2 }
 }
 
-fn job(request: u64, told: bool) -> Job {
-    let (attempt, node) = (AttemptNumber(0), GatewayId(0));
-    Job { request: RequestNo(request), attempt, node, until: Micros::MAX, work: 100_000, told }
+fn job(request: u64, start_known: bool) -> Job {
+    Job {
+        request: RequestNumber(request),
+        attempt: AttemptNumber(0),
+        gateway: GatewayId(0),
+        expires_at: Micros::MAX,
+        work: 100_000,
+        start_known,
+    }
 }
 
 fn server(started: Option<Micros>) -> Server {
-    Server::new(&mut stream(1, 1), entry(1, started), machine(), RULES)
+    Server::new(&mut random_stream(1, 1), endpoint(1, started), machine(), RULES)
 }
 
-fn ends(effects: &[Does]) -> Vec<(u64, AttemptOutcome, Option<f64>)> {
-    let end = |effect: &Does| match effect {
-        Does::Ends { job, outcome, load } => Some((job.request.0, *outcome, *load)),
+/// The request, outcome and load report of each attempt that finished.
+fn finished(events: &[ServerEvent]) -> Vec<(u64, AttemptOutcome, Option<f64>)> {
+    let finished = |event: &ServerEvent| match event {
+        ServerEvent::Finished { job, outcome, reported_load } => {
+            Some((job.request.0, *outcome, *reported_load))
+        }
         _ => None,
     };
-    effects.iter().filter_map(end).collect()
+    events.iter().filter_map(finished).collect()
 }
 
-fn due(effects: &[Does]) -> Vec<(u64, Micros)> {
-    let due = |effect: &Does| match effect {
-        Does::Runs { serial, done, .. } | Does::Later { serial, done } => Some((*serial, *done)),
+/// The runs that were started or delayed, and when each is due.
+fn due(events: &[ServerEvent]) -> Vec<(u64, Micros)> {
+    let due = |event: &ServerEvent| match event {
+        ServerEvent::Started { run, done_at, .. } | ServerEvent::Delayed { run, done_at } => {
+            Some((*run, *done_at))
+        }
         _ => None,
     };
-    effects.iter().filter_map(due).collect()
+    events.iter().filter_map(due).collect()
 }
 
 #[test]
-fn a_server_runs_as_many_as_it_has_cores_and_turns_away_what_it_cannot_hold() {
+fn a_server_runs_one_request_on_each_core_and_rejects_what_it_cannot_hold() {
     let (mut server, mut out) = (server(None), Vec::new());
     (0..11).for_each(|number| server.arrive(START, job(number, true), &mut out));
     assert_eq!(due(&out), [(1, START + 100_000), (2, START + 100_000)]);
-    assert_eq!(ends(&out), [(10, AttemptOutcome::Overloaded, Some(10.0))]);
+    assert_eq!(finished(&out), [(10, AttemptOutcome::Overloaded, Some(10.0))]);
     out.clear();
-    server.done(START + 100_000, 1, &mut out);
-    assert_eq!(ends(&out), [(0, AttemptOutcome::Success, Some(9.0))]);
+    server.complete(START + 100_000, 1, &mut out);
+    assert_eq!(finished(&out), [(0, AttemptOutcome::Success, Some(9.0))]);
     assert_eq!(due(&out), [(3, START + 200_000)]);
-    server.call_off(RequestNo(3), AttemptNumber(0));
+    server.cancel(RequestNumber(3), AttemptNumber(0));
     out.clear();
-    server.done(START + 100_000, 2, &mut out);
-    assert!(matches!(&out[1], Does::Runs { job, .. } if job.request == RequestNo(4)), "{out:?}");
+    server.complete(START + 100_000, 2, &mut out);
+    assert!(
+        matches!(&out[1], ServerEvent::Started { job, .. } if job.request == RequestNumber(4)),
+        "{out:?}"
+    );
 }
 
 #[test]
-fn a_server_that_hangs_answers_later_and_a_slow_one_takes_longer() {
+fn a_hanging_server_answers_later_and_a_slow_one_takes_longer() {
     let (mut server, mut out) = (server(None), Vec::new());
     server.arrive(START, job(0, true), &mut out);
     server.hang(START + 40_000, START + 5 * S);
     out.clear();
-    server.done(START + 100_000, 1, &mut out);
+    server.complete(START + 100_000, 1, &mut out);
     // 40 ms of its work were done before the hang, 60 are left.
     assert_eq!(due(&out), [(1, START + 5 * S + 60_000)]);
     out.clear();
-    server.done(START + 5 * S + 60_000, 1, &mut out);
-    assert_eq!(ends(&out).len(), 1);
-    server.slow(6.0);
+    server.complete(START + 5 * S + 60_000, 1, &mut out);
+    assert_eq!(finished(&out).len(), 1);
+    server.set_slowdown(6.0);
     out.clear();
     server.arrive(START + 6 * S, job(1, true), &mut out);
     assert_eq!(due(&out), [(2, START + 6 * S + 600_000)]);
 }
 
 #[test]
-fn a_cold_server_works_at_its_share_and_falls_one_call_beyond_its_budget() {
+fn a_cold_server_is_slower_and_crashes_one_call_beyond_its_budget() {
     // 20 a second when warm; cold 5; twice that for 2 s is 20, and 2 x root of 20, and 2: 30.9.
     let (mut server, mut out) = (server(Some(START)), Vec::new());
     server.arrive(START, job(0, false), &mut out);
@@ -103,198 +114,223 @@
     (1..30).for_each(|number| server.arrive(START, job(number, number > 5), &mut out));
     assert!(server.is_up(), "30 calls are within it");
     server.arrive(START, job(30, true), &mut out);
-    assert!(!server.is_up() && server.has_fallen());
-    let Some(Does::Fell(by)) = out.last() else { panic!("it fell: {out:?}") };
-    assert!((by.budget - 30.94).abs() < 0.01 && by.calls == 31.0, "{by:?}");
-    assert!((by.told - 25.0 / 31.0).abs() < 1e-9, "{by:?}");
-    // All that it held is broken off, and nothing comes up any more.
-    assert_eq!(ends(&out).iter().filter(|end| end.1 == AttemptOutcome::ConnectionLost).count(), 11);
+    assert!(!server.is_up() && server.has_crashed());
+    let Some(ServerEvent::Crashed(load)) = out.last() else { panic!("it crashed: {out:?}") };
+    assert!((load.budget - 30.94).abs() < 0.01 && load.calls == 31.0, "{load:?}");
+    assert!((load.start_known_share - 25.0 / 31.0).abs() < 1e-9, "{load:?}");
+    // The connections of all attempts that it held are lost, and it accepts no further ones.
+    assert_eq!(finished(&out).iter().filter(|end| end.1 == AttemptOutcome::ConnectionLost).count(), 11);
     out.clear();
     server.arrive(START + S, job(31, true), &mut out);
-    assert_eq!(ends(&out), [(31, AttemptOutcome::Unreachable, None)]);
+    assert_eq!(finished(&out), [(31, AttemptOutcome::Unreachable, None)]);
 }
 
 #[test]
-fn calls_older_than_the_window_do_not_count_and_a_warm_server_never_falls() {
+fn calls_older_than_the_window_do_not_count_and_a_warm_server_never_crashes() {
     let (mut cold, mut warm, mut out) = (server(Some(START)), server(None), Vec::new());
     for step in 0..3 {
         (0..30).for_each(|number| cold.arrive(START + step * 2 * S, job(number, true), &mut out));
     }
     (0..500).for_each(|number| warm.arrive(START, job(number, true), &mut out));
-    assert!(cold.is_up() && warm.is_up() && warm.pressure().is_none());
-    let pressure = cold.pressure().expect("cold");
-    assert_eq!((pressure.calls, pressure.age), (30.0, 0), "the hardest was at the start");
+    assert!(cold.is_up() && warm.is_up() && warm.highest_cold_load().is_none());
+    let load = cold.highest_cold_load().expect("cold");
+    assert_eq!((load.calls, load.age), (30.0, 0), "the highest load was at the start");
 }
 
-fn referee() -> Referee {
+fn new_checker() -> InvariantChecker {
     let customers = [(CustomerId(1), PlanId(0)), (CustomerId(2), PlanId(2))];
-    Referee::new(settings(), 500_000, customers.into_iter()).expect("a referee")
+    InvariantChecker::new(settings(), 500_000, customers.into_iter()).expect("a checker")
+}
+
+fn sent(gateway: u32, request: RequestNumber, server: u64, draining_since: Option<Micros>) -> SentAttempt {
+    SentAttempt { gateway: GatewayId(gateway), request, server: endpoint(server, None), draining_since }
 }
 
 fn clients(rate: f64) -> Clients {
-    let demand = Demand { rate, longest: 4 * S, surges: Vec::new(), floods: None };
-    Clients::new(stream(3, 1), START, &settings(), &demand)
+    let demand = Demand { rate, max_deadline: 4 * S, surges: Vec::new(), flood: None };
+    Clients::new(random_stream(3, 1), START, &settings(), &demand)
 }
 
 #[test]
-fn a_fall_is_a_break_only_if_it_comes_from_gateways_that_knew() {
-    let mut referee = referee();
-    let by = |told| Pressure { calls: 9.0, told, ..Pressure::default() };
-    referee.fell(START, ServerId(1), by(0.6));
-    assert!(referee.broken.is_empty());
-    referee.fell(START, ServerId(1), by(0.7));
-    assert_eq!(referee.broken[&Rule::Cold].times, 1);
+fn a_crash_is_a_violation_only_if_the_gateways_knew_of_the_start() {
+    let mut checker = new_checker();
+    let load = |share| ColdStartLoad { calls: 9.0, start_known_share: share, ..ColdStartLoad::default() };
+    checker.server_crashed(START, ServerId(1), load(0.6));
+    assert!(checker.violations.is_empty());
+    checker.server_crashed(START, ServerId(1), load(0.7));
+    assert_eq!(checker.violations[&Invariant::ColdStart].count, 1);
 }
 
 #[test]
-fn quotas_and_ceilings_are_counted_over_all_gateways_with_the_slack() {
-    let mut referee = referee();
-    let mut of = clients(50.0).fresh(START, 0);
-    // The large plan's ceiling holds 172 units, its slack is a tenth of that: 189.2 are allowed at once.
-    (of.customer, of.units, of.true_units) = (1, 1.0, 1.0);
-    for number in 0..190 {
-        let no = referee.came(START, of.clone());
-        assert!(referee.broken.is_empty(), "after {number}");
-        referee.sent(START, GatewayId(number % 6), no, entry(1, None), None);
+fn quotas_and_hard_limits_are_counted_over_all_gateways_with_the_tolerance() {
+    let mut checker = new_checker();
+    let mut request = clients(50.0).new_request(START, 0);
+    // The large plan's hard limit is 172 units, the tolerance is a tenth of that: 189.2 are allowed at once.
+    request.customer = 1;
+    request.estimated_units = 1.0;
+    request.actual_units = 1.0;
+    for count in 0..190 {
+        let number = checker.request_arrived(START, request.clone());
+        assert!(checker.violations.is_empty(), "after {count}");
+        checker.attempt_sent(START, sent(count % 6, number, 1, None));
     }
-    assert_eq!(referee.broken[&Rule::Ceilings].times, 1);
-    let second = referee.seconds[0];
-    assert_eq!((second.sent_units, second.over_units), (190.0, 190.0 - 97.0));
+    assert_eq!(checker.violations[&Invariant::HardLimit].count, 1);
+    let second = checker.seconds[0];
+    assert_eq!((second.sent_units, second.over_quota_units), (190.0, 190.0 - 97.0));
 }
 
 #[test]
-fn an_unsafe_request_goes_out_again_only_once_it_is_proved_not_to_have_run() {
-    for (outcome, breaks) in [(AttemptOutcome::Overloaded, false), (AttemptOutcome::ConnectionLost, true)] {
-        let mut referee = referee();
-        let mut of = clients(50.0).fresh(START, 0);
-        (of.customer, of.class) = (0, ClassId(1));
-        let no = referee.came(START, of);
-        assert!(referee.sent(START, GatewayId(0), no, entry(1, None), None));
-        referee.ended(no, AttemptNumber(0), outcome);
-        assert!(referee.sent(START, GatewayId(0), no, entry(2, None), None));
-        assert_eq!(referee.broken.contains_key(&Rule::Effects), breaks, "{outcome:?}");
-        assert!(referee.answered(START, no, Verdict::Failed) && !referee.overdue(START, no));
-        assert!(!referee.answered(START, no, Verdict::Failed));
-        assert_eq!(referee.broken[&Rule::AnsweredTwice].times, 1);
-        let tally = Tally { came: 1, failed: 1, ..Tally::default() };
-        assert_eq!(referee.tallies[1][0], tally);
+fn a_non_idempotent_request_may_be_sent_again_only_if_it_is_proved_not_to_have_run() {
+    for (outcome, is_violation) in
+        [(AttemptOutcome::Overloaded, false), (AttemptOutcome::ConnectionLost, true)]
+    {
+        let mut checker = new_checker();
+        let mut request = clients(50.0).new_request(START, 0);
+        request.customer = 0;
+        request.class = ClassId(1);
+        let number = checker.request_arrived(START, request);
+        assert!(checker.attempt_sent(START, sent(0, number, 1, None)));
+        checker.attempt_finished(number, AttemptNumber(0), outcome);
+        assert!(checker.attempt_sent(START, sent(0, number, 2, None)));
+        assert_eq!(checker.violations.contains_key(&Invariant::Idempotency), is_violation, "{outcome:?}");
+        assert!(
+            checker.answered(START, number, FinalAnswer::Failed) && !checker.answer_overdue(START, number)
+        );
+        assert!(!checker.answered(START, number, FinalAnswer::Failed));
+        assert_eq!(checker.violations[&Invariant::AnsweredTwice].count, 1);
+        let counts = RequestCounts { arrived: 1, failed: 1, ..RequestCounts::default() };
+        assert_eq!(checker.counts[1][0], counts);
     }
 }
 
 #[test]
-fn a_send_to_a_server_that_leaves_breaks_the_rule_after_the_grace() {
-    for (late, breaks) in [(500_000, false), (500_001, true)] {
-        let mut referee = referee();
-        let mut of = clients(50.0).fresh(START, 0);
-        of.customer = 0;
-        let no = referee.came(START + late, of);
-        referee.sent(START + late, GatewayId(0), no, entry(1, None), Some(START));
-        assert_eq!(referee.broken.contains_key(&Rule::Drains), breaks);
+fn an_attempt_at_a_draining_server_is_a_violation_after_the_grace_period() {
+    for (late, is_violation) in [(500_000, false), (500_001, true)] {
+        let mut checker = new_checker();
+        let mut request = clients(50.0).new_request(START, 0);
+        request.customer = 0;
+        let number = checker.request_arrived(START + late, request);
+        checker.attempt_sent(START + late, sent(0, number, 1, Some(START)));
+        assert_eq!(checker.violations.contains_key(&Invariant::Drain), is_violation);
     }
 }
 
 #[test]
-fn a_gateway_is_told_all_that_it_missed_once_discovery_speaks_again() {
-    let silent = Span { from: START + S, to: START + 9 * S };
-    let list = vec![entry(1, None), entry(2, None)];
-    let mut discovery = Discovery::new(stream(1, 2), list, 2, 0..4, vec![silent]);
+fn a_gateway_receives_all_missed_changes_after_an_outage_of_discovery() {
+    let outage = TimeSpan { start: START + S, end: START + 9 * S };
+    let list = vec![endpoint(1, None), endpoint(2, None)];
+    let mut discovery = Discovery::new(random_stream(1, 2), list, 2, 0..4, vec![outage]);
     let (me, other) = (GatewayId(0), GatewayId(1));
-    discovery.publish(Endpoint { state: EndpointState::Draining, ..entry(1, None) });
-    discovery.publish(entry(3, Some(START)));
-    assert!(!discovery.knows(me, ServerId(3)) && discovery.told_leaving(me, ServerId(1)).is_none());
-    let Told::Later(until) = discovery.poll(START + 2 * S, me, None, false) else { panic!("silent") };
-    assert!((silent.to..silent.to + 4).contains(&until));
-    assert!(matches!(discovery.poll(START + 2 * S, me, None, true), Told::Fails));
-    let Told::Event(Event::EndpointsUpdated { kind, endpoints: entries }) =
-        discovery.poll(until, me, None, false)
+    discovery.publish(Endpoint { state: EndpointState::Draining, ..endpoint(1, None) });
+    discovery.publish(endpoint(3, Some(START)));
+    assert!(!discovery.knows_server(me, ServerId(3)) && discovery.draining_since(me, ServerId(1)).is_none());
+    let PollResult::RetryAt(until) = discovery.poll(START + 2 * S, me, None, PollKind::Scheduled) else {
+        panic!("an outage")
+    };
+    assert!((outage.end..outage.end + 4).contains(&until));
+    assert!(matches!(discovery.poll(START + 2 * S, me, None, PollKind::Requested), PollResult::CallFailed));
+    let PollResult::Update(Event::EndpointsUpdated { kind, endpoints }) =
+        discovery.poll(until, me, None, PollKind::Scheduled)
     else {
-        panic!("told")
+        panic!("an update")
     };
-    assert_eq!((kind, entries.len()), (EndpointUpdate::Delta, 2));
-    assert_eq!(discovery.told_leaving(me, ServerId(1)), Some(until));
-    assert!(discovery.knows(me, ServerId(3)) && !discovery.knows(other, ServerId(3)));
-    assert!(matches!(discovery.poll(until, me, None, false), Told::Nothing));
+    assert_eq!((kind, endpoints.len()), (EndpointUpdate::Delta, 2));
+    assert_eq!(discovery.draining_since(me, ServerId(1)), Some(until));
+    assert!(discovery.knows_server(me, ServerId(3)) && !discovery.knows_server(other, ServerId(3)));
+    assert!(matches!(discovery.poll(until, me, None, PollKind::Scheduled), PollResult::NoChange));
+    let isolated = discovery.poll(until, other, Some(until + S), PollKind::Scheduled);
+    assert!(matches!(isolated, PollResult::RetryAt(at) if at >= until + S));
+    // A server that comes back drains no more, and its new start is not known yet.
+    assert!(discovery.knows_latest_start(me, ServerId(1)));
+    discovery.publish(endpoint(1, Some(until)));
+    assert!(discovery.knows_server(me, ServerId(1)) && !discovery.knows_latest_start(me, ServerId(1)));
+    discovery.poll(until, me, None, PollKind::Scheduled);
     assert!(
-        matches!(discovery.poll(until, other, Some(until + S), false), Told::Later(at) if at >= until + S)
+        discovery.knows_latest_start(me, ServerId(1)) && discovery.draining_since(me, ServerId(1)).is_none()
     );
-    // A server that comes back leaves no more, and its new start is news.
-    assert!(discovery.knows_start(me, ServerId(1)));
-    discovery.publish(entry(1, Some(until)));
-    assert!(discovery.knows(me, ServerId(1)) && !discovery.knows_start(me, ServerId(1)));
-    discovery.poll(until, me, None, false);
-    assert!(discovery.knows_start(me, ServerId(1)) && discovery.told_leaving(me, ServerId(1)).is_none());
-    // One that starts anew has the list it had.
-    let Event::EndpointsUpdated { kind: EndpointUpdate::Snapshot, endpoints: entries } =
-        discovery.known(other)
+    // A gateway that restarts has the list that it had last.
+    let Event::EndpointsUpdated { kind: EndpointUpdate::Snapshot, endpoints } =
+        discovery.last_snapshot(other)
     else {
         panic!("a list")
     };
-    assert_eq!(entries.len(), 2);
+    assert_eq!(endpoints.len(), 2);
 }
 
 #[test]
-fn a_gateway_takes_in_no_more_messages_than_its_intake_and_a_cut_lets_none_through() {
-    let weather = Weather { delay: 10..20, loss: 0.5, lossy: None, intake: 5.0 };
-    let mut datagrams = Datagrams::new(stream(1, 3), START, weather, 2);
-    let taken = (0..20).filter(|_| datagrams.takes(START, GatewayId(1), 100)).count();
-    assert_eq!((taken, datagrams.traffic.dropped, datagrams.traffic.came[1]), (5, 15, (20, 2_000)));
-    assert!(datagrams.takes(START + S, GatewayId(1), 100) && datagrams.takes(START, GatewayId(0), 1));
-    let through = (0..1_000).filter(|_| datagrams.send(START, false).is_some()).count();
-    assert!((400..600).contains(&through), "{through}");
+fn a_gateway_accepts_messages_up_to_its_rate_and_none_pass_a_partition() {
+    let conditions =
+        NetworkConditions { delay: 10..20, loss: 0.5, temporary_loss: None, accepted_per_second: 5.0 };
+    let mut datagrams = Datagrams::new(random_stream(1, 3), START, conditions, 2);
+    let accepted = (0..20).filter(|_| datagrams.accept(START, GatewayId(1), 100)).count();
+    assert_eq!((accepted, datagrams.traffic.dropped), (5, 15));
+    assert_eq!(datagrams.traffic.received[1], Received { messages: 20, bytes: 2_000 });
+    assert!(datagrams.accept(START + S, GatewayId(1), 100) && datagrams.accept(START, GatewayId(0), 1));
+    let delivered = (0..1_000).filter(|_| datagrams.send(START, false).is_some()).count();
+    assert!((400..600).contains(&delivered), "{delivered}");
     assert!((0..100).all(|_| datagrams.send(START, true).is_none()));
-    let cuts = Cuts(vec![Cut { zone: ZoneId(1), span: Span { from: START, to: START + S } }]);
-    let parted = |one, other, at| cuts.part(at, ZoneId(one), ZoneId(other));
-    assert!(parted(1, 0, START) && parted(2, 1, START) && !parted(1, 1, START) && !parted(0, 2, START));
-    assert!(!parted(1, 0, START + S) && cuts.until(START, ZoneId(1)) == Some(START + S));
+    let span = TimeSpan { start: START, end: START + S };
+    let partitions = Partitions(vec![Partition { zone: ZoneId(1), span }]);
+    let separate = |one, other, at| partitions.separate(at, ZoneId(one), ZoneId(other));
+    assert!(
+        separate(1, 0, START) && separate(2, 1, START) && !separate(1, 1, START) && !separate(0, 2, START)
+    );
+    assert!(!separate(1, 0, START + S) && partitions.isolated_until(START, ZoneId(1)) == Some(START + S));
 }
 
 #[test]
-fn clients_ask_for_about_the_demand_through_their_own_gateways_unevenly() {
-    let mut clients = clients(400.0);
-    let steady = 400.0;
-    let mut came = vec![0_u32; 6];
-    let (mut tries, seconds) = (0_u32, 20);
-    for customer in 0..clients.customers.len() {
+fn clients_ask_for_about_the_demand_through_their_own_gateways_at_uneven_rates() {
+    const GATEWAYS: u32 = 6;
+    let demand = 400.0;
+    let mut clients = clients(demand);
+    let mut by_gateway = vec![0_u32; GATEWAYS as usize];
+    let (mut requests, seconds) = (0_u32, 20);
+    for index in 0..clients.customers.len() {
         let mut now = START;
-        while let Some(at) = clients.next(now, customer).filter(|at| *at < START + seconds * S) {
+        while let Some(at) = clients.next_arrival(now, index).filter(|at| *at < START + seconds * S) {
             now = at;
-            tries += 1;
-            let of = clients.fresh(now, customer);
-            let Some(to) = clients.gateway(now, &of, 6, |_| false) else { panic!("a gateway") };
-            let theirs = &clients.customers[customer];
-            let turn = (to.0 + 6 - theirs.first.0) % 6;
-            assert!(turn < theirs.spread && (0.5..=8.0).contains(&of.units));
-            came[to.0 as usize] += 1;
-            let elsewhere = clients.gateway(now, &of, 6, |node| node == to);
+            requests += 1;
+            let request = clients.new_request(now, index);
+            let Some(to) = clients.pick_gateway(now, &request, GATEWAYS, |_| false) else {
+                panic!("a gateway")
+            };
+            let customer = &clients.customers[index];
+            let offset = (to.0 + GATEWAYS - customer.first_gateway.0) % GATEWAYS;
+            assert!(offset < customer.gateway_count && (0.5..=8.0).contains(&request.estimated_units));
+            by_gateway[to.0 as usize] += 1;
+            let elsewhere = clients.pick_gateway(now, &request, GATEWAYS, |gateway| gateway == to);
             assert!(elsewhere != Some(to));
         }
     }
-    // Inside the quotas 400 a second are asked for; what goes beyond comes on top.
-    let rate = f64::from(tries) / seconds as f64;
-    assert!(rate > steady && rate < 3.0 * steady, "{rate}");
-    assert!(came.iter().max() > came.iter().min(), "{came:?}");
+    // Within the quotas 400 requests a second are asked for; those beyond are added.
+    let rate = f64::from(requests) / seconds as f64;
+    assert!(rate > demand && rate < 3.0 * demand, "{rate}");
+    assert!(by_gateway.iter().max() > by_gateway.iter().min(), "{by_gateway:?}");
 }
 
 #[test]
-fn clients_come_again_once_by_advice_and_only_where_that_is_harmless() {
+fn clients_retry_once_as_advised_and_only_if_that_is_harmless() {
     let mut clients = clients(50.0);
-    let mut of = clients.fresh(START, 0);
-    (of.leaves, of.class) = (None, ClassId(1));
-    let (at, again) = clients.again(START, &of, Heard::Refused(Some(70_000))).expect("again");
-    assert_eq!((at, again.before, again.deadline), (START + 70_000, 1, of.deadline));
-    assert!(clients.again(START, &again, Heard::Refused(None)).is_none(), "once");
-    assert!(clients.again(START, &of, Heard::Failed).is_none(), "it may have run");
-    assert!(clients.again(START, &of, Heard::Unreached).is_some());
-    of.class = ClassId(0);
-    assert!(clients.again(START, &of, Heard::Failed).is_some());
-    assert!(clients.again(of.deadline, &of, Heard::Failed).is_none(), "too late");
+    let mut request = clients.new_request(START, 0);
+    request.disconnect_at = None;
+    request.class = ClassId(1);
+    let rejected = |retry_after| ClientError::Rejected { retry_after };
+    let retry = clients.retry(START, &request, rejected(Some(70_000))).expect("a retry");
+    assert_eq!((retry.at, retry.request.retries), (START + 70_000, 1));
+    assert_eq!(retry.request.deadline, request.deadline);
+    assert!(clients.retry(START, &retry.request, rejected(None)).is_none(), "once");
+    assert!(clients.retry(START, &request, ClientError::Failed).is_none(), "it may have run");
+    assert!(clients.retry(START, &request, ClientError::Unreachable).is_some());
+    request.class = ClassId(0);
+    assert!(clients.retry(START, &request, ClientError::Failed).is_some());
+    assert!(clients.retry(request.deadline, &request, ClientError::Failed).is_none(), "too late");
 }
 
 #[test]
-fn a_bucket_fills_at_its_rate_up_to_its_depth() {
-    let mut bucket = Bucket::full(START, 2.0, 10.0);
+fn a_token_bucket_refills_at_its_rate_up_to_its_capacity() {
+    let mut bucket = TokenBucket::full(START, 2.0, 10.0);
     assert!(bucket.try_take(START, 9.0) && !bucket.try_take(START, 2.0));
     assert!(bucket.try_take(START + micros(0.5), 2.0));
     assert_eq!(bucket.take(START + S, 4.0), -3.0);
-    assert_eq!((bucket.level(START + 60 * S), bucket.share(START + 60 * S)), (10.0, 1.0));
+    assert_eq!((bucket.tokens(START + 60 * S), bucket.fill_fraction(START + 60 * S)), (10.0, 1.0));
 }
