--- /dev/null
+++ b/fleet-lab/src/scaling/fleet.rs
@@ -0,0 +1,127 @@
+//! The fleet of which two gateways are measured: its settings, its servers and its customers.
+
+use super::sizes::FleetSizes;
+use anyhow::{Context, Result};
+use edge_node::*;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+/// A millisecond, µs.
+pub(super) const MILLISECOND: Micros = 1_000;
+/// Interval of the control ticks of the decision module, µs.
+pub(super) const CONTROL_TICK: Micros = 500 * MILLISECOND;
+/// How long a client waits, µs; long enough for requests that stay open.
+pub(super) const CLIENT_TIMEOUT: Micros = 3_600_000 * MILLISECOND;
+/// Least number of customers whose requests are served by turns: enough that gateways need not throttle their lease
+/// requests. Where more requests stay open, each has a customer of its own.
+pub(super) const MIN_ACTIVE_CUSTOMERS: u64 = 64;
+/// Zones of the fleet.
+const ZONES: u32 = 29;
+/// Customer numbers have 33 bits at most, by the protocol.
+pub(super) const CUSTOMER_NUMBERS: u64 = 1 << 33;
+/// The two gateways.
+pub(super) const PAIR: [GatewayId; 2] = [GatewayId(0), GatewayId(1)];
+
+/// Settings of a fleet with two classes of requests and one plan, whose quota no customer here uses up.
+pub(super) fn settings(gateway: GatewayId, gateways: u32) -> Settings {
+    Settings {
+        gateway_id: gateway,
+        gateway_count: gateways,
+        zone: ZoneId(0),
+        classes: vec![class(3.0, Idempotency::Idempotent), class(5.0, Idempotency::NonIdempotent)],
+        plans: vec![plan()],
+        rules: Rules {
+            warm_up_from: 0.27,
+            warm_up_period: 16_000 * MILLISECOND,
+            overload_multiple: 2.5,
+            overload_window: 3_000 * MILLISECOND,
+        },
+        permissions: Permissions {
+            max_attempts: 5,
+            cancel_attempts: true,
+            peer_messages: true,
+            max_retry_after: Some(10_000 * MILLISECOND),
+        },
+        cross_zone_cost: 0.0,
+        discovery: EndpointDiscovery::Pushed,
+        event_period: 2 * MILLISECOND,
+        peer_messages_per_second: 40.0,
+        max_request_units: 8.0,
+    }
+}
+
+fn class(priority_weight: f64, idempotency: Idempotency) -> Class {
+    Class { latency_objective: 1_000 * MILLISECOND, late_weight: 0.2, priority_weight, idempotency }
+}
+
+/// A plan whose quota has a single owner.
+fn plan() -> Plan {
+    Plan {
+        rate: 20.0,
+        burst: 100.0,
+        max_concurrent: None,
+        weight: 1.0,
+        over_quota_weight: 0.2,
+        over_quota_cost: 0.0,
+        hard_limit: None,
+    }
+}
+
+/// A list of servers with ids as random as hashes, evenly distributed over all zones.
+pub(super) fn draw_endpoints(rng: &mut ChaCha8Rng, servers: u64) -> Vec<Endpoint> {
+    let endpoint = |number: u64| Endpoint {
+        server: ServerId(rng.random()),
+        zone: ZoneId((number % u64::from(ZONES)) as u32),
+        cell: CellId(number % u64::from(ZONES)),
+        state: EndpointState::Ready,
+        weight: 1.0,
+        started_at: None,
+    };
+    (0..servers).map(endpoint).collect()
+}
+
+/// A customer, and the first of the gateways that its requests arrive through.
+#[derive(Clone, Copy)]
+pub(super) struct Customer {
+    pub(super) id: CustomerId,
+    pub(super) first_gateway: GatewayId,
+}
+
+/// Draws customers whose quotas this gateway owns: the first gateway of each is chosen by how far its owner is from
+/// that.
+pub(super) fn draw_customers(
+    rng: &mut ChaCha8Rng, sizes: FleetSizes, owner: GatewayId,
+) -> Result<Vec<Customer>> {
+    let count = sizes.open_requests.max(MIN_ACTIVE_CUSTOMERS).min(sizes.customers);
+    let mut customers = Vec::new();
+    for _ in 0..count {
+        let id = CustomerId(rng.random_range(0..CUSTOMER_NUMBERS / 2));
+        let offset = owner_offset(id, sizes)?;
+        let first_gateway = GatewayId((owner.0 + sizes.gateways - offset) % sizes.gateways);
+        customers.push(Customer { id, first_gateway });
+    }
+    Ok(customers)
+}
+
+/// How many gateways after the first of its gateways a customer's quota owner is; 0 where quotas have no owners.
+fn owner_offset(customer: CustomerId, sizes: FleetSizes) -> Result<u32> {
+    let now = 10 * CONTROL_TICK;
+    let settings = settings(PAIR[0], sizes.gateways);
+    let mut gateway = Gateway::new(1, settings, now).context("a gateway that shows the owner")?;
+    let event = Event::RequestReceived {
+        id: RequestId("probe".into()),
+        class: ClassId(0),
+        plan: PlanId(0),
+        customer,
+        units: 1.0,
+        gateways: GatewaySet { first: PAIR[0], count: sizes.effective_gateways_per_customer() },
+        client_timeout: CLIENT_TIMEOUT,
+    };
+    let mut actions = Vec::new();
+    gateway.handle(now, event, &mut actions);
+    let owner = actions.iter().find_map(|action| match action {
+        Action::SendToPeer { to, .. } => Some(to.0),
+        _ => None,
+    });
+    Ok(owner.unwrap_or(0))
+}
--- /dev/null
+++ b/fleet-lab/src/scaling/gateway_pair.rs
@@ -0,0 +1,316 @@
+//! Two gateways of one fleet, each the owner of the quotas of the other's customers, with servers that answer at
+//! once. The first is measured; the second is its peer and has the same list, information and request rate.
+
+use super::cost::{measure_event, Cost};
+use super::fleet::{
+    draw_customers, draw_endpoints, settings, Customer, CLIENT_TIMEOUT, CONTROL_TICK, CUSTOMER_NUMBERS,
+    MILLISECOND, PAIR,
+};
+use super::sizes::FleetSizes;
+use anyhow::{bail, Result};
+use edge_node::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+
+/// Time between two requests at one gateway, µs: 236 a second.
+const REQUEST_INTERVAL: Micros = 1_000_000 / 236;
+/// Time that a server takes for a request, µs.
+const SERVICE_TIME: Micros = 3 * MILLISECOND;
+/// The index of the gateway that is measured.
+pub(super) const MEASURED: usize = 0;
+/// The second byte of a datagram is its kind; this one answers a lease request.
+const LEASE_GRANT_KIND: u8 = 2;
+
+struct Member {
+    gateway: Gateway,
+    customers: Vec<Customer>,
+    /// When its next timer fires, µs.
+    timer_at: Micros,
+}
+
+/// An event for one of the gateways.
+struct PendingEvent {
+    /// The index of the gateway.
+    member: usize,
+    event: Event,
+}
+
+/// What the first gateway's work has cost.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct MeasuredCosts {
+    /// Its own requests and timers.
+    pub(super) own: Cost,
+    /// Messages that its peer sent, other than answers.
+    pub(super) peer_messages: Cost,
+}
+
+impl MeasuredCosts {
+    fn add(&mut self, other: MeasuredCosts) {
+        self.own.add(other.own);
+        self.peer_messages.add(other.peer_messages);
+    }
+}
+
+/// The two gateways and their clock.
+pub(super) struct GatewayPair {
+    /// The time, µs.
+    pub(super) now: Micros,
+    /// The list of servers as the first gateway has it.
+    pub(super) endpoints: Vec<Endpoint>,
+    rng: ChaCha8Rng,
+    sizes: FleetSizes,
+    members: [Member; 2],
+    pending: VecDeque<PendingEvent>,
+    last_request: u64,
+    costs: MeasuredCosts,
+    /// Attempts that the first gateway has sent; each is served.
+    served: u64,
+}
+
+impl GatewayPair {
+    /// Two gateways that know their servers, have met their customers, and have run for a while.
+    ///
+    /// # Errors
+    /// If a gateway can't be made, or does not serve.
+    pub(super) fn new(seed: u64, sizes: FleetSizes) -> Result<GatewayPair> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let endpoints = draw_endpoints(&mut rng, sizes.servers);
+        let now = 10 * CONTROL_TICK;
+        let first = draw_member(&mut rng, sizes, now, PAIR[0], PAIR[1])?;
+        let second = draw_member(&mut rng, sizes, now, PAIR[1], PAIR[0])?;
+        let mut pair = GatewayPair {
+            now,
+            endpoints,
+            rng,
+            sizes,
+            members: [first, second],
+            pending: VecDeque::new(),
+            last_request: 0,
+            costs: MeasuredCosts::default(),
+            served: 0,
+        };
+        pair.prepare()?;
+        Ok(pair)
+    }
+
+    /// Brings the gateways to the state in which they are measured.
+    fn prepare(&mut self) -> Result<()> {
+        for member in 0..self.members.len() {
+            let endpoints = self.endpoints.clone();
+            self.post(member, Event::EndpointsUpdated { kind: EndpointUpdate::Snapshot, endpoints });
+        }
+        self.meet_customers();
+        for _ in 0..self.warm_up_requests() {
+            self.request()?;
+        }
+        // Both have a control tick now, so that none falls into what is measured afterwards.
+        self.now += CONTROL_TICK + MILLISECOND;
+        for member in 0..self.members.len() {
+            self.fire_timer(member);
+        }
+        self.deliver_unmeasured();
+        self.open_requests();
+        self.take_costs();
+        Ok(())
+    }
+
+    /// Requests before the measurement: fewer where each is expensive.
+    fn warm_up_requests(&self) -> u64 {
+        (1_000_000 / self.sizes.servers.max(1)).clamp(40, 200)
+    }
+
+    /// What the first gateway's work has cost since the last call.
+    pub(super) fn take_costs(&mut self) -> MeasuredCosts {
+        std::mem::take(&mut self.costs)
+    }
+
+    /// Sends the first gateway one request of each other customer, with no time left to serve it.
+    fn meet_customers(&mut self) {
+        let met = self.members[MEASURED].customers.len() as u64;
+        for number in 0..self.sizes.customers.saturating_sub(met) {
+            let id = CustomerId(CUSTOMER_NUMBERS - 1 - number);
+            let event = self.request_event(Customer { id, first_gateway: PAIR[MEASURED] }, 0);
+            self.post(MEASURED, event);
+        }
+    }
+
+    /// Leaves as many requests open at the first gateway as there should be, without the one that is measured.
+    fn open_requests(&mut self) {
+        for _ in 1..self.sizes.open_requests {
+            self.enqueue_request(MEASURED);
+            while let Some(PendingEvent { member, event }) = self.pending.pop_front() {
+                // No server answers meanwhile.
+                if !matches!(event, Event::AttemptFinished { .. }) {
+                    self.post(member, event);
+                }
+            }
+        }
+    }
+
+    fn enqueue(&mut self, member: usize, event: Event) {
+        self.pending.push_back(PendingEvent { member, event });
+    }
+
+    /// Enqueues a request of the next customer of a gateway.
+    fn enqueue_request(&mut self, member: usize) {
+        let customers = &self.members[member].customers;
+        let customer = customers[(self.last_request as usize / 2) % customers.len()];
+        let event = self.request_event(customer, CLIENT_TIMEOUT);
+        self.enqueue(member, event);
+    }
+
+    fn request_event(&mut self, customer: Customer, client_timeout: Micros) -> Event {
+        self.last_request += 1;
+        let count = self.sizes.effective_gateways_per_customer();
+        Event::RequestReceived {
+            id: RequestId(format!("{:016x}", self.last_request).into()),
+            class: ClassId((self.last_request / 3 % 2) as usize),
+            plan: PlanId(0),
+            customer: customer.id,
+            units: 1.0,
+            gateways: GatewaySet { first: customer.first_gateway, count },
+            client_timeout,
+        }
+    }
+
+    /// One request at each gateway, from its arrival to its answer, and the time to the next.
+    ///
+    /// # Errors
+    /// If it is not served at the first: what was measured would be a rejection.
+    pub(super) fn request(&mut self) -> Result<()> {
+        let next_request_at = self.now + REQUEST_INTERVAL;
+        let served_before = self.served;
+        for member in 0..self.members.len() {
+            self.enqueue_request(member);
+        }
+        self.deliver();
+        if self.served == served_before {
+            bail!("request {} was not served", self.last_request);
+        }
+        self.advance(next_request_at);
+        Ok(())
+    }
+
+    /// Delivers all pending events, with the time that servers take.
+    fn deliver(&mut self) {
+        while let Some(PendingEvent { member, event }) = self.pending.pop_front() {
+            if member == MEASURED && matches!(event, Event::AttemptFinished { .. }) {
+                self.now += SERVICE_TIME;
+            }
+            let costs = self.post(member, event);
+            self.costs.add(costs);
+        }
+    }
+
+    /// Lets time pass until then, µs, with the timers that fire meanwhile. What these cost is not part of a request.
+    pub(super) fn advance(&mut self, until: Micros) {
+        while let Some(member) = self.members.iter().position(|member| member.timer_at <= until) {
+            self.now = self.now.max(self.members[member].timer_at);
+            self.fire_timer(member);
+            self.deliver_unmeasured();
+        }
+        self.now = self.now.max(until);
+    }
+
+    fn deliver_unmeasured(&mut self) {
+        while let Some(PendingEvent { member, event }) = self.pending.pop_front() {
+            // Usage counts to all peers are sent when they are due, not with a request.
+            let costs = self.post(member, event);
+            self.costs.peer_messages.add(costs.peer_messages);
+        }
+    }
+
+    /// Fires a gateway's timer now; returns what that costs.
+    pub(super) fn fire_timer(&mut self, member: usize) -> Cost {
+        self.members[member].timer_at = Micros::MAX;
+        self.post(member, Event::TimerFired { token: 0 }).own
+    }
+
+    /// When the first gateway's timer fires, µs.
+    pub(super) fn next_timer(&self) -> Micros {
+        self.members[MEASURED].timer_at
+    }
+
+    /// Gives the first gateway a list of servers, or changes to it; returns what that costs.
+    pub(super) fn update_endpoints(&mut self, kind: EndpointUpdate, endpoints: Vec<Endpoint>) -> Cost {
+        self.post(MEASURED, Event::EndpointsUpdated { kind, endpoints }).own
+    }
+
+    /// Draws a server that starts to drain, or becomes ready again.
+    pub(super) fn change_endpoint(&mut self) -> Endpoint {
+        let index = self.rng.random_range(0..self.endpoints.len());
+        let endpoint = &mut self.endpoints[index];
+        endpoint.state = match endpoint.state {
+            EndpointState::Ready => EndpointState::Draining,
+            EndpointState::Draining | EndpointState::Gone => EndpointState::Ready,
+        };
+        *endpoint
+    }
+
+    /// Gives a gateway an event and carries out its actions; returns what that costs the first gateway.
+    fn post(&mut self, member: usize, event: Event) -> MeasuredCosts {
+        let is_unsolicited = matches!(&event, Event::PeerMessage { bytes, .. } if !is_lease_grant(bytes));
+        let mut actions = Vec::with_capacity(8);
+        let gateway = &mut self.members[member].gateway;
+        let mut cost = measure_event(gateway, self.now, event, &mut actions);
+        for action in actions {
+            self.execute(member, action, &mut cost);
+        }
+        let mut costs = MeasuredCosts::default();
+        if member == MEASURED && is_unsolicited {
+            costs.peer_messages = cost;
+        } else if member == MEASURED {
+            costs.own = cost;
+        }
+        costs
+    }
+
+    fn execute(&mut self, member: usize, action: Action, cost: &mut Cost) {
+        let peer = 1 - member;
+        let from = PAIR[member];
+        match action {
+            Action::SendAttempt { id, .. } => self.serve(member, id),
+            Action::SendToPeer { to, bytes } => {
+                cost.add_message(1, &bytes);
+                if to == PAIR[peer] {
+                    self.enqueue(peer, Event::PeerMessage { from, bytes });
+                }
+            }
+            Action::Broadcast { bytes } => {
+                cost.add_message(u64::from(self.sizes.gateways) - 1, &bytes);
+                self.enqueue(peer, Event::PeerMessage { from, bytes });
+            }
+            Action::SetTimer { after, .. } => {
+                let member = &mut self.members[member];
+                member.timer_at = member.timer_at.min(self.now + after);
+            }
+            Action::Reject { .. }
+            | Action::Fail { .. }
+            | Action::CancelAttempt { .. }
+            | Action::WatchEndpoints
+            | Action::Log(_) => {}
+        }
+    }
+
+    /// A server answers an attempt.
+    fn serve(&mut self, member: usize, id: RequestId) {
+        self.served += u64::from(member == MEASURED);
+        let reported_load = Some(f64::from(self.rng.random_range(0..4u8)));
+        let (attempt, outcome) = (AttemptNumber(0), AttemptOutcome::Success);
+        self.enqueue(member, Event::AttemptFinished { id, attempt, outcome, closed: true, reported_load });
+    }
+}
+
+/// A gateway whose customers' quotas the other one owns.
+fn draw_member(
+    rng: &mut ChaCha8Rng, sizes: FleetSizes, now: Micros, id: GatewayId, owner: GatewayId,
+) -> Result<Member> {
+    let gateway = Gateway::new(rng.random(), settings(id, sizes.gateways), now)?;
+    let customers = draw_customers(rng, sizes, owner)?;
+    Ok(Member { gateway, customers, timer_at: now + CONTROL_TICK })
+}
+
+fn is_lease_grant(bytes: &[u8]) -> bool {
+    bytes.get(1) == Some(&LEASE_GRANT_KIND)
+}
--- a/fleet-lab/src/scaling/measure.rs
+++ b/fleet-lab/src/scaling/measure.rs
@@ -1,8 +1,10 @@
-//! The costs that are measured. Each run builds a stand of its own, so that repeats share nothing.
+//! The costs that are measured. Each run makes gateways of its own, so that repeats share nothing.
 
-use super::fixture::{counts_allocations, entries, live_bytes, settings, Cost, Stand, MS, TICK};
+use super::cost::{counts_allocations, live_bytes, Cost};
+use super::fleet::{draw_endpoints, settings, CONTROL_TICK, MILLISECOND};
+use super::gateway_pair::{GatewayPair, MEASURED};
 use super::report::Figure;
-use super::{Over, Sizes};
+use super::sizes::{Dimension, FleetSizes};
 use anyhow::{ensure, Result};
 use edge_node::Gateway;
 use edge_node::*;
@@ -10,109 +12,163 @@
 use rand_chacha::ChaCha8Rng;
 use std::net::{Ipv4Addr, SocketAddr};
 
-/// Something that costs.
-pub struct Measured {
+/// Something whose cost is measured.
+pub(super) struct Measurement {
     /// Its name on the command line.
-    pub name: &'static str,
-    /// The sizes it is measured over.
-    pub over: &'static [Over],
-    /// Measures it once.
-    pub run: fn(u64, Sizes) -> Result<Vec<Figure>>,
+    pub(super) name: &'static str,
+    /// The dimensions in which the fleet grows.
+    pub(super) dimensions: &'static [Dimension],
+    /// Measures it once, with a seed.
+    pub(super) run: fn(u64, FleetSizes) -> Result<Vec<Figure>>,
 }
 
-/// All costs.
-pub const COSTS: [Measured; 10] = [
-    Measured {
+/// All measurements.
+pub(super) const MEASUREMENTS: [Measurement; 10] = [
+    Measurement {
         name: "request",
-        over: &[Over::Servers, Over::Customers, Over::Gateways, Over::Spread, Over::Open],
-        run: request,
+        dimensions: &[
+            Dimension::Servers,
+            Dimension::Customers,
+            Dimension::Gateways,
+            Dimension::GatewaysPerCustomer,
+            Dimension::OpenRequests,
+        ],
+        run: measure_request,
     },
-    Measured { name: "datagram", over: &[Over::Servers, Over::Customers, Over::Gateways], run: datagram },
-    Measured { name: "entry", over: &[Over::Servers], run: entry },
-    Measured { name: "list", over: &[Over::Servers], run: list },
-    Measured {
+    Measurement {
+        name: "datagram",
+        dimensions: &[Dimension::Servers, Dimension::Customers, Dimension::Gateways],
+        run: measure_datagram,
+    },
+    Measurement { name: "entry", dimensions: &[Dimension::Servers], run: measure_endpoint_change },
+    Measurement { name: "list", dimensions: &[Dimension::Servers], run: measure_snapshot },
+    Measurement {
         name: "sweep",
-        over: &[Over::Servers, Over::Customers, Over::Gateways, Over::Open],
-        run: sweep,
+        dimensions: &[Dimension::Servers, Dimension::Customers, Dimension::Gateways, Dimension::OpenRequests],
+        run: measure_timer,
     },
-    Measured {
+    Measurement {
         name: "tick",
-        over: &[Over::Servers, Over::Customers, Over::Gateways, Over::Spread],
-        run: tick,
+        dimensions: &[
+            Dimension::Servers,
+            Dimension::Customers,
+            Dimension::Gateways,
+            Dimension::GatewaysPerCustomer,
+        ],
+        run: measure_control_tick,
+    },
+    Measurement { name: "feed", dimensions: &[Dimension::Servers], run: measure_list_text },
+    Measurement { name: "memory-servers", dimensions: &[Dimension::Servers], run: measure_server_memory },
+    Measurement {
+        name: "memory-customers",
+        dimensions: &[Dimension::Customers],
+        run: measure_customer_memory,
     },
-    Measured { name: "feed", over: &[Over::Servers], run: feed },
-    Measured { name: "memory-servers", over: &[Over::Servers], run: memory_of_servers },
-    Measured { name: "memory-customers", over: &[Over::Customers], run: memory_of_customers },
-    Measured { name: "memory-gateways", over: &[Over::Gateways], run: memory_of_gateways },
+    Measurement { name: "memory-gateways", dimensions: &[Dimension::Gateways], run: measure_gateway_memory },
 ];
 
-/// Requests in a run. Danger: what stays open for half of an aim looks hung, which costs otherwise.
+/// Requests in a run. They take less than half of the latency objective in all: servers of requests that stay open
+/// for longer would look hung, which costs more than what is measured.
 const REQUESTS: u64 = 80;
-/// Sweeps, ticks, changes and lists in a run.
-const TIMES: u64 = 10;
+/// Timers, control ticks, changes and lists in a run.
+const REPETITIONS: u64 = 10;
+
+fn per_unit(total: u64, count: u64) -> f64 {
+    total as f64 / count.max(1) as f64
+}
 
-fn each(cost: Cost, of: u64) -> Vec<Figure> {
-    let part = |sum: u64| sum as f64 / of.max(1) as f64;
-    let mut figures = vec![("time_us", cost.time / of.max(1) as f64), ("visited", part(cost.visited))];
+/// Figures of work that sends no message, for each of `count` repetitions.
+fn local_figures(cost: Cost, count: u64) -> Vec<Figure> {
+    let mut figures = vec![
+        Figure { name: "time_us", value: cost.cpu_time / count.max(1) as f64 },
+        Figure { name: "visited", value: per_unit(cost.visited, count) },
+    ];
     if counts_allocations() {
-        figures.push(("allocations", part(cost.allocations)));
+        figures.push(Figure { name: "allocations", value: per_unit(cost.allocations, count) });
     }
-    figures.extend([("messages", part(cost.messages)), ("sent_bytes", part(cost.bytes))]);
-    figures.push(("longest_bytes", cost.longest as f64));
     figures
 }
 
-/// Time, allocations and entries looked at of what sends nothing.
-fn silent(cost: Cost, of: u64) -> Vec<Figure> {
-    each(cost, of)
-        .into_iter()
-        .filter(|(name, _)| ["time_us", "allocations", "visited"].contains(name))
-        .collect()
+/// Figures of work that sends messages, for each of `count` repetitions.
+fn message_figures(cost: Cost, count: u64) -> Vec<Figure> {
+    let mut figures = local_figures(cost, count);
+    figures.push(Figure { name: "messages", value: per_unit(cost.messages, count) });
+    figures.push(Figure { name: "sent_bytes", value: per_unit(cost.bytes, count) });
+    figures.push(Figure { name: "longest_bytes", value: cost.longest_message as f64 });
+    figures
 }
 
-/// A request at the gateway that took it: the try, the owner's answer, one attempt and its answer.
-fn request(seed: u64, sizes: Sizes) -> Result<Vec<Figure>> {
-    let mut stand = Stand::new(seed, sizes)?;
-    (0..REQUESTS).try_for_each(|_| stand.request())?;
-    Ok(each(stand.take().0, REQUESTS))
+/// A request at the gateway at which it arrives: the request, the owner's lease, one attempt and its answer.
+fn measure_request(seed: u64, sizes: FleetSizes) -> Result<Vec<Figure>> {
+    let mut pair = GatewayPair::new(seed, sizes)?;
+    for _ in 0..REQUESTS {
+        pair.request()?;
+    }
+    Ok(message_figures(pair.take_costs().own, REQUESTS))
 }
 
-/// A datagram that a peer sent unasked: an ask, which is answered, or in a small fleet its counts.
-fn datagram(seed: u64, sizes: Sizes) -> Result<Vec<Figure>> {
-    let mut stand = Stand::new(seed, sizes)?;
-    (0..REQUESTS).try_for_each(|_| stand.request())?;
-    stand.wait(stand.now + TICK);
-    let cost = stand.take().1;
+/// A message of a peer other than an answer: a lease request, which is answered, or in a small fleet usage counts.
+fn measure_datagram(seed: u64, sizes: FleetSizes) -> Result<Vec<Figure>> {
+    let mut pair = GatewayPair::new(seed, sizes)?;
+    for _ in 0..REQUESTS {
+        pair.request()?;
+    }
+    pair.advance(pair.now + CONTROL_TICK);
+    let cost = pair.take_costs().peer_messages;
     ensure!(cost.events > 0, "no datagram came");
-    Ok(each(cost, cost.events))
+    Ok(message_figures(cost, cost.events))
 }
 
-/// One changed entry of the list: a server that drains or is back.
-fn entry(seed: u64, sizes: Sizes) -> Result<Vec<Figure>> {
-    let mut stand = Stand::new(seed, sizes)?;
+/// One changed entry of the list: a server that starts to drain or becomes ready again.
+fn measure_endpoint_change(seed: u64, sizes: FleetSizes) -> Result<Vec<Figure>> {
+    let mut pair = GatewayPair::new(seed, sizes)?;
     let mut cost = Cost::default();
-    for _ in 0..TIMES {
-        let entry = stand.change();
-        cost.add(stand.told(EndpointUpdate::Delta, vec![entry]));
+    for _ in 0..REPETITIONS {
+        let endpoint = pair.change_endpoint();
+        cost.add(pair.update_endpoints(EndpointUpdate::Delta, vec![endpoint]));
     }
-    Ok(silent(cost, TIMES))
+    Ok(local_figures(cost, REPETITIONS))
 }
 
-/// The whole list, told again with one change.
-fn list(seed: u64, sizes: Sizes) -> Result<Vec<Figure>> {
-    let mut stand = Stand::new(seed, sizes)?;
+/// The whole list again, with one change.
+fn measure_snapshot(seed: u64, sizes: FleetSizes) -> Result<Vec<Figure>> {
+    let mut pair = GatewayPair::new(seed, sizes)?;
     let mut cost = Cost::default();
-    for _ in 0..TIMES {
-        stand.change();
-        let entries = stand.list.clone();
-        cost.add(stand.told(EndpointUpdate::Snapshot, entries));
+    for _ in 0..REPETITIONS {
+        pair.change_endpoint();
+        let endpoints = pair.endpoints.clone();
+        cost.add(pair.update_endpoints(EndpointUpdate::Snapshot, endpoints));
     }
-    Ok(silent(cost, TIMES))
+    Ok(local_figures(cost, REPETITIONS))
 }
 
-/// A server as a list of the protocol page writes it.
+/// A timer between two control ticks, while requests are open.
+fn measure_timer(seed: u64, sizes: FleetSizes) -> Result<Vec<Figure>> {
+    // One more request stays open than elsewhere, where one is under way: none arrives here.
+    let sizes = FleetSizes { open_requests: sizes.open_requests + 1, ..sizes };
+    let mut pair = GatewayPair::new(seed, sizes)?;
+    let mut cost = Cost::default();
+    for _ in 0..REPETITIONS {
+        pair.now = pair.next_timer();
+        cost.add(pair.fire_timer(MEASURED));
+    }
+    Ok(local_figures(cost, REPETITIONS))
+}
+
+/// A control tick while no request is open.
+fn measure_control_tick(seed: u64, sizes: FleetSizes) -> Result<Vec<Figure>> {
+    let mut pair = GatewayPair::new(seed, FleetSizes { open_requests: 1, ..sizes })?;
+    let mut cost = Cost::default();
+    for _ in 0..REPETITIONS {
+        pair.now += CONTROL_TICK + MILLISECOND;
+        cost.add(pair.fire_timer(MEASURED));
+    }
+    Ok(local_figures(cost, REPETITIONS))
+}
+
+/// A server in a list as the protocol defines it.
 #[derive(serde::Serialize)]
-struct Host {
+struct HostEntry {
     host: String,
     dial: SocketAddr,
     site: String,
@@ -123,110 +179,102 @@
     born_ms: u64,
 }
 
+impl HostEntry {
+    fn new(number: usize, endpoint: &Endpoint) -> HostEntry {
+        let network = u32::from(Ipv4Addr::new(10, 0, 0, 0));
+        HostEntry {
+            host: format!("s-{:08x}", endpoint.server.0 >> 32),
+            dial: SocketAddr::from((Ipv4Addr::from(network + number as u32), 8443)),
+            site: format!("z{:02}", endpoint.zone.0),
+            class: "m2",
+            block: endpoint.cell.0,
+            health: "ready",
+            share: endpoint.weight,
+            // Unix time in ms has thirteen digits.
+            born_ms: 1_700_000_000_000,
+        }
+    }
+}
+
 /// A list of servers, or changes to it.
 #[derive(serde::Serialize)]
-struct Told<'a> {
+struct HostList<'a> {
     seq: u64,
     whole: bool,
-    hosts: &'a [Host],
-}
-
-/// What a list is as text, whole and of one changed entry: bytes alone.
-fn feed(seed: u64, sizes: Sizes) -> Result<Vec<Figure>> {
-    // Unix time in ms has thirteen digits.
-    let (net, born_ms) = (u32::from(Ipv4Addr::new(10, 0, 0, 0)), 1_700_000_000_000);
-    let host = |(number, entry): (usize, Endpoint)| Host {
-        host: format!("s-{:08x}", entry.server.0 >> 32),
-        dial: SocketAddr::from((Ipv4Addr::from(net + number as u32), 8443)),
-        site: format!("z{:02}", entry.zone.0),
-        class: "m2",
-        block: entry.cell.0,
-        health: "ready",
-        share: entry.weight,
-        born_ms,
-    };
-    let entries = entries(&mut ChaCha8Rng::seed_from_u64(seed), sizes.servers);
-    let hosts: Vec<_> = entries.into_iter().enumerate().map(host).collect();
-    let bytes = |whole, hosts: &[Host]| -> Result<f64> {
-        Ok(serde_json::to_vec(&Told { seq: sizes.servers, whole, hosts })?.len() as f64)
-    };
-    let (all, one) = (bytes(true, &hosts)?, bytes(false, &hosts[..1])?);
-    Ok(vec![("list_bytes", all), ("each_bytes", all / sizes.servers as f64), ("entry_bytes", one)])
+    hosts: &'a [HostEntry],
 }
 
-/// A wake between two ticks, while requests are open.
-fn sweep(seed: u64, sizes: Sizes) -> Result<Vec<Figure>> {
-    // One more stays open than are measured against elsewhere: none comes in here.
-    let mut stand = Stand::new(seed, Sizes { open: sizes.open + 1, ..sizes })?;
-    let mut cost = Cost::default();
-    for _ in 0..TIMES {
-        stand.now = stand.due();
-        cost.add(stand.wake(0));
-    }
-    Ok(silent(cost, TIMES))
+/// The text of a list, whole and of one changed entry: bytes alone.
+fn measure_list_text(seed: u64, sizes: FleetSizes) -> Result<Vec<Figure>> {
+    let endpoints = draw_endpoints(&mut ChaCha8Rng::seed_from_u64(seed), sizes.servers);
+    let numbered = endpoints.iter().enumerate();
+    let hosts: Vec<_> = numbered.map(|(number, endpoint)| HostEntry::new(number, endpoint)).collect();
+    let length = |whole, hosts: &[HostEntry]| -> Result<f64> {
+        let list = HostList { seq: sizes.servers, whole, hosts };
+        Ok(serde_json::to_vec(&list)?.len() as f64)
+    };
+    let list_bytes = length(true, &hosts)?;
+    Ok(vec![
+        Figure { name: "list_bytes", value: list_bytes },
+        Figure { name: "each_bytes", value: list_bytes / sizes.servers as f64 },
+        Figure { name: "entry_bytes", value: length(false, &hosts[..1])? },
+    ])
 }
 
-/// A wake on which the controller ticks, with no request open.
-fn tick(seed: u64, sizes: Sizes) -> Result<Vec<Figure>> {
-    let mut stand = Stand::new(seed, Sizes { open: 1, ..sizes })?;
-    let mut cost = Cost::default();
-    for _ in 0..TIMES {
-        stand.now += TICK + MS;
-        cost.add(stand.wake(0));
-    }
-    Ok(silent(cost, TIMES))
+/// A gateway with nothing but its settings, and its memory.
+struct FreshGateway {
+    gateway: Gateway,
+    bytes: u64,
 }
 
-/// A gateway with nothing but its settings, and the bytes that it holds.
-fn fresh(seed: u64, gateways: u32) -> Result<(Gateway, u64)> {
+fn fresh_gateway(seed: u64, gateways: u32) -> Result<FreshGateway> {
     ensure!(counts_allocations(), "this program does not count its allocations");
     let before = live_bytes();
-    let gateway = Gateway::new(seed, settings(GatewayId(0), gateways), TICK)?;
-    let held = live_bytes().saturating_sub(before);
-    Ok((gateway, held))
+    let gateway = Gateway::new(seed, settings(GatewayId(0), gateways), CONTROL_TICK)?;
+    let bytes = live_bytes().saturating_sub(before);
+    Ok(FreshGateway { gateway, bytes })
 }
 
-fn memory(bytes: u64, of: u64) -> Vec<Figure> {
-    vec![("memory_bytes", bytes as f64), ("each_bytes", bytes as f64 / of.max(1) as f64)]
+fn memory_figures(bytes: u64, count: u64) -> Vec<Figure> {
+    vec![
+        Figure { name: "memory_bytes", value: bytes as f64 },
+        Figure { name: "each_bytes", value: per_unit(bytes, count) },
+    ]
 }
 
-fn memory_of_servers(seed: u64, sizes: Sizes) -> Result<Vec<Figure>> {
-    let (mut gateway, _) = fresh(seed, sizes.gateways)?;
-    let entries = entries(&mut ChaCha8Rng::seed_from_u64(seed), sizes.servers);
-    let mut out = Vec::new();
+fn measure_server_memory(seed: u64, sizes: FleetSizes) -> Result<Vec<Figure>> {
+    let mut gateway = fresh_gateway(seed, sizes.gateways)?.gateway;
+    let endpoints = draw_endpoints(&mut ChaCha8Rng::seed_from_u64(seed), sizes.servers);
+    let mut actions = Vec::new();
     let before = live_bytes();
-    // The copy is the event's own and is freed with it.
-    gateway.handle(
-        TICK,
-        Event::EndpointsUpdated { kind: EndpointUpdate::Snapshot, endpoints: entries.clone() },
-        &mut out,
-    );
-    out.clear();
-    out.shrink_to_fit();
-    Ok(memory(live_bytes().saturating_sub(before), sizes.servers))
-}
-
-fn memory_of_customers(seed: u64, sizes: Sizes) -> Result<Vec<Figure>> {
-    let (mut gateway, _) = fresh(seed, sizes.gateways)?;
+    // The event's copy of the list is freed with the event.
+    let kind = EndpointUpdate::Snapshot;
+    let event = Event::EndpointsUpdated { kind, endpoints: endpoints.clone() };
+    gateway.handle(CONTROL_TICK, event, &mut actions);
+    actions.clear();
+    actions.shrink_to_fit();
+    Ok(memory_figures(live_bytes().saturating_sub(before), sizes.servers))
+}
+
+fn measure_customer_memory(seed: u64, sizes: FleetSizes) -> Result<Vec<Figure>> {
+    let mut gateway = fresh_gateway(seed, sizes.gateways)?.gateway;
     let before = live_bytes();
     for number in 0..sizes.customers {
-        let mut out = Vec::new();
         let event = Event::RequestReceived {
             id: RequestId(format!("{number:016x}").into()),
             class: ClassId(0),
             plan: PlanId(0),
             customer: CustomerId(number),
             units: 1.0,
-            gateways: GatewaySet { first: GatewayId(0), count: sizes.spread.min(sizes.gateways) },
+            gateways: GatewaySet { first: GatewayId(0), count: sizes.effective_gateways_per_customer() },
             client_timeout: 0,
         };
-        gateway.handle(TICK, event, &mut out);
+        gateway.handle(CONTROL_TICK, event, &mut Vec::new());
     }
-    Ok(memory(live_bytes().saturating_sub(before), sizes.customers))
+    Ok(memory_figures(live_bytes().saturating_sub(before), sizes.customers))
 }
 
-fn memory_of_gateways(seed: u64, sizes: Sizes) -> Result<Vec<Figure>> {
-    let (gateway, held) = fresh(seed, sizes.gateways)?;
-    drop(gateway);
-    Ok(memory(held, u64::from(sizes.gateways)))
+fn measure_gateway_memory(seed: u64, sizes: FleetSizes) -> Result<Vec<Figure>> {
+    let bytes = fresh_gateway(seed, sizes.gateways)?.bytes;
+    Ok(memory_figures(bytes, u64::from(sizes.gateways)))
 }
--- a/fleet-lab/src/scaling/mod.rs
+++ b/fleet-lab/src/scaling/mod.rs
@@ -1,54 +1,60 @@
-//! What the decision module costs as the fleet grows: each cost over a range of sizes, with its spread.
+//! `fleet-lab scaling`: what the decision module costs as the fleet grows. Each cost is measured over a range of sizes,
+//! with its statistics over some repeats.
 //!
-//! Processor time is that of the measuring thread alone, so that other work on the machine moves it little. What can
-//! be counted without a clock is counted as well: messages, bytes, allocations, live memory.
+//! Processor time is that of the measuring thread alone, so that other work on the machine influences it little. What
+//! can be counted without a clock is counted as well: messages, bytes, allocations, live memory.
 
-mod fixture;
+mod cost;
+mod fleet;
+mod gateway_pair;
 mod measure;
 mod plot;
 mod report;
+mod sizes;
 
-pub use report::{Figure, Point, Report, Slope, Spread};
+pub use report::{CostCurve, CostPoint, Report, Statistics};
+pub use sizes::{Dimension, FleetSizes};
 
 use crate::Failure;
 use anyhow::Context;
-use std::fmt;
+use fleet::MIN_ACTIVE_CUSTOMERS;
+use measure::{Measurement, MEASUREMENTS};
 use std::io::{IsTerminal, Write};
 use std::path::PathBuf;
 
-/// What the command is told.
+/// Arguments of the command.
 #[derive(clap::Args, Debug)]
 pub struct Args {
     /// Measure this cost alone; may be given more than once.
     #[arg(long, value_name = "NAME")]
     pub only: Vec<String>,
-    /// Let this size alone grow; may be given more than once.
-    #[arg(long, value_name = "SIZE")]
-    pub over: Vec<Over>,
-    /// Largest size of any range.
-    #[arg(long, value_name = "N", default_value_t = 1_000_000)]
-    pub most: u64,
+    /// Let the fleet grow in this dimension alone; may be given more than once.
+    #[arg(long = "over", value_name = "SIZE")]
+    pub dimensions: Vec<Dimension>,
+    /// Largest size in any dimension.
+    #[arg(long = "most", value_name = "N", default_value_t = 1_000_000)]
+    pub max_size: u64,
     /// How often each point is measured, each time with another seed.
     #[arg(long, value_name = "N", default_value_t = 5)]
     pub repeats: u64,
     /// Seed of the first repeat.
     #[arg(long, value_name = "N", default_value_t = 1)]
     pub seed: u64,
-    /// Servers listed, where another size grows.
+    /// Servers listed, while the fleet grows in another dimension.
     #[arg(long, value_name = "N", default_value_t = 200)]
     pub servers: u64,
-    /// Customers met, where another size grows.
+    /// Customers met, while the fleet grows in another dimension.
     #[arg(long, value_name = "N", default_value_t = 1_000)]
     pub customers: u64,
-    /// Gateways in the fleet, where another size grows.
+    /// Gateways in the fleet, while it grows in another dimension.
     #[arg(long, value_name = "N", default_value_t = 300)]
     pub gateways: u64,
-    /// Gateways that a customer's tries come through, where another size grows; all, if this is left out.
-    #[arg(long, value_name = "N")]
-    pub spread: Option<u64>,
-    /// Requests open at the gateway, where another size grows.
-    #[arg(long, value_name = "N", default_value_t = 10)]
-    pub open: u64,
+    /// Gateways that a customer's requests arrive through, while the fleet grows in another dimension; all by default.
+    #[arg(long = "gateways-per-customer", visible_alias = "spread", value_name = "N")]
+    pub gateways_per_customer: Option<u64>,
+    /// Requests open at the gateway, while the fleet grows in another dimension.
+    #[arg(long = "open", value_name = "N", default_value_t = 10)]
+    pub open_requests: u64,
     /// For CI: sizes up to 1,000 and two repeats.
     #[arg(long)]
     pub quick: bool,
@@ -60,161 +66,145 @@
     pub plot: Option<PathBuf>,
 }
 
-/// A size that grows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Over {
-    /// Servers listed.
-    Servers,
-    /// Customers met.
-    Customers,
-    /// Gateways in the fleet.
-    Gateways,
-    /// Gateways that a customer's tries come through.
-    Spread,
-    /// Requests open at the gateway.
-    Open,
-}
-
-impl Over {
-    /// The range that is measured.
-    fn range(self) -> &'static [u64] {
-        match self {
-            Over::Servers => &[14, 60, 200, 1_000, 5_000, 20_000, 110_000],
-            Over::Customers => &[100, 1_000, 10_000, 100_000, 1_000_000],
-            Over::Gateways | Over::Spread => &[3, 12, 60, 300, 1_000, 4_200],
-            Over::Open => &[1, 10, 100, 1_000],
-        }
-    }
-}
+/// Most gateways: their numbers take two bytes in messages.
+const MAX_GATEWAYS: u64 = 1 << 16;
+/// Largest size with `--quick`.
+const QUICK_MAX_SIZE: u64 = 1_000;
+/// Repeats with `--quick`.
+const QUICK_REPEATS: u64 = 2;
 
-impl fmt::Display for Over {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Over::Servers => "servers",
-            Over::Customers => "customers",
-            Over::Gateways => "gateways",
-            Over::Spread => "spread",
-            Over::Open => "open",
-        })
-    }
-}
-
-/// A fleet as one gateway sees it.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-pub struct Sizes {
-    /// Servers listed.
-    pub servers: u64,
-    /// Customers met.
-    pub customers: u64,
-    /// Gateways in the fleet.
-    pub gateways: u32,
-    /// Gateways that a customer's tries come through, all if there are not so many.
-    pub spread: u32,
-    /// Requests open at the gateway.
-    pub open: u64,
-}
-
-impl Sizes {
-    fn with(self, over: Over, size: u64) -> Sizes {
-        let narrow = u32::try_from(size).unwrap_or(u32::MAX);
-        match over {
-            Over::Servers => Sizes { servers: size, ..self },
-            Over::Customers => Sizes { customers: size, ..self },
-            Over::Gateways => Sizes { gateways: narrow, ..self },
-            Over::Spread => Sizes { spread: narrow, ..self },
-            Over::Open => Sizes { open: size, ..self },
-        }
-    }
-}
-
-/// Gateways are named in two bytes of a datagram; the lab asks for no fleet that could not speak.
-const GATEWAYS_MOST: u64 = 1 << 16;
-/// Sizes and repeats of `--quick`.
-const QUICK: (u64, u64) = (1_000, 2);
-
-/// Measures what was asked for, prints it, and writes it where that was asked for.
+/// Measures what was asked for, prints it, and writes it to the files that were asked for.
 ///
 /// # Errors
-/// [`Failure::InvalidArguments`] for arguments that make no sense, [`Failure::Failed`] if a file could not be written or a
-/// gateway did not do its work.
+/// [`Failure::InvalidArguments`], or [`Failure::Failed`] if a file could not be written or a gateway did not work.
 pub fn run(args: &Args) -> Result<(), Failure> {
-    let (base, most, repeats) = checked(args).map_err(Failure::InvalidArguments)?;
-    let mut report = Report { seed: args.seed, repeats, base, slopes: Vec::new() };
-    for cost in measure::COSTS.iter().filter(|cost| wanted(args, cost.name)) {
-        for over in cost.over.iter().filter(|over| args.over.is_empty() || args.over.contains(over)) {
-            let mut points = Vec::new();
-            let most = if *over == Over::Spread { most.min(u64::from(base.gateways)) } else { most };
-            for size in over.range().iter().filter(|size| **size <= most) {
-                progress(&format!("{} over {over}: {size}", cost.name));
-                let sizes = base.with(*over, *size);
-                let runs: Result<Vec<_>, _> =
-                    (0..repeats).map(|repeat| (cost.run)(args.seed.wrapping_add(repeat), sizes)).collect();
-                let runs = runs.with_context(|| format!("{} with {sizes:?}", cost.name))?;
-                points.push(Point { size: *size, figures: report::figures(&runs) });
+    let plan = MeasurementPlan::new(args).map_err(Failure::InvalidArguments)?;
+    let mut report = Report { seed: plan.seed, repeats: plan.repeats, base: plan.base, curves: Vec::new() };
+    for measurement in MEASUREMENTS.iter().filter(|measurement| args.selects(measurement)) {
+        for dimension in measurement.dimensions.iter().filter(|dimension| args.selects_dimension(**dimension))
+        {
+            let curve = plan.measure(measurement, *dimension)?;
+            if curve.points.is_empty() {
+                continue;
             }
-            if !points.is_empty() {
-                let slope = Slope { name: cost.name.to_owned(), over: *over, points };
-                progress("");
-                if report.slopes.is_empty() {
-                    println!("{report}");
-                }
-                println!("{slope}");
-                report.slopes.push(slope);
+            show_progress("");
+            if report.curves.is_empty() {
+                println!("{report}");
             }
+            println!("{curve}");
+            report.curves.push(curve);
         }
     }
-    progress("");
-    if report.slopes.is_empty() {
-        return Err(Failure::InvalidArguments(format!(
-            "nothing that was named has a size of {most} or less"
-        )));
+    show_progress("");
+    if report.curves.is_empty() {
+        let problem = format!("nothing that was named has a size of {} or less", plan.max_size);
+        return Err(Failure::InvalidArguments(problem));
     }
+    write_files(args, &report)?;
+    Ok(())
+}
+
+fn write_files(args: &Args, report: &Report) -> anyhow::Result<()> {
     if let Some(file) = &args.json {
-        let text = serde_json::to_string_pretty(&report)?;
+        let text = serde_json::to_string_pretty(report)?;
         std::fs::write(file, text + "\n").with_context(|| format!("{}", file.display()))?;
     }
     if let Some(file) = &args.plot {
-        plot::slopes(&report, file).with_context(|| format!("{}", file.display()))?;
+        plot::draw(report, file).with_context(|| format!("{}", file.display()))?;
+    }
+    Ok(())
+}
+
+impl Args {
+    fn selects(&self, measurement: &Measurement) -> bool {
+        self.only.is_empty() || self.only.iter().any(|only| only == measurement.name)
+    }
+
+    fn selects_dimension(&self, dimension: Dimension) -> bool {
+        self.dimensions.is_empty() || self.dimensions.contains(&dimension)
+    }
+
+    fn validate(&self) -> Result<(), String> {
+        let names = MEASUREMENTS.map(|measurement| measurement.name);
+        if let Some(name) = self.only.iter().find(|only| !names.contains(&only.as_str())) {
+            return Err(format!("--only {name:?} is none of {}", names.join(", ")));
+        }
+        validate_minimum("repeats", self.repeats, 1)?;
+        validate_minimum("servers", self.servers, 1)?;
+        validate_minimum("customers", self.customers, MIN_ACTIVE_CUSTOMERS)?;
+        validate_minimum("gateways-per-customer", self.gateways_per_customer.unwrap_or(1), 1)?;
+        validate_minimum("open", self.open_requests, 1)?;
+        if !(2..=MAX_GATEWAYS).contains(&self.gateways) {
+            return Err(format!("--gateways must be from 2 to {MAX_GATEWAYS}"));
+        }
+        Ok(())
+    }
+}
+
+fn validate_minimum(name: &str, value: u64, minimum: u64) -> Result<(), String> {
+    if value < minimum {
+        return Err(format!("--{name} must be at least {minimum}"));
     }
     Ok(())
 }
 
-fn wanted(args: &Args, name: &str) -> bool {
-    args.only.is_empty() || args.only.iter().any(|only| only == name)
+/// What is measured, derived from valid arguments.
+struct MeasurementPlan {
+    seed: u64,
+    repeats: u64,
+    max_size: u64,
+    /// The sizes in all dimensions but the one that grows.
+    base: FleetSizes,
 }
 
-fn checked(args: &Args) -> Result<(Sizes, u64, u64), String> {
-    let known = || measure::COSTS.iter().map(|cost| cost.name);
-    if let Some(name) = args.only.iter().find(|only| known().all(|name| name != *only)) {
-        let names = known().collect::<Vec<_>>().join(", ");
-        return Err(format!("--only {name:?} is none of {names}"));
+impl MeasurementPlan {
+    fn new(args: &Args) -> Result<MeasurementPlan, String> {
+        args.validate()?;
+        let gateways_per_customer = args.gateways_per_customer.and_then(|count| u32::try_from(count).ok());
+        let base = FleetSizes {
+            servers: args.servers,
+            customers: args.customers,
+            gateways: args.gateways as u32,
+            gateways_per_customer: gateways_per_customer.unwrap_or(u32::MAX),
+            open_requests: args.open_requests,
+        };
+        let max_size = if args.quick { args.max_size.min(QUICK_MAX_SIZE) } else { args.max_size };
+        let repeats = if args.quick { args.repeats.min(QUICK_REPEATS) } else { args.repeats };
+        Ok(MeasurementPlan { seed: args.seed, repeats, max_size, base })
     }
-    let least = [
-        ("repeats", args.repeats, 1),
-        ("servers", args.servers, 1),
-        ("customers", args.customers, fixture::ACTIVE),
-        ("spread", args.spread.unwrap_or(1), 1),
-        ("open", args.open, 1),
-    ];
-    if let Some((name, _, least)) = least.iter().find(|(_, figure, least)| figure < least) {
-        return Err(format!("--{name} must be at least {least}"));
+
+    /// Measures a cost at each size in a dimension.
+    fn measure(&self, measurement: &Measurement, dimension: Dimension) -> anyhow::Result<CostCurve> {
+        let max_size = match dimension {
+            Dimension::GatewaysPerCustomer => self.max_size.min(u64::from(self.base.gateways)),
+            _ => self.max_size,
+        };
+        let mut points = Vec::new();
+        for size in dimension.sizes().iter().copied().filter(|size| *size <= max_size) {
+            show_progress(&format!("{} over {dimension}: {size}", measurement.name));
+            points.push(self.measure_point(measurement, dimension, size)?);
+        }
+        Ok(CostCurve { name: measurement.name.to_owned(), dimension, points })
     }
-    if !(2..=GATEWAYS_MOST).contains(&args.gateways) {
-        return Err(format!("--gateways must be from 2 to {GATEWAYS_MOST}"));
+
+    fn measure_point(
+        &self, measurement: &Measurement, dimension: Dimension, size: u64,
+    ) -> anyhow::Result<CostPoint> {
+        let sizes = self.base.with(dimension, size);
+        let mut runs = Vec::new();
+        for repeat in 0..self.repeats {
+            let figures = (measurement.run)(self.seed.wrapping_add(repeat), sizes);
+            runs.push(figures.with_context(|| format!("{} with {sizes:?}", measurement.name))?);
+        }
+        Ok(CostPoint::new(size, &runs))
     }
-    let (servers, customers, open) = (args.servers, args.customers, args.open);
-    let spread = args.spread.and_then(|spread| u32::try_from(spread).ok()).unwrap_or(u32::MAX);
-    let base = Sizes { servers, customers, gateways: args.gateways as u32, spread, open };
-    let (most, repeats) = if args.quick { QUICK } else { (u64::MAX, u64::MAX) };
-    Ok((base, args.most.min(most), args.repeats.min(repeats)))
 }
 
-/// Says on a terminal what is being measured, in place of what it said before.
-fn progress(what: &str) {
+/// Shows on a terminal what is being measured, in place of what was shown before.
+fn show_progress(text: &str) {
     let mut stderr = std::io::stderr();
     if stderr.is_terminal() {
         // Progress that cannot be shown is no reason to stop.
-        let _ = write!(stderr, "\r\x1b[K{what}").and_then(|()| stderr.flush());
+        let _ = write!(stderr, "\r\x1b[K{text}").and_then(|()| stderr.flush());
     }
 }
--- a/fleet-lab/src/scaling/plot.rs
+++ b/fleet-lab/src/scaling/plot.rs
@@ -1,62 +1,114 @@
-//! Plots of experiments, as SVG.
+//! Processor time over size, as an SVG picture.
 
-use super::report::{Point, Report, Slope, Spread};
+use super::report::{CostCurve, Report, Statistics};
 use anyhow::{anyhow, Result};
+use plotters::coord::Shift;
 use plotters::prelude::*;
+use std::ops::Range;
 use std::path::Path;
 
-/// Size of one panel, in pixels.
-const PANEL: (u32, u32) = (560, 380);
+/// Width of one panel, pixels.
+const PANEL_WIDTH: u32 = 560;
+/// Height of one panel, pixels.
+const PANEL_HEIGHT: u32 = 380;
 /// Panels side by side.
 const COLUMNS: usize = 2;
 
-/// Draws a panel for each slope that has a processor time: medians as a line, each with its spread, both axes by powers
-/// of ten.
+/// Processor time at one size.
+struct TimePoint {
+    size: f64,
+    /// µs.
+    time: Statistics,
+}
+
+/// One curve, as far as it has processor times above 0, which a logarithmic axis can show.
+struct TimeCurve<'a> {
+    curve: &'a CostCurve,
+    /// At least one.
+    points: Vec<TimePoint>,
+}
+
+impl TimeCurve<'_> {
+    fn new(curve: &CostCurve) -> Option<TimeCurve<'_>> {
+        let mut points = Vec::new();
+        for point in &curve.points {
+            let time = point.figures.get("time_us").copied();
+            if let Some(time) = time.filter(|time| time.min > 0.0) {
+                points.push(TimePoint { size: point.size as f64, time });
+            }
+        }
+        (!points.is_empty()).then_some(TimeCurve { curve, points })
+    }
+
+    fn size_range(&self) -> Range<f64> {
+        padded(self.points.iter().map(|point| point.size))
+    }
+
+    fn time_range(&self) -> Range<f64> {
+        let least = padded(self.points.iter().map(|point| point.time.min));
+        let greatest = padded(self.points.iter().map(|point| point.time.max));
+        least.start..greatest.end
+    }
+}
+
+/// A range with room around some positive values.
+fn padded(values: impl Iterator<Item = f64> + Clone) -> Range<f64> {
+    let least = values.clone().fold(f64::MAX, f64::min);
+    let greatest = values.fold(0.0, f64::max);
+    least * 0.8..greatest * 1.25
+}
+
+/// Draws a panel for each curve that has a processor time: medians as a line, each with its least and greatest value,
+/// and logarithmic axes.
 ///
 /// # Errors
-/// If nothing has a processor time, or the file can't be written.
-pub fn slopes(report: &Report, file: &Path) -> Result<()> {
-    let timed: Vec<_> = report.slopes.iter().filter_map(|slope| Some((slope, times(slope)?))).collect();
-    if timed.is_empty() {
+/// If no curve has a processor time, or the file can't be written.
+pub(super) fn draw(report: &Report, file: &Path) -> Result<()> {
+    let curves: Vec<TimeCurve> = report.curves.iter().filter_map(TimeCurve::new).collect();
+    if curves.is_empty() {
         return Err(anyhow!("no slope with a processor time to draw"));
     }
-    let rows = timed.len().div_ceil(COLUMNS);
-    let root = SVGBackend::new(file, (PANEL.0 * COLUMNS as u32, PANEL.1 * rows as u32)).into_drawing_area();
-    let drawn = |error| anyhow!("drawing: {error}");
-    root.fill(&WHITE).map_err(drawn)?;
-    for (panel, (slope, times)) in root.split_evenly((rows, COLUMNS)).iter().zip(&timed) {
-        let ends = |of: fn(&(f64, Spread)) -> f64| {
-            let (least, most) =
-                times.iter().map(of).fold((f64::MAX, 0.0f64), |(a, b), x| (a.min(x), b.max(x)));
-            least * 0.8..most * 1.25
-        };
-        let sizes = ends(|(size, _)| *size);
-        let (low, high) = (ends(|(_, time)| time.min).start, ends(|(_, time)| time.max).end);
-        let mut chart = ChartBuilder::on(panel)
-            .caption(format!("{} over {}", slope.name, slope.over), ("sans-serif", 18))
-            .margin(12)
-            .x_label_area_size(36)
-            .y_label_area_size(64)
-            .build_cartesian_2d(sizes.log_scale(), (low..high).log_scale())
-            .map_err(drawn)?;
-        let axes = |axis: &f64| if *axis < 10.0 { format!("{axis:.1}") } else { format!("{axis:.0}") };
-        let mut mesh = chart.configure_mesh();
-        let mesh = mesh.x_desc(slope.over.to_string()).y_desc("processor time, µs");
-        mesh.x_label_formatter(&axes).y_label_formatter(&axes).draw().map_err(drawn)?;
-        let medians = times.iter().map(|(size, time)| (*size, time.median));
-        chart.draw_series(LineSeries::new(medians.clone(), &BLUE)).map_err(drawn)?;
-        chart.draw_series(medians.map(|place| Circle::new(place, 3, BLUE.filled()))).map_err(drawn)?;
-        let spread =
-            |(size, time): &(f64, Spread)| PathElement::new(vec![(*size, time.min), (*size, time.max)], BLUE);
-        chart.draw_series(times.iter().map(spread)).map_err(drawn)?;
+    let rows = curves.len().div_ceil(COLUMNS);
+    let size = (PANEL_WIDTH * COLUMNS as u32, PANEL_HEIGHT * rows as u32);
+    let root = SVGBackend::new(file, size).into_drawing_area();
+    root.fill(&WHITE).map_err(drawing_error)?;
+    for (panel, curve) in root.split_evenly((rows, COLUMNS)).iter().zip(&curves) {
+        draw_panel(panel, curve)?;
     }
-    root.present().map_err(drawn)?;
+    root.present().map_err(drawing_error)
+}
+
+fn drawing_error(error: impl std::fmt::Display) -> anyhow::Error {
+    anyhow!("drawing: {error}")
+}
+
+fn draw_panel(panel: &DrawingArea<SVGBackend, Shift>, time_curve: &TimeCurve) -> Result<()> {
+    let CostCurve { name, dimension, .. } = time_curve.curve;
+    let mut chart = ChartBuilder::on(panel)
+        .caption(format!("{name} over {dimension}"), ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(64)
+        .build_cartesian_2d(time_curve.size_range().log_scale(), time_curve.time_range().log_scale())
+        .map_err(drawing_error)?;
+    let mut mesh = chart.configure_mesh();
+    mesh.x_desc(dimension.to_string()).y_desc("processor time, µs");
+    mesh.x_label_formatter(&axis_label).y_label_formatter(&axis_label).draw().map_err(drawing_error)?;
+    let medians = time_curve.points.iter().map(|point| (point.size, point.time.median));
+    chart.draw_series(LineSeries::new(medians.clone(), &BLUE)).map_err(drawing_error)?;
+    chart.draw_series(medians.map(|at| Circle::new(at, 3, BLUE.filled()))).map_err(drawing_error)?;
+    let extents = time_curve
+        .points
+        .iter()
+        .map(|TimePoint { size, time }| PathElement::new(vec![(*size, time.min), (*size, time.max)], BLUE));
+    chart.draw_series(extents).map_err(drawing_error)?;
     Ok(())
 }
 
-/// A slope's processor times by size; `None` where it has none above 0, which no logarithm shows.
-fn times(slope: &Slope) -> Option<Vec<(f64, Spread)>> {
-    let time = |point: &Point| Some((point.size as f64, *point.figures.get("time_us")?));
-    let times: Vec<_> = slope.points.iter().filter_map(time).filter(|(_, time)| time.min > 0.0).collect();
-    (!times.is_empty()).then_some(times)
+fn axis_label(value: &f64) -> String {
+    if *value < 10.0 {
+        format!("{value:.1}")
+    } else {
+        format!("{value:.0}")
+    }
 }
--- a/fleet-lab/src/scaling/report.rs
+++ b/fleet-lab/src/scaling/report.rs
@@ -1,122 +1,133 @@
 //! What was measured: as a table, and as JSON.
 
-use super::{Over, Sizes};
+use super::sizes::{Dimension, FleetSizes};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
 
-/// A figure, by a name that ends with its unit.
-pub type Figure = (&'static str, f64);
+/// One figure of one run.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Figure {
+    /// Its name, which ends with its unit.
+    pub(super) name: &'static str,
+    /// Its value.
+    pub(super) value: f64,
+}
 
-/// All slopes of one run.
+/// All figures of one command.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Seed of the first repeat; each further one has the next.
     pub seed: u64,
     /// Repeats of each point.
     pub repeats: u64,
-    /// The sizes that stay where another grows.
-    pub base: Sizes,
-    /// Each cost over each size.
-    pub slopes: Vec<Slope>,
+    /// The sizes in all dimensions but the one that grows.
+    pub base: FleetSizes,
+    /// Each cost over each dimension.
+    #[serde(rename = "slopes")]
+    pub curves: Vec<CostCurve>,
 }
 
-/// One cost as one size grows.
+/// One cost as the fleet grows in one dimension.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
-pub struct Slope {
-    /// Of what.
+pub struct CostCurve {
+    /// Name of the measurement.
     pub name: String,
-    /// The size that grows.
-    pub over: Over,
+    /// The dimension in which the fleet grows.
+    #[serde(rename = "over")]
+    pub dimension: Dimension,
     /// In the order of their sizes.
-    pub points: Vec<Point>,
+    pub points: Vec<CostPoint>,
 }
 
-/// What one size costs.
+/// The cost at one size.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
-pub struct Point {
+pub struct CostPoint {
     /// The size.
     pub size: u64,
-    /// Figures by name; each name ends with its unit.
-    pub figures: BTreeMap<String, Spread>,
+    /// Statistics by the name of their figure, which ends with its unit.
+    pub figures: BTreeMap<String, Statistics>,
+}
+
+impl CostPoint {
+    /// Summarizes the figures of all repeats at one size.
+    pub(super) fn new(size: u64, runs: &[Vec<Figure>]) -> CostPoint {
+        let mut values: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
+        for figure in runs.iter().flatten() {
+            values.entry(figure.name).or_default().push(figure.value);
+        }
+        let mut figures = BTreeMap::new();
+        for (name, values) in values {
+            if let Some(statistics) = Statistics::of(values) {
+                figures.insert(name.to_owned(), statistics);
+            }
+        }
+        CostPoint { size, figures }
+    }
 }
 
-/// A figure over all repeats.
+/// Statistics of one figure over all repeats.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Spread {
-    /// The middle one; of an even number the upper of the two.
+pub struct Statistics {
+    /// The middle value; of an even number of values the upper of the two.
     pub median: f64,
-    /// The least.
+    /// The least value.
     pub min: f64,
-    /// The most.
+    /// The greatest value.
     pub max: f64,
 }
 
-/// Gathers the figures of all repeats of a point.
-pub(super) fn figures(runs: &[Vec<Figure>]) -> BTreeMap<String, Spread> {
-    let mut all: BTreeMap<String, Vec<f64>> = BTreeMap::new();
-    for (name, value) in runs.iter().flatten() {
-        all.entry((*name).to_owned()).or_default().push(*value);
-    }
-    all.into_iter().filter_map(|(name, values)| Some((name, Spread::of(values)?))).collect()
-}
-
-impl Spread {
-    /// The spread of some figures; `None` of none.
-    pub fn of(mut values: Vec<f64>) -> Option<Spread> {
+impl Statistics {
+    /// The statistics of some values; `None` if there are none.
+    pub fn of(mut values: Vec<f64>) -> Option<Statistics> {
         values.sort_by(f64::total_cmp);
-        let (min, max) = (*values.first()?, *values.last()?);
-        Some(Spread { median: values[values.len() / 2], min, max })
+        let min = *values.first()?;
+        let max = *values.last()?;
+        Some(Statistics { median: values[values.len() / 2], min, max })
     }
 }
 
-/// What all slopes have in common; each prints itself.
+/// What all curves have in common; each curve prints itself.
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Sizes { servers, customers, gateways, spread, open } = self.base;
-        let spread = spread.min(gateways);
+        let FleetSizes { servers, customers, gateways, open_requests, .. } = self.base;
+        let gateways_per_customer = self.base.effective_gateways_per_customer();
         writeln!(
             f,
             "seed {}, {} repeats; where they don't grow: {servers} servers, {customers} customers, {gateways} \
-             gateways, {spread} of them for each customer, {open} open requests",
+             gateways, {gateways_per_customer} of them for each customer, {open_requests} open requests",
             self.seed, self.repeats
         )
     }
 }
 
-impl fmt::Display for Slope {
+impl fmt::Display for CostCurve {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "{} over {}", self.name, self.over)?;
-        writeln!(
-            f,
-            "{:>10}  {:<18} {:>14} {:>14} {:>14}  power",
-            self.over.to_string(),
-            "figure",
-            "median",
-            "min",
-            "max"
-        )?;
-        for (place, point) in self.points.iter().enumerate() {
-            let before = place.checked_sub(1).map(|place| &self.points[place]);
-            for (name, spread) in &point.figures {
-                let Spread { median, min, max } = spread;
-                let power = before.and_then(|before| power(before, point, name));
-                let power = power.map_or_else(|| "-".to_owned(), |power| format!("{power:.2}"));
-                writeln!(
-                    f,
-                    "{:>10}  {name:<18} {median:>14.3} {min:>14.3} {max:>14.3}  {power:>5}",
-                    point.size
-                )?;
-            }
+        let dimension = self.dimension.to_string();
+        writeln!(f, "{} over {dimension}", self.name)?;
+        writeln!(f, "{dimension:>10}  {:<18} {:>14} {:>14} {:>14}  power", "figure", "median", "min", "max")?;
+        let mut previous = None;
+        for point in &self.points {
+            write_point(f, previous, point)?;
+            previous = Some(point);
         }
         Ok(())
     }
 }
 
-/// The power of the size with which a figure grows from one point to the next: 0 stands still, 1 grows in step.
-/// `None` where that has no meaning, as a figure is 0.
-fn power(before: &Point, after: &Point, name: &str) -> Option<f64> {
-    let (from, to) = (before.figures.get(name)?.median, after.figures.get(name)?.median);
-    let power = (to / from).ln() / (after.size as f64 / before.size as f64).ln();
-    Some(power).filter(|power| power.is_finite())
+fn write_point(f: &mut fmt::Formatter<'_>, previous: Option<&CostPoint>, point: &CostPoint) -> fmt::Result {
+    for (name, Statistics { median, min, max }) in &point.figures {
+        let exponent = previous.and_then(|previous| growth_exponent(previous, point, name));
+        let exponent = exponent.map_or_else(|| "-".to_owned(), |exponent| format!("{exponent:.2}"));
+        writeln!(f, "{:>10}  {name:<18} {median:>14.3} {min:>14.3} {max:>14.3}  {exponent:>5}", point.size)?;
+    }
+    Ok(())
+}
+
+/// The exponent of the size with which a figure grows from one point to the next: 0 is constant, 1 is linear. `None`
+/// if that is undefined, as a figure is 0.
+fn growth_exponent(before: &CostPoint, after: &CostPoint, name: &str) -> Option<f64> {
+    let growth = after.figures.get(name)?.median / before.figures.get(name)?.median;
+    let exponent = growth.ln() / (after.size as f64 / before.size as f64).ln();
+    Some(exponent).filter(|exponent| exponent.is_finite())
 }
--- a/fleet-lab/tests/scaling.rs
+++ b/fleet-lab/tests/scaling.rs
@@ -1,6 +1,7 @@
-//! `fleet-lab scaling` from outside: what it counts is bounded, what it writes reads back, what makes no sense ends with 2.
+//! `fleet-lab scaling` from outside: its counts are bounded, its reports can be read back, and invalid arguments end
+//! with exit status 2.
 
-use fleet_lab::scaling::{Over, Report, Slope};
+use fleet_lab::scaling::{CostCurve, Dimension, Report};
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
@@ -23,27 +24,27 @@
     serde_json::from_str(&text).expect("it reads back")
 }
 
-fn slope<'a>(report: &'a Report, name: &str, over: Over) -> &'a Slope {
-    let named = |slope: &&Slope| slope.name == name && slope.over == over;
-    report.slopes.iter().find(named).expect("it was measured")
+fn curve<'a>(report: &'a Report, name: &str, dimension: Dimension) -> &'a CostCurve {
+    let is_named = |curve: &&CostCurve| curve.name == name && curve.dimension == dimension;
+    report.curves.iter().find(is_named).expect("it was measured")
 }
 
-/// The most of a figure over all sizes and repeats.
-fn most(slope: &Slope, figure: &str) -> f64 {
-    slope.points.iter().map(|point| point.figures[figure].max).fold(0.0, f64::max)
+/// The greatest value of a figure over all sizes and repeats.
+fn maximum(curve: &CostCurve, figure: &str) -> f64 {
+    curve.points.iter().map(|point| point.figures[figure].max).fold(0.0, f64::max)
 }
 
 #[test]
-fn a_request_in_a_large_fleet_costs_one_ask_and_one_answer_at_most_whatever_the_size() {
+fn a_request_in_a_large_fleet_costs_at_most_one_lease_request_and_one_grant_at_any_size() {
     let what = ["--only", "request", "--only", "datagram", "--repeats", "2", "--most", "1000"];
     let over = ["--over", "servers", "--over", "gateways", "--customers", "100", "--spread", "12"];
     let report = report("large.json", &[what, over].concat());
     for (name, least) in [("request", 19.0), ("datagram", 7.0)] {
-        let over = slope(&report, name, Over::Servers);
-        assert_eq!(over.points.len(), 4, "14, 60, 200 and 1,000 servers");
-        for point in &over.points {
+        let curve = curve(&report, name, Dimension::Servers);
+        assert_eq!(curve.points.len(), 4, "14, 60, 200 and 1,000 servers");
+        for point in &curve.points {
             let messages = point.figures["messages"];
-            // What is on lease goes without an ask; an ask is answered, always.
+            // Units on lease need no lease request; a lease request is always answered.
             let fewest = if name == "request" { 0.1 } else { 1.0 };
             assert!(
                 messages.min >= fewest && messages.max <= 1.0,
@@ -56,29 +57,37 @@
                 point.size
             );
         }
-        assert!(most(over, "longest_bytes") <= 256.0, "a datagram has room for 256 bytes");
-        assert!(most(over, "sent_bytes") <= 64.0, "an ask or its answer, with six rumours");
-        assert!(most(over, "allocations") <= 32.0, "{}", most(over, "allocations"));
+        assert!(maximum(curve, "longest_bytes") <= 256.0, "a datagram has room for 256 bytes");
+        assert!(
+            maximum(curve, "sent_bytes") <= 64.0,
+            "a lease request or its grant, with six health reports"
+        );
+        assert!(maximum(curve, "allocations") <= 32.0, "{}", maximum(curve, "allocations"));
     }
-    // Small fleets ask nobody; what they tell is told to all, when it is due.
-    let over = slope(&report, "request", Over::Gateways);
-    for point in &over.points {
-        let asks = point.figures["messages"].median;
-        let fits = if point.size < 60 { asks == 0.0 } else { asks > 0.0 && asks <= 1.0 };
-        assert!(fits, "{} gateways: {asks} asks a request", point.size);
+    // Small fleets have no leases; their usage counts are broadcast when they are due.
+    let curve = curve(&report, "request", Dimension::Gateways);
+    for point in &curve.points {
+        let lease_requests = point.figures["messages"].median;
+        let fits = if point.size < 60 {
+            lease_requests == 0.0
+        } else {
+            lease_requests > 0.0 && lease_requests <= 1.0
+        };
+        assert!(fits, "{} gateways: {lease_requests} lease requests a request", point.size);
     }
 }
 
-/// Looked at are the servers that the gateway uses or hears of, seven in so large a fleet, not all that are listed.
+/// The gateway visits the servers that it uses or gets health reports of, seven in so large a fleet, not all that are
+/// listed.
 #[test]
-fn a_request_and_a_changed_entry_look_at_no_more_servers_where_more_are_listed() {
+fn a_request_and_a_changed_entry_visit_no_more_servers_if_more_are_listed() {
     let what =
         ["--only", "request", "--only", "datagram", "--only", "entry", "--only", "tick", "--over", "servers"];
     let sizes =
         ["--gateways", "4200", "--repeats", "1", "--most", "5000", "--customers", "100", "--spread", "12"];
     let report = report("visited.json", &[&what[..], &sizes].concat());
     for (name, bound) in [("request", 100.0), ("datagram", 50.0), ("entry", 2.0), ("tick", 200.0)] {
-        let points = &slope(&report, name, Over::Servers).points;
+        let points = &curve(&report, name, Dimension::Servers).points;
         let visited =
             |size| points.iter().find(|point| point.size == size).expect("it").figures["visited"].max;
         assert!(
@@ -92,33 +101,33 @@
 }
 
 #[test]
-fn memory_grows_in_step_and_reads_back_with_its_spread() {
+fn memory_grows_linearly_and_its_statistics_can_be_read_back() {
     let args = ["--only", "memory-customers", "--only", "memory-servers", "--repeats", "3", "--most", "1000"];
     let report = report("memory.json", &args);
     assert_eq!((report.seed, report.repeats), (1, 3));
-    assert_eq!(report.slopes.len(), 2);
-    for slope in &report.slopes {
-        for point in &slope.points {
+    assert_eq!(report.curves.len(), 2);
+    for curve in &report.curves {
+        for point in &curve.points {
             let each = point.figures["each_bytes"];
             assert!(each.min <= each.median && each.median <= each.max);
-            assert!((64.0..1024.0).contains(&each.median), "{} bytes each of {}", each.median, slope.name);
+            assert!((64.0..1024.0).contains(&each.median), "{} bytes each of {}", each.median, curve.name);
         }
     }
 }
 
 #[test]
-fn a_list_as_text_grows_in_step() {
+fn a_list_as_text_grows_linearly() {
     let report = report("feed.json", &["--only", "feed", "--repeats", "1", "--most", "1000"]);
-    for point in &slope(&report, "feed", Over::Servers).points {
+    for point in &curve(&report, "feed", Dimension::Servers).points {
         let (list, entry) = (point.figures["list_bytes"].median, point.figures["entry_bytes"].median);
-        // All but the first entry share the words around them.
+        // The frame around the entries is part of both, but only once in the list.
         let (least, most) = (0.7 * entry * point.size as f64, entry * point.size as f64);
         assert!((least..most).contains(&list), "{list} bytes of {} servers", point.size);
     }
 }
 
 #[test]
-fn a_plot_is_an_svg_with_a_panel_for_each_slope() {
+fn a_plot_is_an_svg_with_a_panel_for_each_curve() {
     let file = file("plot.svg");
     let path = file.to_str().expect("a plain path");
     let run = lab(&["--only", "entry", "--only", "list", "--repeats", "1", "--most", "200", "--plot", path]);
@@ -131,10 +140,10 @@
 }
 
 #[test]
-fn the_same_seed_counts_the_same() {
+fn the_same_seed_gives_the_same_counts() {
     let args = ["--only", "request", "--repeats", "1", "--most", "60", "--seed", "7", "--customers", "100"];
     let counted = |report: Report| -> Vec<_> {
-        let points = report.slopes.into_iter().flat_map(|slope| slope.points);
+        let points = report.curves.into_iter().flat_map(|curve| curve.points);
         let figures = points.flat_map(|point| point.figures);
         figures.filter(|(name, _)| name != "time_us").collect()
     };
@@ -143,8 +152,8 @@
 }
 
 #[test]
-fn arguments_that_make_no_sense_end_with_2_and_one_plain_line() {
-    let senseless: [&[&str]; 11] = [
+fn invalid_arguments_end_with_status_2_and_one_line() {
+    let invalid: [&[&str]; 11] = [
         &["--only", "colour"],
         &["--repeats", "0"],
         &["--repeats", "many"],
@@ -157,7 +166,7 @@
         &["--over", "colours"],
         &["--only", "list", "--over", "customers"],
     ];
-    for args in senseless {
+    for args in invalid {
         let run = lab(args);
         let said = String::from_utf8_lossy(&run.stderr);
         assert_eq!(run.status.code(), Some(2), "{args:?}: {said}");
@@ -167,7 +176,7 @@
 }
 
 #[test]
-fn a_plot_of_what_has_no_time_fails_with_1() {
+fn a_plot_without_any_processor_time_fails_with_status_1() {
     let file = file("none.svg");
     let path = file.to_str().expect("a plain path");
     let run = lab(&["--only", "memory-gateways", "--repeats", "1", "--most", "60", "--plot", path]);
