--- a/fleet-lab/src/hybrid/datagrams.rs
+++ b/fleet-lab/src/hybrid/datagrams.rs
@@ -1,5 +1,5 @@
-//! Datagrams between nodes. Each node that is there has an address at which the others know it: a hollow node reads
-//! there itself, and what comes for a real one is counted and passed on, so that real nodes can be seen to speak.
+//! Datagrams between nodes. Each node that runs has an address at which the others know it: a hollow node reads there
+//! itself, and what arrives for a real node is counted and forwarded, so that the messages of real nodes can be counted.
 
 use anyhow::{Context, Result};
 use edge_node::GatewayId;
@@ -7,107 +7,118 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use tokio::net::UdpSocket;
 
-/// Most bytes of a datagram.
-const MOST: usize = 256;
+/// Most bytes of a datagram, by the protocol.
+const MAX_DATAGRAM: usize = 256;
 
 /// What one node has sent.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Sent {
+pub(super) struct SentMessages {
     /// Datagrams.
-    pub messages: u64,
+    pub(super) messages: u64,
     /// Their bytes, without headers.
-    pub bytes: u64,
-    /// Those that were longer than the protocol allows.
-    pub too_long: u64,
+    pub(super) bytes: u64,
+    /// Datagrams that were longer than the protocol allows.
+    pub(super) too_long: u64,
 }
 
-struct Node {
-    /// Where the others send to, and what they hear from.
+/// A message of a node.
+pub(super) struct PeerDatagram {
+    /// The sender.
+    pub(super) from: GatewayId,
+    /// The message.
+    pub(super) bytes: Vec<u8>,
+}
+
+struct NodeAddress {
+    /// Where the others send to, and from where they receive.
     socket: UdpSocket,
-    known: SocketAddr,
+    public: SocketAddr,
     /// Where a real node itself listens.
     real: Option<SocketAddr>,
-    sent: Cell<Sent>,
+    sent: Cell<SentMessages>,
 }
 
-/// All nodes' addresses. Those that the settings tell of and that are not there share one, where nobody answers.
-pub struct Datagrams {
-    nodes: Vec<Node>,
-    absent: UdpSocket,
-    nowhere: SocketAddr,
-    fleet: usize,
+impl NodeAddress {
+    /// The address from which the node itself sends.
+    fn source(&self) -> SocketAddr {
+        self.real.unwrap_or(self.public)
+    }
 }
 
-async fn bind() -> Result<(UdpSocket, SocketAddr)> {
-    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.context("a port for datagrams")?;
-    let address = socket.local_addr()?;
-    Ok((socket, address))
+/// The addresses of all nodes. Those that are in the settings and do not run share one, where nobody answers.
+pub(super) struct Datagrams {
+    nodes: Vec<NodeAddress>,
+    absent_socket: UdpSocket,
+    absent_address: SocketAddr,
+    fleet_size: usize,
 }
 
 impl Datagrams {
-    /// Binds an address for each node; `real` tells where a real one itself listens.
-    pub async fn bind(real: &[Option<SocketAddr>], fleet: usize) -> Result<Datagrams> {
+    /// Binds an address for each node; `real` has the address at which a real node itself listens.
+    pub(super) async fn bind(real: &[Option<SocketAddr>], fleet_size: usize) -> Result<Datagrams> {
         let mut nodes = Vec::new();
         for real in real {
-            let (socket, known) = bind().await?;
-            nodes.push(Node { socket, known, real: *real, sent: Cell::default() });
+            let socket = bind_socket().await?;
+            let public = socket.local_addr()?;
+            nodes.push(NodeAddress { socket, public, real: *real, sent: Cell::default() });
         }
-        let (absent, nowhere) = bind().await?;
-        Ok(Datagrams { nodes, absent, nowhere, fleet })
+        let absent_socket = bind_socket().await?;
+        let absent_address = absent_socket.local_addr()?;
+        Ok(Datagrams { nodes, absent_socket, absent_address, fleet_size })
     }
 
-    /// The addresses of all nodes as a real one is told them: its own is where it listens.
-    pub fn peers(&self, me: GatewayId) -> Vec<SocketAddr> {
-        let known = |(number, node): (usize, &Node)| match node.real {
-            Some(own) if number == me.0 as usize => own,
-            _ => node.known,
-        };
-        let there = self.nodes.iter().enumerate().map(known);
-        there.chain(std::iter::repeat(self.nowhere)).take(self.fleet).collect()
+    /// The addresses of all nodes for the configuration of a real one, whose own is where it listens.
+    pub(super) fn peer_addresses(&self, node: GatewayId) -> Vec<SocketAddr> {
+        let mut addresses: Vec<SocketAddr> = self.nodes.iter().map(|node| node.public).collect();
+        let index = node.0 as usize;
+        addresses[index] = self.nodes[index].source();
+        addresses.resize(self.fleet_size, self.absent_address);
+        addresses
     }
 
     /// What a node has sent so far.
-    pub fn sent(&self, node: GatewayId) -> Sent {
+    pub(super) fn sent(&self, node: GatewayId) -> SentMessages {
         self.nodes[node.0 as usize].sent.get()
     }
 
-    /// A hollow node says something to another node.
-    pub fn tell(&self, from: GatewayId, to: GatewayId, bytes: &[u8]) {
+    /// Sends a hollow node's message to another node.
+    pub(super) fn send(&self, from: GatewayId, to: GatewayId, bytes: &[u8]) {
         self.count(from, bytes);
-        let to = self.nodes.get(to.0 as usize).map_or(self.nowhere, |node| node.real.unwrap_or(node.known));
-        // Losing one is in the nature of datagrams.
-        let _ = self.nodes[from.0 as usize].socket.try_send_to(bytes, to);
+        let address = self.nodes.get(to.0 as usize).map_or(self.absent_address, NodeAddress::source);
+        // Datagrams may be lost.
+        let _ = self.nodes[from.0 as usize].socket.try_send_to(bytes, address);
     }
 
-    /// A hollow node says something to all others.
-    pub fn tell_all(&self, from: GatewayId, bytes: &[u8]) {
-        let others = (0..self.fleet as u32).map(GatewayId).filter(|to| *to != from);
-        others.for_each(|to| self.tell(from, to, bytes));
+    /// Sends a hollow node's message to all others.
+    pub(super) fn broadcast(&self, from: GatewayId, bytes: &[u8]) {
+        for to in (0..self.fleet_size as u32).map(GatewayId).filter(|to| *to != from) {
+            self.send(from, to, bytes);
+        }
     }
 
-    /// The next word to a node. One to a real node is passed on; `None` then, and where nobody is known to have sent
-    /// it.
-    pub async fn next(&self, to: GatewayId) -> Option<(GatewayId, Vec<u8>)> {
-        let node = &self.nodes[to.0 as usize];
-        let mut buffer = [0; MOST + 1];
-        let (length, source) = node.socket.recv_from(&mut buffer).await.ok()?;
+    /// Receives the next message to a node. One to a real node is forwarded; `None` then, and if no node is known to
+    /// have sent it.
+    pub(super) async fn receive(&self, to: GatewayId) -> Option<PeerDatagram> {
+        let receiver = &self.nodes[to.0 as usize];
+        let mut buffer = [0; MAX_DATAGRAM + 1];
+        let (length, source) = receiver.socket.recv_from(&mut buffer).await.ok()?;
         let bytes = &buffer[..length];
-        let speaks = |other: &Node| other.real.unwrap_or(other.known) == source;
-        let from = GatewayId(self.nodes.iter().position(speaks)? as u32);
-        let speaker = &self.nodes[from.0 as usize];
-        if speaker.real.is_some() {
+        let sender_index = self.nodes.iter().position(|node| node.source() == source)?;
+        let sender = &self.nodes[sender_index];
+        let from = GatewayId(sender_index as u32);
+        if sender.real.is_some() {
             self.count(from, bytes);
         }
-        let Some(own) = node.real else { return Some((from, bytes.to_vec())) };
-        // The real node knows who speaks by this address.
-        let _ = speaker.socket.try_send_to(bytes, own);
+        let Some(real) = receiver.real else { return Some(PeerDatagram { from, bytes: bytes.to_vec() }) };
+        // The real node knows the sender by its public address.
+        let _ = sender.socket.try_send_to(bytes, real);
         None
     }
 
-    /// Counts what real nodes say to nodes that are not there, for ever.
-    pub async fn lose(&self) {
-        let mut buffer = [0; MOST + 1];
-        while let Ok((length, source)) = self.absent.recv_from(&mut buffer).await {
+    /// Counts what real nodes send to nodes that do not run, for ever.
+    pub(super) async fn count_undeliverable(&self) {
+        let mut buffer = [0; MAX_DATAGRAM + 1];
+        while let Ok((length, source)) = self.absent_socket.recv_from(&mut buffer).await {
             if let Some(from) = self.nodes.iter().position(|node| node.real == Some(source)) {
                 self.count(GatewayId(from as u32), &buffer[..length]);
             }
@@ -115,12 +126,15 @@
     }
 
     fn count(&self, from: GatewayId, bytes: &[u8]) {
-        let sent = &self.nodes[from.0 as usize].sent;
-        let Sent { messages, bytes: before, too_long } = sent.get();
-        sent.set(Sent {
-            messages: messages + 1,
-            bytes: before + bytes.len() as u64,
-            too_long: too_long + u64::from(bytes.len() > MOST),
-        });
+        let counter = &self.nodes[from.0 as usize].sent;
+        let mut sent = counter.get();
+        sent.messages += 1;
+        sent.bytes += bytes.len() as u64;
+        sent.too_long += u64::from(bytes.len() > MAX_DATAGRAM);
+        counter.set(sent);
     }
 }
+
+async fn bind_socket() -> Result<UdpSocket> {
+    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.context("a port for datagrams")
+}
--- /dev/null
+++ b/fleet-lab/src/hybrid/endpoint_registry.rs
@@ -0,0 +1,109 @@
+//! The list of servers that discovery serves, with its versions.
+
+use super::scenario::ListedState;
+use edge_node::{CellId, Endpoint, EndpointState, Micros, ServerId, ZoneId};
+use serde_json::json;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use tokio::sync::watch;
+
+/// A server as discovery has it.
+struct RegisteredServer {
+    name: String,
+    id: ServerId,
+    address: SocketAddr,
+    state: EndpointState,
+    started_at: Option<Micros>,
+    /// The version in which it was changed last.
+    changed_in: u64,
+}
+
+impl RegisteredServer {
+    fn endpoint(&self) -> Endpoint {
+        Endpoint {
+            server: self.id,
+            zone: ZoneId(0),
+            cell: CellId(0),
+            state: self.state,
+            weight: 1.0,
+            started_at: self.started_at,
+        }
+    }
+
+    fn json(&self) -> serde_json::Value {
+        let health = match self.state {
+            EndpointState::Ready => "ready",
+            EndpointState::Draining => "draining",
+            EndpointState::Gone => "gone",
+        };
+        json!({
+            "host": self.name, "dial": self.address, "site": "a", "class": "std", "block": 0, "share": 1.0,
+            "born_ms": self.started_at.unwrap_or(0) / 1000, "health": health,
+        })
+    }
+}
+
+/// The list of servers; versions count from 1.
+pub(super) struct EndpointRegistry {
+    servers: RefCell<Vec<RegisteredServer>>,
+    version: watch::Sender<u64>,
+}
+
+impl EndpointRegistry {
+    /// An empty list.
+    pub(super) fn new() -> EndpointRegistry {
+        EndpointRegistry { servers: RefCell::default(), version: watch::Sender::new(1) }
+    }
+
+    /// Adds a server that has run for long to the first version of the list.
+    pub(super) fn add(&self, name: String, id: ServerId, address: SocketAddr) {
+        let (state, started_at, changed_in) = (EndpointState::Ready, None, 1);
+        self.servers.borrow_mut().push(RegisteredServer { name, id, address, state, started_at, changed_in });
+    }
+
+    /// Changes the state of a server, by index, and publishes a new version; `now` is in µs.
+    pub(super) fn update(&self, now: Micros, server: usize, state: ListedState) {
+        let version = self.version() + 1;
+        if let Some(server) = self.servers.borrow_mut().get_mut(server) {
+            server.changed_in = version;
+            match state {
+                ListedState::Draining => server.state = EndpointState::Draining,
+                ListedState::Gone => server.state = EndpointState::Gone,
+                ListedState::Restarted => {
+                    server.state = EndpointState::Ready;
+                    server.started_at = Some(now);
+                }
+            }
+        }
+        self.version.send_replace(version);
+    }
+
+    fn version(&self) -> u64 {
+        *self.version.borrow()
+    }
+
+    /// Notifies of each new version.
+    pub(super) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.version.subscribe()
+    }
+
+    /// The entries that were changed after a version.
+    pub(super) fn changes_since(&self, version: u64) -> Vec<Endpoint> {
+        let servers = self.servers.borrow();
+        let changed = servers.iter().filter(|server| server.changed_in > version);
+        changed.map(RegisteredServer::endpoint).collect()
+    }
+
+    /// The entries that were changed after a version, in the protocol's JSON. From version 0 on this is the whole
+    /// list, which has no removed servers.
+    pub(super) fn json_since(&self, version: u64) -> serde_json::Value {
+        let is_whole = version == 0;
+        let is_listed = |server: &&RegisteredServer| {
+            let is_removed = server.state == EndpointState::Gone;
+            server.changed_in > version && !(is_whole && is_removed)
+        };
+        let servers = self.servers.borrow();
+        let hosts: Vec<_> = servers.iter().filter(is_listed).map(RegisteredServer::json).collect();
+        json!({"seq": self.version(), "whole": is_whole, "hosts": hosts})
+    }
+}
--- a/fleet-lab/src/hybrid/environment.rs
+++ b/fleet-lab/src/hybrid/environment.rs
@@ -1,54 +1,58 @@
 //! What all parts of a run share.
 
 use super::datagrams::Datagrams;
-use super::discovery::Roster;
+use super::endpoint_registry::EndpointRegistry;
 use super::ledger::Ledger;
-use super::scenario::Scene;
+use super::scenario::Scenario;
 use super::servers::Server;
 use edge_node::{Endpoint, EndpointState, GatewayId, Micros};
 use std::cell::RefCell;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// Unix time that never goes back. Real and hollow nodes tell each other times of it.
-pub struct Clock {
+/// Unix time that never goes back. Real and hollow nodes exchange times of it.
+pub(super) struct Clock {
     started: Instant,
-    unix: Micros,
+    /// Unix time at the start, µs.
+    unix_start: Micros,
 }
 
 impl Clock {
-    /// Begins now.
-    pub fn start() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), unix: unix.as_micros() as Micros }
+    /// A clock that starts now.
+    pub(super) fn start() -> Clock {
+        let unix_start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), unix_start: unix_start.as_micros() as Micros }
     }
 
-    /// In µs.
-    pub fn now(&self) -> Micros {
-        self.unix + self.started.elapsed().as_micros() as Micros
+    /// The time, µs.
+    pub(super) fn now(&self) -> Micros {
+        self.unix_start + self.started.elapsed().as_micros() as Micros
     }
 }
 
-/// One run.
-pub struct World {
-    /// The time.
-    pub clock: Clock,
-    /// Who asks for what.
-    pub scene: Scene,
-    /// What happened to it.
-    pub ledger: RefCell<Ledger>,
-    /// The loan servers.
-    pub servers: Vec<Server>,
-    /// What discovery holds of them.
-    pub roster: Roster,
-    /// What nodes say to each other.
-    pub datagrams: Datagrams,
+/// The environment of the nodes of one run.
+pub(super) struct Environment {
+    /// The clock.
+    pub(super) clock: Clock,
+    /// What the clients ask for.
+    pub(super) scenario: Scenario,
+    /// The record of all requests.
+    pub(super) ledger: RefCell<Ledger>,
+    /// The servers.
+    pub(super) servers: Vec<Server>,
+    /// The list of servers as discovery has it.
+    pub(super) registry: EndpointRegistry,
+    /// The messages between nodes.
+    pub(super) datagrams: Datagrams,
 }
 
-impl World {
-    /// Notes that a node is told of these servers now, in µs.
-    pub fn tell(&self, now: Micros, node: GatewayId, news: &[Endpoint]) {
+impl Environment {
+    /// Records that a node has received these entries of the list now.
+    pub(super) fn record_update(&self, node: GatewayId, endpoints: &[Endpoint]) {
+        let now = self.clock.now();
         let mut ledger = self.ledger.borrow_mut();
-        news.iter()
-            .for_each(|entry| ledger.told(now, node, entry.server, entry.state == EndpointState::Ready));
+        for endpoint in endpoints {
+            let is_ready = endpoint.state == EndpointState::Ready;
+            ledger.endpoint_received(now, node, endpoint.server, is_ready);
+        }
     }
 }
--- a/fleet-lab/src/hybrid/hollow_node.rs
+++ b/fleet-lab/src/hybrid/hollow_node.rs
@@ -1,10 +1,10 @@
-//! A hollow node: the decision module with the lab for its sockets. It meets clients and servers by calls and
-//! other nodes, real ones too, by datagrams.
+//! A hollow node: the decision module with the lab in place of its sockets. It exchanges requests and attempts with
+//! clients and servers by calls, and messages with other nodes, real ones too, by datagrams.
 
-use super::environment::World;
-use super::ledger::Answer;
-use super::scenario::{Wish, DEADLINE};
-use super::servers::{Reply, Status};
+use super::environment::Environment;
+use super::ledger::FinalAnswer;
+use super::scenario::{PlannedRequest, CLIENT_TIMEOUT};
+use super::servers::{AttemptReply, AttemptStatus};
 use anyhow::{Context, Result};
 use edge_node::Gateway;
 use edge_node::{
@@ -17,88 +17,100 @@
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
-/// A try that its client waits for.
-struct Open {
-    word: oneshot::Sender<Answer>,
+/// A request whose client waits for the answer.
+struct OpenRequest {
+    answer: oneshot::Sender<FinalAnswer>,
     attempts: u32,
 }
 
+/// One attempt of a request.
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct AttemptKey {
+    id: RequestId,
+    attempt: AttemptNumber,
+}
+
 /// One hollow node.
-pub struct Hollow {
-    number: GatewayId,
-    world: Rc<World>,
+pub(super) struct HollowNode {
+    id: GatewayId,
+    environment: Rc<Environment>,
     gateway: RefCell<Gateway>,
-    open: RefCell<HashMap<RequestId, Open>>,
-    /// Dropping it calls the attempt off.
-    out: RefCell<HashMap<(RequestId, AttemptNumber), oneshot::Sender<()>>>,
-    /// Time spent deciding.
-    spent: Cell<Duration>,
+    open_requests: RefCell<HashMap<RequestId, OpenRequest>>,
+    /// Attempts in flight; dropping the sender cancels the attempt.
+    in_flight: RefCell<HashMap<AttemptKey, oneshot::Sender<()>>>,
+    decision_time: Cell<Duration>,
 }
 
-impl Hollow {
-    /// Starts one, which hears of the servers and of its peers from now on.
-    pub fn start(world: &Rc<World>, number: GatewayId, seed: u64) -> Result<Rc<Hollow>> {
-        let settings = world.scene.settings(number).to_string();
-        let named = edge_node::settings::parse(&settings).context("settings")?;
-        let gateway = Gateway::new(seed, named.settings, world.clock.now()).context("settings")?;
-        let node = Rc::new(Hollow {
-            number,
-            world: Rc::clone(world),
+impl HollowNode {
+    /// Starts a node, which receives the list of servers and the messages of its peers from now on.
+    pub(super) fn start(environment: &Rc<Environment>, id: GatewayId, seed: u64) -> Result<Rc<HollowNode>> {
+        let settings = environment.scenario.settings(id).to_string();
+        let resolved = edge_node::settings::parse(&settings).context("settings")?;
+        let gateway = Gateway::new(seed, resolved.settings, environment.clock.now()).context("settings")?;
+        let node = Rc::new(HollowNode {
+            id,
+            environment: Rc::clone(environment),
             gateway: RefCell::new(gateway),
-            open: RefCell::default(),
-            out: RefCell::default(),
-            spent: Cell::default(),
+            open_requests: RefCell::default(),
+            in_flight: RefCell::default(),
+            decision_time: Cell::default(),
         });
-        tokio::task::spawn_local(Rc::clone(&node).follow());
-        tokio::task::spawn_local(Rc::clone(&node).hear());
+        tokio::task::spawn_local(Rc::clone(&node).watch_endpoints());
+        tokio::task::spawn_local(Rc::clone(&node).receive_messages());
         Ok(node)
     }
 
-    /// How long the module has decided, in all.
-    pub fn spent(&self) -> Duration {
-        self.spent.get()
+    /// Time inside the decision module so far.
+    pub(super) fn decision_time(&self) -> Duration {
+        self.decision_time.get()
     }
 
-    async fn follow(self: Rc<Self>) {
-        let mut changes = self.world.roster.follow();
-        let mut told = 0;
+    async fn watch_endpoints(self: Rc<Self>) {
+        let mut versions = self.environment.registry.subscribe();
+        let mut received_version = 0;
         loop {
-            let version = *changes.borrow_and_update();
-            let kind = if told == 0 { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
-            let entries = self.world.roster.since(told);
-            told = version;
-            self.world.tell(self.world.clock.now(), self.number, &entries);
-            self.post(Event::EndpointsUpdated { kind, endpoints: entries });
-            if changes.changed().await.is_err() {
+            let version = *versions.borrow_and_update();
+            let kind = if received_version == 0 { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
+            let endpoints = self.environment.registry.changes_since(received_version);
+            received_version = version;
+            self.environment.record_update(self.id, &endpoints);
+            self.post(Event::EndpointsUpdated { kind, endpoints });
+            if versions.changed().await.is_err() {
                 return;
             }
         }
     }
 
-    async fn hear(self: Rc<Self>) {
+    async fn receive_messages(self: Rc<Self>) {
         loop {
-            if let Some((from, bytes)) = self.world.datagrams.next(self.number).await {
-                self.post(Event::PeerMessage { from, bytes });
+            if let Some(message) = self.environment.datagrams.receive(self.id).await {
+                self.post(Event::PeerMessage { from: message.from, bytes: message.bytes });
             }
         }
     }
 
+    /// Gives the decision module an event, and carries out the resulting actions.
     fn post(self: &Rc<Self>, event: Event) {
-        let (now, mut actions) = (self.world.clock.now(), Vec::new());
-        let began = Instant::now();
+        let now = self.environment.clock.now();
+        let mut actions = Vec::new();
+        let started = Instant::now();
         self.gateway.borrow_mut().handle(now, event, &mut actions);
-        self.spent.set(self.spent.get() + began.elapsed());
-        actions.into_iter().for_each(|action| self.act(action));
+        self.decision_time.set(self.decision_time.get() + started.elapsed());
+        for action in actions {
+            self.execute(action);
+        }
     }
 
-    fn act(self: &Rc<Self>, action: Action) {
+    fn execute(self: &Rc<Self>, action: Action) {
         match action {
-            Action::SendAttempt { id, server, .. } => self.send(id, server),
-            Action::Reject { id, .. } => self.say(&id, Answer::Refused),
-            Action::Fail { id } => self.say(&id, Answer::Failed),
-            Action::CancelAttempt { id, attempt } => drop(self.out.borrow_mut().remove(&(id, attempt))),
-            Action::Broadcast { bytes } => self.world.datagrams.tell_all(self.number, &bytes),
-            Action::SendToPeer { to, bytes } => self.world.datagrams.tell(self.number, to, &bytes),
+            Action::SendAttempt { id, server, .. } => self.send_attempt(id, server),
+            Action::Reject { id, .. } => self.answer(&id, FinalAnswer::Rejected),
+            Action::Fail { id } => self.answer(&id, FinalAnswer::Failed),
+            Action::CancelAttempt { id, attempt } => {
+                self.in_flight.borrow_mut().remove(&AttemptKey { id, attempt });
+            }
+            Action::Broadcast { bytes } => self.environment.datagrams.broadcast(self.id, &bytes),
+            Action::SendToPeer { to, bytes } => self.environment.datagrams.send(self.id, to, &bytes),
             Action::SetTimer { after, token } => {
                 let node = Rc::clone(self);
                 tokio::task::spawn_local(async move {
@@ -106,84 +118,91 @@
                     node.post(Event::TimerFired { token });
                 });
             }
-            // The list comes by itself.
+            // The list is watched in any case.
             Action::WatchEndpoints | Action::Log(_) => {}
         }
     }
 
-    /// A final answer. Danger: a second one that nobody sees, as its client has the first: each is counted.
-    fn say(&self, id: &RequestId, answer: Answer) {
-        self.world.ledger.borrow_mut().answered(self.world.clock.now(), &id.0, answer);
-        if let Some(open) = self.open.borrow_mut().remove(id) {
-            // The client may have left.
-            let _ = open.word.send(answer);
+    /// Gives a final answer. A second one would not reach the client, which has the first, so each is recorded.
+    fn answer(&self, id: &RequestId, answer: FinalAnswer) {
+        self.environment.ledger.borrow_mut().answered(self.environment.clock.now(), &id.0, answer);
+        if let Some(open) = self.open_requests.borrow_mut().remove(id) {
+            // The client may have disconnected.
+            let _ = open.answer.send(answer);
         }
     }
 
-    /// A client's try, to its final answer; `None` where none came in time, and nobody waits any more.
-    pub async fn ask(self: &Rc<Self>, id: &RequestId, wish: &Wish, until: Micros) -> Option<Answer> {
-        let (word, told) = oneshot::channel();
-        self.open.borrow_mut().insert(id.clone(), Open { word, attempts: 0 });
+    /// Handles a client's request to its final answer; `None` if none came until then, µs, when the client gives up.
+    pub(super) async fn request(
+        self: &Rc<Self>, id: &RequestId, request: &PlannedRequest, give_up_at: Micros,
+    ) -> Option<FinalAnswer> {
+        let (sender, receiver) = oneshot::channel();
+        self.open_requests.borrow_mut().insert(id.clone(), OpenRequest { answer: sender, attempts: 0 });
+        let customer = request.customer;
         self.post(Event::RequestReceived {
             id: id.clone(),
-            class: ClassId(wish.class),
-            plan: wish.customer.plan,
-            customer: wish.customer.id,
-            units: f64::from(wish.units),
-            gateways: GatewaySet { first: wish.customer.first, count: wish.customer.spread },
-            client_timeout: DEADLINE,
+            class: ClassId(request.class),
+            plan: customer.plan,
+            customer: customer.id,
+            units: f64::from(request.units),
+            gateways: GatewaySet { first: customer.first_node, count: customer.node_count },
+            client_timeout: CLIENT_TIMEOUT,
         });
-        let left = Duration::from_micros(until.saturating_sub(self.world.clock.now()));
-        let answer = tokio::time::timeout(left, told).await.ok().and_then(Result::ok);
+        let time_left = Duration::from_micros(give_up_at.saturating_sub(self.environment.clock.now()));
+        let answer = tokio::time::timeout(time_left, receiver).await.ok().and_then(Result::ok);
         if answer.is_none() {
-            self.open.borrow_mut().remove(id);
+            self.open_requests.borrow_mut().remove(id);
             self.post(Event::ClientDisconnected { id: id.clone() });
         }
         answer
     }
 
-    fn send(self: &Rc<Self>, id: RequestId, server: ServerId) {
-        let attempt = {
-            let mut open = self.open.borrow_mut();
-            let Some(open) = open.get_mut(&id) else { return };
-            open.attempts += 1;
-            AttemptNumber(open.attempts - 1)
-        };
-        let (call_off, called_off) = oneshot::channel();
-        self.out.borrow_mut().insert((id.clone(), attempt), call_off);
+    fn send_attempt(self: &Rc<Self>, id: RequestId, server: ServerId) {
+        let Some(attempt) = self.next_attempt(&id) else { return };
+        let (cancel, cancelled) = oneshot::channel();
+        self.in_flight.borrow_mut().insert(AttemptKey { id: id.clone(), attempt }, cancel);
         let node = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let reply = tokio::select! {
                 biased;
-                reply = node.attempt(&id, server) => reply,
-                _ = called_off => None,
+                reply = node.call_server(&id, server) => reply,
+                _ = cancelled => None,
             };
-            node.ended(id, attempt, reply);
+            node.finish_attempt(id, attempt, reply);
         });
     }
 
-    /// The answer of a server; never, where there is no such server or it answers none.
-    async fn attempt(&self, id: &RequestId, server: ServerId) -> Option<Reply> {
-        let world = &self.world;
-        let server = world.servers.iter().find(|other| other.id == server)?;
-        world.ledger.borrow_mut().arrived(world.clock.now(), &id.0, server.id)?;
-        Some(server.attempt(world, &id.0).await)
+    /// The number of a request's next attempt; `None` if the request is not open.
+    fn next_attempt(&self, id: &RequestId) -> Option<AttemptNumber> {
+        let mut open_requests = self.open_requests.borrow_mut();
+        let open = open_requests.get_mut(id)?;
+        let attempt = AttemptNumber(open.attempts);
+        open.attempts += 1;
+        Some(attempt)
+    }
+
+    /// A server's reply; `None` if there is no such server, or no such request.
+    async fn call_server(&self, id: &RequestId, server: ServerId) -> Option<AttemptReply> {
+        let environment = &self.environment;
+        let server = environment.servers.iter().find(|other| other.id == server)?;
+        environment.ledger.borrow_mut().attempt_arrived(environment.clock.now(), &id.0, server.id)?;
+        Some(server.handle_attempt(&environment.ledger, &id.0).await)
     }
 
-    fn ended(self: &Rc<Self>, id: RequestId, attempt: AttemptNumber, reply: Option<Reply>) {
-        self.out.borrow_mut().remove(&(id.clone(), attempt));
+    fn finish_attempt(self: &Rc<Self>, id: RequestId, attempt: AttemptNumber, reply: Option<AttemptReply>) {
+        self.in_flight.borrow_mut().remove(&AttemptKey { id: id.clone(), attempt });
         let outcome = match reply.map(|reply| reply.status) {
-            Some(Status::Done) => AttemptOutcome::Success,
-            Some(Status::Error) => AttemptOutcome::ServerError,
-            Some(Status::NotRun) => AttemptOutcome::Overloaded,
+            Some(AttemptStatus::Served) => AttemptOutcome::Success,
+            Some(AttemptStatus::Error) => AttemptOutcome::ServerError,
+            Some(AttemptStatus::Rejected) => AttemptOutcome::Overloaded,
             None => AttemptOutcome::Cancelled,
         };
-        // An answer that comes after the last word goes to nobody.
-        if outcome == AttemptOutcome::Success && self.open.borrow().contains_key(&id) {
-            self.say(&id, Answer::Served);
+        // A server's answer that comes after the final answer is discarded.
+        if outcome == AttemptOutcome::Success && self.open_requests.borrow().contains_key(&id) {
+            self.answer(&id, FinalAnswer::Served);
         }
-        let closed = !self.open.borrow().contains_key(&id);
-        let load = reply.map(|reply| reply.holds as f64);
-        self.post(Event::AttemptFinished { id, attempt, outcome, closed, reported_load: load });
+        let closed = !self.open_requests.borrow().contains_key(&id);
+        let reported_load = reply.map(|reply| reply.held as f64);
+        self.post(Event::AttemptFinished { id, attempt, outcome, closed, reported_load });
     }
 }
--- /dev/null
+++ b/fleet-lab/src/hybrid/load.rs
@@ -0,0 +1,147 @@
+//! The load of a run: clients that send requests to all nodes, whatever answers they get, and what that costs.
+
+use super::environment::Environment;
+use super::ledger::{ClientRequest, ANSWER_GRACE};
+use super::nodes::{usage_of, Node, NodeUsage};
+use super::report::NodeTotals;
+use super::scenario::{FaultProfile, PlannedRequest, CLIENT_TIMEOUT};
+use anyhow::{Context, Result};
+use edge_node::RequestId;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// Mixes the seed into request ids.
+const ID_MULTIPLIER: u64 = 0x9e37_79b9;
+
+/// What the load of a run is.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LoadConfig {
+    /// Time in which clients arrive, s.
+    pub(super) seconds: f64,
+    /// Seed of the request ids.
+    pub(super) seed: u64,
+    /// The faults of the servers.
+    pub(super) faults: FaultProfile,
+}
+
+/// What the nodes of both kinds did.
+pub(super) struct KindTotals {
+    /// The real nodes.
+    pub(super) real: NodeTotals,
+    /// The hollow nodes.
+    pub(super) hollow: NodeTotals,
+}
+
+impl KindTotals {
+    fn new() -> Result<KindTotals> {
+        let totals = || NodeTotals::new().context("waits can't be counted");
+        Ok(KindTotals { real: totals()?, hollow: totals()? })
+    }
+
+    fn of(&mut self, node: &Node) -> &mut NodeTotals {
+        match node {
+            Node::Real(_) => &mut self.real,
+            Node::Hollow(_) => &mut self.hollow,
+        }
+    }
+
+    /// Adds what a node has used between two measurements.
+    fn add_usage(&mut self, node: &Node, before: &NodeUsage, after: &NodeUsage) {
+        let totals = self.of(node);
+        totals.cost += after.cost.saturating_sub(before.cost).as_secs_f64() * 1e6;
+        totals.messages += after.sent.messages - before.sent.messages;
+        totals.bytes += after.sent.bytes - before.sent.bytes;
+        totals.too_long += after.sent.too_long;
+    }
+}
+
+/// Generates the load, and returns what the nodes did once each client has its answer or has given up.
+pub(super) async fn generate(
+    environment: &Rc<Environment>, nodes: &Rc<Vec<Node>>, config: LoadConfig, rng: ChaCha8Rng,
+) -> Result<KindTotals> {
+    let totals = Rc::new(RefCell::new(KindTotals::new()?));
+    let before = usage_of(nodes, environment)?;
+    let started = Instant::now();
+    environment.ledger.borrow_mut().start(environment.clock.now());
+    tokio::task::spawn_local(inject_faults(Rc::clone(environment), config, started));
+    let load = LoadGenerator {
+        environment: Rc::clone(environment),
+        nodes: Rc::clone(nodes),
+        totals: Rc::clone(&totals),
+    };
+    load.run(config, started, rng).await?;
+    let mut totals = Rc::into_inner(totals).context("a client still counts")?.into_inner();
+    let after = usage_of(nodes, environment)?;
+    for ((node, before), after) in nodes.iter().zip(&before).zip(&after) {
+        totals.add_usage(node, before, after);
+    }
+    Ok(totals)
+}
+
+#[derive(Clone)]
+struct LoadGenerator {
+    environment: Rc<Environment>,
+    nodes: Rc<Vec<Node>>,
+    totals: Rc<RefCell<KindTotals>>,
+}
+
+impl LoadGenerator {
+    /// Sends requests at random times at a fixed rate, and waits for the last answer.
+    async fn run(self, config: LoadConfig, started: Instant, mut rng: ChaCha8Rng) -> Result<()> {
+        let mut clients = JoinSet::new();
+        let mut elapsed = 0.0;
+        let mut number = 0_u64;
+        loop {
+            elapsed += -(1.0 - rng.random::<f64>()).ln() / self.environment.scenario.rate();
+            if elapsed >= config.seconds {
+                break;
+            }
+            tokio::time::sleep_until(started + Duration::from_secs_f64(elapsed)).await;
+            number += 1;
+            let id = format!("{:016x}", config.seed.wrapping_mul(ID_MULTIPLIER) ^ number);
+            let request = self.environment.scenario.draw_request(&mut rng);
+            clients.spawn_local(self.clone().send(RequestId(id.into()), request));
+        }
+        while let Some(client) = clients.join_next().await {
+            client.context("a client broke off")?;
+        }
+        Ok(())
+    }
+
+    /// Sends one request and counts its answer.
+    async fn send(self, id: RequestId, request: PlannedRequest) {
+        let environment = &self.environment;
+        let sent_at = environment.clock.now();
+        let record = ClientRequest {
+            node: request.node,
+            customer: request.customer.id,
+            units: f64::from(request.units),
+            is_non_idempotent: request.class != 0,
+            timeout: CLIENT_TIMEOUT,
+        };
+        environment.ledger.borrow_mut().request_sent(sent_at, id.0.clone(), record);
+        let node = &self.nodes[request.node.0 as usize];
+        let give_up_at = sent_at + CLIENT_TIMEOUT + ANSWER_GRACE;
+        let answer = match node {
+            Node::Real(real) => real.request(environment, &id, &request, give_up_at).await,
+            Node::Hollow(hollow) => hollow.request(&id, &request, give_up_at).await,
+        };
+        let wait = environment.clock.now() - sent_at;
+        self.totals.borrow_mut().of(node).count(answer, wait);
+    }
+}
+
+async fn inject_faults(environment: Rc<Environment>, config: LoadConfig, started: Instant) {
+    for fault in config.faults.faults() {
+        tokio::time::sleep_until(started + Duration::from_secs_f64(fault.at * config.seconds)).await;
+        environment.servers[fault.server].set_mode(fault.mode);
+        if let Some(state) = fault.listed {
+            environment.registry.update(environment.clock.now(), fault.server, state);
+        }
+    }
+}
--- /dev/null
+++ b/fleet-lab/src/hybrid/nodes.rs
@@ -0,0 +1,123 @@
+//! The nodes of a run, real and hollow: their start, what they use, and their end.
+
+use super::datagrams::SentMessages;
+use super::discovery_agent;
+use super::environment::Environment;
+use super::hollow_node::HollowNode;
+use super::real_node::{RealNode, RealNodeConfig};
+use anyhow::{Context, Result};
+use edge_node::GatewayId;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::task::JoinSet;
+
+/// A node of either kind.
+pub(super) enum Node {
+    /// A process.
+    Real(Box<RealNode>),
+    /// A decision module in this process.
+    Hollow(Rc<HollowNode>),
+}
+
+/// What a node has used so far.
+pub(super) struct NodeUsage {
+    /// Processor time of a real node, or time inside the decision module of a hollow one.
+    pub(super) cost: Duration,
+    /// Its messages.
+    pub(super) sent: SentMessages,
+}
+
+/// What each node has used so far.
+pub(super) fn usage_of(nodes: &[Node], environment: &Environment) -> Result<Vec<NodeUsage>> {
+    let mut usage = Vec::new();
+    for (id, node) in (0..).map(GatewayId).zip(nodes) {
+        let cost = match node {
+            Node::Real(real) => real.cpu_time()?,
+            Node::Hollow(hollow) => hollow.decision_time(),
+        };
+        usage.push(NodeUsage { cost, sent: environment.datagrams.sent(id) });
+    }
+    Ok(usage)
+}
+
+/// The ports for datagrams of all nodes, by number; hollow nodes need none. A port is held until just before the
+/// program binds it, so that nothing else here gets the same one.
+pub(super) struct ReservedPorts(Vec<Option<UdpSocket>>);
+
+impl ReservedPorts {
+    /// Reserves ports for so many real nodes, which are spread evenly among the hollow ones, so that both kinds share
+    /// customers.
+    pub(super) async fn reserve(real: u32, nodes: u32) -> Result<ReservedPorts> {
+        let mut ports: Vec<Option<UdpSocket>> = (0..nodes).map(|_| None).collect();
+        for index in 0..real {
+            let number = index * nodes / real;
+            ports[number as usize] = Some(UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?);
+        }
+        Ok(ReservedPorts(ports))
+    }
+
+    /// The reserved addresses, by number of the node.
+    pub(super) fn addresses(&self) -> std::io::Result<Vec<Option<SocketAddr>>> {
+        let address = |port: &Option<UdpSocket>| port.as_ref().map(UdpSocket::local_addr).transpose();
+        self.0.iter().map(address).collect()
+    }
+}
+
+/// Binds a port for connections.
+pub(super) async fn bind_listener() -> Result<TcpListener> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.context("a port")
+}
+
+/// Starts all nodes: real ones where a port is reserved, hollow ones elsewhere.
+pub(super) async fn start_all(
+    environment: &Rc<Environment>, program: &Path, folder: &Path, ports: ReservedPorts, rng: &mut ChaCha8Rng,
+) -> Result<Vec<Node>> {
+    let mut nodes = Vec::new();
+    for (id, port) in (0..).map(GatewayId).zip(ports.0) {
+        let seed = rng.random();
+        nodes.push(match port {
+            Some(port) => {
+                let config = prepare_real_node(environment, id, port, seed).await?;
+                let node = RealNode::start(environment, program, folder, config).await?;
+                Node::Real(Box::new(node))
+            }
+            None => Node::Hollow(HollowNode::start(environment, id, seed)?),
+        });
+    }
+    Ok(nodes)
+}
+
+/// Starts a real node's discovery agent and the forwarding of its messages, and frees its port.
+async fn prepare_real_node(
+    environment: &Rc<Environment>, id: GatewayId, port: UdpSocket, seed: u64,
+) -> Result<RealNodeConfig> {
+    let listener = bind_listener().await?;
+    let discovery = listener.local_addr()?;
+    tokio::task::spawn_local(discovery_agent::serve(Rc::clone(environment), id, listener));
+    let forwarding = Rc::clone(environment);
+    tokio::task::spawn_local(async move {
+        loop {
+            forwarding.datagrams.receive(id).await;
+        }
+    });
+    Ok(RealNodeConfig { id, discovery, datagrams: port.local_addr()?, seed })
+}
+
+/// Shuts all real nodes down. One that ends with an error fails the run, whatever the report says.
+pub(super) async fn shut_down_all(nodes: Vec<Node>) -> Result<()> {
+    let mut shutdowns = JoinSet::new();
+    for node in nodes {
+        if let Node::Real(real) = node {
+            shutdowns.spawn_local(real.shut_down());
+        }
+    }
+    while let Some(shutdown) = shutdowns.join_next().await {
+        shutdown.context("the end of a node was not observed")??;
+    }
+    Ok(())
+}
--- a/fleet-lab/src/hybrid/real_node.rs
+++ b/fleet-lab/src/hybrid/real_node.rs
@@ -1,9 +1,8 @@
 //! A real node: a process of the edge node's program, and its clients over HTTP.
 
-use super::discovery;
-use super::environment::World;
-use super::ledger::{Answer, LOST_AFTER};
-use super::scenario::{Wish, CLASSES, DEADLINE};
+use super::environment::Environment;
+use super::ledger::FinalAnswer;
+use super::scenario::{PlannedRequest, CLASSES, CLIENT_TIMEOUT};
 use anyhow::{bail, Context, Result};
 use bytes::Bytes;
 use edge_node::{GatewayId, Micros, RequestId};
@@ -15,157 +14,203 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::json;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, BufReader};
-use tokio::process::{Child, Command};
-
-/// How long a node may take to listen and be ready, in all.
-const READY_WITHIN: Duration = Duration::from_secs(5);
-/// How long it may take to leave after SIGTERM: no client waits for it any more.
-const LEAVES_WITHIN: Duration = Duration::from_secs(4);
-/// A client's connection that has stood idle for so long is not used again: the node closes it soon.
-const IDLE_FOR: Duration = Duration::from_secs(1);
-
-/// One real node that runs.
-pub struct Real {
-    number: GatewayId,
-    child: Child,
-    pid: Pid,
-    address: SocketAddr,
-    clients: Client<HttpConnector, Full<Bytes>>,
+use tokio::process::{Child, ChildStderr, Command};
+
+/// Most time from a node's start until it is ready.
+const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most time from SIGTERM to the end of a node: no client waits for it any more.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(4);
+/// A client's connection that has been idle for this long is not used again, since the node closes it soon.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Variables that would override the configuration.
+const CONFIG_VARIABLES: [&str; 3] = ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"];
+/// Position of the user time among the fields of `/proc/PID/stat` after the program's name; the system time follows.
+const USER_TIME_FIELD: usize = 11;
+
+/// What one node needs to start.
+pub(super) struct RealNodeConfig {
+    /// Its number.
+    pub(super) id: GatewayId,
+    /// The address of its discovery agent.
+    pub(super) discovery: SocketAddr,
+    /// The address at which it receives messages.
+    pub(super) datagrams: SocketAddr,
+    /// Seed of its random draws.
+    pub(super) seed: u64,
 }
 
-impl Real {
-    /// Starts one and waits until it is ready. Its configuration is written to `folder`.
-    pub async fn start(
-        world: &World, number: GatewayId, program: &Path, folder: &Path, agent: SocketAddr,
-        datagrams: SocketAddr, seed: u64,
-    ) -> Result<Real> {
-        let name = format!("n{}", number.0);
+impl RealNodeConfig {
+    /// Writes the node's configuration file to a folder; returns its path.
+    fn write(&self, environment: &Environment, folder: &Path) -> Result<PathBuf> {
+        let name = node_name(self.id);
         let path = folder.join(format!("{name}.json"));
         let config = json!({
-            "name": name, "listen": "127.0.0.1:0", "discovery": agent, "seed": format!("{seed:016x}"),
+            "name": name, "listen": "127.0.0.1:0", "discovery": self.discovery,
+            "seed": format!("{:016x}", self.seed),
             "limits": {"sockets": 1024, "memory_mb": 192},
-            "peer_listen": datagrams, "peers": world.datagrams.peers(number),
-            "known": discovery::known(&world.roster)?, "settings": world.scene.settings(number),
+            "peer_listen": self.datagrams, "peers": environment.datagrams.peer_addresses(self.id),
+            "known": environment.registry.json_since(0), "settings": environment.scenario.settings(self.id),
         });
         std::fs::write(&path, config.to_string()).with_context(|| format!("{}", path.display()))?;
-        let mut command = Command::new(program);
-        for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
-            command.env_remove(key);
+        Ok(path)
+    }
+}
+
+/// One running real node.
+pub(super) struct RealNode {
+    id: GatewayId,
+    process: Child,
+    pid: Pid,
+    address: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl RealNode {
+    /// Starts a node and waits until it is ready. Its configuration is written to `folder`.
+    pub(super) async fn start(
+        environment: &Environment, program: &Path, folder: &Path, config: RealNodeConfig,
+    ) -> Result<RealNode> {
+        let path = config.write(environment, folder)?;
+        let process = spawn(program, &path).with_context(|| format!("{}", program.display()))?;
+        let node = tokio::time::timeout(STARTUP_TIMEOUT, RealNode::when_ready(config.id, process)).await;
+        let node = node.unwrap_or_else(|_| bail!("it is not ready in time"));
+        node.with_context(|| node_name(config.id))
+    }
+
+    async fn when_ready(id: GatewayId, mut process: Child) -> Result<RealNode> {
+        let pid = process.id().and_then(|id| Pid::from_raw(id as i32)).context("the process has no id")?;
+        let log = process.stderr.take().context("the process has no log")?;
+        let address = read_address(log).await?;
+        let node = RealNode { id, process, pid, address, client: new_client() };
+        // It accepts no connection before it has received the list of servers; the request waits until then.
+        let uri = format!("http://{address}/-/ready").parse()?;
+        let status = node.client.get(uri).await?.status();
+        if status != StatusCode::OK {
+            bail!("it is not ready: {status}");
         }
-        command.env("LB_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-        let mut child =
-            command.kill_on_drop(true).spawn().with_context(|| format!("{}", program.display()))?;
-        let pid = child.id().and_then(|id| Pid::from_raw(id as i32)).context("the process has no id")?;
-        let log = child.stderr.take().context("the process has no log")?;
-        let ready = async {
-            let mut log = BufReader::new(log);
-            let mut line = String::new();
-            log.read_line(&mut line).await?;
-            let address = line.trim_end().rsplit(' ').next().and_then(|word| word.parse().ok());
-            let address: SocketAddr =
-                address.with_context(|| format!("it does not listen: {}", line.trim_end()))?;
-            // Read to its end: a full pipe would stop the node.
-            tokio::task::spawn_local(async move { log.read_to_end(&mut Vec::new()).await });
-            let clients = Client::builder(TokioExecutor::new())
-                .pool_idle_timeout(IDLE_FOR)
-                .pool_timer(TokioTimer::new())
-                .build(connector());
-            let node = Real { number, child, pid, address, clients };
-            // It accepts no connection before it has heard of the servers; the request waits until then.
-            let uri = format!("http://{address}/-/ready").parse()?;
-            let status = node.clients.get(uri).await?.status();
-            if status != StatusCode::OK {
-                bail!("it is not ready: {status}");
-            }
-            Ok(node)
-        };
-        let ready = tokio::time::timeout(READY_WITHIN, ready).await;
-        ready.unwrap_or_else(|_| bail!("it is not ready in time")).with_context(|| format!("n{}", number.0))
+        Ok(node)
     }
 
-    /// Processor time that the process has used, user's and system's, from `/proc`.
+    /// Processor time of the process in user and system mode, from `/proc`.
     ///
     /// # Errors
     /// The process has ended.
-    pub fn spent(&self) -> Result<Duration> {
+    pub(super) fn cpu_time(&self) -> Result<Duration> {
         let path = format!("/proc/{}/stat", self.pid.as_raw_nonzero());
-        let text = std::fs::read_to_string(&path).with_context(|| format!("n{} has ended", self.number.0))?;
-        // The name in brackets may hold anything; what follows is counted from its end.
+        let name = node_name(self.id);
+        let text = std::fs::read_to_string(&path).with_context(|| format!("{name} has ended"))?;
+        // The name in brackets may hold anything; the fields are counted from its end.
         let fields = text.rsplit_once(')').map_or("", |(_, fields)| fields).split_whitespace();
-        let ticks: Vec<u64> = fields.skip(11).take(2).filter_map(|field| field.parse().ok()).collect();
+        let times = fields.skip(USER_TIME_FIELD).take(2);
+        let ticks: Vec<u64> = times.filter_map(|field| field.parse().ok()).collect();
         let [user, system] = ticks[..] else { bail!("{path}: two times are missing") };
-        let second = rustix::param::clock_ticks_per_second();
-        Ok(Duration::from_secs_f64((user + system) as f64 / second as f64))
+        let ticks_per_second = rustix::param::clock_ticks_per_second();
+        Ok(Duration::from_secs_f64((user + system) as f64 / ticks_per_second as f64))
     }
 
-    /// A client's try over HTTP, to its final answer; `None` where none came in time.
-    pub async fn ask(&self, world: &World, id: &RequestId, wish: &Wish, until: Micros) -> Option<Answer> {
-        let left = Duration::from_micros(until.saturating_sub(world.clock.now()));
-        let answer = tokio::time::timeout(left, self.exchange(world, id, wish)).await.ok()?.ok()?;
-        world.ledger.borrow_mut().answered(world.clock.now(), &id.0, answer);
+    /// Sends a client's request over HTTP and waits for its final answer; `None` if none came until then, µs.
+    pub(super) async fn request(
+        &self, environment: &Environment, id: &RequestId, request: &PlannedRequest, give_up_at: Micros,
+    ) -> Option<FinalAnswer> {
+        let time_left = Duration::from_micros(give_up_at.saturating_sub(environment.clock.now()));
+        let exchange = self.exchange(environment, id, request);
+        let answer = tokio::time::timeout(time_left, exchange).await.ok()?.ok()?;
+        environment.ledger.borrow_mut().answered(environment.clock.now(), &id.0, answer);
         Some(answer)
     }
 
-    async fn exchange(&self, world: &World, id: &RequestId, wish: &Wish) -> Result<Answer> {
-        let class = CLASSES[wish.class];
-        let (method, body) = if wish.class == 0 { (Method::GET, "") } else { (Method::POST, "paid") };
-        let customer = &wish.customer;
-        let terms = format!("units={},spread={},first={}", wish.units, customer.spread, customer.first.0);
+    async fn exchange(
+        &self, environment: &Environment, id: &RequestId, request: &PlannedRequest,
+    ) -> Result<FinalAnswer> {
+        let request = self.http_request(environment, id, request)?;
+        let response = self.client.request(request).await?;
+        let status = response.status();
+        let body = response.into_body().collect().await?.to_bytes();
+        Ok(match status {
+            // A server's response names the request for which it was made.
+            StatusCode::OK if body == id.0.as_bytes() => FinalAnswer::Served,
+            StatusCode::OK => FinalAnswer::Forged,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => FinalAnswer::Rejected,
+            _ => FinalAnswer::Failed,
+        })
+    }
+
+    fn http_request(
+        &self, environment: &Environment, id: &RequestId, request: &PlannedRequest,
+    ) -> Result<Request<Full<Bytes>>> {
+        let PlannedRequest { customer, units, .. } = request;
+        let class = CLASSES[request.class];
+        let (method, body) = if request.class == 0 { (Method::GET, "") } else { (Method::POST, "paid") };
+        let terms = format!("units={units},spread={},first={}", customer.node_count, customer.first_node.0);
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{}/{class}/{:016x}", self.address, customer.id.0))
             .header("x-request-id", &*id.0)
             .header("x-class", class)
-            .header("x-tier", world.scene.plan(customer.plan))
-            .header("x-deadline", format!("{}m", DEADLINE / 1000))
+            .header("x-tier", environment.scenario.plan_name(customer.plan))
+            .header("x-deadline", format!("{}m", CLIENT_TIMEOUT / 1000))
             .header("x-call-terms", terms)
             .body(Full::from(body))?;
-        let answer = self.clients.request(request).await?;
-        let status = answer.status();
-        let body = answer.into_body().collect().await?.to_bytes();
-        Ok(match status {
-            // A loan server's answer says for which request it was made.
-            StatusCode::OK if body == id.0.as_bytes() => Answer::Served,
-            StatusCode::OK => Answer::Forged,
-            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Answer::Refused,
-            _ => Answer::Failed,
-        })
+        Ok(request)
     }
 
-    /// Tells it to leave, and waits for that.
+    /// Stops the node by SIGTERM, and waits for its end.
     ///
     /// # Errors
-    /// It had ended before, it left with an error, or it did not leave in time and was killed.
-    pub async fn leave(mut self) -> Result<()> {
-        let name = format!("n{}", self.number.0);
-        if let Some(status) = self.child.try_wait()? {
+    /// It had ended before, it ended with an error, or it did not end in time and was killed.
+    pub(super) async fn shut_down(mut self) -> Result<()> {
+        let name = node_name(self.id);
+        if let Some(status) = self.process.try_wait()? {
             bail!("{name} has ended by itself: {status}");
         }
         kill_process(self.pid, Signal::TERM).with_context(|| format!("SIGTERM to {name}"))?;
-        match tokio::time::timeout(LEAVES_WITHIN, self.child.wait()).await {
-            Ok(status) => match status? {
-                status if status.success() => Ok(()),
-                status => bail!("{name} left with {status}"),
-            },
-            Err(_) => {
-                self.child.kill().await?;
-                bail!("{name} did not leave within {LEAVES_WITHIN:?} and was killed")
-            }
+        let Ok(status) = tokio::time::timeout(SHUTDOWN_TIMEOUT, self.process.wait()).await else {
+            self.process.kill().await?;
+            bail!("{name} did not end within {SHUTDOWN_TIMEOUT:?} and was killed");
+        };
+        let status = status?;
+        if !status.success() {
+            bail!("{name} ended with {status}");
         }
+        Ok(())
     }
 }
 
-fn connector() -> HttpConnector {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector
+fn node_name(id: GatewayId) -> String {
+    format!("n{}", id.0)
 }
 
-/// When a client stops waiting for an answer that is lost.
-pub fn lost_at(asked: Micros) -> Micros {
-    asked + DEADLINE + LOST_AFTER
+fn spawn(program: &Path, config: &Path) -> std::io::Result<Child> {
+    let mut command = Command::new(program);
+    for variable in CONFIG_VARIABLES {
+        command.env_remove(variable);
+    }
+    command.env("LB_CONFIG", config);
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+    command.kill_on_drop(true).spawn()
+}
+
+/// Reads the address at which a node listens from the first line of its log, and discards the rest.
+async fn read_address(log: ChildStderr) -> Result<SocketAddr> {
+    let mut log = BufReader::new(log);
+    let mut line = String::new();
+    log.read_line(&mut line).await?;
+    let address = line.trim_end().rsplit(' ').next().and_then(|word| word.parse().ok());
+    let address = address.with_context(|| format!("it does not listen: {}", line.trim_end()))?;
+    // The log is read to its end, since a full pipe would stop the node.
+    tokio::task::spawn_local(async move { log.read_to_end(&mut Vec::new()).await });
+    Ok(address)
+}
+
+fn new_client() -> Client<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_timer(TokioTimer::new())
+        .build(connector)
 }
--- a/fleet-lab/src/hybrid/scenario.rs
+++ b/fleet-lab/src/hybrid/scenario.rs
@@ -1,4 +1,4 @@
-//! The scene of a run: who asks for what, the settings that all nodes are told, and the troubles of the servers.
+//! The scenario of a run: what the clients ask for, the settings of all nodes, and the faults of the servers.
 
 use super::ledger::Quota;
 use edge_node::{CustomerId, GatewayId, Micros, PlanId};
@@ -6,272 +6,335 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 
-/// How long any client waits, in µs.
-pub const DEADLINE: Micros = 2_000_000;
-/// Within this an answer earns its full worth, in µs.
-const AIM: Micros = 1_000_000;
-/// How long a node may go on sending to a server that leaves, in µs.
-pub const DRAIN_GRACE: Micros = 500_000;
-/// Messages a second that a node takes in.
-const INTAKE: f64 = 40.0;
-/// Units of the largest request; all sizes up to it are as likely.
-const MOST_UNITS: u32 = 4;
+/// How long any client waits, µs.
+pub(super) const CLIENT_TIMEOUT: Micros = 2_000_000;
+/// Latency objective of all classes, µs.
+const LATENCY_OBJECTIVE: Micros = 1_000_000;
+/// How long a node may go on sending to a server that drains, µs.
+pub(super) const DRAIN_GRACE: Micros = 500_000;
+/// Messages a second that a node accepts.
+const ACCEPTED_MESSAGES_PER_S: f64 = 40.0;
+/// Units of the largest request; all sizes up to it are equally likely.
+const MAX_UNITS: u32 = 4;
 /// Seconds of its rate that a customer may use at once.
-const BURST_S: f64 = 1.2;
-/// What a calm and a heavy customer ask for, times its quota.
+const BURST_SECONDS: f64 = 1.2;
+/// What customers ask for, as a multiple of their quota: one within it, and one beyond.
 const DEMAND: [f64; 2] = [0.5, 3.0];
 /// Share of requests that may be repeated.
-const SAFE_SHARE: f64 = 0.64;
-/// µs that a first send may take from its grant to its server: a connection has to come up.
-const ON_ITS_WAY: Micros = 250_000;
-/// As in the decision module: the share of a node's intake that counts of its peers may fill, seconds between counts
-/// at the least, and from which on homes keep the quotas.
-const INTAKE_SHARE: f64 = 0.7;
-const COUNTS_EVERY_S: f64 = 0.2;
-const WIDE_FROM_S: f64 = 0.5;
-/// Loan servers.
-pub const SERVERS: usize = 6;
-/// Mean work of a request, in µs, and its spread to both sides as a share.
-pub const WORK: (f64, f64) = (40_000.0, 0.5);
-/// How busy the servers are by what is within quotas.
-const BUSY: f64 = 0.5;
-
-/// A plan: its name, its share of what is asked for, and through how many nodes its customers come.
+const IDEMPOTENT_SHARE: f64 = 0.64;
+/// Most time from a quota decision to the arrival of the first attempt at its server, µs: a connection may have to be
+/// opened.
+const FIRST_SEND_TIME: Micros = 250_000;
+/// As in the decision module: share of the messages that a node accepts which may be usage counts of its peers.
+const USAGE_MESSAGE_SHARE: f64 = 0.7;
+/// As in the decision module: least time between two usage counts, s.
+const MIN_USAGE_INTERVAL_S: f64 = 0.2;
+/// As in the decision module: from this time between usage counts on, quotas have owners, s.
+const OWNERS_FROM_INTERVAL_S: f64 = 0.5;
+/// Number of servers.
+pub(super) const SERVER_COUNT: usize = 6;
+/// Mean work of a request, µs.
+pub(super) const MEAN_WORK: f64 = 40_000.0;
+/// How far the work of single requests lies from the mean, as a share of it.
+pub(super) const WORK_DEVIATION: f64 = 0.5;
+/// Utilization of the servers by demand within the quotas.
+const UTILIZATION: f64 = 0.5;
+
+/// A plan.
 struct Plan {
     name: &'static str,
+    /// Share of all demand.
     share: f64,
-    spread: u32,
+    /// Through how many nodes the requests of its customers arrive.
+    node_count: u32,
     weight: f64,
 }
 
 const PLANS: [Plan; 3] = [
-    Plan { name: "basic", share: 0.28, spread: 2, weight: 0.7 },
-    Plan { name: "standard", share: 0.38, spread: 3, weight: 1.1 },
-    Plan { name: "premier", share: 0.34, spread: 4, weight: 1.8 },
+    Plan { name: "basic", share: 0.28, node_count: 2, weight: 0.7 },
+    Plan { name: "standard", share: 0.38, node_count: 3, weight: 1.1 },
+    Plan { name: "premier", share: 0.34, node_count: 4, weight: 1.8 },
 ];
 
-/// Names of the classes: one that may be repeated, and one that may not.
-pub const CLASSES: [&str; 2] = ["balance-read", "post-payment"];
+/// Names of the classes: the first is idempotent, the second is not.
+pub(super) const CLASSES: [&str; 2] = ["balance-read", "post-payment"];
 
 /// A customer of the run.
 #[derive(Clone, Copy, Debug)]
-pub struct Customer {
-    /// Who.
-    pub id: CustomerId,
+pub(super) struct Customer {
+    /// Its id.
+    pub(super) id: CustomerId,
     /// Its plan.
-    pub plan: PlanId,
+    pub(super) plan: PlanId,
     /// The first of its nodes.
-    pub first: GatewayId,
-    /// How many nodes it comes through.
-    pub spread: u32,
+    pub(super) first_node: GatewayId,
+    /// Through how many nodes its requests arrive.
+    pub(super) node_count: u32,
     /// Units a second that it asks for.
     demand: f64,
 }
 
 /// A request that a client is about to send.
 #[derive(Clone, Copy, Debug)]
-pub struct Wish {
-    /// Whose.
-    pub customer: Customer,
-    /// Place of its class in [`CLASSES`].
-    pub class: usize,
+pub(super) struct PlannedRequest {
+    /// The customer whose request it is.
+    pub(super) customer: Customer,
+    /// Index of its class in [`CLASSES`].
+    pub(super) class: usize,
     /// Its size.
-    pub units: u32,
-    /// The node that it comes to.
-    pub node: GatewayId,
+    pub(super) units: u32,
+    /// The node at which it arrives.
+    pub(super) node: GatewayId,
+}
+
+/// How many nodes there are, and what clients ask for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ScenarioSize {
+    /// Nodes that run; their numbers are the first ones.
+    pub(super) nodes: u32,
+    /// Nodes in the settings, those that do not run included.
+    pub(super) fleet_size: u32,
+    /// Requests a second at each node, on average.
+    pub(super) rate_per_node: f64,
+    /// Share of a quota that may be used on top of it in the long run.
+    pub(super) quota_tolerance: f64,
 }
 
-/// Who asks for what.
+/// What the clients ask for.
 #[derive(Debug)]
-pub struct Scene {
-    /// Nodes that are there; their numbers are the first ones.
-    pub nodes: u32,
-    /// Nodes that the settings tell of.
-    pub fleet: u32,
-    /// Requests a second, over all nodes.
-    pub rate: f64,
-    /// Part of a quota that may be used beyond it.
-    doubt: f64,
+pub(super) struct Scenario {
+    /// How many nodes there are, and what clients ask for.
+    pub(super) size: ScenarioSize,
     customers: Vec<Customer>,
-    /// Units a second of each plan.
+    /// By plan, in units a second.
     quotas: Vec<f64>,
-    total: f64,
+    total_demand: f64,
 }
 
-impl Scene {
-    /// A scene for so many nodes, each of which gets `rate` requests a second in the mean. On each plan every node
-    /// is the first one of a calm and of a heavy customer: real and hollow nodes get the same work.
-    pub fn new(nodes: u32, fleet: u32, rate: f64, doubt: f64) -> Scene {
-        let mean = f64::from(MOST_UNITS + 1) / 2.0;
-        let quota = |plan: &Plan| rate * mean * plan.share / DEMAND.iter().sum::<f64>();
-        let quotas: Vec<f64> = PLANS.iter().map(quota).collect();
+impl Scenario {
+    /// A scenario in which on each plan every node is the first node of a customer within its quota and of one beyond:
+    /// real and hollow nodes have the same work.
+    pub(super) fn new(size: ScenarioSize) -> Scenario {
+        let quotas: Vec<f64> = PLANS.iter().map(|plan| quota(plan, size.rate_per_node)).collect();
         let mut customers = Vec::new();
-        for (place, plan) in PLANS.iter().enumerate() {
+        for (index, plan) in PLANS.iter().enumerate() {
             for demand in DEMAND {
-                let one = |first| Customer {
-                    id: CustomerId(0),
-                    plan: PlanId(place),
-                    first: GatewayId(first),
-                    spread: plan.spread.min(nodes),
-                    demand: demand * quotas[place],
-                };
-                customers.extend((0..nodes).map(one));
+                for first_node in 0..size.nodes {
+                    customers.push(Customer {
+                        id: customer_id(customers.len() as u64 + 1),
+                        plan: PlanId(index),
+                        first_node: GatewayId(first_node),
+                        node_count: plan.node_count.min(size.nodes),
+                        demand: demand * quotas[index],
+                    });
+                }
             }
         }
-        // Well-mixed numbers: a node looks for a customer's homes by the hash of its number.
-        let numbers = (1_u64..).map(|number| CustomerId(number.wrapping_mul(0x9e37_79b1) & 0xffff_ffff));
-        customers.iter_mut().zip(numbers).for_each(|(customer, id)| customer.id = id);
-        let total = customers.iter().map(|customer| customer.demand).sum();
-        Scene { nodes, fleet, rate: rate * f64::from(nodes), doubt, customers, quotas, total }
+        let total_demand = customers.iter().map(|customer| customer.demand).sum();
+        Scenario { size, customers, quotas, total_demand }
     }
 
-    /// The next request.
-    pub fn wish(&self, random: &mut ChaCha8Rng) -> Wish {
-        let mut left = random.random::<f64>() * self.total;
+    /// Requests a second at all nodes.
+    pub(super) fn rate(&self) -> f64 {
+        self.size.rate_per_node * f64::from(self.size.nodes)
+    }
+
+    /// Draws the next request.
+    pub(super) fn draw_request(&self, rng: &mut ChaCha8Rng) -> PlannedRequest {
+        let mut drawn = rng.random::<f64>() * self.total_demand;
         let customer = self.customers.iter().find(|customer| {
-            left -= customer.demand;
-            left <= 0.0
+            drawn -= customer.demand;
+            drawn <= 0.0
         });
         let customer = *customer.unwrap_or(&self.customers[0]);
-        let step = random.random_range(0..customer.spread);
-        Wish {
+        let offset = rng.random_range(0..customer.node_count);
+        PlannedRequest {
             customer,
-            class: usize::from(random.random::<f64>() >= SAFE_SHARE),
-            units: random.random_range(1..=MOST_UNITS),
-            node: GatewayId((customer.first.0 + step) % self.nodes),
+            class: usize::from(rng.random::<f64>() >= IDEMPOTENT_SHARE),
+            units: rng.random_range(1..=MAX_UNITS),
+            node: GatewayId((customer.first_node.0 + offset) % self.size.nodes),
         }
     }
 
+    /// Units that a customer of a plan may use at once.
     fn burst(&self, plan: usize) -> f64 {
-        (self.quotas[plan] * BURST_S).max(f64::from(MOST_UNITS))
+        (self.quotas[plan] * BURST_SECONDS).max(f64::from(MAX_UNITS))
     }
 
-    /// The quota of each customer, with the doubt that follows from what nodes can know. Among few nodes, each tells
-    /// the others what it sent, some times a second: until then every other one may use its whole store, and what
-    /// fills it meanwhile; and of a debt deeper than its store a node forgets the rest. In a wide fleet two homes and
-    /// an understudy keep the quota: the homes may each round up to the largest request, and the understudy's part
-    /// comes on top.
-    pub fn limits(&self) -> impl Iterator<Item = (CustomerId, Quota)> + '_ {
-        let told_every = self.counts_every().max(COUNTS_EVERY_S);
-        self.customers.iter().map(move |customer| {
-            let (rate, burst) = (self.quotas[customer.plan.0], self.burst(customer.plan.0));
-            let others = f64::from(customer.spread - 1);
-            let on_its_way = rate * ON_ITS_WAY as f64 / 1e6;
-            let apart = others * (burst + rate * told_every);
-            let homes = 2.0 * f64::from(MOST_UNITS) + self.doubt * burst;
-            let doubt = on_its_way + if self.wide() { homes } else { apart };
-            (customer.id, Quota { rate, burst, doubt, doubt_per_s: self.doubt * rate })
-        })
+    /// The quota of each customer, with the tolerance that follows from what nodes can know.
+    pub(super) fn quotas(&self) -> impl Iterator<Item = (CustomerId, Quota)> + '_ {
+        self.customers.iter().map(|customer| (customer.id, self.quota_of(customer)))
+    }
+
+    fn quota_of(&self, customer: &Customer) -> Quota {
+        let rate = self.quotas[customer.plan.0];
+        let burst = self.burst(customer.plan.0);
+        let in_transit = rate * FIRST_SEND_TIME as f64 / 1e6;
+        let lack_of_information = if self.quotas_have_owners() {
+            self.owner_tolerance(burst)
+        } else {
+            self.usage_count_tolerance(customer, rate, burst)
+        };
+        Quota {
+            rate,
+            burst,
+            tolerance: in_transit + lack_of_information,
+            tolerance_per_s: self.size.quota_tolerance * rate,
+        }
+    }
+
+    /// In a large fleet two owners and a standby owner keep a quota: each owner may round up to the largest request,
+    /// and the standby owner's part is added.
+    fn owner_tolerance(&self, burst: f64) -> f64 {
+        2.0 * f64::from(MAX_UNITS) + self.size.quota_tolerance * burst
+    }
+
+    /// In a small fleet each node sends its usage counts to the others some times a second: until then every other
+    /// node may use its whole bucket, and what refills it meanwhile. Debts deeper than its bucket a node forgets, which
+    /// the tolerance per second covers.
+    fn usage_count_tolerance(&self, customer: &Customer, rate: f64, burst: f64) -> f64 {
+        let other_nodes = f64::from(customer.node_count - 1);
+        other_nodes * (burst + rate * self.usage_interval().max(MIN_USAGE_INTERVAL_S))
     }
 
-    /// Seconds between counts to all that the nodes' intake allows.
-    fn counts_every(&self) -> f64 {
-        f64::from(self.fleet.saturating_sub(1)) / (INTAKE * INTAKE_SHARE)
+    /// Time between two usage counts of a node that the rate of accepted messages allows, s.
+    fn usage_interval(&self) -> f64 {
+        f64::from(self.size.fleet_size.saturating_sub(1)) / (ACCEPTED_MESSAGES_PER_S * USAGE_MESSAGE_SHARE)
     }
 
-    /// Whether counts told to all would come too seldom: homes keep the quotas there.
-    fn wide(&self) -> bool {
-        self.counts_every() >= WIDE_FROM_S
+    /// Whether usage counts would be too rare, so that quotas have owners.
+    fn quotas_have_owners(&self) -> bool {
+        self.usage_interval() >= OWNERS_FROM_INTERVAL_S
     }
 
-    /// Requests that a server can work on at once.
-    pub fn slots(&self) -> usize {
-        let within = DEMAND.iter().map(|demand| demand.min(1.0)).sum::<f64>() / DEMAND.iter().sum::<f64>();
-        let busy = self.rate * within * WORK.0 / 1e6;
-        ((busy / SERVERS as f64 / BUSY).ceil() as usize).max(1)
+    /// Requests that run at once at a server.
+    pub(super) fn server_slots(&self) -> usize {
+        let within_quotas: f64 = DEMAND.iter().map(|demand| demand.min(1.0)).sum();
+        let share_within_quotas = within_quotas / DEMAND.iter().sum::<f64>();
+        let busy_slots = self.rate() * share_within_quotas * MEAN_WORK / 1e6;
+        ((busy_slots / SERVER_COUNT as f64 / UTILIZATION).ceil() as usize).max(1)
     }
 
     /// Name of a plan.
-    pub fn plan(&self, plan: PlanId) -> &'static str {
+    pub(super) fn plan_name(&self, plan: PlanId) -> &'static str {
         PLANS[plan.0].name
     }
 
-    /// The settings of one node, in the deployment's words.
-    pub fn settings(&self, me: GatewayId) -> serde_json::Value {
-        let class = |name, worth, repeat| json!({"name": name, "aimUs": AIM, "deadlineUs": DEADLINE, "lateValue": 0.2, "worth": worth, "repeat": repeat});
-        let plans = PLANS.iter().enumerate().map(|(place, plan)| {
-            json!({"name": plan.name, "rate": self.quotas[place], "storeSize": self.burst(place),
-                   "price": plan.weight, "overWorth": 0.0, "overrunCost": 1.0})
-        });
+    /// The settings of one node, in the deployment's JSON.
+    pub(super) fn settings(&self, node: GatewayId) -> serde_json::Value {
         json!({
-            "balancers": self.fleet, "me": me.0, "zone": "a", "zones": ["a"], "periodUs": 2000,
+            "balancers": self.size.fleet_size, "me": node.0, "zone": "a", "zones": ["a"], "periodUs": 2000,
             "discovery": "automatic",
             "ceilings": {"sendCap": 5, "cancel": true, "mayTell": true, "retryAfter": true,
                          "maxRetryAfterUs": 500_000, "connIdleUs": 15_000_000, "connectTimeoutUs": 250_000},
-            "classes": [class(CLASSES[0], 3.0, "read_like"), class(CLASSES[1], 5.0, "non_idempotent")],
-            "packages": plans.collect::<Vec<_>>(),
+            "classes": [class_settings(CLASSES[0], 3.0, "read_like"),
+                        class_settings(CLASSES[1], 5.0, "non_idempotent")],
+            "packages": (0..PLANS.len()).map(|plan| self.plan_settings(plan)).collect::<Vec<_>>(),
             "rules": {"coldFrom": 0.3, "coldUs": 2_000_000, "fallMultiple": 2.5, "overloadForUs": 1_000_000,
                       "drainGraceUs": DRAIN_GRACE},
-            "extra": {"peerInPerS": INTAKE, "maxUnits": MOST_UNITS},
+            "extra": {"peerInPerS": ACCEPTED_MESSAGES_PER_S, "maxUnits": MAX_UNITS},
         })
     }
+
+    fn plan_settings(&self, plan: usize) -> serde_json::Value {
+        let Plan { name, weight, .. } = PLANS[plan];
+        json!({"name": name, "rate": self.quotas[plan], "storeSize": self.burst(plan),
+               "price": weight, "overWorth": 0.0, "overrunCost": 1.0})
+    }
+}
+
+fn class_settings(name: &str, priority_weight: f64, repeat: &str) -> serde_json::Value {
+    json!({"name": name, "aimUs": LATENCY_OBJECTIVE, "deadlineUs": CLIENT_TIMEOUT, "lateValue": 0.2,
+           "worth": priority_weight, "repeat": repeat})
+}
+
+/// The quota of a plan's customers, units a second.
+fn quota(plan: &Plan, rate_per_node: f64) -> f64 {
+    let mean_units = f64::from(MAX_UNITS + 1) / 2.0;
+    rate_per_node * mean_units * plan.share / DEMAND.iter().sum::<f64>()
 }
 
-/// What a server does with the requests that come to it.
+/// A customer's id by its number. Nodes find a customer's quota owners by the hash of its id, so ids have to be well
+/// mixed.
+fn customer_id(number: u64) -> CustomerId {
+    CustomerId(number.wrapping_mul(0x9e37_79b1) & 0xffff_ffff)
+}
+
+/// What a server does with attempts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mode {
+pub(super) enum ServerMode {
     /// Serves them.
-    Serves,
+    Serve,
     /// Answers half of them with an error.
-    Errs,
-    /// Takes them and answers none.
-    Hangs,
-    /// Turns them away unseen.
-    TurnsAway,
+    FailHalf,
+    /// Accepts them and answers none.
+    Hang,
+    /// Rejects them without running them.
+    Reject,
 }
 
-/// What discovery says of a server from some moment on.
+/// A change of a server's state in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Listed {
+pub(super) enum ListedState {
     /// It finishes what it holds.
     Draining,
     /// It was removed.
     Gone,
-    /// It has started anew.
-    Ready,
+    /// It has started again.
+    Restarted,
 }
 
-/// Something that happens to a server.
+/// A change of a server's behaviour.
 #[derive(Clone, Copy, Debug)]
-pub struct Turn {
+pub(super) struct ServerFault {
     /// When, as a share of the run.
-    pub at: f64,
-    /// To which, by its place.
-    pub server: usize,
+    pub(super) at: f64,
+    /// Index of the server.
+    pub(super) server: usize,
     /// What it does from now on.
-    pub mode: Mode,
-    /// What discovery says from now on, if that changes.
-    pub listed: Option<Listed>,
+    pub(super) mode: ServerMode,
+    /// Its new state in the list, if that changes.
+    pub(super) listed: Option<ListedState>,
+}
+
+impl ServerFault {
+    fn new(at: f64, server: usize, mode: ServerMode) -> ServerFault {
+        ServerFault { at, server, mode, listed: None }
+    }
+
+    fn listed(self, state: ListedState) -> ServerFault {
+        ServerFault { listed: Some(state), ..self }
+    }
 }
 
-/// The troubles of a run.
+/// The faults of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
-pub enum Trouble {
+pub(super) enum FaultProfile {
     /// None.
     Calm,
-    /// One server turns away, one drains and comes back, one hangs, one errs, each for a while.
+    /// One server rejects, one drains and restarts, one hangs, one answers with errors, each for a while.
     Mixed,
-    /// One server answers nobody, from the start on.
-    Mute,
+    /// One server answers nothing from the start on.
+    #[value(alias = "mute")]
+    Unresponsive,
 }
 
-impl Trouble {
-    /// All that happens, in its order.
-    pub fn turns(self) -> Vec<Turn> {
-        let turn = |at, server, mode, listed| Turn { at, server, mode, listed };
+impl FaultProfile {
+    /// All faults in the order of their times.
+    pub(super) fn faults(self) -> Vec<ServerFault> {
         match self {
-            Trouble::Calm => Vec::new(),
-            Trouble::Mute => vec![turn(0.0, 0, Mode::Hangs, None)],
-            Trouble::Mixed => vec![
-                turn(0.2, 1, Mode::TurnsAway, None),
-                turn(0.3, 1, Mode::Serves, None),
-                turn(0.3, 2, Mode::TurnsAway, Some(Listed::Draining)),
-                turn(0.4, 3, Mode::Hangs, None),
-                turn(0.55, 2, Mode::TurnsAway, Some(Listed::Gone)),
-                turn(0.55, 3, Mode::Serves, None),
-                turn(0.6, 4, Mode::Errs, None),
-                turn(0.7, 2, Mode::Serves, Some(Listed::Ready)),
-                turn(0.75, 4, Mode::Serves, None),
+            FaultProfile::Calm => Vec::new(),
+            FaultProfile::Unresponsive => vec![ServerFault::new(0.0, 0, ServerMode::Hang)],
+            FaultProfile::Mixed => vec![
+                ServerFault::new(0.2, 1, ServerMode::Reject),
+                ServerFault::new(0.3, 1, ServerMode::Serve),
+                ServerFault::new(0.3, 2, ServerMode::Reject).listed(ListedState::Draining),
+                ServerFault::new(0.4, 3, ServerMode::Hang),
+                ServerFault::new(0.55, 2, ServerMode::Reject).listed(ListedState::Gone),
+                ServerFault::new(0.55, 3, ServerMode::Serve),
+                ServerFault::new(0.6, 4, ServerMode::FailHalf),
+                ServerFault::new(0.7, 2, ServerMode::Serve).listed(ListedState::Restarted),
+                ServerFault::new(0.75, 4, ServerMode::Serve),
             ],
         }
     }
--- a/fleet-lab/src/lib.rs
+++ b/fleet-lab/src/lib.rs
@@ -1,6 +1,6 @@
 //! Experiments on the gateway: one module for each subcommand of `fleet-lab`, and the simulated world that they use.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
+#![warn(missing_docs, unreachable_pub)]
 
 pub mod hybrid;
 pub mod scaling;
