The server table's pair, test and example: named events, one step a line

Changed: GatewayPair with types for events, times and attempts; the example times a request, a change and a list in a function each. The five tests keep every assertion and bound.

--- a/examples/server_table.rs
+++ b/examples/server_table.rs
@@ -1,26 +1,59 @@
-//! Times a gateway of a large fleet by how many servers are listed: µs a request (the ask to its home, the grant, the
-//! attempt and the wake-ups between, at two gateways that are each other's home), µs for an entry that changes, ms for
-//! a whole list, and bytes for each server, as the process grows. A time is the least of some rounds, as whatever else
-//! the machine does only adds to it.
+//! Times a gateway of a large fleet by how many servers are listed: µs a request (the lease request to its quota owner,
+//! the grant, the attempt and the timers between, at two gateways that own each other's quotas), µs for a changed
+//! entry, ms for a whole list, and bytes for each server, by how much the process grows. A time is the least of some
+//! rounds, as whatever else the machine does only adds to it.
 //!
 //! `cargo run --release --example server_table`
 
 use edge_node::*;
-use gateway_pair::{entry, whole, Pair};
+use gateway_pair::{delta, endpoint, snapshot, GatewayPair};
 use std::time::Instant;
 
+// The tests use more of it.
+#[allow(dead_code)]
 #[path = "../tests/gateway_pair/mod.rs"]
 mod gateway_pair;
 
 const ROUNDS: usize = 5;
-/// Requests of one round, a second's: so that each round holds the work of ticks.
-const SECOND: u64 = 200;
+/// Requests of one round, a second's, so that each round has the work of control ticks.
+const REQUESTS: u64 = 200;
+/// Changed entries of one round.
+const CHANGES: u64 = 20;
+/// Lengths of the list. The longest is first, so that the process grows by it.
+const SERVERS: [u64; 7] = [110_000, 20_000, 5_000, 1_000, 200, 60, 14];
+/// Bytes of a page of memory.
+const PAGE_BYTES: f64 = 4096.0;
 
-/// µs for each of `count` steps.
-fn timed(count: u64, mut step: impl FnMut(u64)) -> f64 {
-    let start = Instant::now();
-    (0..count).for_each(&mut step);
-    start.elapsed().as_secs_f64() * 1e6 / count as f64
+fn main() -> anyhow::Result<()> {
+    println!("servers | us a request | us a changed entry | ms a whole list | bytes a server");
+    for servers in SERVERS {
+        let memory_before = resident_bytes()?;
+        let mut pair = GatewayPair::new(servers)?;
+        let bytes_per_server = (resident_bytes()? - memory_before) / 2.0 / servers as f64;
+        let bytes = if servers == SERVERS[0] { format!("{bytes_per_server:.0}") } else { "-".to_owned() };
+        let request_us = time_request(&mut pair);
+        let change_us = time_change(&mut pair, servers);
+        let list_ms = time_list(&mut pair, servers) / 1e3;
+        println!("{servers:7} | {request_us:12.1} | {change_us:18.2} | {list_ms:15.3} | {bytes}");
+    }
+    Ok(())
+}
+
+/// Bytes of this process in memory.
+fn resident_bytes() -> anyhow::Result<f64> {
+    let text = std::fs::read_to_string("/proc/self/statm")?;
+    let pages = text.split_whitespace().nth(1).unwrap_or_default().parse::<f64>()?;
+    Ok(pages * PAGE_BYTES)
+}
+
+/// µs for each item, to which `step` is applied.
+fn time_each<T>(items: Vec<T>, mut step: impl FnMut(T)) -> f64 {
+    let count = items.len() as f64;
+    let started = Instant::now();
+    for item in items {
+        step(item);
+    }
+    started.elapsed().as_secs_f64() * 1e6 / count
 }
 
 /// The least of some rounds.
@@ -28,53 +61,38 @@
     (0..ROUNDS).map(|_| round()).fold(f64::INFINITY, f64::min)
 }
 
-/// Bytes that this process holds in memory.
-fn held() -> anyhow::Result<f64> {
-    let pages = std::fs::read_to_string("/proc/self/statm")?;
-    let pages = pages.split_whitespace().nth(1).unwrap_or_default().parse::<f64>()?;
-    Ok(pages * 4096.0)
+/// µs a request, after a round in which the gateways get to know the servers.
+fn time_request(pair: &mut GatewayPair) -> f64 {
+    let mut last_number = 0;
+    let mut round = || {
+        let numbers = (last_number + 1..=last_number + REQUESTS).collect();
+        last_number += REQUESTS;
+        time_each(numbers, |number| pair.request(number))
+    };
+    round();
+    least(round)
 }
 
-fn main() -> anyhow::Result<()> {
-    println!("servers | us a request | us a changed entry | ms a whole list | bytes a server");
-    // The largest first, so that the process grows by it.
-    for servers in [110_000, 20_000, 5_000, 1_000, 200, 60, 14] {
-        let before = held()?;
-        let mut pair = Pair::new(servers)?;
-        let grown = (held()? - before) / 2.0 / servers as f64;
-        let bytes = if servers == 110_000 { format!("{grown:.0}") } else { "-".to_owned() };
-        let mut number = 0;
-        let mut request = |pair: &mut Pair| {
-            number += 1;
-            pair.request(number);
-        };
-        timed(SECOND, |_| request(&mut pair));
-        let a_request = least(|| timed(SECOND, |_| request(&mut pair)));
-        let mut changed = 0;
-        let change = |number: u64| {
-            let entry = entry(number * 7919 % servers);
-            let standing =
-                if number.is_multiple_of(2) { EndpointState::Draining } else { EndpointState::Ready };
-            let entries = vec![Endpoint { state: standing, ..entry }];
-            Event::EndpointsUpdated { kind: EndpointUpdate::Delta, endpoints: entries }
-        };
-        let a_change = least(|| {
-            let events: Vec<_> = (0..20).map(|step| change((changed + step) / 2 * 2 + step % 2)).collect();
-            changed += 20;
-            let mut events = events.into_iter();
-            let gateway = &mut pair.gateways[0];
-            timed(20, |_| {
-                events.next().into_iter().for_each(|event| gateway.handle(pair.now, event, &mut Vec::new()))
-            })
-        });
-        let a_list = least(|| {
-            let mut event = Some(whole(servers));
-            let gateway = &mut pair.gateways[1];
-            timed(1, |_| {
-                event.take().into_iter().for_each(|event| gateway.handle(pair.now, event, &mut Vec::new()))
-            })
-        }) / 1e3;
-        println!("{servers:7} | {a_request:12.1} | {a_change:18.2} | {a_list:15.3} | {bytes}");
-    }
-    Ok(())
+/// µs for a changed entry: servers drain and become ready again by turns.
+fn time_change(pair: &mut GatewayPair, servers: u64) -> f64 {
+    let mut first_number = 0;
+    least(|| {
+        let numbers = first_number..first_number + CHANGES;
+        first_number += CHANGES;
+        let changes = numbers.map(|number| change(number, servers)).collect();
+        let now = pair.now;
+        time_each(changes, |event| pair.gateways[0].handle(now, event, &mut Vec::new()))
+    })
+}
+
+fn change(number: u64, servers: u64) -> Event {
+    let is_draining = number.is_multiple_of(2);
+    let state = if is_draining { EndpointState::Draining } else { EndpointState::Ready };
+    delta(vec![Endpoint { state, ..endpoint(number * 7919 % servers) }])
+}
+
+/// µs for a whole list.
+fn time_list(pair: &mut GatewayPair, servers: u64) -> f64 {
+    let now = pair.now;
+    least(|| time_each(vec![snapshot(servers)], |event| pair.gateways[1].handle(now, event, &mut Vec::new())))
 }
--- a/tests/gateway_pair/mod.rs
+++ b/tests/gateway_pair/mod.rs
@@ -1,34 +1,32 @@
-//! Two gateways of a large fleet that are each other's home, and the servers they send to.
+//! Two gateways of a large fleet, each the quota owner of the other's customers, and the servers that they use.
 
 use edge_node::Gateway;
 use edge_node::*;
 use std::collections::{BTreeMap, VecDeque};
 
+/// A millisecond, µs.
 const MS: Micros = 1_000;
+/// Gateways of the fleet.
 const GATEWAYS: u32 = 4_200;
+/// Gateways that take part.
+const MEMBERS: usize = 2;
+/// Time that a server takes for a request, µs.
+const SERVICE_TIME: Micros = 20 * MS;
+/// Time between two requests, µs.
+const REQUEST_INTERVAL: Micros = 5 * MS;
+/// How long a client waits, µs.
+const CLIENT_TIMEOUT: Micros = 2_000 * MS;
+/// Customers, by turns.
+const CUSTOMERS: u64 = 50;
 
-pub fn settings(me: u32) -> Settings {
-    let class = |worth, aim| Class {
-        latency_objective: aim,
-        late_weight: 0.2,
-        priority_weight: worth,
-        idempotency: Idempotency::Idempotent,
-    };
-    let plan = Plan {
-        rate: 0.0,
-        burst: 9.0,
-        max_concurrent: None,
-        weight: 1.0,
-        over_quota_weight: 0.0,
-        over_quota_cost: 0.5,
-        hard_limit: None,
-    };
+/// Settings of one gateway of the fleet, with two classes and one plan without a quota.
+fn settings(gateway: u32) -> Settings {
     Settings {
-        gateway_id: GatewayId(me),
+        gateway_id: GatewayId(gateway),
         gateway_count: GATEWAYS,
         zone: ZoneId(0),
         classes: vec![class(1.0, 800 * MS), class(4.0, 400 * MS)],
-        plans: vec![plan],
+        plans: vec![plan_without_quota()],
         rules: Rules {
             warm_up_from: 0.2,
             warm_up_period: 10_000 * MS,
@@ -49,7 +47,24 @@
     }
 }
 
-pub fn entry(number: u64) -> Endpoint {
+fn class(priority_weight: f64, latency_objective: Micros) -> Class {
+    Class { latency_objective, late_weight: 0.2, priority_weight, idempotency: Idempotency::Idempotent }
+}
+
+fn plan_without_quota() -> Plan {
+    Plan {
+        rate: 0.0,
+        burst: 9.0,
+        max_concurrent: None,
+        weight: 1.0,
+        over_quota_weight: 0.0,
+        over_quota_cost: 0.5,
+        hard_limit: None,
+    }
+}
+
+/// The entry of a server by its number.
+pub fn endpoint(number: u64) -> Endpoint {
     Endpoint {
         server: ServerId(number * 0x1_0000_0001),
         zone: ZoneId((number % 4) as u32),
@@ -60,82 +75,147 @@
     }
 }
 
-/// Two gateways, whose messages reach each other at once; servers take 20 ms.
-pub struct Pair {
+/// The number of a server.
+pub fn server_number(server: ServerId) -> u64 {
+    server.0 & 0xFFFF_FFFF
+}
+
+/// A whole list of so many servers.
+pub fn snapshot(servers: u64) -> Event {
+    let endpoints = (0..servers).map(endpoint).collect();
+    Event::EndpointsUpdated { kind: EndpointUpdate::Snapshot, endpoints }
+}
+
+/// A change of some entries of the list.
+pub fn delta(endpoints: Vec<Endpoint>) -> Event {
+    Event::EndpointsUpdated { kind: EndpointUpdate::Delta, endpoints }
+}
+
+/// An event for one of the gateways.
+struct GatewayEvent {
+    gateway: usize,
+    event: Event,
+}
+
+/// When a scheduled event happens; those of one time in the order in which they were scheduled.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Due {
+    at: Micros,
+    sequence: u64,
+}
+
+/// An attempt that a gateway has sent.
+#[derive(Clone, Copy, Debug)]
+pub struct SentAttempt {
+    /// The index of the gateway.
+    pub gateway: usize,
+    /// The server.
+    pub server: ServerId,
+}
+
+/// Two gateways, whose messages reach each other at once.
+pub struct GatewayPair {
+    /// The time, µs.
     pub now: Micros,
+    /// Both gateways.
     pub gateways: Vec<Gateway>,
-    due: BTreeMap<(Micros, u64), (usize, Event)>,
-    serial: u64,
-    /// What was sent, by which gateway.
-    pub sent: Vec<(usize, ServerId)>,
+    scheduled: BTreeMap<Due, GatewayEvent>,
+    last_sequence: u64,
+    /// All attempts so far.
+    pub sent: Vec<SentAttempt>,
 }
 
-impl Pair {
-    pub fn new(servers: u64) -> anyhow::Result<Pair> {
-        let gateways: Result<_, _> =
-            (0..2).map(|me| Gateway::new(9 + u64::from(me), settings(me), MS)).collect();
-        let mut pair =
-            Pair { now: MS, gateways: gateways?, due: BTreeMap::new(), serial: 0, sent: Vec::new() };
-        for gateway in 0..2 {
-            pair.handle(gateway, whole(servers));
+impl GatewayPair {
+    /// Two gateways that know so many servers.
+    pub fn new(servers: u64) -> anyhow::Result<GatewayPair> {
+        let mut gateways = Vec::new();
+        for number in 0..MEMBERS as u32 {
+            gateways.push(Gateway::new(9 + u64::from(number), settings(number), MS)?);
+        }
+        let scheduled = BTreeMap::new();
+        let mut pair = GatewayPair { now: MS, gateways, scheduled, last_sequence: 0, sent: Vec::new() };
+        for gateway in 0..MEMBERS {
+            pair.handle(gateway, snapshot(servers));
         }
         Ok(pair)
     }
 
+    /// Entries of the list of servers that both gateways have visited so far.
+    pub fn entries_visited(&self) -> u64 {
+        self.gateways.iter().map(|gateway| gateway.entries_visited()).sum()
+    }
+
+    /// Gives a gateway an event, and delivers the messages that follow from it.
     pub fn handle(&mut self, gateway: usize, event: Event) {
-        let mut events = VecDeque::from([(gateway, event)]);
-        while let Some((gateway, event)) = events.pop_front() {
+        let mut events = VecDeque::from([GatewayEvent { gateway, event }]);
+        while let Some(GatewayEvent { gateway, event }) = events.pop_front() {
             let mut actions = Vec::new();
             self.gateways[gateway].handle(self.now, event, &mut actions);
             for action in actions {
-                self.serial += 1;
-                match action {
-                    Action::SendAttempt { id, server, .. } => {
-                        self.sent.push((gateway, server));
-                        let (attempt, outcome, load) = (AttemptNumber(0), AttemptOutcome::Success, Some(1.0));
-                        let ended = Event::AttemptFinished {
-                            id,
-                            attempt,
-                            outcome,
-                            closed: true,
-                            reported_load: load,
-                        };
-                        self.due.insert((self.now + 20 * MS, self.serial), (gateway, ended));
-                    }
-                    Action::SendToPeer { to, bytes } if to.0 < 2 => {
-                        let from = GatewayId(gateway as u32);
-                        events.push_back((to.0 as usize, Event::PeerMessage { from, bytes }));
-                    }
-                    Action::SetTimer { after, token } => {
-                        self.due
-                            .insert((self.now + after, self.serial), (gateway, Event::TimerFired { token }));
-                    }
-                    _ => {}
-                }
+                events.extend(self.execute(gateway, action));
             }
         }
     }
 
-    /// One request, 5 ms after the last; and all that falls due until then.
+    /// Carries out an action; returns the message that its peer gets, if it sends one.
+    fn execute(&mut self, gateway: usize, action: Action) -> Option<GatewayEvent> {
+        match action {
+            Action::SendAttempt { id, server, .. } => {
+                self.sent.push(SentAttempt { gateway, server });
+                self.schedule(SERVICE_TIME, gateway, success(id));
+            }
+            Action::SetTimer { after, token } => {
+                self.schedule(after, gateway, Event::TimerFired { token });
+            }
+            Action::SendToPeer { to, bytes } if (to.0 as usize) < MEMBERS => {
+                let event = Event::PeerMessage { from: GatewayId(gateway as u32), bytes };
+                return Some(GatewayEvent { gateway: to.0 as usize, event });
+            }
+            _ => {}
+        }
+        None
+    }
+
+    fn schedule(&mut self, after: Micros, gateway: usize, event: Event) {
+        self.last_sequence += 1;
+        let due = Due { at: self.now + after, sequence: self.last_sequence };
+        self.scheduled.insert(due, GatewayEvent { gateway, event });
+    }
+
+    /// One request, some time after the last one, and all events that are due until then.
     pub fn request(&mut self, number: u64) {
-        self.now += 5 * MS;
-        while let Some(first) = self.due.first_entry().filter(|first| first.key().0 <= self.now) {
-            let (gateway, event) = first.remove();
+        self.now += REQUEST_INTERVAL;
+        while let Some(first) = self.scheduled.first_entry().filter(|first| first.key().at <= self.now) {
+            let GatewayEvent { gateway, event } = first.remove();
             self.handle(gateway, event);
         }
         let event = Event::RequestReceived {
             id: RequestId(format!("r{number}").into()),
             class: ClassId((number % 2) as usize),
             plan: PlanId(0),
-            customer: CustomerId(number % 50),
+            customer: CustomerId(number % CUSTOMERS),
             units: 1.0,
-            gateways: GatewaySet { first: GatewayId(0), count: 2 },
-            client_timeout: 2_000 * MS,
+            gateways: GatewaySet { first: GatewayId(0), count: MEMBERS as u32 },
+            client_timeout: CLIENT_TIMEOUT,
         };
-        self.handle((number % 2) as usize, event);
+        self.handle(number as usize % MEMBERS, event);
+    }
+
+    /// All requests of a range of numbers.
+    pub fn requests(&mut self, numbers: std::ops::Range<u64>) {
+        for number in numbers {
+            self.request(number);
+        }
     }
 }
 
-pub fn whole(servers: u64) -> Event {
-    Event::EndpointsUpdated { kind: EndpointUpdate::Snapshot, endpoints: (0..servers).map(entry).collect() }
+/// The end of a request's first attempt.
+fn success(id: RequestId) -> Event {
+    Event::AttemptFinished {
+        id,
+        attempt: AttemptNumber(0),
+        outcome: AttemptOutcome::Success,
+        closed: true,
+        reported_load: Some(1.0),
+    }
 }
--- a/tests/server_table.rs
+++ b/tests/server_table.rs
@@ -1,103 +1,124 @@
-//! What a gateway of a large fleet looks at: counted, not timed.
+//! Which servers a gateway of a large fleet visits and uses: counted, not timed.
 
 mod common;
 mod gateway_pair;
 
 use common::{settings, Stand, KEYED, S};
 use edge_node::*;
-use gateway_pair::{entry, whole, Pair};
+use gateway_pair::{delta, endpoint, server_number, snapshot, GatewayPair};
 use std::collections::BTreeSet;
 
+/// Servers of a large list.
 const MANY: u64 = 110_000;
 
-/// Entries that both gateways looked at in a second of requests, after one that let them meet the servers.
-fn visited_in_a_second(servers: u64) -> u64 {
-    let mut pair = Pair::new(servers).expect("sound settings");
-    let seen = |pair: &Pair| pair.gateways.iter().map(|gateway| gateway.entries_visited()).sum::<u64>();
-    (0..200).for_each(|number| pair.request(number));
-    let before = seen(&pair);
-    (200..400).for_each(|number| pair.request(number));
-    seen(&pair) - before
+fn new_pair(servers: u64) -> GatewayPair {
+    GatewayPair::new(servers).expect("valid settings")
 }
 
-/// Danger: a request, a sweep or a tick that costs by what is listed: a gateway that can't keep up with a large fleet.
+/// Entries that both gateways visit in a second of requests, after one second in which they get to know the servers.
+fn entries_visited_in_a_second(servers: u64) -> u64 {
+    let mut pair = new_pair(servers);
+    pair.requests(0..200);
+    let before = pair.entries_visited();
+    pair.requests(200..400);
+    pair.entries_visited() - before
+}
+
+/// The cost of a request, a timer or a control tick must not grow with the list, or a gateway can't keep up with a
+/// large fleet.
 #[test]
-fn a_second_of_requests_visits_little_more_where_many_are_listed() {
-    let (few, many) = (visited_in_a_second(14), visited_in_a_second(MANY));
+fn a_second_of_requests_visits_little_more_entries_of_a_long_list() {
+    let few = entries_visited_in_a_second(14);
+    let many = entries_visited_in_a_second(MANY);
     assert!(few > 200 && many <= 2 * few, "{few} of 14 servers, {many} of {MANY}");
 }
 
 #[test]
-fn an_entry_that_changes_visits_a_few() {
-    let mut pair = Pair::new(MANY).expect("sound settings");
-    (0..200).for_each(|number| pair.request(number));
+fn a_changed_entry_visits_at_most_three() {
+    let mut pair = new_pair(MANY);
+    pair.requests(0..200);
     for number in 0..1_000 {
-        let server = entry(number / 3 * 331);
+        let server = endpoint(number / 3 * 331);
         let changed = match number % 3 {
             0 => Endpoint { state: EndpointState::Draining, ..server },
             1 => Endpoint { state: EndpointState::Gone, ..server },
             _ => Endpoint { started_at: Some(pair.now), ..server },
         };
         let before = pair.gateways[0].entries_visited();
-        let event = Event::EndpointsUpdated { kind: EndpointUpdate::Delta, endpoints: vec![changed] };
-        pair.gateways[0].handle(pair.now, event, &mut Vec::new());
+        pair.gateways[0].handle(pair.now, delta(vec![changed]), &mut Vec::new());
         let visited = pair.gateways[0].entries_visited() - before;
         assert!(visited <= 3, "entry {number} visited {visited}");
     }
 }
 
-/// All of its part of the fleet comes to be used, and no server that is not listed as ready.
+/// Servers to which the first gateway has sent, in the order of its attempts.
+fn servers_of_first_gateway(pair: &GatewayPair) -> Vec<ServerId> {
+    let attempts = pair.sent.iter().filter(|attempt| attempt.gateway == 0);
+    attempts.map(|attempt| attempt.server).collect()
+}
+
 #[test]
-fn a_gateway_sends_to_all_of_its_part_and_to_none_that_left() {
+fn a_gateway_uses_all_of_its_subset_and_no_server_that_is_gone() {
     let servers = 20_000;
-    let mut pair = Pair::new(servers).expect("sound settings");
-    (0..1_500).for_each(|number| pair.request(number));
-    let met: BTreeSet<_> = pair.sent.iter().filter(|sent| sent.0 == 0).map(|sent| sent.1).collect();
-    let part = 7 * servers as usize / 4_200 + 1;
-    assert!(met.len() > part * 3 / 4 && met.len() <= part, "{} of a part of {part}", met.len());
-    let gone = |server: &ServerId| Endpoint { state: EndpointState::Gone, ..entry(server.0 & 0xFFFF_FFFF) };
-    let left: Vec<_> = met.iter().take(part / 2).map(gone).collect();
-    pair.handle(0, Event::EndpointsUpdated { kind: EndpointUpdate::Delta, endpoints: left.clone() });
+    let mut pair = new_pair(servers);
+    pair.requests(0..1_500);
+    let used: BTreeSet<_> = servers_of_first_gateway(&pair).into_iter().collect();
+    let subset_size = 7 * servers as usize / 4_200 + 1;
+    assert!(
+        used.len() > subset_size * 3 / 4 && used.len() <= subset_size,
+        "{} of a subset of {subset_size}",
+        used.len()
+    );
+    let remove =
+        |server: &ServerId| Endpoint { state: EndpointState::Gone, ..endpoint(server_number(*server)) };
+    let removed: Vec<_> = used.iter().take(subset_size / 2).map(remove).collect();
+    pair.handle(0, delta(removed.clone()));
     pair.sent.clear();
-    (1_500..3_000).for_each(|number| pair.request(number));
-    let late: Vec<_> = pair.sent.iter().filter(|sent| sent.0 == 0).map(|sent| sent.1).collect();
-    assert!(late.len() > 500, "{} were sent", late.len());
-    assert!(left.iter().all(|entry| !late.contains(&entry.server)), "one that left was sent to");
-    let others = late.iter().filter(|server| !met.contains(server)).collect::<BTreeSet<_>>();
-    assert!(others.len() >= left.len() / 2, "{} took the place of {}", others.len(), left.len());
+    pair.requests(1_500..3_000);
+    let later = servers_of_first_gateway(&pair);
+    assert!(later.len() > 500, "{} attempts were sent", later.len());
+    let is_used = |endpoint: &Endpoint| later.contains(&endpoint.server);
+    assert!(!removed.iter().any(is_used), "a server that is gone was used");
+    let replacements: BTreeSet<_> = later.iter().filter(|server| !used.contains(server)).collect();
+    assert!(replacements.len() >= removed.len() / 2, "{} replaced {}", replacements.len(), removed.len());
 }
 
-/// What a whole list leaves out is gone, used or not; what it names is there again.
+/// Servers that a snapshot does not list are gone, used or not; those that it lists are there again.
 #[test]
-fn a_whole_list_takes_the_place_of_the_one_before() {
-    let mut pair = Pair::new(5_000).expect("sound settings");
-    (0..400).for_each(|number| pair.request(number));
-    (0..2).for_each(|gateway| pair.handle(gateway, whole(1_000)));
+fn a_snapshot_replaces_the_list() {
+    let mut pair = new_pair(5_000);
+    pair.requests(0..400);
+    for gateway in 0..2 {
+        pair.handle(gateway, snapshot(1_000));
+    }
     pair.sent.clear();
-    (400..800).for_each(|number| pair.request(number));
-    assert!(pair.sent.len() > 300, "{} were sent", pair.sent.len());
-    assert!(pair.sent.iter().all(|(_, server)| server.0 & 0xFFFF_FFFF < 1_000), "one that was left out");
-    (0..2).for_each(|gateway| pair.handle(gateway, whole(14)));
+    pair.requests(400..800);
+    assert!(pair.sent.len() > 300, "{} attempts were sent", pair.sent.len());
+    let is_listed = |server: ServerId, servers: u64| server_number(server) < servers;
+    assert!(pair.sent.iter().all(|attempt| is_listed(attempt.server, 1_000)), "one that was not listed");
+    for gateway in 0..2 {
+        pair.handle(gateway, snapshot(14));
+    }
     pair.sent.clear();
-    (800..1_200).for_each(|number| pair.request(number));
-    let met: BTreeSet<_> = pair.sent.iter().map(|sent| sent.1).collect();
-    assert!(met.len() >= 10 && met.iter().all(|server| server.0 & 0xFFFF_FFFF < 14), "{met:?}");
+    pair.requests(800..1_200);
+    let used: BTreeSet<_> = pair.sent.iter().map(|attempt| attempt.server).collect();
+    assert!(used.len() >= 10 && used.iter().all(|server| is_listed(*server, 14)), "{used:?}");
 }
 
-/// A repeat that is dropped in its cell alone finds the few servers of that cell among all others.
+/// A keyed request whose repeats are only recognized in one cell is repeated among the few servers of that cell.
 #[test]
-fn a_repeat_finds_its_cell() {
+fn a_repeat_stays_in_the_cell_of_the_first_attempt() {
     let mut stand = Stand::new(3, settings(0, 4_200), S);
     stand.spread = 1;
-    stand.servers(EndpointUpdate::Snapshot, (0..5_000).map(entry).collect());
+    stand.servers(EndpointUpdate::Snapshot, (0..5_000).map(endpoint).collect());
     for round in 0..20 {
         let id = stand.request(KEYED, 1, round, 2 * S);
-        let sent =
+        let server_in_use =
             |stand: &Stand| stand.out.iter().find(|(out, _, _)| *out == id).map(|(_, _, server)| *server);
-        let first = sent(&stand).expect("a first attempt");
+        let first = server_in_use(&stand).expect("a first attempt");
         stand.end(&id, AttemptOutcome::ConnectionLost);
-        let again = sent(&stand).expect("a repeat");
-        assert_eq!(stand.list[&first].cell, stand.list[&again].cell);
+        let repeat = server_in_use(&stand).expect("a repeat");
+        assert_eq!(stand.list[&first].cell, stand.list[&repeat].cell);
         stand.end(&id, AttemptOutcome::Success);
     }
 }
