--- a/fleet-lab/src/hybrid/hollow_node.rs
+++ b/fleet-lab/src/hybrid/hollow_node.rs
@@ -119,7 +119,7 @@
                 });
             }
             // The list is watched in any case.
-            Action::WatchEndpoints | Action::Log(_) => {}
+            Action::WatchEndpoints | Action::Warn(_) => {}
         }
     }
 
--- a/fleet-lab/src/scaling/gateway_pair.rs
+++ b/fleet-lab/src/scaling/gateway_pair.rs
@@ -289,7 +289,7 @@
             | Action::Fail { .. }
             | Action::CancelAttempt { .. }
             | Action::WatchEndpoints
-            | Action::Log(_) => {}
+            | Action::Warn(_) => {}
         }
     }
 
--- a/fleet-lab/src/simulate/engine/gateways.rs
+++ b/fleet-lab/src/simulate/engine/gateways.rs
@@ -65,9 +65,9 @@
                 let kind = PollKind::Requested;
                 self.schedule(now + DISCOVERY_CALL_TIME, SimulationEvent::Poll { gateway, kind });
             }
-            Action::Log(line) => {
+            Action::Warn(warning) => {
                 let seconds = seconds_since_start(now);
-                (self.log)(&format!("{seconds:.3} s gateway {}: {line}", gateway.0));
+                (self.log)(&format!("{seconds:.3} s gateway {}: {warning}", gateway.0));
             }
         }
     }
