--- /dev/null
+++ b/src/bin/edge-node/config/schema/mod.rs
@@ -0,0 +1,17 @@
+//! The keys of a configuration: one table of them, by which files are validated, translated and compared, and which
+//! `edge-node keys` prints.
+
+mod keys;
+mod locate;
+mod markdown;
+mod restart;
+mod spec;
+mod suggest;
+mod translate;
+mod validate;
+
+pub(crate) use keys::MIN_FILE_DESCRIPTORS;
+pub(crate) use markdown::markdown_table;
+pub(crate) use restart::RestartValues;
+pub(super) use translate::to_platform_json;
+pub(super) use validate::validate;
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -1,15 +1,23 @@
-//! The command line: what it prints, and with which code it ends.
+//! The command line: what it prints, and its exit codes.
 
 mod support;
 
 use std::process::{Output, Stdio};
 use support::*;
 
-fn run(arguments: &[&str]) -> (Option<i32>, String, String) {
+/// How a run of the program ended, and what it printed.
+struct Finished {
+    exit_code: Option<i32>,
+    stdout: String,
+    stderr: String,
+}
+
+/// Runs the program to its end.
+fn run(arguments: &[&str]) -> Finished {
     let Output { status, stdout, stderr } =
         program(arguments).stdin(Stdio::null()).output().expect("it runs");
     let text = |bytes| String::from_utf8(bytes).expect("it is text");
-    (status.code(), text(stdout), text(stderr))
+    Finished { exit_code: status.code(), stdout: text(stdout), stderr: text(stderr) }
 }
 
 const COMMANDS: [&str; 6] = ["serve", "check", "keys", "version", "completions", "man"];
@@ -17,18 +25,19 @@
 #[test]
 fn help_and_version_are_no_errors() {
     for arguments in [&["--help"][..], &["-h"], &["help"]] {
-        let (code, out, err) = run(arguments);
-        assert_eq!((code, err.as_str()), (Some(0), ""), "{arguments:?}");
+        let Finished { exit_code, stdout, stderr } = run(arguments);
+        assert_eq!((exit_code, stderr.as_str()), (Some(0), ""), "{arguments:?}");
         for word in COMMANDS.iter().chain(&["LB_CONFIG", "Exit codes"]) {
-            assert!(out.contains(word), "{arguments:?} tells nothing of {word}");
+            assert!(stdout.contains(word), "{arguments:?} does not mention {word}");
         }
     }
     let version = format!("edge-node {}\n", env!("CARGO_PKG_VERSION"));
     for arguments in [&["version"][..], &["--version"], &["-V"]] {
-        assert_eq!(run(arguments), (Some(0), version.clone(), String::new()));
+        let Finished { exit_code, stdout, stderr } = run(arguments);
+        assert_eq!((exit_code, stdout.as_str(), stderr.as_str()), (Some(0), version.as_str(), ""));
     }
     for command in COMMANDS {
-        assert_eq!(run(&[command, "--help"]).0, Some(0), "{command}");
+        assert_eq!(run(&[command, "--help"]).exit_code, Some(0), "{command}");
     }
 }
 
@@ -43,17 +52,18 @@
         (&["completions", "cmd"], "bash"),
     ];
     for (arguments, why) in cases {
-        let (code, out, err) = run(arguments);
-        assert_eq!((code, out.as_str()), (Some(2), ""), "{arguments:?}: {err}");
-        assert!(err.contains(why), "{arguments:?}: {err}");
+        let Finished { exit_code, stdout, stderr } = run(arguments);
+        assert_eq!((exit_code, stdout.as_str()), (Some(2), ""), "{arguments:?}: {stderr}");
+        assert!(stderr.contains(why), "{arguments:?}: {stderr}");
     }
 }
 
 #[test]
 fn no_configuration_ends_with_1_in_one_plain_line() {
     for arguments in [&["serve"][..], &["serve", "--config", "/nowhere.toml"], &["check", "/nowhere.toml"]] {
-        let (code, out, err) = run(arguments);
-        assert_eq!((code, out.as_str(), err.lines().count()), (Some(1), "", 1), "{arguments:?}: {err}");
+        let Finished { exit_code, stdout, stderr } = run(arguments);
+        let lines = stderr.lines().count();
+        assert_eq!((exit_code, stdout.as_str(), lines), (Some(1), "", 1), "{arguments:?}: {stderr}");
     }
 }
 
@@ -71,21 +81,25 @@
 }
 
 #[test]
-fn completions_and_the_manual_know_every_command() {
+fn completions_and_the_manual_page_have_every_command() {
     for shell in ["bash", "zsh", "fish", "elvish", "powershell"] {
-        let (code, out, err) = run(&["completions", shell]);
-        assert_eq!((code, err.as_str()), (Some(0), ""), "{shell}");
-        COMMANDS.iter().for_each(|command| assert!(out.contains(command), "{shell}: {command}"));
+        let Finished { exit_code, stdout, stderr } = run(&["completions", shell]);
+        assert_eq!((exit_code, stderr.as_str()), (Some(0), ""), "{shell}");
+        for command in COMMANDS {
+            assert!(stdout.contains(command), "{shell}: {command}");
+        }
+    }
+    let Finished { exit_code, stdout, stderr: _ } = run(&["man"]);
+    assert_eq!(exit_code, Some(0));
+    for command in COMMANDS {
+        assert!(stdout.contains(&format!("edge\\-node\\-{command}(1)")));
     }
-    let (code, out, _) = run(&["man"]);
-    assert_eq!(code, Some(0));
-    COMMANDS.iter().for_each(|command| assert!(out.contains(&format!("edge\\-node\\-{command}(1)"))));
-    assert!(out.contains(".TH edge-node 1") && out.contains("LB_DISCOVERY"), "{out}");
+    assert!(stdout.contains(".TH edge-node 1") && stdout.contains("LB_DISCOVERY"), "{stdout}");
 }
 
-/// Whoever reads may have read enough.
+/// A reader such as `head` closes the pipe when it has read enough.
 #[test]
-fn a_reader_that_leaves_early_is_no_error() {
+fn a_reader_that_closes_the_pipe_early_is_no_error() {
     let mut child = program(&["man"]).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("it runs");
     drop(child.stdout.take());
     let output = child.wait_with_output().expect("it ends");
@@ -93,7 +107,7 @@
 }
 
 #[test]
-fn serve_ends_with_0_when_it_left_in_good_order() {
+fn serve_ends_with_0_after_sigterm() {
     let discovery = Discovery::start(&[]);
     let config = std::fs::read_to_string("edge-node.example.toml").expect("the example");
     let config = config
