Move clients.rs to clients/mod.rs and ahead.rs to clients/read_ahead.rs

Seen: clients.rs holds the accept loop, the table of connections, the parsing of heads and the responses in one file.

Change: the two files are moved as they are, so that history follows; only the module lines differ.

--- a/src/bin/edge-node/clients.rs
+++ b/src/bin/edge-node/clients/mod.rs
@@ -1,6 +1,7 @@
 //! Clients: their connections, what they ask and the answers that they get.
 
-use crate::ahead::Ahead;
+mod read_ahead;
+
 use crate::node::{Answer, Node};
 use crate::upstream::Forward;
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioTimer;
+use read_ahead::Ahead;
 use std::cell::Cell;
 use std::fmt;
 use std::rc::Rc;
--- a/src/bin/edge-node/main.rs
+++ b/src/bin/edge-node/main.rs
@@ -2,7 +2,6 @@
 #![forbid(unsafe_code)]
 
 mod admin;
-mod ahead;
 mod bind;
 mod clients;
 mod command;
