Split clients into modules with one job each; typed request errors

Seen: one file of 488 lines accepted connections, chose which to close, parsed heads and built responses, under words of our own (Crowd, Seat, Busy, held_up, converse, Asked, Waiting), with (StatusCode, &str) for errors and tuples for what travels together.

Change: clients/{mod, connection_table, connection, request, request_head, request_error, header_value, call_terms, response, phase, read_ahead}.rs under the terms of the field. Phase::Leaving becomes Draining; the admin listener still says "leaving". Comments say who closes what and what dropping a future does.

--- a/src/bin/edge-node/admin.rs
+++ b/src/bin/edge-node/admin.rs
@@ -88,7 +88,7 @@
         match request.uri().path() {
             "/healthz" => reply(StatusCode::OK, TEXT, "ok\n"),
             "/readyz" if phase == Phase::Serving => reply(StatusCode::OK, TEXT, "serving\n"),
-            "/readyz" => reply(StatusCode::SERVICE_UNAVAILABLE, TEXT, format!("{}\n", phase.word())),
+            "/readyz" => reply(StatusCode::SERVICE_UNAVAILABLE, TEXT, format!("{}\n", phase.as_str())),
             "/metrics" => match self.metrics.text(self.node.now(), self.started.elapsed()) {
                 Ok(text) => reply(StatusCode::OK, METRICS, text),
                 Err(_) => reply(StatusCode::INTERNAL_SERVER_ERROR, TEXT, "the figures can't be written\n"),
@@ -106,7 +106,7 @@
         json!({
             "name": self.name,
             "version": env!("CARGO_PKG_VERSION"),
-            "phase": phase.word(),
+            "phase": phase.as_str(),
             "up_s": self.started.elapsed().as_secs(),
             "open_requests": now.open_requests,
             "oldest_requests": requests,
--- /dev/null
+++ b/src/bin/edge-node/clients/call_terms.rs
@@ -0,0 +1,58 @@
+//! The header `X-Call-Terms`: what a call costs, and which gateways its customer may come through.
+
+use super::header_value::{parse_decimal, parse_whole_number};
+use edge_node::{GatewayId, GatewaySet, Settings};
+
+/// The terms of one call, all of them within the settings.
+#[derive(Debug, PartialEq)]
+pub(super) struct CallTerms {
+    /// Units of quota that the call costs.
+    pub(super) units: f64,
+    /// The gateways that the customer is spread over.
+    pub(super) gateways: GatewaySet,
+}
+
+impl CallTerms {
+    /// Parses terms such as `units=2.5,spread=3,first=17`, in any order. Terms of other names are ignored.
+    ///
+    /// `None` if one of the three is missing, repeated or beyond the settings, or if any term has no `=`.
+    pub(super) fn parse(text: &str, settings: &Settings) -> Option<CallTerms> {
+        let mut units = None;
+        let mut gateway_count = None;
+        let mut first_gateway = None;
+        for term in text.split(',') {
+            let (name, value) = term.trim().split_once('=')?;
+            match name {
+                "units" => set_once(&mut units, parse_units(value, settings)?)?,
+                "spread" => set_once(&mut gateway_count, parse_gateway_count(value, settings)?)?,
+                "first" => set_once(&mut first_gateway, parse_first_gateway(value, settings)?)?,
+                _ => {}
+            }
+        }
+        let gateways = GatewaySet { first: first_gateway?, count: gateway_count? };
+        Some(CallTerms { units: units?, gateways })
+    }
+}
+
+/// Sets a value that may be given once; `None` if it was set before.
+fn set_once<T>(slot: &mut Option<T>, value: T) -> Option<()> {
+    slot.replace(value).is_none().then_some(())
+}
+
+fn parse_units(value: &str, settings: &Settings) -> Option<f64> {
+    // Zero in the settings stands for no limit.
+    let limit = if settings.max_request_units > 0.0 { settings.max_request_units } else { f64::MAX };
+    parse_decimal(value).filter(|units| *units > 0.0 && *units <= limit)
+}
+
+fn parse_gateway_count(value: &str, settings: &Settings) -> Option<u32> {
+    parse_whole_number(value).filter(|count| (1..=settings.gateway_count).contains(count))
+}
+
+fn parse_first_gateway(value: &str, settings: &Settings) -> Option<GatewayId> {
+    parse_whole_number(value).filter(|first| *first < settings.gateway_count).map(GatewayId)
+}
+
+#[cfg(test)]
+#[path = "../../../../tests/unit/call_terms.rs"]
+mod tests;
--- /dev/null
+++ b/src/bin/edge-node/clients/connection.rs
@@ -0,0 +1,100 @@
+//! One connection of a client, from accept to close.
+
+use super::connection_table::{ConnectionState, InFlightGuard};
+use super::phase::{wait_for_closing, Phase};
+use super::read_ahead::ReadAheadStream;
+use super::request::{self, ClientDisconnected};
+use super::response::{self, BufferedResponse};
+use crate::node::Node;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::Request;
+use hyper_util::rt::TokioTimer;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// How long a connection may be open without a whole request head, from accept on and after each response. Without a
+/// limit, clients that send nothing, or a head that never ends, would hold their connections for ever.
+const HEAD_READ_TIMEOUT: Duration = Duration::from_millis(2200);
+/// Most bytes buffered for one client, so that all clients together stay far below the memory limit.
+const MAX_BUFFERED_BYTES: usize = 32 * 1024;
+
+/// What the requests of one connection share.
+struct Connection {
+    node: Rc<Node>,
+    phase: watch::Receiver<Phase>,
+    stream: ReadAheadStream,
+    state: Rc<ConnectionState>,
+}
+
+/// Serves one connection until it is closed: by the client, on an error, or because the edge node is closing and has
+/// sent the last response.
+///
+/// Dropping the future closes the socket at once and abandons a request in flight; the connection table does that to
+/// evict a connection.
+pub(super) async fn serve(
+    stream: ReadAheadStream, node: Rc<Node>, phase: watch::Receiver<Phase>, state: Rc<ConnectionState>,
+) {
+    // Declared first, hence dropped last: the connection is counted until its socket is closed.
+    let _counted = node.connected();
+    let connection = Connection { node, phase: phase.clone(), stream: stream.clone(), state };
+    let connection = Rc::new(connection);
+    let service = service_fn(move |request| {
+        let connection = Rc::clone(&connection);
+        async move { connection.respond(request).await }
+    });
+    let http_connection = http_server().serve_connection(stream, service);
+    tokio::pin!(http_connection);
+    tokio::select! {
+        biased;
+        _ = &mut http_connection => return,
+        () = wait_for_graceful_shutdown(phase) => http_connection.as_mut().graceful_shutdown(),
+    }
+    // An error needs no handling: if the client broke off within a request, the guard of that request abandoned it.
+    let _ = http_connection.await;
+}
+
+fn http_server() -> http1::Builder {
+    let mut server = http1::Builder::new();
+    server.timer(TokioTimer::new());
+    server.header_read_timeout(HEAD_READ_TIMEOUT);
+    server.max_buf_size(MAX_BUFFERED_BYTES);
+    server.auto_date_header(false);
+    server
+}
+
+/// Returns when idle connections are to be closed.
+///
+/// The runtime gets one turn between the phase's change and the close: a request that has arrived by then is read and
+/// answered, where an immediate close would drop it unread.
+async fn wait_for_graceful_shutdown(phase: watch::Receiver<Phase>) {
+    wait_for_closing(phase).await;
+    tokio::task::yield_now().await;
+}
+
+impl Connection {
+    /// Responds to one request. While the future lives, the connection counts as busy.
+    async fn respond(&self, request: Request<Incoming>) -> Result<BufferedResponse, ClientDisconnected> {
+        let _in_flight = InFlightGuard::new(&self.state);
+        self.yield_before_first_request().await;
+        let phase = *self.phase.borrow();
+        let mut response = request::respond(&self.node, request, phase, &self.stream).await?;
+        // The phase may have advanced while the request was in flight.
+        if *self.phase.borrow() > Phase::Serving {
+            response::close_connection(&mut response);
+        }
+        Ok(response)
+    }
+
+    /// Lets the runtime look for a close of the client before work is done for it.
+    ///
+    /// What a new connection holds is read in the turn that accepts it, but that its client had closed it before
+    /// shows only in the runtime's next turn.
+    async fn yield_before_first_request(&self) {
+        if self.state.take_first_request() {
+            tokio::task::yield_now().await;
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/edge-node/clients/connection_table.rs
@@ -0,0 +1,161 @@
+//! The open connections of all clients, and the choice of the one to close when there are too many.
+
+use super::connection;
+use super::phase::Phase;
+use super::read_ahead::ReadAheadStream;
+use crate::node::Node;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::Instant;
+
+/// A connection on which no request has come yet counts as idle for this much longer than it is: well-behaved clients
+/// send one as soon as they connect.
+const INITIAL_IDLE_TIME: Duration = Duration::from_secs(1);
+/// Entries of finished connections that may stay until they are removed together.
+const MAX_FINISHED_ENTRIES: usize = 32;
+/// How long to wait for one connection to finish before the next one is evicted.
+const EVICTION_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// What the table knows of a connection; the connection's own task keeps it up to date.
+pub(super) struct ConnectionState {
+    /// Since when no request is in flight; `None` while one is.
+    idle_since: Cell<Option<Instant>>,
+    /// Whether the client reads so slowly that a part of a response is still unwritten.
+    write_blocked: Rc<Cell<bool>>,
+    /// Whether no request has come yet.
+    awaits_first_request: Cell<bool>,
+}
+
+impl ConnectionState {
+    fn new(stream: &ReadAheadStream) -> ConnectionState {
+        let now = Instant::now();
+        let idle_since = now.checked_sub(INITIAL_IDLE_TIME).unwrap_or(now);
+        ConnectionState {
+            idle_since: Cell::new(Some(idle_since)),
+            write_blocked: stream.write_blocked(),
+            awaits_first_request: Cell::new(true),
+        }
+    }
+
+    /// Notes that a request has come; true if it is the first.
+    pub(super) fn take_first_request(&self) -> bool {
+        self.awaits_first_request.replace(false)
+    }
+
+    /// Where the connection stands in the order of eviction; `None` while a request is in flight on it.
+    fn eviction_order(&self) -> Option<EvictionOrder> {
+        let idle_since = self.idle_since.get()?;
+        Some(EvictionOrder { write_blocked: self.write_blocked.get(), idle_since })
+    }
+}
+
+/// The order of eviction, lowest first: the longest idle, and connections with an unwritten response after all others.
+/// The derived order compares the fields from the first to the last.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct EvictionOrder {
+    write_blocked: bool,
+    idle_since: Instant,
+}
+
+/// Marks a connection as busy while it lives. Dropping it, with the response built or its future dropped, marks the
+/// connection as idle from then on.
+pub(super) struct InFlightGuard<'a>(&'a ConnectionState);
+
+impl<'a> InFlightGuard<'a> {
+    /// Marks the connection as busy.
+    pub(super) fn new(state: &'a ConnectionState) -> InFlightGuard<'a> {
+        state.idle_since.set(None);
+        InFlightGuard(state)
+    }
+}
+
+impl Drop for InFlightGuard<'_> {
+    fn drop(&mut self) {
+        self.0.idle_since.set(Some(Instant::now()));
+    }
+}
+
+struct Entry {
+    state: Rc<ConnectionState>,
+    task: AbortHandle,
+}
+
+/// The open connections. Each is served by a task of its own; dropping the table aborts the tasks, which closes the
+/// connections.
+pub(super) struct ConnectionTable {
+    tasks: JoinSet<()>,
+    entries: Vec<Entry>,
+    max_connections: usize,
+    node: Rc<Node>,
+    phase: watch::Receiver<Phase>,
+}
+
+impl ConnectionTable {
+    /// An empty table for so many connections at a time.
+    pub(super) fn new(
+        node: Rc<Node>, max_connections: usize, phase: watch::Receiver<Phase>,
+    ) -> ConnectionTable {
+        ConnectionTable { tasks: JoinSet::new(), entries: Vec::new(), max_connections, node, phase }
+    }
+
+    /// Takes in an accepted connection: makes room for it, then starts the task that serves it.
+    pub(super) async fn insert(&mut self, stream: TcpStream) {
+        self.make_room().await;
+        self.spawn(stream);
+    }
+
+    /// Frees what tasks that have finished still hold.
+    pub(super) fn reap_finished_tasks(&mut self) {
+        while self.tasks.try_join_next().is_some() {}
+    }
+
+    /// Waits until each connection is closed.
+    pub(super) async fn join_all(&mut self) {
+        while self.tasks.join_next().await.is_some() {}
+    }
+
+    fn spawn(&mut self, stream: TcpStream) {
+        // An error means that the connection is broken, which its task finds out.
+        let _ = stream.set_nodelay(true);
+        let stream = ReadAheadStream::new(stream);
+        let state = Rc::new(ConnectionState::new(&stream));
+        let serve = connection::serve(stream, Rc::clone(&self.node), self.phase.clone(), Rc::clone(&state));
+        let task = self.tasks.spawn_local(serve);
+        self.entries.push(Entry { state, task });
+    }
+
+    /// Evicts connections until there is room for one more, so that clients that hold connections without using them
+    /// can't shut out others.
+    async fn make_room(&mut self) {
+        while self.tasks.len() >= self.max_connections {
+            // A connection that was accepted in this same turn may hold a request that is still unread: it would be
+            // taken for idle. One turn of the runtime lets its task read it.
+            tokio::task::yield_now().await;
+            self.remove_finished_entries();
+            self.evict_one();
+            // A task that has finished, evicted or not, has closed its socket. If none does in this time, another
+            // connection may have become idle meanwhile.
+            let _ = tokio::time::timeout(EVICTION_TIMEOUT, self.tasks.join_next()).await;
+        }
+        // An abort handle keeps its finished task's memory, so entries must not pile up.
+        if self.entries.len() > self.tasks.len() + MAX_FINISHED_ENTRIES {
+            self.remove_finished_entries();
+        }
+    }
+
+    /// Closes the first connection in the order of eviction, if any is idle.
+    fn evict_one(&self) {
+        let idle = self.entries.iter().filter(|entry| entry.state.eviction_order().is_some());
+        if let Some(entry) = idle.min_by_key(|entry| entry.state.eviction_order()) {
+            entry.task.abort();
+        }
+    }
+
+    fn remove_finished_entries(&mut self) {
+        self.entries.retain(|entry| !entry.task.is_finished());
+    }
+}
--- a/src/bin/edge-node/clients/read_ahead.rs
+++ b/src/bin/edge-node/clients/read_ahead.rs
@@ -1,4 +1,4 @@
-//! A client's connection that can be read ahead: its end must show behind whatever was sent before it.
+//! A client's connection that can be read ahead, so that its end is noticed behind whatever was sent before it.
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -12,113 +12,132 @@
 use tokio::io::{AsyncRead, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Most bytes read ahead of one request. Guards memory against clients that send at full speed.
-const AHEAD_MOST: usize = 16 * 1024;
-/// Behind more than that, the machine is asked so often whether it has seen the end. What it knows is enough: a
-/// client that has sent more than the machine buffers has not got its end through yet.
-const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// Most bytes read ahead of one request, which bounds the memory that clients sending at full speed can take.
+const MAX_READ_AHEAD: usize = 16 * 1024;
+/// Bytes read ahead at a time.
+const READ_AHEAD_CHUNK: usize = 1024;
+/// With that much read ahead, the operating system is asked this often whether it has seen the end. What it knows is
+/// enough: the end of a client that has sent more than the system buffers has not arrived yet.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// One connection, shared by who speaks on it and who watches for its end.
+/// A connection shared by the HTTP server, which reads and writes, and by whoever watches for its end. The socket is
+/// closed when the last clone is dropped.
 #[derive(Clone)]
-pub struct Ahead(Rc<RefCell<Inner>>);
+pub(super) struct ReadAheadStream(Rc<RefCell<Inner>>);
 
 struct Inner {
     stream: TokioIo<TcpStream>,
-    /// What was read ahead and not yet asked for.
-    read: Vec<u8>,
+    /// Bytes read ahead that the HTTP server has not read yet.
+    buffered: Vec<u8>,
+    /// Whether the stream has ended or broken, behind the buffered bytes.
     ended: bool,
-    /// Whether the machine took nothing of what was last written.
-    held_up: Rc<Cell<bool>>,
+    /// Whether the operating system took nothing of the last write.
+    write_blocked: Rc<Cell<bool>>,
 }
 
-impl Ahead {
-    pub fn new(stream: TcpStream) -> Ahead {
-        Ahead(Rc::new(RefCell::new(Inner {
+impl ReadAheadStream {
+    /// Wraps an accepted connection.
+    pub(super) fn new(stream: TcpStream) -> ReadAheadStream {
+        ReadAheadStream(Rc::new(RefCell::new(Inner {
             stream: TokioIo::new(stream),
-            read: Vec::new(),
+            buffered: Vec::new(),
             ended: false,
-            held_up: Rc::default(),
+            write_blocked: Rc::default(),
         })))
     }
 
-    /// Whether the client reads so slowly that the rest of an answer is still to be written; outlives the connection.
-    pub fn held_up(&self) -> Rc<Cell<bool>> {
-        Rc::clone(&self.0.borrow().held_up)
+    /// Whether the client reads so slowly that the rest of a response is still unwritten. The cell outlives the
+    /// connection.
+    pub(super) fn write_blocked(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.0.borrow().write_blocked)
     }
 
-    /// Comes back once the client has ended the connection, or it broke.
-    pub async fn end(&self) {
+    /// Returns once the client has closed the connection, or once it broke.
+    ///
+    /// Cancel safe: what has been read ahead stays in the stream's buffer.
+    pub(super) async fn wait_for_client_close(&self) {
         loop {
-            let ended = poll_fn(|context| self.0.borrow_mut().poll_end(context)).await;
-            if ended || self.0.borrow().is_shut() {
+            let read_ahead = poll_fn(|context| self.0.borrow_mut().poll_read_ahead(context)).await;
+            if read_ahead == ReadAhead::Ended || self.0.borrow().is_read_closed() {
                 return;
             }
-            tokio::time::sleep(LOOK_EVERY).await;
+            tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
         }
     }
 }
 
+/// Where reading ahead stopped.
+#[derive(PartialEq)]
+enum ReadAhead {
+    /// At the end of the stream.
+    Ended,
+    /// At [`MAX_READ_AHEAD`].
+    BufferFull,
+}
+
 impl Inner {
-    fn note<T>(&mut self, written: Poll<T>) -> Poll<T> {
-        self.held_up.set(written.is_pending());
+    fn record_write<T>(&mut self, written: Poll<T>) -> Poll<T> {
+        self.write_blocked.set(written.is_pending());
         written
     }
 
-    /// Reads ahead; whether it came to the end, or to the most that is held.
-    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<bool> {
-        let mut buffer = [0; 1024];
+    /// Reads ahead until the stream ends or the buffer is full.
+    fn poll_read_ahead(&mut self, context: &mut Context<'_>) -> Poll<ReadAhead> {
+        let mut chunk = [0; READ_AHEAD_CHUNK];
         while !self.ended {
-            if self.read.len() >= AHEAD_MOST {
-                return Poll::Ready(false);
+            if self.buffered.len() >= MAX_READ_AHEAD {
+                return Poll::Ready(ReadAhead::BufferFull);
             }
-            let mut buffer = ReadBuf::new(&mut buffer);
-            let came = ready!(Pin::new(self.stream.inner_mut()).poll_read(context, &mut buffer));
-            self.ended = came.is_err() || buffer.filled().is_empty();
-            self.read.extend_from_slice(buffer.filled());
+            let mut chunk = ReadBuf::new(&mut chunk);
+            let result = ready!(Pin::new(self.stream.inner_mut()).poll_read(context, &mut chunk));
+            self.ended = result.is_err() || chunk.filled().is_empty();
+            self.buffered.extend_from_slice(chunk.filled());
         }
-        Poll::Ready(true)
+        Poll::Ready(ReadAhead::Ended)
     }
 
-    /// Whether the machine has seen the end, behind whatever has not been read.
-    fn is_shut(&self) -> bool {
+    /// Whether the operating system has seen the end, behind whatever has not been read.
+    fn is_read_closed(&self) -> bool {
         let stream = self.stream.inner();
-        // Asked for data out of line, which nobody sends, it speaks of the end alone.
-        let shut = pin!(stream.ready(Interest::PRIORITY));
-        match shut.poll(&mut Context::from_waker(Waker::noop())) {
-            Poll::Ready(seen) => seen.is_ok_and(|seen| seen.is_read_closed()),
+        // Readiness to read would be reported for unread bytes too. Asked for urgent data, which nobody sends, the
+        // system reports the end alone. The future is polled once, without waiting.
+        let readiness = pin!(stream.ready(Interest::PRIORITY));
+        match readiness.poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(ready) => ready.is_ok_and(|ready| ready.is_read_closed()),
             Poll::Pending => false,
         }
     }
 }
 
-impl Read for Ahead {
+impl Read for ReadAheadStream {
     fn poll_read(
-        self: Pin<&mut Self>, context: &mut Context<'_>, mut into: ReadBufCursor<'_>,
+        self: Pin<&mut Self>, context: &mut Context<'_>, mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let inner = &mut *self.0.borrow_mut();
-        if inner.read.is_empty() && !inner.ended {
-            return Pin::new(&mut inner.stream).poll_read(context, into);
+        if inner.buffered.is_empty() && !inner.ended {
+            return Pin::new(&mut inner.stream).poll_read(context, buffer);
         }
-        let given = inner.read.len().min(into.remaining());
-        into.put_slice(&inner.read[..given]);
-        inner.read.drain(..given);
+        // At the end, with nothing buffered, this reads zero bytes: the end of the stream.
+        let length = inner.buffered.len().min(buffer.remaining());
+        buffer.put_slice(&inner.buffered[..length]);
+        inner.buffered.drain(..length);
         Poll::Ready(Ok(()))
     }
 }
 
-impl Write for Ahead {
+impl Write for ReadAheadStream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let mut inner = self.0.borrow_mut();
         let written = Pin::new(&mut inner.stream).poll_write(context, bytes);
-        inner.note(written)
+        inner.record_write(written)
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>, context: &mut Context<'_>, parts: &[IoSlice<'_>],
+        self: Pin<&mut Self>, context: &mut Context<'_>, slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let mut inner = self.0.borrow_mut();
-        let written = Pin::new(&mut inner.stream).poll_write_vectored(context, parts);
-        inner.note(written)
+        let written = Pin::new(&mut inner.stream).poll_write_vectored(context, slices);
+        inner.record_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/bin/edge-node/main.rs
+++ b/src/bin/edge-node/main.rs
@@ -117,7 +117,7 @@
         "leaving on SIGTERM: {} requests open",
         node.open()
     );
-    phase.send_replace(Phase::Leaving);
+    phase.send_replace(Phase::Draining);
     tokio::time::sleep(LEAVING_FOR).await;
     phase.send_replace(Phase::Closing);
     // All that was taken ends by its own deadline; a client that never reads must not hold up the exit.
