Peers and binding of addresses under the terms of the field

Seen: peers.rs had tell, tell_all and counted, with tuples for a datagram and for the counts; bind.rs had when_free, WITHIN and EVERY; comments called hazards by "Guards against" and "Danger".

Change: Peers::{send_to, broadcast, datagram_counts}, Datagram, DatagramCounts, bind::with_retry, named constants and plain comments. What is sent, counted and retried stays as it was. Call sites in node.rs and main.rs follow.

--- a/src/bin/edge-node/bind.rs
+++ b/src/bin/edge-node/bind.rs
@@ -1,4 +1,4 @@
-//! Addresses that a process before this one may still hold.
+//! Binding of addresses that an earlier process may still hold.
 
 use anyhow::{Context, Result};
 use std::fmt;
@@ -7,23 +7,29 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// For how long an address may be in use. Guards restarts: whoever held it has been told to end, and a new process
-/// that ended for that would be started over again.
-const WITHIN: Duration = Duration::from_secs(3);
-/// Between tries.
-const EVERY: Duration = Duration::from_millis(20);
+/// How long an address may stay in use. At a restart the earlier process has been told to end and holds its addresses
+/// a little longer; a new process that gave up on that would only be started over again.
+const RETRY_TIMEOUT: Duration = Duration::from_secs(3);
+/// Pause between two tries.
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Binds what `try_once` binds, as soon as the address is free; its error if that takes too long.
-pub async fn when_free<T, F: Future<Output = io::Result<T>>>(
-    what: impl fmt::Display, try_once: impl Fn() -> F,
+/// Binds by `bind_once`, again and again while the address is in use.
+///
+/// Dropping the future between tries leaves nothing bound.
+///
+/// # Errors
+/// The last error of `bind_once`, with `description` as its context: any error other than an address in use at once,
+/// that one after [`RETRY_TIMEOUT`].
+pub(crate) async fn with_retry<T, F: Future<Output = io::Result<T>>>(
+    description: impl fmt::Display, bind_once: impl Fn() -> F,
 ) -> Result<T> {
-    let begun = Instant::now();
+    let started = Instant::now();
     loop {
-        match try_once().await {
-            Err(error) if error.kind() == io::ErrorKind::AddrInUse && begun.elapsed() < WITHIN => {
-                tokio::time::sleep(EVERY).await;
+        match bind_once().await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && started.elapsed() < RETRY_TIMEOUT => {
+                tokio::time::sleep(RETRY_INTERVAL).await;
             }
-            bound => return bound.with_context(|| what.to_string()),
+            result => return result.with_context(|| description.to_string()),
         }
     }
 }
--- a/src/bin/edge-node/main.rs
+++ b/src/bin/edge-node/main.rs
@@ -63,7 +63,7 @@
     // Guards against ending on SIGHUP, which is what it does to a process that does not ask for it.
     let hangup = signal(SignalKind::hangup()).context("SIGHUP")?;
     let listener =
-        bind::when_free(format!("listen {}", config.listen), || TcpListener::bind(config.listen)).await?;
+        bind::with_retry(format!("listen {}", config.listen), || TcpListener::bind(config.listen)).await?;
     let peers = match config.peers {
         Some(addresses) => Some(Peers::bind(addresses, config.named.settings.gateway_id).await?),
         None => None,
--- a/src/bin/edge-node/node.rs
+++ b/src/bin/edge-node/node.rs
@@ -139,8 +139,8 @@
                     out.remove(&id);
                 }
             }
-            Action::Broadcast { bytes } => self.peers.iter().for_each(|peers| peers.tell_all(&bytes)),
-            Action::SendToPeer { to, bytes } => self.peers.iter().for_each(|peers| peers.tell(to, &bytes)),
+            Action::Broadcast { bytes } => self.peers.iter().for_each(|peers| peers.broadcast(&bytes)),
+            Action::SendToPeer { to, bytes } => self.peers.iter().for_each(|peers| peers.send_to(to, &bytes)),
             Action::SetTimer { after, token } => {
                 let node = Rc::clone(self);
                 tokio::task::spawn_local(async move {
@@ -324,7 +324,7 @@
 
     /// What there is at this moment.
     pub fn now(&self) -> Now {
-        let (datagrams_sent, datagrams_received) = self.peers.as_ref().map_or((0, 0), Peers::counted);
+        let datagrams = self.peers.as_ref().map(Peers::datagram_counts).unwrap_or_default();
         let list = self.list.get();
         Now {
             open_requests: self.open(),
@@ -336,8 +336,8 @@
             kept: self.gateway.borrow().tracked_entries(),
             list_age: list.map(|(_, since)| since.elapsed()),
             list_sequence: list.map_or(0, |(seq, _)| seq),
-            datagrams_sent,
-            datagrams_received,
+            datagrams_sent: datagrams.sent,
+            datagrams_received: datagrams.received,
         }
     }
 
--- a/src/bin/edge-node/peers.rs
+++ b/src/bin/edge-node/peers.rs
@@ -1,4 +1,4 @@
-//! Datagrams between edge nodes. They may be late, lost or forged: what they say is the module's concern.
+//! Datagrams between edge nodes. They may be late, lost or forged: what they say is the decision module's concern.
 
 use crate::bind;
 use crate::config::PeerAddresses;
@@ -11,75 +11,131 @@
 use std::rc::Rc;
 use tokio::net::UdpSocket;
 
-/// Most bytes of a datagram.
-const MOST: usize = 256;
+/// Most bytes of a datagram. Longer ones are neither sent nor accepted.
+const MAX_DATAGRAM_BYTES: usize = 256;
 
-pub struct Peers {
+/// The socket on which this edge node and its peers exchange datagrams. It is closed when this is dropped.
+pub(crate) struct Peers {
     socket: UdpSocket,
-    each: Vec<SocketAddr>,
-    /// Whose an address is. Danger: thousands of peers looked through for each datagram.
+    /// Address of each edge node, at the index that is its number; this node's own among them.
+    addresses: Vec<SocketAddr>,
+    /// The edge node that sends from an address. A map, because a search through thousands of peers for each datagram
+    /// would be too slow.
     senders: HashMap<SocketAddr, GatewayId>,
-    all: Option<SocketAddr>,
-    me: usize,
-    /// Datagrams that went out and came in, of peers alone.
+    /// One address that reaches all peers, if there is one.
+    broadcast_address: Option<SocketAddr>,
+    own_id: GatewayId,
+    /// Datagrams sent so far.
     sent: Cell<u64>,
+    /// Datagrams received so far from peers.
     received: Cell<u64>,
 }
 
+/// Datagrams since the start of the process, of peers alone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct DatagramCounts {
+    /// Datagrams that the operating system took for sending.
+    pub(crate) sent: u64,
+    /// Datagrams that came from a known peer and were of a valid length.
+    pub(crate) received: u64,
+}
+
+/// A datagram and the peer that sent it.
+pub(crate) struct Datagram {
+    /// The peer, known by its address alone.
+    pub(crate) from: GatewayId,
+    /// What it sent, [`MAX_DATAGRAM_BYTES`] at most.
+    pub(crate) bytes: Vec<u8>,
+}
+
 impl Peers {
-    pub async fn bind(addresses: PeerAddresses, me: GatewayId) -> Result<Peers> {
-        let PeerAddresses { listen, each, all } = addresses;
-        let socket = bind::when_free(format!("peer_listen {listen}"), || UdpSocket::bind(listen)).await?;
-        // Of two that share an address, it speaks for the first.
-        let senders = each.iter().enumerate().rev().map(|(number, peer)| (*peer, GatewayId(number as u32)));
-        let senders = senders.collect();
-        let (sent, received) = (Cell::default(), Cell::default());
-        Ok(Peers { socket, each, senders, all, me: me.0 as usize, sent, received })
+    /// Binds the socket for datagrams, waiting for the address as [`bind::with_retry`] does.
+    ///
+    /// # Errors
+    /// The address can't be bound, or stays in use.
+    pub(crate) async fn bind(addresses: PeerAddresses, own_id: GatewayId) -> Result<Peers> {
+        let PeerAddresses { listen, each: addresses, all: broadcast_address } = addresses;
+        let socket = bind::with_retry(format!("peer_listen {listen}"), || UdpSocket::bind(listen)).await?;
+        Ok(Peers {
+            socket,
+            senders: senders_by_address(&addresses),
+            addresses,
+            broadcast_address,
+            own_id,
+            sent: Cell::default(),
+            received: Cell::default(),
+        })
     }
 
-    /// Datagrams sent and received.
-    pub fn counted(&self) -> (u64, u64) {
-        (self.sent.get(), self.received.get())
+    /// Datagrams sent and received so far.
+    pub(crate) fn datagram_counts(&self) -> DatagramCounts {
+        DatagramCounts { sent: self.sent.get(), received: self.received.get() }
     }
 
-    pub fn tell(&self, to: GatewayId, bytes: &[u8]) {
-        if let Some(address) = self.each.get(to.0 as usize) {
+    /// Sends a datagram to one peer; to nobody if there is no edge node of that number.
+    pub(crate) fn send_to(&self, peer: GatewayId, bytes: &[u8]) {
+        if let Some(address) = self.addresses.get(peer.0 as usize) {
             self.send(bytes, *address);
         }
     }
 
-    pub fn tell_all(&self, bytes: &[u8]) {
-        if let Some(all) = self.all {
-            return self.send(bytes, all);
+    /// Sends a datagram to all peers: one to their common address, or else one to each.
+    pub(crate) fn broadcast(&self, bytes: &[u8]) {
+        if let Some(address) = self.broadcast_address {
+            self.send(bytes, address);
+            return;
+        }
+        let own_index = self.own_id.0 as usize;
+        for (index, address) in self.addresses.iter().enumerate() {
+            if index != own_index {
+                self.send(bytes, *address);
+            }
         }
-        let others = self.each.iter().enumerate().filter(|(number, _)| *number != self.me);
-        others.for_each(|(_, address)| self.send(bytes, *address));
     }
 
-    fn send(&self, bytes: &[u8], to: SocketAddr) {
-        if bytes.len() <= MOST {
-            // Losing one is in the nature of datagrams.
-            let sent = self.socket.try_send_to(bytes, to).is_ok();
-            self.sent.set(self.sent.get() + u64::from(sent));
+    /// Sends without waiting. A datagram that is too long, or that the operating system does not take at once, is
+    /// lost, as any datagram may be.
+    fn send(&self, bytes: &[u8], address: SocketAddr) {
+        if bytes.len() > MAX_DATAGRAM_BYTES {
+            return;
+        }
+        if self.socket.try_send_to(bytes, address).is_ok() {
+            self.sent.set(self.sent.get() + 1);
         }
     }
 
-    async fn receive(&self) -> Option<(GatewayId, Vec<u8>)> {
-        let mut buffer = [0; MOST + 1];
-        let (length, from) = self.socket.recv_from(&mut buffer).await.ok()?;
-        let sender = self.senders.get(&from)?;
-        let bytes = buffer.get(..length).filter(|bytes| bytes.len() <= MOST)?;
+    /// Waits for the next datagram; `None` if it is from a stranger or too long, or on an error of the socket.
+    ///
+    /// Cancel safe: a datagram that has not been returned stays in the socket.
+    pub(crate) async fn receive(&self) -> Option<Datagram> {
+        // The operating system cuts a datagram to the buffer: one byte more shows that it was too long.
+        let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+        let (length, address) = self.socket.recv_from(&mut buffer).await.ok()?;
+        let from = *self.senders.get(&address)?;
+        if length > MAX_DATAGRAM_BYTES {
+            return None;
+        }
         self.received.set(self.received.get() + 1);
-        Some((*sender, bytes.to_vec()))
+        Some(Datagram { from, bytes: buffer[..length].to_vec() })
+    }
+}
+
+/// The edge node that sends from each address; where two share one, the one of the lower number.
+fn senders_by_address(addresses: &[SocketAddr]) -> HashMap<SocketAddr, GatewayId> {
+    let mut senders = HashMap::new();
+    for (index, address) in addresses.iter().enumerate() {
+        senders.entry(*address).or_insert(GatewayId(index as u32));
     }
+    senders
 }
 
-/// Hands what peers say to the node, for ever. Who sent it is told by its address alone; datagrams from
-/// elsewhere, or too long, are passed over.
-pub async fn listen(node: Rc<Node>) {
+/// Hands the datagrams of peers to the node, for ever; returns at once if it has no peers.
+///
+/// A sender is known by its address alone. Datagrams from other addresses, or too long, are ignored.
+pub(crate) async fn listen(node: Rc<Node>) {
     let Some(peers) = &node.peers else { return };
     loop {
-        if let Some((from, bytes)) = peers.receive().await {
+        if let Some(Datagram { from, bytes }) = peers.receive().await {
             node.post(Event::PeerMessage { from, bytes });
         }
     }
