--- a/src/bin/edge-node/clients/connection_table.rs
+++ b/src/bin/edge-node/clients/connection_table.rs
@@ -159,3 +159,7 @@
         self.entries.retain(|entry| !entry.task.is_finished());
     }
 }
+
+#[cfg(test)]
+#[path = "../../../../tests/unit/connection_table.rs"]
+mod tests;
--- a/src/bin/edge-node/clients/phase.rs
+++ b/src/bin/edge-node/clients/phase.rs
@@ -34,3 +34,7 @@
     // An error means that the sender is gone, which counts as closing.
     let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
 }
+
+#[cfg(test)]
+#[path = "../../../../tests/unit/phase.rs"]
+mod tests;
--- a/src/bin/edge-node/clients/response.rs
+++ b/src/bin/edge-node/clients/response.rs
@@ -60,3 +60,7 @@
     *response.status_mut() = status;
     response
 }
+
+#[cfg(test)]
+#[path = "../../../../tests/unit/client_response.rs"]
+mod tests;
--- a/tests/edge/client_disconnect.rs
+++ b/tests/edge/client_disconnect.rs
@@ -1,5 +1,5 @@
-//! A client that closes its connection has gone: no attempt, first or further, begins for it, whatever its request
-//! waits for and whatever it has sent behind it.
+//! A client that closes its connection: no attempt, first or further, starts for it, whatever its request waits for and
+//! whatever it has pipelined behind that request.
 
 use super::support::*;
 use super::with_one;
@@ -8,33 +8,33 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
-/// Requests behind the first one: few, and so many that they are more than the edge node reads ahead.
-const BEHIND: [usize; 3] = [0, 20, 200];
+/// Counts of requests pipelined behind the first one: none, a few, and more than the edge node reads ahead.
+const PIPELINED_COUNTS: [usize; 3] = [0, 20, 200];
 
 /// So many requests, one right behind the other.
-fn further(number: usize) -> String {
-    (0..number).map(|number| request(&format!("b{number}"), "pay", "20000m")).collect()
+fn pipelined_requests(count: usize) -> String {
+    (0..count).map(|number| request(&format!("b{number}"), "pay", "20000m")).collect()
 }
 
-/// The rule's own time for a close to show. What the edge node reads ahead shows at once.
-const SHOWS_WITHIN: Duration = Duration::from_millis(100);
+/// Time within which a close has to be noticed. Behind what the edge node reads ahead it is noticed at once.
+const CLOSE_NOTICED_WITHIN: Duration = Duration::from_millis(100);
 
-/// A client closes its connection, with so many requests behind its first one, and the edge node has seen it.
-fn leave(client: Client, behind: usize, node: &Node) {
+/// Closes a client's connection, with so many requests pipelined on it, and waits until the edge node has noticed.
+fn disconnect(client: Client, pipelined: usize, node: &Node) {
     client.leave();
-    if behind > BEHIND[1] {
-        std::thread::sleep(SHOWS_WITHIN);
+    if pipelined > PIPELINED_COUNTS[1] {
+        std::thread::sleep(CLOSE_NOTICED_WITHIN);
     }
-    round(node);
+    wait_until_read(node);
 }
 
-/// What came before this on any connection has been read once it is over.
-fn round(node: &Node) {
+/// Returns once the edge node has read what came on any connection before the call.
+fn wait_until_read(node: &Node) {
     assert_eq!(node.client().ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
 }
 
 #[test]
-fn a_client_that_goes_away_ends_its_attempt() {
+fn a_disconnect_cancels_the_attempt_in_flight() {
     let (servers, _discovery, node) = with_one("gone", &[Does::IsSilent, SERVES]);
     let mut client = node.client();
     client.write(&request("a", "pay", "20000m"));
@@ -44,19 +44,19 @@
     assert_eq!(node.client().ask(&request("b", "pay", "20000m")).status(), 200);
 }
 
-/// Clients that send much at once and go: nothing of it is worked on for them, and nothing more is begun.
-fn leaves_behind_further_requests(tag: &str, number: usize) {
+/// A client pipelines requests and disconnects: its attempt is cancelled, and none of the other requests is begun.
+fn disconnects_behind_pipelined_requests(tag: &str, count: usize) {
     let (servers, _discovery, node) = with_one(tag, &[Does::IsSilent, SERVES]);
     let mut client = node.client();
     client.write(&request("a", "pay", "20000m"));
     let got = servers.next();
-    client.write(&further(number));
+    client.write(&pipelined_requests(count));
     client.leave();
     got.stream.set_read_timeout(Some(PATIENCE / 6)).expect("a time-out");
     let ends = got.stream.peek(&mut [0]);
     assert!(
         !ends.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock),
-        "it is worked on still"
+        "the attempt is still in flight"
     );
     assert_eq!(node.client().ask(&request("c", "pay", "20000m")).status(), 200);
     assert_eq!(servers.next().message.header("x-request-id"), "c");
@@ -64,79 +64,80 @@
 }
 
 #[test]
-fn a_client_that_leaves_behind_further_requests_ends_its_attempt() {
-    for number in BEHIND {
-        leaves_behind_further_requests(&format!("left-{number}"), number);
+fn a_disconnect_behind_pipelined_requests_cancels_the_attempt_in_flight() {
+    for count in PIPELINED_COUNTS {
+        disconnects_behind_pipelined_requests(&format!("left-{count}"), count);
     }
 }
 
-/// In a wide fleet a try waits for a word of its customer's home. Its client leaves meanwhile; then the word comes.
-fn leaves_while_the_home_is_asked(tag: &str, behind: usize) {
+/// In a large fleet a request waits for a lease from its customer's quota owner. Its client disconnects meanwhile;
+/// then the lease is granted.
+fn disconnects_during_a_lease_request(tag: &str, pipelined: usize) {
     let servers = Servers::new();
     let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
     let discovery = Discovery::start(&hosts);
-    let wide = |config: String| config.replace(r#""balancers":2"#, r#""balancers":300"#);
-    let node = Node::with(tag, discovery.address, &hosts, wide);
-    // The peer, gateway 1, is the only one of the customer's set.
-    let of_peer = |id: &str| request(id, "pay", "20000m").replace("first=0", "first=1");
-    let asked = || {
-        let mut ask = [0; 2000];
-        node.peer.recv_from(&mut ask).expect("the home is asked");
-        assert_eq!(ask[..2], [4, 1], "an ask");
-        [ask[2], ask[3]]
+    let large_fleet = |config: String| config.replace(r#""balancers":2"#, r#""balancers":300"#);
+    let node = Node::with(tag, discovery.address, &hosts, large_fleet);
+    // The peer, gateway 1, is the only gateway of the customer, and so its quota owner.
+    let owned_by_peer = |id: &str| request(id, "pay", "20000m").replace("first=0", "first=1");
+    let receive_lease_request = || {
+        let mut message = [0; 2000];
+        node.peer.recv_from(&mut message).expect("a lease is requested");
+        assert_eq!(message[..2], [4, 1], "a lease request");
+        [message[2], message[3]]
     };
-    let grant = |serial: [u8; 2]| {
-        let words = [4, 2, serial[0], serial[1], 0, 255, 0, 0, 0, 0];
-        node.peer.send_to(&words, node.datagrams).expect("sent");
+    let grant = |sequence: [u8; 2]| {
+        let message = [4, 2, sequence[0], sequence[1], 0, 255, 0, 0, 0, 0];
+        node.peer.send_to(&message, node.datagrams).expect("sent");
     };
-    let mut leaves = node.client();
-    leaves.write(&of_peer("a"));
-    let serial = asked();
-    leaves.write(&further(behind));
-    leave(leaves, behind, &node);
-    grant(serial);
-    round(&node);
-    // Without a word a try of a plan without a ceiling goes by its own store, within this.
-    std::thread::sleep(std::time::Duration::from_millis(700));
+    let mut leaving = node.client();
+    leaving.write(&owned_by_peer("a"));
+    let sequence = receive_lease_request();
+    leaving.write(&pipelined_requests(pipelined));
+    disconnect(leaving, pipelined, &node);
+    grant(sequence);
+    wait_until_read(&node);
+    // Without a grant, a request of a plan without a hard limit is admitted by the local token bucket within this.
+    std::thread::sleep(Duration::from_millis(700));
     servers.got_no_more();
-    let mut stays = node.client();
-    stays.write(&of_peer("b"));
-    // Should the word come late, its own store lets the try go.
-    grant(asked());
-    assert_eq!(stays.answer().expect("an answer").status(), 200);
+    let mut staying = node.client();
+    staying.write(&owned_by_peer("b"));
+    // Should the grant come late, the local token bucket admits the request.
+    grant(receive_lease_request());
+    assert_eq!(staying.answer().expect("an answer").status(), 200);
     assert_eq!(servers.next().message.header("x-request-id"), "b");
     servers.got_no_more();
 }
 
 #[test]
-fn a_request_is_not_sent_on_once_its_client_has_left_while_it_waited() {
-    for behind in BEHIND {
-        leaves_while_the_home_is_asked(&format!("waits-{behind}"), behind);
+fn no_attempt_starts_after_a_disconnect_during_a_lease_request() {
+    for pipelined in PIPELINED_COUNTS {
+        disconnects_during_a_lease_request(&format!("waits-{pipelined}"), pipelined);
     }
 }
 
-const RANKS: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks";
+const OK_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks";
 
-/// As many attempts are out as a server may have; a further request waits for a place, and its client leaves.
+/// As many attempts are in flight as the server may have; a further request is queued, and its client disconnects.
 #[test]
-fn a_request_is_not_sent_on_once_its_client_has_left_while_it_waited_for_a_place() {
-    for behind in BEHIND {
+fn no_attempt_starts_after_a_disconnect_while_queued() {
+    for pipelined in PIPELINED_COUNTS {
         let silent = [Does::IsSilent, Does::IsSilent, SERVES];
-        let (servers, _discovery, node) = with_one(&format!("place-{behind}"), &silent);
-        let mut stay = [node.client(), node.client()];
-        let out = ["a", "b"].iter().zip(&mut stay).map(|(id, client)| {
+        let (servers, _discovery, node) = with_one(&format!("queued-{pipelined}"), &silent);
+        let mut staying = [node.client(), node.client()];
+        let in_flight = ["a", "b"].iter().zip(&mut staying).map(|(id, client)| {
             client.write(&request(id, "pay", "20000m"));
             servers.next()
         });
-        let out: Vec<Got> = out.collect();
-        let mut leaves = node.client();
-        leaves.write(&request("c", "pay", "20000m"));
-        leaves.write(&further(behind));
-        round(&node);
+        let in_flight: Vec<Got> = in_flight.collect();
+        let mut leaving = node.client();
+        leaving.write(&request("c", "pay", "20000m"));
+        leaving.write(&pipelined_requests(pipelined));
+        wait_until_read(&node);
         servers.got_no_more();
-        leave(leaves, behind, &node);
-        for (mut got, client) in out.into_iter().zip(&mut stay) {
-            got.stream.write_all(RANKS).expect("it is still out");
+        disconnect(leaving, pipelined, &node);
+        for (mut got, client) in in_flight.into_iter().zip(&mut staying) {
+            got.stream.write_all(OK_RESPONSE).expect("the attempt is still in flight");
             assert_eq!(client.answer().expect("an answer").status(), 200);
         }
         assert_eq!(node.client().ask(&request("d", "pay", "20000m")).status(), 200);
@@ -145,159 +146,190 @@
     }
 }
 
-/// An attempt has failed and the next waits for a place; its client leaves.
+/// An attempt has failed and the request is queued for the next; its client disconnects.
 #[test]
-fn a_request_is_not_sent_again_once_its_client_has_left_while_it_waited_for_a_place() {
+fn no_retry_starts_after_a_disconnect_while_queued() {
     let (servers, _discovery, node) = with_one("again", &[Does::IsSilent, Does::IsSilent, SERVES]);
-    let mut stays = node.client();
-    stays.write(&request("a", "pay", "20000m"));
+    let mut staying = node.client();
+    staying.write(&request("a", "pay", "20000m"));
     let mut first = servers.next();
-    let mut leaves = node.client();
-    leaves.write(&request("c", "read", "20000m"));
+    let mut leaving = node.client();
+    leaving.write(&request("c", "read", "20000m"));
     let mut failed = servers.next();
-    // Worth more than the other, so it is first in the queue.
-    let mut ahead = node.client();
-    ahead.write(&request("d", "pay", "20000m"));
-    round(&node);
+    // Of a higher priority than the other, so it is first in the queue.
+    let mut queued_first = node.client();
+    queued_first.write(&request("d", "pay", "20000m"));
+    wait_until_read(&node);
     servers.got_no_more();
-    failed.stream.write_all(b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n").expect("it is still out");
-    round(&node);
-    leave(leaves, 0, &node);
-    first.stream.write_all(RANKS).expect("it is still out");
-    for client in [&mut stays, &mut ahead] {
+    failed
+        .stream
+        .write_all(b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n")
+        .expect("the attempt is still in flight");
+    wait_until_read(&node);
+    disconnect(leaving, 0, &node);
+    first.stream.write_all(OK_RESPONSE).expect("the attempt is still in flight");
+    for client in [&mut staying, &mut queued_first] {
         assert_eq!(client.answer().expect("an answer").status(), 200);
     }
     assert_eq!(servers.next().message.header("x-request-id"), "d");
-    assert_eq!(stays.ask(&request("e", "pay", "20000m")).status(), 200);
+    assert_eq!(staying.ask(&request("e", "pay", "20000m")).status(), 200);
     assert_eq!(servers.next().message.header("x-request-id"), "e");
     servers.got_no_more();
 }
 
-/// An app server whose connections come up only once it accepts: until then its queue is full.
-struct Late {
+/// An app server to which connections come up only once it accepts: until then its backlog is full.
+struct LateServer {
     listener: TcpListener,
-    _fills: TcpStream,
+    _backlog_filler: TcpStream,
 }
 
-impl Late {
-    fn start() -> (Late, SocketAddr) {
+impl LateServer {
+    fn start() -> (LateServer, SocketAddr) {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         socket.bind(&any.into()).expect("a port");
-        // Room for one.
+        // A backlog of one connection.
         socket.listen(0).expect("it listens");
         let listener = TcpListener::from(socket);
         let address = listener.local_addr().expect("an address");
-        let fills = TcpStream::connect(address).expect("there is room for one");
-        (Late { listener, _fills: fills }, address)
+        let filler = TcpStream::connect(address).expect("there is room for one");
+        (LateServer { listener, _backlog_filler: filler }, address)
     }
 
-    /// From now on connections come up: what is written on those that do, and whether any did.
-    fn comes_up(self) -> (Vec<u8>, usize) {
-        let (mut written, mut came) = (Vec::new(), 0);
-        drop(self.listener.accept().expect("what filled the queue"));
+    /// Accepts connections from now on: how many came up, and what was written on them.
+    fn accept_all(self) -> Accepted {
+        let mut accepted = Accepted { connections: 0, written: Vec::new() };
+        drop(self.listener.accept().expect("what filled the backlog"));
         self.listener.set_nonblocking(true).expect("a mode");
-        // The machine asks for a connection again after a second, then after two.
+        // The operating system sends its connection request again after a second, then after two.
         for _ in 0..35 {
             std::thread::sleep(Duration::from_millis(100));
             let Ok((mut stream, _)) = self.listener.accept() else { continue };
-            came += 1;
+            accepted.connections += 1;
             stream.set_nonblocking(false).expect("a mode");
             stream.set_read_timeout(Some(Duration::from_millis(500))).expect("a time-out");
             // It ends at the edge node's close, or at the time-out.
-            let _ = stream.read_to_end(&mut written);
+            let _ = stream.read_to_end(&mut accepted.written);
         }
-        (written, came)
+        accepted
     }
 }
 
-/// Settings under which a connection may come up late, and attempts may be called off or not.
-fn patient(config: String, cancel: bool) -> String {
+/// What a late server got.
+struct Accepted {
+    connections: usize,
+    written: Vec<u8>,
+}
+
+/// What a client does while a connection to the server comes up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum ClientAction {
+    Stays,
+    Disconnects,
+}
+
+/// Settings under which a connection may come up late, and attempts may be cancelled or not.
+fn with_slow_connect(config: String, cancel: bool) -> String {
     let config = config.replace(r#""connectTimeoutUs":250000"#, r#""connectTimeoutUs":30000000"#);
     config.replace(r#""cancel":true"#, &format!(r#""cancel":{cancel}"#))
 }
 
-/// The client stays or leaves, then the server comes up: what is written to it, and whether that is owed to a client that
-/// is still there.
-fn written_only_if_it(stays: bool, client: Client, node: &Node, late: Late, tag: &str) {
-    let stayed = if stays {
-        Some(client)
-    } else {
-        client.leave();
-        None
+/// The client stays or disconnects, then the server accepts: something is written to it only if the client is still there.
+fn assert_written_only_if_client_stays(
+    action: ClientAction, client: Client, node: &Node, server: LateServer, tag: &str,
+) {
+    let staying = match action {
+        ClientAction::Stays => Some(client),
+        ClientAction::Disconnects => {
+            client.leave();
+            None
+        }
     };
-    round(node);
-    let (written, came) = late.comes_up();
-    assert_eq!((!written.is_empty(), came > 0 || !stays), (stays, true), "{tag}");
-    drop(stayed);
+    wait_until_read(node);
+    let accepted = server.accept_all();
+    let stays = action == ClientAction::Stays;
+    assert_eq!(!accepted.written.is_empty(), stays, "{tag}");
+    assert!(accepted.connections > 0 || !stays, "{tag}");
+    drop(staying);
 }
 
+/// Whether attempts may be cancelled, and what the client does.
+const CASES: [(bool, ClientAction); 3] =
+    [(true, ClientAction::Disconnects), (false, ClientAction::Disconnects), (true, ClientAction::Stays)];
+
 #[test]
-fn nothing_is_written_to_a_server_that_comes_up_once_the_client_has_left() {
+fn nothing_is_written_once_the_client_has_disconnected_while_connecting() {
     std::thread::scope(|scope| {
-        for (cancel, stays) in [(true, false), (false, false), (true, true)] {
+        for (cancel, action) in CASES {
             scope.spawn(move || {
-                let (late, dial) = Late::start();
+                let (late_server, dial) = LateServer::start();
                 let hosts = [host("s-1", dial, 1, "ready")];
                 let discovery = Discovery::start(&hosts);
-                let tag = format!("late-{cancel}-{stays}");
-                let node = Node::with(&tag, discovery.address, &hosts, |config| patient(config, cancel));
+                let tag = format!("late-{cancel}-{action:?}");
+                let node =
+                    Node::with(&tag, discovery.address, &hosts, |config| with_slow_connect(config, cancel));
                 let mut client = node.client();
                 client.write(&request("a", "pay", "20000m"));
-                round(&node);
+                wait_until_read(&node);
                 // One that stays shows that the connection does come up, and what is written then.
-                written_only_if_it(stays, client, &node, late, &tag);
+                assert_written_only_if_client_stays(action, client, &node, late_server, &tag);
             });
         }
     });
 }
 
-/// The same for a further attempt: the first has failed, and the next server comes up late.
+/// The same for a retry: the first attempt has failed, and the next server accepts late.
 #[test]
-fn nothing_is_sent_again_to_a_server_that_comes_up_once_the_client_has_left() {
+fn no_retry_is_written_once_the_client_has_disconnected_while_connecting() {
     std::thread::scope(|scope| {
-        for (cancel, stays) in [(true, false), (false, false), (true, true)] {
+        for (cancel, action) in CASES {
             scope.spawn(move || {
-                let (late, dial) = Late::start();
+                let (late_server, dial) = LateServer::start();
                 let servers = Servers::new();
                 let first = servers.start("s-1", &[Does::IsSilent]);
                 let hosts = [host("s-1", first, 1, "ready")];
                 let discovery = Discovery::start(&hosts);
-                let tag = format!("again-{cancel}-{stays}");
-                let node = Node::with(&tag, discovery.address, &hosts, |config| patient(config, cancel));
+                let tag = format!("again-{cancel}-{action:?}");
+                let node =
+                    Node::with(&tag, discovery.address, &hosts, |config| with_slow_connect(config, cancel));
                 let (_, mut watch) = discovery.watch();
                 let mut client = node.client();
                 client.write(&request("a", "read", "20000m"));
                 let mut got = servers.next();
                 let moved = [host("s-1", first, 1, "draining"), host("late", dial, 1, "ready")];
                 write_list(&mut watch, &list(2, false, &moved));
-                round(&node);
-                got.stream.write_all(b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n").expect("it is out");
+                wait_until_read(&node);
+                got.stream
+                    .write_all(b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n")
+                    .expect("the attempt is in flight");
                 // Long enough for the answer to be read.
                 std::thread::sleep(Duration::from_millis(200));
-                written_only_if_it(stays, client, &node, late, &tag);
+                assert_written_only_if_client_stays(action, client, &node, late_server, &tag);
             });
         }
     });
 }
 
-/// A request and the close behind it come in one moment, on a connection that is open or has yet to be accepted.
+/// A request and the close behind it arrive together, on a connection that is open or has yet to be accepted.
 #[test]
-fn nothing_is_sent_on_for_a_client_whose_request_and_close_come_together() {
+fn no_attempt_starts_for_a_request_that_arrives_together_with_the_close() {
     let (servers, _discovery, node) = with_one("together", &[SERVES]);
-    let open: Vec<_> = BEHIND.iter().map(|_| node.client()).collect();
-    round(&node);
+    let open: Vec<_> = PIPELINED_COUNTS.iter().map(|_| node.client()).collect();
+    wait_until_read(&node);
     node.stop();
-    let new: Vec<_> = BEHIND.iter().map(|_| node.client()).collect();
+    let new: Vec<_> = PIPELINED_COUNTS.iter().map(|_| node.client()).collect();
     for (number, mut client) in open.into_iter().chain(new).enumerate() {
         client.write(&request(&format!("a{number}"), "pay", "20000m"));
-        client.write(&further(BEHIND[number % BEHIND.len()]).replace("Id: b", &format!("Id: b{number}-")));
+        client.write(
+            &pipelined_requests(PIPELINED_COUNTS[number % PIPELINED_COUNTS.len()])
+                .replace("Id: b", &format!("Id: b{number}-")),
+        );
         client.leave();
     }
-    // The machine has all of it.
-    std::thread::sleep(SHOWS_WITHIN);
+    // The operating system has received all of it.
+    std::thread::sleep(CLOSE_NOTICED_WITHIN);
     node.go_on();
-    round(&node);
+    wait_until_read(&node);
     assert_eq!(node.client().ask(&request("stays", "pay", "20000m")).status(), 200);
     assert_eq!(servers.next().message.header("x-request-id"), "stays");
     servers.got_no_more();
--- a/tests/edge/descriptors.rs
+++ b/tests/edge/descriptors.rs
@@ -1,5 +1,5 @@
-//! Descriptors: clients may fill those that are theirs, with requests or without, and never those that the edge node
-//! needs for discovery, loan servers and whoever asks whether it is ready.
+//! File descriptors: clients may use up their own share, with requests or without, and never those that the edge node
+//! needs for discovery, app servers and readiness probes.
 
 use super::support::*;
 use socket2::{Domain, Socket, Type};
@@ -7,36 +7,36 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-/// Descriptors that the machine grants in these tests: the fewest that the program takes.
-const SOCKETS: usize = 64;
-/// Connections that idle clients hold, or open again as soon as they are shut.
-const IDLE: usize = 100;
+/// Limit on descriptors in these tests: the lowest that the program takes.
+const MAX_DESCRIPTORS: usize = 64;
+/// Connections that idle clients hold, or open again as soon as they are closed.
+const IDLE_CONNECTIONS: usize = 100;
 /// Bytes of a large body, which is taken where memory allows.
-const LARGE: usize = 1_000_000;
-/// Answers of that size that are more than the machine buffers on a connection.
-const MANY: usize = 12;
+const LARGE_BODY_BYTES: usize = 1_000_000;
+/// So many answers of that size are more than the operating system buffers on a connection.
+const PIPELINED_COUNT: usize = 12;
 
-/// Clients that asked once and stay, and some that never ask, do not shut out another.
+/// Clients that sent one request and stay, and some that never send one, do not shut out another.
 #[test]
-fn a_crowd_shuts_out_nobody() {
+fn idle_clients_shut_out_nobody() {
     let servers = Servers::new();
     let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
     let discovery = Discovery::start(&hosts);
-    let node = Node::with_sockets("crowd", discovery.address, &hosts, 64);
-    let mut crowd = Vec::new();
+    let node = Node::with_sockets("idle", discovery.address, &hosts, 64);
+    let mut clients = Vec::new();
     for number in 0..60 {
         let mut client = node.client();
         client.stream.set_read_timeout(Some(PATIENCE / 3)).expect("a time-out");
-        if number < SOCKETS / 2 {
+        if number < MAX_DESCRIPTORS / 2 {
             assert_eq!(client.ask(&request(&format!("r{number}"), "read", "20000m")).status(), 200);
         }
-        crowd.push(client);
+        clients.push(client);
     }
 }
 
 /// More clients than descriptors: the surplus waits, and is served once there is room.
 #[test]
-fn the_edge_node_outlives_a_lack_of_descriptors() {
+fn the_edge_node_survives_a_lack_of_descriptors() {
     let servers = Servers::new();
     let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
     let discovery = Discovery::start(&hosts);
@@ -48,45 +48,46 @@
     assert_eq!(last.answer().expect("an answer").status(), 200);
 }
 
-/// More clients than places come in one moment, each with a request: none is shut unread for the next.
+/// More clients than may be open connect together, each with a request: none is evicted unread.
 #[test]
-fn clients_that_come_and_ask_in_one_moment_are_all_answered() {
+fn clients_that_connect_with_a_request_together_are_all_answered() {
     let servers = Servers::new();
     let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
     let discovery = Discovery::start(&hosts);
-    let node = Node::with_sockets("moment", discovery.address, &hosts, SOCKETS);
+    let node = Node::with_sockets("moment", discovery.address, &hosts, MAX_DESCRIPTORS);
     assert_eq!(node.client().ask(READY).status(), 200);
     node.stop();
-    let come = |number: usize| {
+    let connect = |number: usize| {
         let mut client = node.client();
-        client.write(&if number < SOCKETS / 2 {
+        client.write(&if number < MAX_DESCRIPTORS / 2 {
             READY.to_owned()
         } else {
             request(&format!("r{number}"), "read", "20000m")
         });
         client
     };
-    let clients: Vec<_> = (0..SOCKETS).map(come).collect();
+    let clients: Vec<_> = (0..MAX_DESCRIPTORS).map(connect).collect();
     node.go_on();
     for mut client in clients {
         assert_eq!(client.answer().map(|answer| answer.status()), Some(200));
     }
 }
 
-/// How idle clients hold a connection: without a word, within a head, or after an answer.
-const WAYS: [&str; 3] = ["", "GET /-/ready HTTP/1.1\r\nHos", READY];
+/// What idle clients send before they go idle: nothing, a part of a head, or a whole request.
+const IDLE_PREFIXES: [&str; 3] = ["", "GET /-/ready HTTP/1.1\r\nHos", READY];
 const READY: &str = "GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n";
 
-/// Idle clients that fill whatever is open to them, and come again when they are shut, until told to stop.
-fn crowd(address: SocketAddr, stop: &AtomicBool) {
+/// Idle clients that open all the connections they can, and open them again when they are closed, until `stop` is set.
+fn hold_idle_connections(address: SocketAddr, stop: &AtomicBool) {
     let open = |number: usize| {
-        let mut stream = TcpStream::connect(address).expect("the machine accepts");
-        // It may have been shut by then.
-        let _ = std::io::Write::write_all(&mut stream, WAYS[number % WAYS.len()].as_bytes());
+        let mut stream = TcpStream::connect(address).expect("it connects");
+        // It may have been closed by then.
+        let _ =
+            std::io::Write::write_all(&mut stream, IDLE_PREFIXES[number % IDLE_PREFIXES.len()].as_bytes());
         stream.set_nonblocking(true).expect("a mode");
         stream
     };
-    let is_shut = |stream: &TcpStream| {
+    let is_closed = |stream: &TcpStream| {
         let mut answer = [0; 1024];
         loop {
             match std::io::Read::read(&mut &*stream, &mut answer) {
@@ -96,10 +97,10 @@
             }
         }
     };
-    let mut held: Vec<_> = (0..IDLE).map(open).collect();
+    let mut connections: Vec<_> = (0..IDLE_CONNECTIONS).map(open).collect();
     while !stop.load(Ordering::Relaxed) {
-        for (number, stream) in held.iter_mut().enumerate() {
-            if is_shut(stream) {
+        for (number, stream) in connections.iter_mut().enumerate() {
+            if is_closed(stream) {
                 *stream = open(number);
             }
         }
@@ -107,90 +108,95 @@
     }
 }
 
-/// Asks on a new connection; `None` if that was shut unread, which is allowed while descriptors are short.
-fn ask_new(node: &Node, words: &str) -> Option<u16> {
+/// Sends a request on a new connection; `None` if it was closed unread, which is allowed while descriptors are short.
+fn ask_on_new_connection(node: &Node, request: &str) -> Option<u16> {
     let mut client = node.client();
-    std::io::Write::write_all(&mut client.stream, words.as_bytes()).ok()?;
+    std::io::Write::write_all(&mut client.stream, request.as_bytes()).ok()?;
     client.answer().map(|answer| answer.status())
 }
 
-/// Most connections that one who asks may need beside such a crowd.
-const TRIES: usize = 50;
+/// Most connections that a client may need beside such idle ones.
+const MAX_TRIES: usize = 50;
 
-fn is_answered(node: &Node, words: impl Fn(usize) -> String) {
-    let answer = (0..TRIES).find_map(|number| ask_new(node, &words(number)));
+fn assert_answered(node: &Node, request: impl Fn(usize) -> String) {
+    let answer = (0..MAX_TRIES).find_map(|number| ask_on_new_connection(node, &request(number)));
     assert_eq!(answer, Some(200));
 }
 
 #[test]
-fn idle_clients_keep_neither_discovery_nor_servers_nor_readiness_from_their_descriptors() {
+fn idle_clients_leave_descriptors_for_discovery_servers_and_readiness_probes() {
     let servers = Servers::new();
     let address = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
     let address = address.expect("an address");
     let old = host("old", servers.start("old", &[SERVES]), 1, "ready");
-    let node = Node::with_sockets("filled", address, &[old], SOCKETS);
+    let node = Node::with_sockets("filled", address, &[old], MAX_DESCRIPTORS);
     let stop = AtomicBool::new(false);
     std::thread::scope(|scope| {
-        scope.spawn(|| crowd(node.address, &stop));
-        // Ends the crowd also where this panics.
-        let _stops = Stops(&stop);
-        is_answered(&node, |_| READY.to_owned());
-        is_answered(&node, |number| request(&format!("a{number}"), "read", "20000m"));
+        scope.spawn(|| hold_idle_connections(node.address, &stop));
+        // Ends that thread also where this one panics.
+        let _stop_guard = StopGuard(&stop);
+        assert_answered(&node, |_| READY.to_owned());
+        assert_answered(&node, |number| request(&format!("a{number}"), "read", "20000m"));
         assert_eq!(servers.next().server, "old");
-        // So long that all have come and have been shut, and come again.
+        // So long that all have connected, have been closed and have connected again.
         std::thread::sleep(Duration::from_millis(500));
         let new: Vec<_> = (0..8)
             .map(|number| host(&format!("new-{number}"), servers.start("new", &[SERVES]), 1, "ready"))
             .collect();
         let discovery = Discovery::back(address, list(7, true, &new));
         discovery.watch();
-        is_answered(&node, |_| READY.to_owned());
+        assert_answered(&node, |_| READY.to_owned());
         let mut number = 0;
         while {
             number += 1;
-            is_answered(&node, |again| request(&format!("b{number}-{again}"), "read", "20000m"));
+            assert_answered(&node, |again| request(&format!("b{number}-{again}"), "read", "20000m"));
             servers.next().server != "new"
         } {}
-        is_answered(&node, |_| READY.to_owned());
+        assert_answered(&node, |_| READY.to_owned());
     });
 }
 
-struct Stops<'a>(&'a AtomicBool);
+/// Sets the flag when it is dropped.
+struct StopGuard<'a>(&'a AtomicBool);
 
-impl Drop for Stops<'_> {
+impl Drop for StopGuard<'_> {
     fn drop(&mut self) {
         self.0.store(true, Ordering::Relaxed);
     }
 }
 
-/// A client that reads slowly: the rest of its answer is kept back by the machine, far beyond what that buffers.
+/// A client that reads slowly: its answers are far more than the operating system buffers, so some stay unwritten.
 #[test]
-fn a_connection_on_which_an_answer_is_still_written_is_not_shut_for_another() {
+fn a_connection_with_an_unwritten_answer_is_not_evicted_for_another() {
     let servers = Servers::new();
-    let words = format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n{}", "r".repeat(LARGE));
-    let answers = Does::Answers(Box::leak(words.into_boxed_str()));
+    let response = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {LARGE_BODY_BYTES}\r\n\r\n{}",
+        "r".repeat(LARGE_BODY_BYTES)
+    );
+    let answers = Does::Answers(Box::leak(response.into_boxed_str()));
     let hosts = [host("s-1", servers.start("s-1", &[answers]), 1, "ready")];
     let discovery = Discovery::start(&hosts);
-    let node = Node::with_sockets("slowly", discovery.address, &hosts, SOCKETS);
+    let node = Node::with_sockets("slowly", discovery.address, &hosts, MAX_DESCRIPTORS);
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
     socket.set_recv_buffer_size(1).expect("the least there is");
     socket.connect(&node.address.into()).expect("the edge node accepts");
     let mut slow = Client::on(socket.into());
-    let many: String = (0..MANY).map(|number| request(&format!("r{number}"), "read", "20000m")).collect();
-    slow.write(&many);
+    let pipelined: String =
+        (0..PIPELINED_COUNT).map(|number| request(&format!("r{number}"), "read", "20000m")).collect();
+    slow.write(&pipelined);
     servers.next();
-    // Until the machine takes no more of what is written.
+    // Until the operating system takes no more of what is written.
     std::thread::sleep(Duration::from_millis(500));
-    // Others have asked later, and hold every place there is.
-    let asks = |_| {
+    // Others have sent requests later, and hold all the connections there may be.
+    let connect = |_| {
         let mut client = node.client();
         assert_eq!(client.ask(READY).status(), 200);
         client
     };
-    let others: Vec<_> = (0..SOCKETS).map(asks).collect();
-    for number in 0..MANY {
+    let others: Vec<_> = (0..MAX_DESCRIPTORS).map(connect).collect();
+    for number in 0..PIPELINED_COUNT {
         let answer = slow.answer().map(|answer| (answer.status(), answer.body.len()));
-        assert_eq!(answer, Some((200, LARGE)), "{number}");
+        assert_eq!(answer, Some((200, LARGE_BODY_BYTES)), "{number}");
     }
     drop(others);
 }
