--- a/src/bin/edge-node/clients/connection.rs
+++ b/src/bin/edge-node/clients/connection.rs
@@ -32,8 +32,8 @@
 /// Serves one connection until it is closed: by the client, on an error, or because the edge node is closing and has
 /// sent the last response.
 ///
-/// Dropping the future closes the socket at once and abandons a request in flight; the connection table does that to
-/// evict a connection.
+/// Dropping the future closes the socket at once and abandons a request in flight. The connection table drops it to
+/// evict an idle connection, and with the table itself when the process ends.
 pub(super) async fn serve(
     stream: ReadAheadStream, node: Rc<Node>, phase: watch::Receiver<Phase>, state: Rc<ConnectionState>,
 ) {
--- a/src/bin/edge-node/clients/connection_table.rs
+++ b/src/bin/edge-node/clients/connection_table.rs
@@ -79,8 +79,10 @@
     }
 }
 
+/// A connection in the table.
 struct Entry {
     state: Rc<ConnectionState>,
+    /// Aborting the task closes the connection.
     task: AbortHandle,
 }
 
@@ -88,6 +90,7 @@
 /// connections.
 pub(super) struct ConnectionTable {
     tasks: JoinSet<()>,
+    /// In the order in which the connections were accepted; finished ones may stay for a while.
     entries: Vec<Entry>,
     max_connections: usize,
     node: Rc<Node>,
--- a/src/bin/edge-node/clients/read_ahead.rs
+++ b/src/bin/edge-node/clients/read_ahead.rs
@@ -25,6 +25,7 @@
 #[derive(Clone)]
 pub(super) struct ReadAheadStream(Rc<RefCell<Inner>>);
 
+/// The socket and what is known of it, behind all clones of the stream.
 struct Inner {
     stream: TokioIo<TcpStream>,
     /// Bytes read ahead that the HTTP server has not read yet.
--- a/src/bin/edge-node/clients/request.rs
+++ b/src/bin/edge-node/clients/request.rs
@@ -57,7 +57,9 @@
 
 /// A request that came whole, in the forms for the decision module and for the servers.
 struct AdmittedRequest {
+    /// For the decision module.
     event: Event,
+    /// For the servers, once the decision module sends it.
     forward: Forward,
 }
 
