--- a/src/bin/edge-node/clients/connection.rs
+++ b/src/bin/edge-node/clients/connection.rs
@@ -38,7 +38,7 @@
     stream: ReadAheadStream, node: Rc<Node>, phase: watch::Receiver<Phase>, state: Rc<ConnectionState>,
 ) {
     // Declared first, hence dropped last: the connection is counted until its socket is closed.
-    let _counted = node.connected();
+    let _counted = node.client_connected();
     let connection = Connection { node, phase: phase.clone(), stream: stream.clone(), state };
     let connection = Rc::new(connection);
     let service = service_fn(move |request| {
--- a/src/bin/edge-node/clients/mod.rs
+++ b/src/bin/edge-node/clients/mod.rs
@@ -52,7 +52,7 @@
                 Ok((stream, _)) => connections.insert(stream).await,
                 Err(error) => {
                     // The connection stays in the backlog until there is a descriptor for it.
-                    node.not_accepted(&error);
+                    node.accept_failed(&error);
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
--- a/src/bin/edge-node/clients/request.rs
+++ b/src/bin/edge-node/clients/request.rs
@@ -66,7 +66,7 @@
 /// Parses the head, then reads the body to its end.
 async fn admit(node: &Node, request: Request<Incoming>) -> Result<AdmittedRequest, RequestError> {
     let (parts, body) = request.into_parts();
-    let head = RequestHead::parse(&node.named, &parts)?;
+    let head = RequestHead::parse(&node.settings, &parts)?;
     let body = read_body(node, &head, body).await?;
     Ok(AdmittedRequest::new(head, parts, body))
 }
@@ -116,7 +116,7 @@
     let AdmittedRequest { event, forward } = admitted;
     let id = forward.id.clone();
     let last_moment = forward.deadline + ANSWER_GRACE;
-    let Some(answer) = node.take(event, forward) else {
+    let Some(answer) = node.accept_request(event, forward) else {
         return Ok(response::rejection(RequestError::RequestIdInUse));
     };
     // Held until the response is built, and dropped with this future if the client disconnects first.
@@ -153,6 +153,6 @@
 
 impl Drop for AbandonGuard<'_> {
     fn drop(&mut self) {
-        self.node.abandon(&self.id);
+        self.node.abandon_request(&self.id);
     }
 }
--- a/src/bin/edge-node/peers.rs
+++ b/src/bin/edge-node/peers.rs
@@ -2,13 +2,11 @@
 
 use crate::bind;
 use crate::config::PeerAddresses;
-use crate::node::Node;
 use anyhow::Result;
-use edge_node::{Event, GatewayId};
+use edge_node::GatewayId;
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use tokio::net::UdpSocket;
 
 /// Most bytes of a datagram. Longer ones are neither sent nor accepted.
@@ -54,7 +52,7 @@
     /// # Errors
     /// The address can't be bound, or stays in use.
     pub(crate) async fn bind(addresses: PeerAddresses, own_id: GatewayId) -> Result<Peers> {
-        let PeerAddresses { listen, each: addresses, all: broadcast_address } = addresses;
+        let PeerAddresses { listen, addresses, broadcast: broadcast_address } = addresses;
         let socket = bind::with_retry(format!("peer_listen {listen}"), || UdpSocket::bind(listen)).await?;
         Ok(Peers {
             socket,
@@ -128,15 +126,3 @@
     }
     senders
 }
-
-/// Hands the datagrams of peers to the node, for ever; returns at once if it has no peers.
-///
-/// A sender is known by its address alone. Datagrams from other addresses, or too long, are ignored.
-pub(crate) async fn listen(node: Rc<Node>) {
-    let Some(peers) = &node.peers else { return };
-    loop {
-        if let Some(Datagram { from, bytes }) = peers.receive().await {
-            node.post(Event::PeerMessage { from, bytes });
-        }
-    }
-}
