--- /dev/null
+++ b/fleet-lab/src/scaling/plot.rs
@@ -0,0 +1,114 @@
+//! Processor time over size, as an SVG picture.
+
+use super::report::{CostCurve, Report, Statistics};
+use anyhow::{anyhow, Result};
+use plotters::coord::Shift;
+use plotters::prelude::*;
+use std::ops::Range;
+use std::path::Path;
+
+/// Width of one panel, pixels.
+const PANEL_WIDTH: u32 = 560;
+/// Height of one panel, pixels.
+const PANEL_HEIGHT: u32 = 380;
+/// Panels side by side.
+const COLUMNS: usize = 2;
+
+/// Processor time at one size.
+struct TimePoint {
+    size: f64,
+    /// µs.
+    time: Statistics,
+}
+
+/// One curve, as far as it has processor times above 0, which a logarithmic axis can show.
+struct TimeCurve<'a> {
+    curve: &'a CostCurve,
+    /// At least one.
+    points: Vec<TimePoint>,
+}
+
+impl TimeCurve<'_> {
+    fn new(curve: &CostCurve) -> Option<TimeCurve<'_>> {
+        let mut points = Vec::new();
+        for point in &curve.points {
+            let time = point.figures.get("time_us").copied();
+            if let Some(time) = time.filter(|time| time.min > 0.0) {
+                points.push(TimePoint { size: point.size as f64, time });
+            }
+        }
+        (!points.is_empty()).then_some(TimeCurve { curve, points })
+    }
+
+    fn size_range(&self) -> Range<f64> {
+        padded(self.points.iter().map(|point| point.size))
+    }
+
+    fn time_range(&self) -> Range<f64> {
+        let least = padded(self.points.iter().map(|point| point.time.min));
+        let greatest = padded(self.points.iter().map(|point| point.time.max));
+        least.start..greatest.end
+    }
+}
+
+/// A range with room around some positive values.
+fn padded(values: impl Iterator<Item = f64> + Clone) -> Range<f64> {
+    let least = values.clone().fold(f64::MAX, f64::min);
+    let greatest = values.fold(0.0, f64::max);
+    least * 0.8..greatest * 1.25
+}
+
+/// Draws a panel for each curve that has a processor time: medians as a line, each with its least and greatest value,
+/// and logarithmic axes.
+///
+/// # Errors
+/// If no curve has a processor time, or the file can't be written.
+pub(super) fn draw(report: &Report, file: &Path) -> Result<()> {
+    let curves: Vec<TimeCurve> = report.curves.iter().filter_map(TimeCurve::new).collect();
+    if curves.is_empty() {
+        return Err(anyhow!("no curve with a processor time to draw"));
+    }
+    let rows = curves.len().div_ceil(COLUMNS);
+    let size = (PANEL_WIDTH * COLUMNS as u32, PANEL_HEIGHT * rows as u32);
+    let root = SVGBackend::new(file, size).into_drawing_area();
+    root.fill(&WHITE).map_err(drawing_error)?;
+    for (panel, curve) in root.split_evenly((rows, COLUMNS)).iter().zip(&curves) {
+        draw_panel(panel, curve)?;
+    }
+    root.present().map_err(drawing_error)
+}
+
+fn drawing_error(error: impl std::fmt::Display) -> anyhow::Error {
+    anyhow!("drawing: {error}")
+}
+
+fn draw_panel(panel: &DrawingArea<SVGBackend, Shift>, time_curve: &TimeCurve) -> Result<()> {
+    let CostCurve { name, dimension, .. } = time_curve.curve;
+    let mut chart = ChartBuilder::on(panel)
+        .caption(format!("{name} over {dimension}"), ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(64)
+        .build_cartesian_2d(time_curve.size_range().log_scale(), time_curve.time_range().log_scale())
+        .map_err(drawing_error)?;
+    let mut mesh = chart.configure_mesh();
+    mesh.x_desc(dimension.to_string()).y_desc("processor time, µs");
+    mesh.x_label_formatter(&axis_label).y_label_formatter(&axis_label).draw().map_err(drawing_error)?;
+    let medians = time_curve.points.iter().map(|point| (point.size, point.time.median));
+    chart.draw_series(LineSeries::new(medians.clone(), &BLUE)).map_err(drawing_error)?;
+    chart.draw_series(medians.map(|at| Circle::new(at, 3, BLUE.filled()))).map_err(drawing_error)?;
+    let extents = time_curve
+        .points
+        .iter()
+        .map(|TimePoint { size, time }| PathElement::new(vec![(*size, time.min), (*size, time.max)], BLUE));
+    chart.draw_series(extents).map_err(drawing_error)?;
+    Ok(())
+}
+
+fn axis_label(value: &f64) -> String {
+    if *value < 10.0 {
+        format!("{value:.1}")
+    } else {
+        format!("{value:.0}")
+    }
+}
