No circle of imports: lease terms with the quota owner, a connection's state by itself

Seen by a script over the use lines: policy::lease and policy::quota_owner imported each other, and so did clients::connection and clients::connection_table.

--- a/src/bin/edge-node/clients/connection.rs
+++ b/src/bin/edge-node/clients/connection.rs
@@ -1,6 +1,6 @@
 //! One connection of a client, from accept to close.
 
-use super::connection_table::{ConnectionState, InFlightGuard};
+use super::connection_state::{ConnectionState, InFlightGuard};
 use super::phase::{wait_for_closing, Phase};
 use super::read_ahead::ReadAheadStream;
 use super::request::{self, ClientDisconnected};
--- a/src/bin/edge-node/clients/mod.rs
+++ b/src/bin/edge-node/clients/mod.rs
@@ -5,6 +5,7 @@
 
 mod call_terms;
 mod connection;
+mod connection_state;
 mod connection_table;
 mod header_value;
 mod phase;
--- a/src/gateway/leases.rs
+++ b/src/gateway/leases.rs
@@ -3,7 +3,7 @@
 use super::Gateway;
 use crate::message::{self, LeaseAnswer, LeaseDecision, LeaseGrant, LeaseRequest, Message, PermitRelease};
 use crate::policy::lease as policy;
-use crate::policy::quota_owner::{owners_of, OwnerRequest};
+use crate::policy::quota_owner::{lease_lifetime, owners_of, OwnerRequest};
 use crate::state::deployment::FleetMode;
 use crate::state::lease::Lease;
 use crate::state::permits::PermitHolder;
@@ -77,7 +77,7 @@
         let owner = request.quota.owner;
         self.quotas.unresponsive.remove(&owner.gateway);
         let hard_limit = self.deployment.plan_of(request).hard_limit;
-        let expires_at = pending.sent_at.saturating_add(policy::lease_lifetime(hard_limit.as_ref()));
+        let expires_at = pending.sent_at.saturating_add(lease_lifetime(hard_limit.as_ref()));
         if let Some(bucket) = self.quotas.local.get_mut(&request.customer) {
             bucket.lease_request_probability = grant.request_probability;
             bucket.probability_set_at = now;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -2,8 +2,8 @@
 //! rejected.
 
 use super::deadlines::FINAL_ANSWER_MARGIN;
-use super::lease::MAX_LEASE_LIFETIME;
 use super::load_shedding::shed_probability;
+use super::quota_owner::MAX_LEASE_LIFETIME;
 use crate::state::deployment::{Context, FleetMode};
 use crate::state::request::Request;
 use crate::state::token_bucket::TokenBucket;
--- a/src/policy/lease.rs
+++ b/src/policy/lease.rs
@@ -2,7 +2,7 @@
 //! first sent, and the other one if that is short; with all silent the own bucket decides. What a gateway
 //! takes in is bounded, so owners grant units on lease ahead of the requests of a gateway that sees many.
 
-use super::quota_owner::owner_count;
+use super::quota_owner::{owner_count, ANSWER_TIMEOUT};
 use crate::message::LeaseGrant;
 use crate::settings::HardLimit;
 use crate::state::deployment::Context;
@@ -13,12 +13,6 @@
 use crate::state::token_bucket::TokenBucket;
 use crate::types::Micros;
 
-/// µs that an owner may take to answer, and the shortest time that its grant holds under a hard limit.
-const ANSWER_TIMEOUT: Micros = 90_000;
-/// µs of use that a gateway gets on lease at the most.
-pub(super) const MAX_LEASE_LIFETIME: Micros = 3_000_000;
-/// And the most, as a share of the time that a hard limit takes to refill.
-const LEASE_REFILL_SHARE: f64 = 0.25;
 /// µs for which an unresponsive owner is passed over.
 const OWNER_COOLDOWN: Micros = 1_000_000;
 /// Lease requests on end without an answer that make an owner unresponsive: one alone is mostly a lost
@@ -27,13 +21,6 @@
 /// How often the time to answer is doubled for one request.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
-/// µs for which a lease or grant may be used.
-pub(crate) fn lease_lifetime(hard_limit: Option<&HardLimit>) -> Micros {
-    let Some(limit) = hard_limit else { return MAX_LEASE_LIFETIME };
-    let lifetime = (limit.capacity / limit.rate * LEASE_REFILL_SHARE * 1e6) as Micros;
-    lifetime.clamp(ANSWER_TIMEOUT, MAX_LEASE_LIFETIME)
-}
-
 /// What a request asks for beyond its own units: nothing while an answer may be on its way, which a second
 /// one would replace.
 pub(crate) fn renew(bucket: &mut TokenBucket, now: Micros, units: f64, owner_index: u32) -> LeaseRenewal {
--- a/src/policy/quota_owner.rs
+++ b/src/policy/quota_owner.rs
@@ -2,9 +2,8 @@
 //! own. One or two of a customer's gateways own its quota in parts; a standby owner keeps a small part in
 //! case they are silent.
 
-use super::lease::lease_lifetime;
 use crate::message::{LeaseDecision, LeaseGrant, LeaseRequest};
-use crate::settings::{Plan, Settings};
+use crate::settings::{HardLimit, Plan, Settings};
 use crate::state::permits::{even_share, PermitHolder};
 use crate::state::quota_owners::QuotaOwners;
 use crate::state::token_bucket::{BucketConfig, TokenBucket};
@@ -26,6 +25,20 @@
 /// The most of what is left that goes on one lease, so that others find some.
 const MAX_LEASE_SHARE: f64 = 0.25;
 
+/// µs that an owner may take to answer, and the shortest time that its grant holds under a hard limit.
+pub(super) const ANSWER_TIMEOUT: Micros = 90_000;
+/// µs of use that a gateway gets on lease at the most.
+pub(super) const MAX_LEASE_LIFETIME: Micros = 3_000_000;
+/// And the most, as a share of the time that a hard limit takes to refill.
+const LEASE_REFILL_SHARE: f64 = 0.25;
+
+/// µs for which a lease or grant may be used.
+pub(crate) fn lease_lifetime(hard_limit: Option<&HardLimit>) -> Micros {
+    let Some(limit) = hard_limit else { return MAX_LEASE_LIFETIME };
+    let lifetime = (limit.capacity / limit.rate * LEASE_REFILL_SHARE * 1e6) as Micros;
+    lifetime.clamp(ANSWER_TIMEOUT, MAX_LEASE_LIFETIME)
+}
+
 /// How many owners a customer of a plan has, with so many gateways.
 pub(super) fn owner_count(settings: &Settings, plan: &Plan, gateway_count: u32) -> u32 {
     let rate_of_one = UNITS_PER_INTAKE * settings.peer_messages_per_second;
