--- a/src/bin/edge-node/config.rs
+++ b/src/bin/edge-node/config.rs
@@ -1,7 +1,7 @@
 //! What the edge node is told at its start: `LB_*` and a configuration, the platform's or people's, as typed values.
 
 use crate::document::{self, Fault, Form};
-use crate::lists::List;
+use crate::endpoint_list::List;
 use crate::log;
 use crate::schema::{self, Values};
 use anyhow::{ensure, Context, Result};
--- a/src/bin/edge-node/discovery.rs
+++ b/src/bin/edge-node/discovery/mod.rs
@@ -4,7 +4,7 @@
 //! that fails is noticed, opened again and read well inside the time that a drain leaves. Each watch asks for the
 //! whole list: its first word then comes at once or not at all, and no version is held against another watch's.
 
-use crate::lists::{List, Piece, Pieces};
+use crate::endpoint_list::{List, Piece, Pieces};
 use crate::node::Node;
 use anyhow::{anyhow, bail, ensure, Context, Result};
 use bytes::Bytes;
--- a/src/bin/edge-node/node.rs
+++ b/src/bin/edge-node/node.rs
@@ -1,7 +1,7 @@
 //! Owns the decision module and all that it speaks of: the clock, the open requests and their attempts.
 //! Only here is the module called; what it asks for is done in the order in which it asks.
 
-use crate::lists::{Health, Host, List};
+use crate::endpoint_list::{Health, Host, List};
 use crate::metrics::{Final, Metrics, Now};
 use crate::peers::Peers;
 use crate::upstream::{Ending, Forward, Upstream};
--- a/tests/fixtures.rs
+++ b/tests/fixtures.rs
@@ -9,12 +9,12 @@
 #[path = "../src/bin/edge-node/document.rs"]
 mod document;
 #[allow(dead_code)]
+#[path = "../src/bin/edge-node/endpoint_list.rs"]
+mod endpoint_list;
+#[allow(dead_code)]
 #[path = "../src/bin/edge-node/limiter.rs"]
 mod limiter;
 #[allow(dead_code)]
-#[path = "../src/bin/edge-node/lists.rs"]
-mod lists;
-#[allow(dead_code)]
 #[path = "../src/bin/edge-node/log.rs"]
 mod log;
 #[allow(dead_code)]
@@ -27,7 +27,7 @@
     Class, DeduplicationScope, EndpointDiscovery, GatewayId, HardLimit, Idempotency, Permissions, Plan,
     Rules, Settings, ZoneId,
 };
-use lists::{Health, Host, Hosts, List};
+use endpoint_list::{Health, Host, Hosts, List};
 use std::net::SocketAddr;
 use std::path::Path;
 
