Move the reader of the watch to discovery/list_reader.rs, its tests to tests/unit

The entries of a list and the incremental reader of the stream were one file. The tests move unchanged; they ran a second time within tests/fixtures.rs, which took in the whole file by its path, and run once now, in the program.

--- a/src/bin/edge-node/discovery/mod.rs
+++ b/src/bin/edge-node/discovery/mod.rs
@@ -4,7 +4,9 @@
 //! that fails is noticed, opened again and read well inside the time that a drain leaves. Each watch asks for the
 //! whole list: its first word then comes at once or not at all, and no version is held against another watch's.
 
-use crate::endpoint_list::{List, Piece, Pieces};
+mod list_reader;
+
+use crate::endpoint_list::List;
 use crate::node::Node;
 use anyhow::{anyhow, bail, ensure, Context, Result};
 use bytes::Bytes;
@@ -16,6 +18,7 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use list_reader::{Piece, Pieces};
 use std::convert::Infallible;
 use std::fmt;
 use std::net::SocketAddr;
