--- a/src/bin/edge-node/config.rs
+++ b/src/bin/edge-node/config.rs
@@ -1,7 +1,7 @@
 //! What the edge node is told at its start: `LB_*` and a configuration, the platform's or people's, as typed values.
 
 use crate::document::{self, Fault, Form};
-use crate::endpoint_list::List;
+use crate::endpoint_list::EndpointList;
 use crate::log;
 use crate::schema::{self, Values};
 use anyhow::{ensure, Context, Result};
@@ -26,7 +26,7 @@
     pub memory: usize,
     pub peers: Option<PeerAddresses>,
     /// The list of app servers as it was last held. It may be old.
-    pub known: Option<List>,
+    pub(crate) known: Option<EndpointList>,
     pub named: ResolvedSettings,
     pub shell: Shell,
     /// What it was told under each key that waits for a restart.
@@ -98,7 +98,7 @@
     #[serde(default)]
     peers: Vec<SocketAddr>,
     peers_all: Option<SocketAddr>,
-    known: Option<List>,
+    known: Option<EndpointList>,
     settings: Box<RawValue>,
 }
 
--- a/src/bin/edge-node/discovery/list_reader.rs
+++ b/src/bin/edge-node/discovery/list_reader.rs
@@ -1,79 +1,106 @@
-//! Takes a watch apart as it comes in.
+//! The incremental reader of a watch: JSON objects, each on one line or many, with empty lines as heartbeats between
+//! them. It takes bytes in whatever pieces they arrive, keeps what is incomplete and passes over what can't be read.
 
-use crate::endpoint_list::{Host, List};
+use crate::endpoint_list::{EndpointEntry, EndpointList};
 
-/// Most bytes of one list. Guards memory against one without end.
-const LIST_MOST: usize = 4 << 20;
+/// Longest list in bytes. It bounds the memory that a list without an end takes.
+const MAX_LIST_BYTES: usize = 4 << 20;
 
-/// What came on a watch.
+/// What has arrived on a watch.
 #[derive(Debug, PartialEq)]
-pub enum Piece {
-    /// An empty line: discovery is there and has nothing to tell.
-    Life,
+pub(super) enum WatchMessage {
+    /// An empty line: discovery is alive and has no change to report.
+    Heartbeat,
     /// A list that could be read.
-    List(List),
-    /// Something that could not, and the entries that could be picked out of it.
-    Spoilt(Vec<Host>),
+    List(EndpointList),
+    /// Something else, and the entries that could be read within it.
+    Malformed(Vec<EndpointEntry>),
 }
 
-/// Takes a watch apart as it comes in.
+/// Splits the bytes of a watch into messages.
 #[derive(Default)]
-pub struct Pieces {
-    /// The object that is not whole yet, or the line that is none.
-    held: Vec<u8>,
-    /// How many brackets are open, and whether within a string.
+pub(super) struct ListReader {
+    /// The object whose end has not arrived, or the line that is not one.
+    buffer: Vec<u8>,
+    /// How many brackets and braces are open outside strings.
     depth: usize,
-    string: Option<InString>,
+    /// The state within a string; `None` outside of one.
+    string: Option<StringState>,
 }
 
-/// Where a reader stands within a string.
+/// The state of a reader within a JSON string.
 #[derive(Clone, Copy, PartialEq)]
-enum InString {
+enum StringState {
+    /// The next byte stands for itself, or ends the string.
     Plain,
-    /// Right behind a backslash.
+    /// The last byte was a backslash.
     Escaped,
 }
 
-impl Pieces {
-    /// Whether an object has begun that is not whole.
-    pub fn is_within(&self) -> bool {
-        !self.held.is_empty()
+impl ListReader {
+    /// Whether something has begun whose end has not arrived.
+    pub(super) fn has_partial_message(&self) -> bool {
+        !self.buffer.is_empty()
     }
 
-    /// What these bytes make whole.
-    pub fn feed(&mut self, bytes: &[u8]) -> Vec<Piece> {
-        let mut pieces = Vec::new();
+    /// Takes these bytes in; returns the messages that they complete, in order.
+    pub(super) fn read(&mut self, bytes: &[u8]) -> Vec<WatchMessage> {
+        let mut messages = Vec::new();
         for byte in bytes {
-            pieces.extend(self.step(*byte));
-            if self.held.len() > LIST_MOST {
-                pieces.push(self.give_up());
+            messages.extend(self.read_byte(*byte));
+            if self.buffer.len() > MAX_LIST_BYTES {
+                messages.push(self.discard_malformed());
             }
         }
-        pieces
+        messages
     }
 
-    /// The object that was begun will not become whole: what can be picked out of it.
-    pub fn give_up(&mut self) -> Piece {
-        let Pieces { held, .. } = std::mem::take(self);
-        Piece::Spoilt(picked(&held))
+    /// Gives up the message that has begun and is not complete; returns the entries that can be read within it.
+    pub(super) fn discard_partial(&mut self) -> Vec<EndpointEntry> {
+        let reader = std::mem::take(self);
+        readable_entries(&reader.buffer)
     }
 
-    fn step(&mut self, byte: u8) -> Option<Piece> {
-        if let Some(within) = self.string {
-            self.held.push(byte);
-            self.string = match (within, byte) {
-                (InString::Plain, b'\\') => Some(InString::Escaped),
-                (InString::Plain, b'"') => None,
-                _ => Some(InString::Plain),
-            };
+    fn discard_malformed(&mut self) -> WatchMessage {
+        WatchMessage::Malformed(self.discard_partial())
+    }
+
+    fn read_byte(&mut self, byte: u8) -> Option<WatchMessage> {
+        if let Some(state) = self.string {
+            self.buffer.push(byte);
+            self.string = state.after(byte);
             return None;
         }
         if self.depth == 0 {
-            return self.between(byte);
+            return self.read_between_objects(byte);
         }
-        self.held.push(byte);
+        self.read_within_object(byte)
+    }
+
+    /// Outside any object: white space, or noise up to the end of its line.
+    fn read_between_objects(&mut self, byte: u8) -> Option<WatchMessage> {
         match byte {
-            b'"' => self.string = Some(InString::Plain),
+            b'\n' if self.buffer.is_empty() => Some(WatchMessage::Heartbeat),
+            b'\n' => Some(self.discard_malformed()),
+            b'{' => {
+                let noise = self.has_partial_message().then(|| self.discard_malformed());
+                self.depth = 1;
+                self.buffer.push(byte);
+                noise
+            }
+            _ if byte.is_ascii_whitespace() && self.buffer.is_empty() => None,
+            _ => {
+                self.buffer.push(byte);
+                None
+            }
+        }
+    }
+
+    /// Within an object and outside its strings.
+    fn read_within_object(&mut self, byte: u8) -> Option<WatchMessage> {
+        self.buffer.push(byte);
+        match byte {
+            b'"' => self.string = Some(StringState::Plain),
             b'{' | b'[' => self.depth += 1,
             b'}' | b']' => self.depth -= 1,
             _ => {}
@@ -81,45 +108,50 @@
         if self.depth > 0 {
             return None;
         }
-        let whole = std::mem::take(&mut self.held);
-        let list = serde_json::from_slice(&whole).ok();
-        // Guards against a list of which nothing can be read, taken for one on which nobody is left.
-        let list = list.filter(|list: &List| !list.hosts.spoilt || !list.hosts.read.is_empty());
-        Some(list.map_or_else(|| Piece::Spoilt(picked(&whole)), Piece::List))
+        let object = std::mem::take(&mut self.buffer);
+        Some(parse_object(&object))
     }
+}
 
-    /// Outside any object: white space, or noise to the end of its line.
-    fn between(&mut self, byte: u8) -> Option<Piece> {
-        match byte {
-            b'\n' if self.held.is_empty() => return Some(Piece::Life),
-            b'\n' => return Some(self.give_up()),
-            b'{' => {
-                let noise = self.is_within().then(|| self.give_up());
-                (self.depth, self.held) = (1, vec![byte]);
-                return noise;
-            }
-            _ if byte.is_ascii_whitespace() && self.held.is_empty() => {}
-            _ => self.held.push(byte),
+impl StringState {
+    /// The state after the next byte; `None` if that ends the string.
+    fn after(self, byte: u8) -> Option<StringState> {
+        match (self, byte) {
+            (StringState::Plain, b'\\') => Some(StringState::Escaped),
+            (StringState::Plain, b'"') => None,
+            _ => Some(StringState::Plain),
+        }
+    }
+}
+
+/// An object whose brackets are closed, as a message.
+fn parse_object(object: &[u8]) -> WatchMessage {
+    match serde_json::from_slice::<EndpointList>(object) {
+        // A list that had entries and none that can be read would otherwise be taken for one without servers.
+        Ok(list) if !list.entries.has_malformed || !list.entries.readable.is_empty() => {
+            WatchMessage::List(list)
         }
-        None
+        _ => WatchMessage::Malformed(readable_entries(object)),
     }
 }
 
-/// Entries that can be read in a text that as a whole can't.
-fn picked(text: &[u8]) -> Vec<Host> {
-    let (mut hosts, mut rest) = (Vec::new(), text);
-    while let Some(place) = rest.iter().position(|byte| *byte == b'{') {
-        let mut objects = serde_json::Deserializer::from_slice(&rest[place..]).into_iter();
-        let read = match objects.next() {
-            Some(Ok(host)) => {
-                hosts.push(host);
+/// The entries that can be read within a text that can't be read as a whole.
+fn readable_entries(text: &[u8]) -> Vec<EndpointEntry> {
+    let mut entries = Vec::new();
+    let mut rest = text;
+    while let Some(start) = rest.iter().position(|byte| *byte == b'{') {
+        let mut objects = serde_json::Deserializer::from_slice(&rest[start..]).into_iter();
+        let length = match objects.next() {
+            Some(Ok(entry)) => {
+                entries.push(entry);
                 objects.byte_offset()
             }
+            // No entry begins here; the next one may begin within it.
             _ => 1,
         };
-        rest = &rest[place + read..];
+        rest = &rest[start + length..];
     }
-    hosts
+    entries
 }
 
 #[cfg(test)]
--- a/src/bin/edge-node/discovery/mod.rs
+++ b/src/bin/edge-node/discovery/mod.rs
@@ -1,189 +1,172 @@
 //! Discovery: a watch on the list of app servers, opened again whenever it ends, falls silent or can't be read.
 //!
-//! What the agent on this machine holds counts as told at once, whether or not a watch is open on it. So a watch
-//! that fails is noticed, opened again and read well inside the time that a drain leaves. Each watch asks for the
-//! whole list: its first word then comes at once or not at all, and no version is held against another watch's.
+//! The platform holds the edge node to what the agent on this machine has, whether or not a watch is open on it. So a
+//! watch that fails is noticed, opened again and read well inside the drain grace. Each watch asks for a snapshot: it
+//! arrives at once or not at all, and sequence numbers are compared within one watch only.
 
 mod list_reader;
+mod watch;
 
-use crate::endpoint_list::List;
+use crate::endpoint_list::{EndpointEntry, EndpointList};
 use crate::node::Node;
-use anyhow::{anyhow, bail, ensure, Context, Result};
 use bytes::Bytes;
-use edge_node::reconnect::{Failure, Reconnect, Word};
+use edge_node::reconnect::{ReconnectPolicy, WatchEvent};
 use edge_node::EndpointUpdate;
-use http_body_util::{BodyExt, Empty};
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::header::HOST;
-use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
-use list_reader::{Piece, Pieces};
+use list_reader::{ListReader, WatchMessage};
 use std::convert::Infallible;
-use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpStream;
-use tokio::sync::{oneshot, watch};
-use tokio::task::JoinHandle;
-use tokio::time::{timeout_at, Instant};
+use std::time::Duration;
+use tokio::sync::{oneshot, watch as watch_channel};
+use tokio::time::{sleep_until, timeout_at, Instant};
+use watch::{Watch, WatchError};
 
-/// Why a watch is given up that discovery does serve; it is not asked again as quickly.
-#[derive(Debug)]
-enum Trouble {
-    TurnedAway(StatusCode),
-    Spoilt,
-}
-
-impl fmt::Display for Trouble {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Trouble::TurnedAway(status) => write!(f, "the watch was answered {status}"),
-            Trouble::Spoilt => f.write_str("something on the watch can't be read"),
-        }
-    }
-}
-
-impl std::error::Error for Trouble {}
-
-/// Follows the list for ever, and moves when discovery gets another address. While it is down, and until the
-/// new one has spoken, the old list stands. The first list that comes is told of.
-pub async fn follow(
-    node: Rc<Node>, mut address: watch::Receiver<SocketAddr>, known: Option<List>, heard: oneshot::Sender<()>,
+/// Keeps the node's endpoints up to date for ever, and changes over when discovery gets another address. While
+/// discovery can't be reached the last list stays in force. `known` is the list to begin with; `first_list` is
+/// notified of the first one that arrives.
+///
+/// When the address changes, the future that watches the old one is dropped: its connection is closed. A list is
+/// applied without waiting in between, so none is left half applied.
+pub(crate) async fn watch_endpoints(
+    node: Rc<Node>, mut address: watch_channel::Receiver<SocketAddr>, known: Option<EndpointList>,
+    first_list: oneshot::Sender<()>,
 ) {
     if let Some(known) = known {
-        node.listed(EndpointUpdate::Snapshot, &known.hosts.read);
+        node.listed(EndpointUpdate::Snapshot, &known.entries.readable);
     }
-    let reconnect = Reconnect::new(node.named.drain_grace);
-    let mut follower = Follower { node, reconnect, begun: Instant::now(), heard: Some(heard) };
+    let mut client = DiscoveryClient::new(node, first_list);
     loop {
-        let now = *address.borrow_and_update();
+        let current = *address.borrow_and_update();
         tokio::select! {
-            () = follower.stay(now) => {}
-            Ok(()) = address.changed() => follower.reconnect.moved(),
+            () = client.watch_address(current) => {}
+            Ok(()) = address.changed() => client.policy.address_changed(),
         }
     }
 }
 
-/// A task that ends with its owner: a watch that is left must not keep its connection.
-struct Driver(JoinHandle<()>);
+/// The client of discovery, which outlives each of its watches.
+struct DiscoveryClient {
+    node: Rc<Node>,
+    /// When watches are given up and opened. Its times are spans since `epoch`.
+    policy: ReconnectPolicy,
+    epoch: Instant,
+    /// Notified of the first list; `None` once that has been done.
+    first_list: Option<oneshot::Sender<()>>,
+}
+
+impl DiscoveryClient {
+    fn new(node: Rc<Node>, first_list: oneshot::Sender<()>) -> DiscoveryClient {
+        let policy = ReconnectPolicy::new(node.named.drain_grace);
+        DiscoveryClient { node, policy, epoch: Instant::now(), first_list: Some(first_list) }
+    }
 
-impl Drop for Driver {
-    fn drop(&mut self) {
-        self.0.abort();
+    fn elapsed(&self) -> Duration {
+        self.epoch.elapsed()
     }
-}
 
-struct Follower {
-    node: Rc<Node>,
-    /// When the next call is made. Its clock runs since `begun`.
-    reconnect: Reconnect,
-    begun: Instant,
-    /// Whom to tell that a list has come, until one has.
-    heard: Option<oneshot::Sender<()>>,
-}
+    /// When the open watch is given up if nothing more arrives.
+    fn deadline(&self) -> Instant {
+        self.epoch + self.policy.deadline()
+    }
 
-impl Follower {
-    /// Follows the list at one address, for ever.
-    async fn stay(&mut self, address: SocketAddr) {
-        let mut told = false;
+    /// Opens one watch after the other at this address, for ever.
+    async fn watch_address(&mut self, address: SocketAddr) {
+        let mut has_failed = false;
         loop {
-            self.reconnect.called(self.begun.elapsed());
-            let Err(error) = self.watch(address).await;
+            self.policy.attempt_started(self.elapsed());
+            let Err(error) = self.watch_once(address).await;
             self.node.watch_ended();
-            let now = self.begun.elapsed();
-            if !std::mem::replace(&mut told, true) || self.reconnect.has_stood(now) {
-                self.node.watch_lost(address, &error);
+            let now = self.elapsed();
+            let failure = error.failure();
+            // Attempts that go on failing are one loss, of which only the first is logged.
+            if !has_failed || self.policy.was_stable(now) {
+                self.node.watch_lost(address, &anyhow::Error::new(error));
             }
-            let failure = if error.is::<Trouble>() { Failure::Refused } else { Failure::Lost };
-            let next = self.reconnect.ended(now, failure, fastrand::f64());
-            tokio::time::sleep_until(self.begun + next).await;
+            has_failed = true;
+            let next_attempt = self.policy.attempt_failed(now, failure, fastrand::f64());
+            sleep_until(self.epoch + next_attempt).await;
         }
     }
 
-    /// One watch, until it ends.
-    async fn watch(&mut self, address: SocketAddr) -> Result<Infallible> {
-        let answer_by = self.begun + self.reconnect.give_up();
-        let (mut body, _driver) = timeout_at(answer_by, open(address)).await.context("no answer")??;
-        let mut pieces = Pieces::default();
-        // Versions are counted within one watch.
-        let mut seq = None;
+    /// Opens a watch and applies what arrives until it ends. The watch is dropped then, which closes its connection.
+    async fn watch_once(&mut self, address: SocketAddr) -> Result<Infallible, WatchError> {
+        let opened = timeout_at(self.deadline(), Watch::open(address)).await;
+        let mut watch = opened.map_err(WatchError::NoAnswer)??;
+        let mut reader = ListReader::default();
+        let mut last_sequence = None;
         loop {
-            // A silent machine keeps its connection open: only the missing signs of life tell, or a list that
-            // stands still half-way.
-            let Ok(frame) = timeout_at(self.begun + self.reconnect.give_up(), body.frame()).await else {
-                ensure!(pieces.is_within(), "the watch is silent");
-                self.pick(pieces.give_up());
-                bail!(Trouble::Spoilt);
-            };
-            let data = match frame {
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                ended => {
-                    self.pick(pieces.give_up());
-                    let error = ended.and_then(Result::err).map(anyhow::Error::new);
-                    return Err(error.unwrap_or_else(|| anyhow!("the watch ended")));
-                }
-            };
-            let came = pieces.feed(&data);
-            let now = self.begun.elapsed();
-            if !came.is_empty() {
-                let listed = came.iter().any(|piece| matches!(piece, Piece::List(_)));
-                self.reconnect.heard(now, if listed { Word::List } else { Word::Life });
-            }
-            if pieces.is_within() {
-                self.reconnect.heard(now, Word::Part);
-            }
-            let mut spoilt = false;
-            for piece in came {
-                match piece {
-                    Piece::List(list) => self.take(&mut seq, &list),
-                    piece => spoilt |= self.pick(piece),
+            let bytes = self.receive(&mut watch, &mut reader).await?;
+            let messages = reader.read(&bytes);
+            self.report_events(&messages, reader.has_partial_message());
+            self.apply_messages(messages, &mut last_sequence)?;
+        }
+    }
+
+    /// Waits for the next bytes of a watch. If there are none, what can be read of a list that was cut off is applied.
+    async fn receive(&mut self, watch: &mut Watch, reader: &mut ListReader) -> Result<Bytes, WatchError> {
+        let received = match timeout_at(self.deadline(), watch.next_bytes()).await {
+            Ok(received) => received,
+            // A machine that fails keeps its connections open: only the missing heartbeats show it.
+            Err(_) if reader.has_partial_message() => Err(WatchError::Malformed),
+            Err(_) => Err(WatchError::Silent),
+        };
+        if received.is_err() {
+            self.apply_entries(&reader.discard_partial());
+        }
+        received
+    }
+
+    /// Reports to the policy what has arrived: complete messages first, then the beginning of the next one.
+    fn report_events(&mut self, messages: &[WatchMessage], has_partial_message: bool) {
+        let now = self.elapsed();
+        if !messages.is_empty() {
+            let has_list = messages.iter().any(|message| matches!(message, WatchMessage::List(_)));
+            let event = if has_list { WatchEvent::List } else { WatchEvent::Heartbeat };
+            self.policy.event_received(now, event);
+        }
+        if has_partial_message {
+            self.policy.event_received(now, WatchEvent::PartialList);
+        }
+    }
+
+    /// Applies all messages in their order, also those behind one that could not be read.
+    fn apply_messages(
+        &mut self, messages: Vec<WatchMessage>, last_sequence: &mut Option<u64>,
+    ) -> Result<(), WatchError> {
+        let mut result = Ok(());
+        for message in messages {
+            match message {
+                WatchMessage::Heartbeat => {}
+                WatchMessage::List(list) => self.apply_list(&list, last_sequence),
+                WatchMessage::Malformed(entries) => {
+                    self.apply_entries(&entries);
+                    result = Err(WatchError::Malformed);
                 }
             }
-            if spoilt {
-                bail!(Trouble::Spoilt);
-            }
         }
+        result
     }
 
-    /// Applies versions in order; what is old on this watch tells nothing.
-    fn take(&mut self, seq: &mut Option<u64>, list: &List) {
-        if !list.whole && seq.is_some_and(|seq| list.seq <= seq) {
+    /// Applies a list, unless it holds changes that are no newer than the last list of this watch.
+    fn apply_list(&mut self, list: &EndpointList, last_sequence: &mut Option<u64>) {
+        let is_newer = last_sequence.is_none_or(|last| list.sequence > last);
+        if !list.is_snapshot && !is_newer {
             return;
         }
-        *seq = Some(list.seq);
-        let kind = if list.whole { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
-        self.node.listed(kind, &list.hosts.read);
+        *last_sequence = Some(list.sequence);
+        let kind = if list.is_snapshot { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
+        self.node.listed(kind, &list.entries.readable);
         self.node.list_came(list);
-        // Whoever waited may have waited long enough.
-        if let Some(heard) = self.heard.take() {
-            let _ = heard.send(());
+        if let Some(first_list) = self.first_list.take() {
+            // The receiver is gone if its wait for the first list has timed out.
+            let _ = first_list.send(());
         }
     }
 
-    /// Applies what can be read of something that is no list; whether it was spoilt. Guards drains that stand in it.
-    fn pick(&mut self, piece: Piece) -> bool {
-        let Piece::Spoilt(hosts) = piece else { return false };
-        if !hosts.is_empty() {
-            self.node.listed(EndpointUpdate::Delta, &hosts);
+    /// Applies the entries that could be read of something malformed as changes, because drains may be among them.
+    fn apply_entries(&self, entries: &[EndpointEntry]) {
+        if !entries.is_empty() {
+            self.node.listed(EndpointUpdate::Delta, entries);
         }
-        true
-    }
-}
-
-/// Asks for a watch that begins with the whole list; its answer so far as it has come.
-async fn open(address: SocketAddr) -> Result<(Incoming, Driver)> {
-    let stream = TcpStream::connect(address).await?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let driver = Driver(tokio::task::spawn_local(async move {
-        // How it ended shows in the watch.
-        let _ = connection.await;
-    }));
-    let request = Request::builder().uri("/api/targets?watch=1");
-    let request = request.header(HOST, address.to_string()).body(Empty::<Bytes>::new())?;
-    let answer = sender.send_request(request).await?;
-    if answer.status() != StatusCode::OK {
-        bail!(Trouble::TurnedAway(answer.status()));
     }
-    Ok((answer.into_body(), driver))
 }
--- a/src/bin/edge-node/endpoint_list.rs
+++ b/src/bin/edge-node/endpoint_list.rs
@@ -1,93 +1,125 @@
-//! Lists of app servers, as discovery writes them: JSON objects on one line or many, with signs of life between.
-//! What can be read of one counts; the rest is passed over, and whoever reads is told that something was.
+//! Lists of app servers in the form in which discovery and configurations write them. What can be read of a list
+//! counts: entries that can't be read are left out, and the list says that there were some.
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
 
-/// The list of app servers, or changes to it.
+/// The app servers, or changes to them.
 #[derive(Deserialize, Clone, Debug, PartialEq)]
-pub struct List {
-    pub seq: u64,
-    #[serde(default)]
-    pub whole: bool,
-    #[serde(default)]
-    pub hosts: Hosts,
+pub(crate) struct EndpointList {
+    /// The version of the list, which grows within one watch.
+    #[serde(rename = "seq")]
+    pub(crate) sequence: u64,
+    /// The list names every server there is; otherwise it names those that have changed.
+    #[serde(rename = "whole", default)]
+    pub(crate) is_snapshot: bool,
+    /// The servers that it names.
+    #[serde(rename = "hosts", default)]
+    pub(crate) entries: EndpointEntries,
 }
 
-/// The entries that could be read, and whether there were others.
+/// The entries of a list that could be read, and whether there were others.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Hosts {
-    pub read: Vec<Host>,
-    pub spoilt: bool,
+pub(crate) struct EndpointEntries {
+    /// Those that could be read, in their order.
+    pub(crate) readable: Vec<EndpointEntry>,
+    /// At least one entry could not be read.
+    pub(crate) has_malformed: bool,
 }
 
-impl<'de> Deserialize<'de> for Hosts {
-    fn deserialize<D: Deserializer<'de>>(source: D) -> Result<Hosts, D::Error> {
+impl<'de> Deserialize<'de> for EndpointEntries {
+    fn deserialize<D: Deserializer<'de>>(source: D) -> Result<EndpointEntries, D::Error> {
         let raw: Vec<Box<RawValue>> = Deserialize::deserialize(source)?;
-        let read: Vec<Host> = raw.iter().filter_map(|host| serde_json::from_str(host.get()).ok()).collect();
-        let spoilt = read.len() < raw.len();
-        Ok(Hosts { read, spoilt })
+        let parsed = raw.iter().filter_map(|entry| serde_json::from_str(entry.get()).ok());
+        let readable: Vec<EndpointEntry> = parsed.collect();
+        let has_malformed = readable.len() < raw.len();
+        Ok(EndpointEntries { readable, has_malformed })
     }
 }
 
-/// An app server on the list. Its name and health must be told; of the rest, what can't be read is as if left out.
+/// An app server on a list. Its name and health have to be readable; any other value that is not is taken as absent.
 #[derive(Deserialize, Clone, Debug, PartialEq)]
-#[serde(try_from = "Written")]
-pub struct Host {
-    pub host: String,
-    /// Where it listens; told of each that is ready.
-    pub dial: Option<SocketAddr>,
-    pub site: String,
-    pub block: u64,
-    pub health: Health,
-    pub share: f64,
-    pub born_ms: u64,
+#[serde(try_from = "EntryDocument")]
+pub(crate) struct EndpointEntry {
+    /// The name of the server, the same at every edge node.
+    pub(crate) name: String,
+    /// Where the server listens; present for each that is ready.
+    pub(crate) address: Option<SocketAddr>,
+    /// The name of its zone; empty if there is none.
+    pub(crate) zone: String,
+    /// The number of its cell.
+    pub(crate) cell: u64,
+    /// Whether it takes requests.
+    pub(crate) health: EndpointHealth,
+    /// Its share of the load relative to the other servers, above 0.
+    pub(crate) weight: f64,
+    /// When it was started, Unix time in ms; 0 if that is not known.
+    pub(crate) started_at_ms: u64,
 }
 
+/// Whether a server takes requests.
 #[derive(Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
-pub enum Health {
+pub(crate) enum EndpointHealth {
+    /// It takes requests.
     Ready,
+    /// It finishes what it has and takes nothing new.
     Draining,
+    /// It has ended.
     Gone,
 }
 
-/// An entry as it stands in the text.
+/// An entry under the names of discovery.
 #[derive(Deserialize)]
-struct Written {
+struct EntryDocument {
     host: String,
-    health: Health,
-    #[serde(default, deserialize_with = "lenient")]
+    health: EndpointHealth,
+    #[serde(default, deserialize_with = "absent_if_malformed")]
     dial: Option<SocketAddr>,
-    #[serde(default, deserialize_with = "lenient")]
+    #[serde(default, deserialize_with = "absent_if_malformed")]
     site: Option<String>,
-    #[serde(default, deserialize_with = "lenient")]
+    #[serde(default, deserialize_with = "absent_if_malformed")]
     block: Option<u64>,
-    #[serde(default, deserialize_with = "lenient")]
+    #[serde(default, deserialize_with = "absent_if_malformed")]
     share: Option<f64>,
-    #[serde(default, deserialize_with = "lenient")]
+    #[serde(default, deserialize_with = "absent_if_malformed")]
     born_ms: Option<u64>,
 }
 
-impl TryFrom<Written> for Host {
-    type Error = &'static str;
+/// Why an entry is left out of its list.
+#[derive(Debug, thiserror::Error)]
+enum EntryError {
+    #[error("a server that is ready has no address")]
+    ReadyWithoutAddress,
+}
+
+impl TryFrom<EntryDocument> for EndpointEntry {
+    type Error = EntryError;
 
-    fn try_from(written: Written) -> Result<Host, &'static str> {
-        let Written { host, health, dial, site, block, share, born_ms } = written;
-        // Guards drains: who leaves is believed with whatever else is wrong about it, who comes is not.
-        if health == Health::Ready && dial.is_none() {
-            return Err("a server that is ready has no address");
+    fn try_from(document: EntryDocument) -> Result<EndpointEntry, EntryError> {
+        // A drain that is overlooked sends requests to a server that leaves. So an entry that takes a server away
+        // counts whatever else is wrong with it; only one that brings a server needs an address.
+        if document.health == EndpointHealth::Ready && document.dial.is_none() {
+            return Err(EntryError::ReadyWithoutAddress);
         }
-        let share = share.filter(|share| *share > 0.0).unwrap_or(1.0);
-        let (site, block, born_ms) = (site.unwrap_or_default(), block.unwrap_or(0), born_ms.unwrap_or(0));
-        Ok(Host { host, dial, site, block, health, share, born_ms })
+        Ok(EndpointEntry {
+            name: document.host,
+            address: document.dial,
+            zone: document.site.unwrap_or_default(),
+            cell: document.block.unwrap_or(0),
+            health: document.health,
+            weight: document.share.filter(|share| *share > 0.0).unwrap_or(1.0),
+            started_at_ms: document.born_ms.unwrap_or(0),
+        })
     }
 }
 
-/// A value that is left out, or can't be read, is none.
-fn lenient<'de, D: Deserializer<'de>, T: DeserializeOwned>(source: D) -> Result<Option<T>, D::Error> {
+/// Reads a value; one that can't be read is taken as absent.
+fn absent_if_malformed<'de, D: Deserializer<'de>, T: DeserializeOwned>(
+    source: D,
+) -> Result<Option<T>, D::Error> {
     let value = serde_json::Value::deserialize(source)?;
     Ok(serde_json::from_value(value).ok())
 }
--- a/src/bin/edge-node/main.rs
+++ b/src/bin/edge-node/main.rs
@@ -95,12 +95,12 @@
     let (moved, discovery) = watch::channel(config.discovery);
     tokio::task::spawn_local(reload(hangup, config.path, config.values, moved, log));
     let (heard, first_list) = oneshot::channel();
-    tokio::task::spawn_local(discovery::follow(Rc::clone(&node), discovery, config.known, heard));
+    tokio::task::spawn_local(discovery::watch_endpoints(Rc::clone(&node), discovery, config.known, heard));
     tokio::task::spawn_local(peers::listen(Rc::clone(&node)));
     tokio::task::spawn_local(retire(Rc::clone(&node)));
     // What discovery holds counts as told from the first moment, and the list that is known may be old. Clients wait
     // in the backlog for that; while discovery is silent, what is known has to do.
-    let heard = tokio::time::timeout(reconnect::first_list_in(node.named.drain_grace), first_list).await;
+    let heard = tokio::time::timeout(reconnect::first_list_timeout(node.named.drain_grace), first_list).await;
     phase.send_replace(Phase::Serving);
     let clients = tokio::task::spawn_local(clients::serve(listener, Rc::clone(&node), each_side, seen));
     match heard {
--- a/src/bin/edge-node/node.rs
+++ b/src/bin/edge-node/node.rs
@@ -1,7 +1,7 @@
 //! Owns the decision module and all that it speaks of: the clock, the open requests and their attempts.
 //! Only here is the module called; what it asks for is done in the order in which it asks.
 
-use crate::endpoint_list::{Health, Host, List};
+use crate::endpoint_list::{EndpointEntry, EndpointHealth, EndpointList};
 use crate::metrics::{Final, Metrics, Now};
 use crate::peers::Peers;
 use crate::upstream::{Ending, Forward, Upstream};
@@ -235,7 +235,7 @@
     }
 
     /// Follows discovery: the addresses first, so that nothing waiting for a connection goes to who left.
-    pub fn listed(self: &Rc<Self>, kind: EndpointUpdate, hosts: &[Host]) {
+    pub fn listed(self: &Rc<Self>, kind: EndpointUpdate, hosts: &[EndpointEntry]) {
         let zones = &self.named.zone_names;
         let zone = |name: &String| match zones.iter().position(|zone| zone == name) {
             Some(place) => place as u32,
@@ -244,20 +244,20 @@
             None => u32::MAX,
         };
         let entries = hosts.iter().map(|host| Endpoint {
-            server: server_id(&host.host),
-            zone: ZoneId(zone(&host.site)),
-            cell: CellId(host.block),
+            server: server_id(&host.name),
+            zone: ZoneId(zone(&host.zone)),
+            cell: CellId(host.cell),
             state: match host.health {
-                Health::Ready => EndpointState::Ready,
-                Health::Draining => EndpointState::Draining,
-                Health::Gone => EndpointState::Gone,
+                EndpointHealth::Ready => EndpointState::Ready,
+                EndpointHealth::Draining => EndpointState::Draining,
+                EndpointHealth::Gone => EndpointState::Gone,
             },
-            weight: host.share,
-            started_at: (host.born_ms > 0).then_some(host.born_ms.saturating_mul(1000)),
+            weight: host.weight,
+            started_at: (host.started_at_ms > 0).then_some(host.started_at_ms.saturating_mul(1000)),
         });
         let entries = entries.collect();
-        let ready = |host: &Host| host.dial.filter(|_| host.health == Health::Ready);
-        let dials = hosts.iter().map(|host| (server_id(&host.host), ready(host)));
+        let ready = |host: &EndpointEntry| host.address.filter(|_| host.health == EndpointHealth::Ready);
+        let dials = hosts.iter().map(|host| (server_id(&host.name), ready(host)));
         self.upstream.listed(kind == EndpointUpdate::Snapshot, dials);
         self.post(Event::EndpointsUpdated { kind, endpoints: entries });
     }
@@ -265,18 +265,18 @@
 
 impl Node {
     /// A list from discovery has been applied.
-    pub fn list_came(&self, list: &List) {
-        let (seq, entries) = (list.seq, list.hosts.read.len());
+    pub fn list_came(&self, list: &EndpointList) {
+        let (seq, entries) = (list.sequence, list.entries.readable.len());
         self.list.set(Some((seq, Instant::now())));
         if self.lost.take() {
             info!(event = "watch_back", seq, "discovery: the watch is back");
         }
-        let what = if list.whole { "the whole list" } else { "changes" };
+        let what = if list.is_snapshot { "the whole list" } else { "changes" };
         info!(
             event = "list",
             seq,
             entries,
-            whole = list.whole,
+            whole = list.is_snapshot,
             "list {seq} applied: {what}, {entries} entries"
         );
     }
--- a/src/reconnect.rs
+++ b/src/reconnect.rs
@@ -1,132 +1,200 @@
-//! When discovery is called again: a core without sockets or a clock. What happened on the open call and the time
-//! go in; out come the moment at which that call is given up and the one at which the next is made.
+//! When a watch on discovery is given up and opened again: a policy without sockets or a clock. What happened on the
+//! open watch goes in together with the time; the deadline of that watch and the time of the next attempt come out.
 //!
-//! A change counts as told 6 s after discovery had it and could be reached, whatever failed in between; where lists
-//! are pushed it counts at once. So the pace follows the time that a drain leaves, and no pause or wait outlasts
-//! the bounds below, however much time that is.
+//! The platform holds a gateway to a change 6 s after discovery had it and could be reached, whatever failed in
+//! between; where lists are pushed, at once. All timeouts and backoffs are therefore fractions of the time that a
+//! drain leaves, and each has an upper bound that holds however long that time is.
 
 use crate::Micros;
 use std::time::Duration;
 
-/// A watch says something every 2 s; one that is this late is taken for dead. A watch whose first list is this late
-/// is given up too, with whatever signs of life. Guards drains: what discovery has to tell counts as told all the same.
-const SILENT_FOR: Duration = Duration::from_secs(3);
-/// The longest wait for an answer, and for a list that has begun to be whole. Guards settings with a long grace.
-const ANSWER_MOST: Duration = Duration::from_millis(1500);
-/// The longest pause before one is opened again that was turned away or could not be read. Guards against a herd:
-/// a discovery that turns calls away goes on doing so for as long as they come back faster than it can serve them.
-const TURNED_AWAY_MOST: Duration = Duration::from_secs(1);
-/// The longest first pause.
-const FIRST_PAUSE_MOST: Duration = Duration::from_millis(100);
-/// The longest wait of a new edge node for its first list. Guards restarts, which have to be ready soon.
-const FIRST_LIST_MOST: Duration = Duration::from_secs(2);
-
-/// For how long a new edge node may wait for its first list, by the time that a drain leaves.
-pub fn first_list_in(drain_grace: Micros) -> Duration {
-    (Duration::from_micros(drain_grace) / 2).min(FIRST_LIST_MOST)
+/// Longest silence on a watch before it is given up; discovery sends a heartbeat every 2 s. It bounds the time to
+/// the first list, too, because a watch on which only heartbeats arrive hides drains.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Upper bound of the answer timeout, for settings with a long drain grace.
+const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Upper bound of every backoff. A discovery that is overloaded goes on rejecting watches for as long as they come
+/// back faster than it can serve them.
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
+/// Upper bound of the first backoff.
+const MAX_INITIAL_BACKOFF: Duration = Duration::from_millis(100);
+/// A watch that lasted for longer than this was stable: its end is a new failure, not the same one again.
+const STABLE_AFTER: Duration = MAX_BACKOFF;
+/// Upper bound of the wait for the first list, because a restarted edge node has to be ready soon.
+const MAX_FIRST_LIST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The drain grace is this many answer timeouts.
+const ANSWER_TIMEOUTS_PER_GRACE: u32 = 4;
+/// The drain grace is this many initial backoffs.
+const INITIAL_BACKOFFS_PER_GRACE: u32 = 40;
+/// The drain grace is this many of the longest backoffs after a lost connection.
+const LONGEST_BACKOFFS_PER_GRACE: u32 = 16;
+/// The drain grace is this many waits for the first list.
+const FIRST_LIST_TIMEOUTS_PER_GRACE: u32 = 2;
+
+/// Jitter multiplies a backoff by a factor from this to this plus one.
+const MIN_JITTER_FACTOR: f64 = 0.5;
+
+/// How long a starting edge node waits for its first list, by the drain grace in µs.
+pub fn first_list_timeout(drain_grace: Micros) -> Duration {
+    let grace = Duration::from_micros(drain_grace);
+    (grace / FIRST_LIST_TIMEOUTS_PER_GRACE).min(MAX_FIRST_LIST_TIMEOUT)
 }
 
-/// What came on a call.
+/// What has arrived on the open watch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
-    /// A sign of life, without a list.
-    Life,
-    /// A part of a list that is not whole yet.
-    Part,
+pub enum WatchEvent {
+    /// A sign of life that is no list.
+    Heartbeat,
+    /// A part of a list whose end has not arrived.
+    PartialList,
     /// A whole list that could be read.
     List,
 }
 
-/// Why a call is over.
+/// Why a watch has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Failure {
-    /// It could not be made, broke, ended, or was given up as silent.
-    Lost,
-    /// Discovery serves, but turned it away or sent what can't be read; it is not asked again as quickly.
-    Refused,
+pub enum WatchFailure {
+    /// It could not be opened, broke, ended, or was given up as silent.
+    ConnectionLost,
+    /// Discovery serves, but rejected the watch or sent what can't be read; the backoff grows longer than after a
+    /// lost connection.
+    Rejected,
 }
 
-/// Decides on calls to discovery, one after the other. Times are spans since any fixed moment, on a clock that does
-/// not go back.
+/// Backoffs of an exponential backoff, before jitter.
 #[derive(Clone, Debug)]
-pub struct Reconnect {
-    /// The agent answers at once. One that has not by then is silent, and is asked again.
-    answer_in: Duration,
-    /// The first pause, doubled each time, and the longest after a loss.
-    pauses: (Duration, Duration),
-    /// The next pause, before it is spread out.
-    pause: Duration,
-    called: Duration,
-    /// Whether the open call has brought a list.
-    listed: bool,
-    /// Whether a list has begun on it that is not whole.
-    within: bool,
-    give_up: Duration,
+struct Backoff {
+    /// The first one.
+    initial: Duration,
+    /// The longest one after a lost connection.
+    longest_after_loss: Duration,
+    /// The next one.
+    next: Duration,
 }
 
-impl Reconnect {
-    /// In parts of the time that a drain leaves: the longest wait for an answer, pause and read after it fill under
-    /// half of that, or their bounds if these are shorter.
-    pub fn new(drain_grace: Micros) -> Reconnect {
-        let grace = Duration::from_micros(drain_grace);
-        let pauses = ((grace / 40).min(FIRST_PAUSE_MOST), (grace / 16).min(TURNED_AWAY_MOST));
-        Reconnect {
-            answer_in: (grace / 4).min(ANSWER_MOST),
-            pauses,
-            pause: pauses.0,
-            called: Duration::ZERO,
-            listed: false,
-            within: false,
-            give_up: Duration::ZERO,
+impl Backoff {
+    fn new(drain_grace: Duration) -> Backoff {
+        let initial = (drain_grace / INITIAL_BACKOFFS_PER_GRACE).min(MAX_INITIAL_BACKOFF);
+        Backoff {
+            initial,
+            longest_after_loss: (drain_grace / LONGEST_BACKOFFS_PER_GRACE).min(MAX_BACKOFF),
+            next: initial,
         }
     }
 
-    /// A call begins now: the first, the next one when its moment has come, or one to a new address at once.
-    pub fn called(&mut self, now: Duration) {
-        (self.called, self.give_up) = (now, now + self.answer_in);
-        (self.listed, self.within) = (false, false);
+    fn reset(&mut self) {
+        self.next = self.initial;
     }
 
-    /// Discovery has another address: its first call may fail as often as a first one does.
-    pub fn moved(&mut self) {
-        self.pause = self.pauses.0;
+    /// The backoff after this failure; the next one is twice as long, up to the longest.
+    fn advance(&mut self, failure: WatchFailure) -> Duration {
+        let longest = match failure {
+            WatchFailure::ConnectionLost => self.longest_after_loss,
+            WatchFailure::Rejected => MAX_BACKOFF,
+        };
+        let backoff = self.next.min(longest);
+        self.next = (self.next * 2).min(longest);
+        backoff
     }
+}
 
-    /// Something came on the open call.
-    pub fn heard(&mut self, now: Duration, word: Word) {
-        let part = word == Word::Part;
-        // Danger: a list that comes byte by byte without end.
-        if std::mem::replace(&mut self.within, part) && part {
-            return;
+/// Decides when watches, one after the other, are given up and opened. Times are spans since any fixed moment, on
+/// a clock that does not go back.
+#[derive(Clone, Debug)]
+pub struct ReconnectPolicy {
+    /// Longest wait for an answer, and for the rest of a list that has begun. The agent answers at once; one that
+    /// has not by then is taken for unresponsive.
+    answer_timeout: Duration,
+    backoff: Backoff,
+    /// When the open watch was begun.
+    attempt_started_at: Duration,
+    /// The open watch has brought a list.
+    list_received: bool,
+    /// A list has begun on the open watch whose end has not arrived.
+    list_is_partial: bool,
+    /// When the open watch is given up.
+    deadline: Duration,
+}
+
+impl ReconnectPolicy {
+    /// The policy for a drain grace in µs: the answer timeout and the longest backoff with the read after it fill
+    /// less than half of that, or their upper bounds if these are shorter.
+    pub fn new(drain_grace: Micros) -> ReconnectPolicy {
+        let grace = Duration::from_micros(drain_grace);
+        ReconnectPolicy {
+            answer_timeout: (grace / ANSWER_TIMEOUTS_PER_GRACE).min(MAX_ANSWER_TIMEOUT),
+            backoff: Backoff::new(grace),
+            attempt_started_at: Duration::ZERO,
+            list_received: false,
+            list_is_partial: false,
+            deadline: Duration::ZERO,
         }
-        self.listed |= word == Word::List;
-        let until = now + if part { self.answer_in } else { SILENT_FOR };
-        // Danger: signs of life for ever and no list.
-        self.give_up = if self.listed { until } else { until.min(self.called + SILENT_FOR) };
     }
 
-    /// When the open call is given up if nothing more comes.
-    pub fn give_up(&self) -> Duration {
-        self.give_up
+    /// A watch is being opened: the first one, the next one when its time has come, or one to a new address at once.
+    pub fn attempt_started(&mut self, now: Duration) {
+        self.attempt_started_at = now;
+        self.deadline = now + self.answer_timeout;
+        self.list_received = false;
+        self.list_is_partial = false;
     }
 
-    /// Whether the open call has stood for so long that its end is a new trouble.
-    pub fn has_stood(&self, now: Duration) -> bool {
-        now.saturating_sub(self.called) > TURNED_AWAY_MOST
+    /// Discovery has another address: backoffs begin anew.
+    pub fn address_changed(&mut self) {
+        self.backoff.reset();
     }
 
-    /// The call is over; when the next one is made. `draw`, from 0 to 1, spreads it out, so that all edge nodes do
-    /// not come back at one stroke.
-    pub fn ended(&mut self, now: Duration, failure: Failure, draw: f64) -> Duration {
-        if self.has_stood(now) {
-            self.pause = self.pauses.0;
+    /// Something has arrived on the open watch, which may put off its deadline.
+    pub fn event_received(&mut self, now: Duration, event: WatchEvent) {
+        match event {
+            WatchEvent::PartialList => {
+                // A list that arrives byte by byte without end must not keep the watch: only its beginning counts.
+                if self.list_is_partial {
+                    return;
+                }
+                self.list_is_partial = true;
+                self.set_deadline(now + self.answer_timeout);
+            }
+            WatchEvent::Heartbeat => {
+                self.list_is_partial = false;
+                self.set_deadline(now + SILENCE_TIMEOUT);
+            }
+            WatchEvent::List => {
+                self.list_is_partial = false;
+                self.list_received = true;
+                self.set_deadline(now + SILENCE_TIMEOUT);
+            }
         }
-        let longest = match failure {
-            Failure::Lost => self.pauses.1,
-            Failure::Refused => TURNED_AWAY_MOST,
+    }
+
+    /// Until the first list has arrived the deadline stays within the silence timeout of the watch's beginning:
+    /// heartbeats alone must not keep a watch that brings no list.
+    fn set_deadline(&mut self, deadline: Duration) {
+        self.deadline = if self.list_received {
+            deadline
+        } else {
+            deadline.min(self.attempt_started_at + SILENCE_TIMEOUT)
         };
-        let pause = self.pause.min(longest).mul_f64(0.5 + draw.clamp(0.0, 1.0));
-        self.pause = (self.pause * 2).min(longest);
-        now + pause
+    }
+
+    /// When the open watch is given up if nothing more arrives.
+    pub fn deadline(&self) -> Duration {
+        self.deadline
+    }
+
+    /// Whether the open watch has lasted for so long that its end is a new failure.
+    pub fn was_stable(&self, now: Duration) -> bool {
+        now.saturating_sub(self.attempt_started_at) > STABLE_AFTER
+    }
+
+    /// The watch has ended; returns when the next one is opened. `jitter`, from 0 to 1, spreads the attempts of all
+    /// edge nodes, which would otherwise come back at one moment.
+    pub fn attempt_failed(&mut self, now: Duration, failure: WatchFailure, jitter: f64) -> Duration {
+        if self.was_stable(now) {
+            self.backoff.reset();
+        }
+        let backoff = self.backoff.advance(failure);
+        now + backoff.mul_f64(MIN_JITTER_FACTOR + jitter.clamp(0.0, 1.0))
     }
 }
--- a/tests/fixtures.rs
+++ b/tests/fixtures.rs
@@ -27,7 +27,7 @@
     Class, DeduplicationScope, EndpointDiscovery, GatewayId, HardLimit, Idempotency, Permissions, Plan,
     Rules, Settings, ZoneId,
 };
-use endpoint_list::{Health, Host, Hosts, List};
+use endpoint_list::{EndpointEntries, EndpointEntry, EndpointHealth, EndpointList};
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -188,22 +188,27 @@
     }
 }
 
-fn platform_endpoints() -> List {
-    let host = |name: &str, dial: Option<&str>, site: &str, block, health, share, born_ms| Host {
-        host: name.to_owned(),
-        dial: dial.map(address),
-        site: site.to_owned(),
-        block,
-        health,
-        share,
-        born_ms,
-    };
-    let read = vec![
-        host("s-1", Some("127.0.2.1:9000"), "block-a", 7, Health::Ready, 0.5, 1200),
-        host("s-2", Some("127.0.2.2:9000"), "block-b", 8, Health::Draining, 1.5, 0),
-        host("s-3", None, "", 0, Health::Gone, 1.0, 0),
+fn platform_endpoints() -> EndpointList {
+    let entry =
+        |name: &str, dial: Option<&str>, zone: &str, cell, health, weight, started_at_ms| EndpointEntry {
+            name: name.to_owned(),
+            address: dial.map(address),
+            zone: zone.to_owned(),
+            cell,
+            health,
+            weight,
+            started_at_ms,
+        };
+    let readable = vec![
+        entry("s-1", Some("127.0.2.1:9000"), "block-a", 7, EndpointHealth::Ready, 0.5, 1200),
+        entry("s-2", Some("127.0.2.2:9000"), "block-b", 8, EndpointHealth::Draining, 1.5, 0),
+        entry("s-3", None, "", 0, EndpointHealth::Gone, 1.0, 0),
     ];
-    List { seq: 41, whole: true, hosts: Hosts { read, spoilt: false } }
+    EndpointList {
+        sequence: 41,
+        is_snapshot: true,
+        entries: EndpointEntries { readable, has_malformed: false },
+    }
 }
 
 #[test]
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -7,6 +7,7 @@
 use limiter::Limiter;
 use serde_json::Value;
 use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::{Duration, Instant};
 use support::*;
@@ -138,12 +139,19 @@
     let _ = std::fs::remove_file(&path);
 }
 
+/// All files below a directory, also those in directories of it.
+fn source_files(directory: &Path) -> Vec<PathBuf> {
+    let entries = std::fs::read_dir(directory).expect("the code");
+    let paths = entries.map(|entry| entry.expect("an entry").path());
+    paths.flat_map(|path| if path.is_dir() { source_files(&path) } else { vec![path] }).collect()
+}
+
 /// Each event in the code stands on the page, and the other way round.
 #[test]
 fn the_page_tells_every_event() {
     let mut coded = std::collections::BTreeSet::new();
-    for file in std::fs::read_dir("src/bin/edge-node").expect("the code") {
-        let text = std::fs::read_to_string(file.expect("a file").path()).expect("it is text");
+    for file in source_files("src/bin/edge-node".as_ref()) {
+        let text = std::fs::read_to_string(file).expect("it is text");
         let names = text.split("event = \"").skip(1).filter_map(|rest| rest.split('"').next());
         coded.extend(names.map(str::to_owned));
     }
--- a/tests/reconnect.rs
+++ b/tests/reconnect.rs
@@ -1,120 +1,123 @@
-//! When discovery is called again, without sockets or a clock: every path that can put the next call off, and what
-//! a change that discovery has waits for on it.
+//! When a watch on discovery is opened again, without sockets or a clock: every path that can put off the next attempt,
+//! and for how long a change that discovery has waits on it.
 
-use edge_node::reconnect::{first_list_in, Failure, Reconnect, Word};
+use edge_node::reconnect::{first_list_timeout, ReconnectPolicy, WatchEvent, WatchFailure};
 use std::time::Duration;
 
-/// What discovery has to tell counts as told by then.
-const TOLD: Duration = Duration::from_secs(6);
-/// Left for the call that is answered, and for its list to be read.
-const ANSWER: Duration = Duration::from_millis(500);
+/// The rule of the platform: a change counts as known to the edge node by then.
+const CHANGE_KNOWN_WITHIN: Duration = Duration::from_secs(6);
+/// Left for the attempt that is answered, and for its list to be read.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
 const JUST_BEFORE: Duration = Duration::from_nanos(1);
 /// Graces for drains in µs, from none to one that outlasts every bound.
 const GRACES: [u64; 7] = [0, 1, 100_000, 500_000, 2_000_000, 20_000_000, 600_000_000];
 /// Steps that are tried in each order; with more the states only come again.
 const STEPS: u32 = 5;
 
-/// One step on a call: a word, at once or at the last moment, or its end.
+/// One step on a watch: an event, at once or at the last moment, or its end.
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    Hears(Word),
-    HearsLate(Word),
-    Fails(Failure),
-    FailsLate(Failure),
-    Moves,
+    Receives(WatchEvent),
+    ReceivesLate(WatchEvent),
+    Fails(WatchFailure),
+    FailsLate(WatchFailure),
+    AddressChanges,
 }
 
 const ALL: [Step; 11] = [
-    Step::Hears(Word::Life),
-    Step::Hears(Word::Part),
-    Step::Hears(Word::List),
-    Step::HearsLate(Word::Life),
-    Step::HearsLate(Word::Part),
-    Step::HearsLate(Word::List),
-    Step::Fails(Failure::Lost),
-    Step::Fails(Failure::Refused),
-    Step::FailsLate(Failure::Lost),
-    Step::FailsLate(Failure::Refused),
-    Step::Moves,
+    Step::Receives(WatchEvent::Heartbeat),
+    Step::Receives(WatchEvent::PartialList),
+    Step::Receives(WatchEvent::List),
+    Step::ReceivesLate(WatchEvent::Heartbeat),
+    Step::ReceivesLate(WatchEvent::PartialList),
+    Step::ReceivesLate(WatchEvent::List),
+    Step::Fails(WatchFailure::ConnectionLost),
+    Step::Fails(WatchFailure::Rejected),
+    Step::FailsLate(WatchFailure::ConnectionLost),
+    Step::FailsLate(WatchFailure::Rejected),
+    Step::AddressChanges,
 ];
 
-/// A follower of discovery in the midst of something.
+/// A client of discovery in any state.
 #[derive(Clone)]
-struct Play {
-    calls: Reconnect,
+struct Simulation {
+    policy: ReconnectPolicy,
     now: Duration,
-    listed: bool,
-    /// The last moment at which a change would have been told, had discovery had it: a call that could have been
-    /// answered, or a word on a watch that has brought its list.
-    would_know: Duration,
+    list_received: bool,
+    /// The last time at which a change would have arrived, had discovery had it: an attempt that could have been
+    /// answered, or an event on a watch that has brought its list.
+    last_known_at: Duration,
 }
 
-impl Play {
-    fn new(grace: u64) -> Play {
-        let mut calls = Reconnect::new(grace);
-        calls.called(Duration::ZERO);
-        Play { calls, now: Duration::ZERO, listed: false, would_know: Duration::ZERO }
+impl Simulation {
+    fn new(grace: u64) -> Simulation {
+        let mut policy = ReconnectPolicy::new(grace);
+        policy.attempt_started(Duration::ZERO);
+        Simulation { policy, now: Duration::ZERO, list_received: false, last_known_at: Duration::ZERO }
     }
 
-    /// The longest that a change may have waited for the next call, once this step is done.
-    fn step(&mut self, step: Step, draw: f64) -> Duration {
-        let last = self.calls.give_up().saturating_sub(JUST_BEFORE).max(self.now);
+    /// The longest that a change may have waited for the next attempt, once this step is done.
+    fn step(&mut self, step: Step, jitter: f64) -> Duration {
+        let last = self.policy.deadline().saturating_sub(JUST_BEFORE).max(self.now);
         match step {
-            Step::Hears(word) => self.hears(word),
-            Step::HearsLate(word) => {
+            Step::Receives(event) => self.receives(event),
+            Step::ReceivesLate(event) => {
                 self.now = last;
-                self.hears(word);
+                self.receives(event);
             }
-            Step::Fails(failure) => return self.fails(failure, draw),
+            Step::Fails(failure) => return self.fails(failure, jitter),
             Step::FailsLate(failure) => {
-                self.now = self.calls.give_up().max(self.now);
-                return self.fails(failure, draw);
+                self.now = self.policy.deadline().max(self.now);
+                return self.fails(failure, jitter);
             }
-            Step::Moves => {
-                self.calls.moved();
-                return self.calls_now();
+            Step::AddressChanges => {
+                self.policy.address_changed();
+                return self.start_attempt();
             }
         }
-        self.calls.give_up().saturating_sub(self.would_know)
+        self.policy.deadline().saturating_sub(self.last_known_at)
     }
 
-    fn hears(&mut self, word: Word) {
-        self.calls.heard(self.now, word);
-        self.listed |= word == Word::List;
-        if self.listed && word != Word::Part {
-            self.would_know = self.now;
+    fn receives(&mut self, event: WatchEvent) {
+        self.policy.event_received(self.now, event);
+        self.list_received |= event == WatchEvent::List;
+        if self.list_received && event != WatchEvent::PartialList {
+            self.last_known_at = self.now;
         }
     }
 
-    fn fails(&mut self, failure: Failure, draw: f64) -> Duration {
-        self.now = self.calls.ended(self.now, failure, draw).max(self.now);
-        self.calls_now()
+    fn fails(&mut self, failure: WatchFailure, jitter: f64) -> Duration {
+        self.now = self.policy.attempt_failed(self.now, failure, jitter).max(self.now);
+        self.start_attempt()
     }
 
-    fn calls_now(&mut self) -> Duration {
-        let waited = self.now - self.would_know;
-        self.calls.called(self.now);
-        (self.listed, self.would_know) = (false, self.now);
+    fn start_attempt(&mut self) -> Duration {
+        let waited = self.now - self.last_known_at;
+        self.policy.attempt_started(self.now);
+        self.list_received = false;
+        self.last_known_at = self.now;
         waited
     }
 }
 
-/// Plays all orders of steps and looks at each; the number of them.
-fn in_all_orders(play: &Play, steps: u32, look: &mut impl FnMut(&Play, Duration)) -> u64 {
+/// Runs all orders of steps and inspects each; returns their number.
+fn in_all_orders(
+    simulation: &Simulation, steps: u32, inspect: &mut impl FnMut(&Simulation, Duration),
+) -> u64 {
     if steps == 0 {
         return 1;
     }
-    let play_on = |(step, draw): (Step, f64)| {
-        let mut next = play.clone();
-        let waited = next.step(step, draw);
-        look(&next, waited);
-        in_all_orders(&next, steps - 1, look)
+    let run_on = |(step, jitter): (Step, f64)| {
+        let mut next = simulation.clone();
+        let waited = next.step(step, jitter);
+        inspect(&next, waited);
+        in_all_orders(&next, steps - 1, inspect)
     };
-    ALL.into_iter().flat_map(|step| draws(step).iter().map(move |draw| (step, *draw))).map(play_on).sum()
+    ALL.into_iter().flat_map(|step| jitters(step).iter().map(move |jitter| (step, *jitter))).map(run_on).sum()
 }
 
-/// The shortest and the longest pause where there is one.
-fn draws(step: Step) -> &'static [f64] {
+/// The jitter of the shortest and of the longest backoff, where there is one.
+fn jitters(step: Step) -> &'static [f64] {
     match step {
         Step::Fails(_) | Step::FailsLate(_) => &[0.0, 1.0],
         _ => &[0.0],
@@ -122,88 +125,91 @@
 }
 
 #[test]
-fn no_order_of_events_puts_the_next_call_off_for_as_long_as_a_change_may_take() {
+fn no_order_of_events_puts_off_the_next_attempt_for_as_long_as_a_change_may_take() {
     for grace in GRACES {
         let mut longest = Duration::ZERO;
-        let orders = in_all_orders(&Play::new(grace), STEPS, &mut |_, waited| longest = longest.max(waited));
+        let orders =
+            in_all_orders(&Simulation::new(grace), STEPS, &mut |_, waited| longest = longest.max(waited));
         assert!(orders > 500_000, "{orders}");
-        assert!(longest < TOLD - ANSWER, "{longest:?} with a grace of {grace} µs");
+        assert!(longest < CHANGE_KNOWN_WITHIN - ANSWER_TIME, "{longest:?} with a grace of {grace} µs");
     }
 }
 
-/// Whatever happened until discovery had a change, and whatever one more call after that comes to: the next is made
-/// in time.
+/// Whatever happened until discovery had a change, and however one more attempt after that fails: the next one is
+/// made in time.
 #[test]
-fn a_change_is_told_in_time_though_a_call_after_it_is_refused_or_hangs() {
+fn a_change_is_known_in_time_though_an_attempt_after_it_is_rejected_or_hangs() {
     for grace in GRACES {
         let mut longest = Duration::ZERO;
-        in_all_orders(&Play::new(grace), STEPS - 1, &mut |play, _| {
+        in_all_orders(&Simulation::new(grace), STEPS - 1, &mut |simulation, _| {
             // The change comes now, and what is open from before says nothing of it.
-            let change = play.would_know.max(play.now);
-            for open in [Failure::Lost, Failure::Refused] {
-                for (failure, hangs) in
-                    [(Failure::Lost, false), (Failure::Refused, false), (Failure::Lost, true)]
-                {
-                    let mut play = play.clone();
-                    play.step(Step::FailsLate(open), 1.0);
-                    play.step(if hangs { Step::FailsLate(failure) } else { Step::Fails(failure) }, 1.0);
-                    longest = longest.max(play.now - change);
+            let change = simulation.last_known_at.max(simulation.now);
+            for open in [WatchFailure::ConnectionLost, WatchFailure::Rejected] {
+                for (failure, hangs) in [
+                    (WatchFailure::ConnectionLost, false),
+                    (WatchFailure::Rejected, false),
+                    (WatchFailure::ConnectionLost, true),
+                ] {
+                    let mut simulation = simulation.clone();
+                    simulation.step(Step::FailsLate(open), 1.0);
+                    simulation.step(if hangs { Step::FailsLate(failure) } else { Step::Fails(failure) }, 1.0);
+                    longest = longest.max(simulation.now - change);
                 }
             }
         });
-        assert!(longest < TOLD - ANSWER, "{longest:?} with a grace of {grace} µs");
+        assert!(longest < CHANGE_KNOWN_WITHIN - ANSWER_TIME, "{longest:?} with a grace of {grace} µs");
     }
 }
 
-/// Danger: an agent that shows signs of life and tells nothing.
+/// An agent that sends heartbeats and no list is given up.
 #[test]
-fn signs_of_life_do_not_keep_a_watch_that_brings_no_list() {
-    let mut calls = Reconnect::new(20_000_000);
+fn heartbeats_do_not_keep_a_watch_that_brings_no_list() {
+    let mut policy = ReconnectPolicy::new(20_000_000);
     let mut now = Duration::from_secs(1);
-    calls.called(now);
+    policy.attempt_started(now);
     for _ in 0..20 {
-        now = (now + Duration::from_millis(300)).min(calls.give_up());
-        calls.heard(now, Word::Life);
+        now = (now + Duration::from_millis(300)).min(policy.deadline());
+        policy.event_received(now, WatchEvent::Heartbeat);
     }
-    assert_eq!(calls.give_up(), Duration::from_secs(4));
-    calls.heard(now, Word::List);
-    assert_eq!(calls.give_up(), now + Duration::from_secs(3));
+    assert_eq!(policy.deadline(), Duration::from_secs(4));
+    policy.event_received(now, WatchEvent::List);
+    assert_eq!(policy.deadline(), now + Duration::from_secs(3));
 }
 
 #[test]
-fn pauses_grow_while_calls_fail_and_begin_anew_after_a_watch_that_stood() {
-    let mut calls = Reconnect::new(20_000_000);
-    let mut pauses = Vec::new();
+fn backoffs_grow_while_attempts_fail_and_start_anew_after_a_stable_watch() {
+    let mut policy = ReconnectPolicy::new(20_000_000);
+    let mut backoffs = Vec::new();
     let mut now = Duration::ZERO;
     for _ in 0..6 {
-        calls.called(now);
-        let next = calls.ended(now, Failure::Refused, 0.5);
-        pauses.push((next - now).as_millis());
+        policy.attempt_started(now);
+        let next = policy.attempt_failed(now, WatchFailure::Rejected, 0.5);
+        backoffs.push((next - now).as_millis());
         now = next;
     }
-    assert_eq!(pauses, [100, 200, 400, 800, 1000, 1000]);
-    calls.called(now);
+    assert_eq!(backoffs, [100, 200, 400, 800, 1000, 1000]);
+    policy.attempt_started(now);
     let end = now + Duration::from_millis(1001);
-    assert!(calls.has_stood(end));
-    assert_eq!((calls.ended(end, Failure::Lost, 0.5) - end).as_millis(), 100);
-    calls.moved();
-    calls.called(end);
-    assert_eq!((calls.ended(end, Failure::Lost, 0.0) - end).as_millis(), 50);
+    assert!(policy.was_stable(end));
+    assert_eq!((policy.attempt_failed(end, WatchFailure::ConnectionLost, 0.5) - end).as_millis(), 100);
+    policy.address_changed();
+    policy.attempt_started(end);
+    assert_eq!((policy.attempt_failed(end, WatchFailure::ConnectionLost, 0.0) - end).as_millis(), 50);
 }
 
 #[test]
 fn a_watch_that_fails_is_read_again_in_half_the_time_that_a_drain_leaves() {
     for grace in [100_000, 500_000, 2_000_000] {
-        let mut calls = Reconnect::new(grace);
+        let mut policy = ReconnectPolicy::new(grace);
         let mut now = Duration::ZERO;
         for _ in 0..10 {
-            calls.called(now);
-            // The pause is up to half as long again; the list comes within one answer.
-            let answer_in = calls.give_up() - now;
-            let pause = calls.ended(now, Failure::Lost, 1.0) - now;
-            assert!(answer_in + pause < Duration::from_micros(grace) / 2, "{calls:?}");
-            assert!(first_list_in(grace) >= answer_in, "one answer at the least is waited for");
-            now += answer_in + pause;
+            policy.attempt_started(now);
+            // Jitter makes the backoff up to half as long again; the list comes within one answer.
+            let answer_timeout = policy.deadline() - now;
+            let backoff = policy.attempt_failed(now, WatchFailure::ConnectionLost, 1.0) - now;
+            assert!(answer_timeout + backoff < Duration::from_micros(grace) / 2, "{policy:?}");
+            assert!(first_list_timeout(grace) >= answer_timeout, "one answer at the least is waited for");
+            now += answer_timeout + backoff;
         }
     }
 }
@@ -212,9 +218,9 @@
 #[test]
 fn a_new_process_waits_briefly_for_its_first_list_whatever_the_grace() {
     for grace in GRACES {
-        assert!(first_list_in(grace) <= Duration::from_secs(2));
-        let mut calls = Reconnect::new(grace);
-        calls.called(Duration::ZERO);
-        assert!(first_list_in(grace) >= calls.give_up(), "one answer at the least is waited for");
+        assert!(first_list_timeout(grace) <= Duration::from_secs(2));
+        let mut policy = ReconnectPolicy::new(grace);
+        policy.attempt_started(Duration::ZERO);
+        assert!(first_list_timeout(grace) >= policy.deadline(), "one answer at the least is waited for");
     }
 }
