The harness under standard names, and the tests of discovery with it

Seen: Does, Got, SERVES, mute, says and goes_on name what stands in for the edge node's environment in words of our own; the configuration, the reading of the log and the register of open attempts stood in the middle of longer functions.

The tests of the deadline and of the watch use the new names and one Setup in place of a tuple of four; each test and assertion is kept.

--- a/tests/edge/discovery_deadline.rs
+++ b/tests/edge/discovery_deadline.rs
@@ -1,87 +1,106 @@
-//! What discovery has counts as told 6 s later, whatever failed in between. The grace for drains is so long here that
-//! a part of it outlasts the tests' patience: nothing but the bounds themselves brings the next call.
+//! A change has to be known 6 s after discovery had it, whatever failed in between. The drain grace is so long here that
+//! a fraction of it exceeds the timeouts of the tests: only the upper bounds of timeouts and backoffs bring the next
+//! attempt.
 
 use super::support::*;
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 
-fn of_a_long_grace(config: String) -> String {
+fn with_long_drain_grace(config: String) -> String {
     config.replace(r#""drainGraceUs":20000000"#, r#""drainGraceUs":600000000"#)
 }
 
-/// One app server, a discovery that says nothing by itself, and an edge node.
-fn follower(tag: &str) -> (Servers, Vec<String>, Discovery, Node) {
-    let servers = Servers::new();
-    let hosts = vec![host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
-    let discovery = Discovery::mute();
-    let node = Node::with(tag, discovery.address, &hosts, of_a_long_grace);
-    (servers, hosts, discovery, node)
+/// One app server, a discovery that sends nothing by itself, and an edge node.
+struct Setup {
+    servers: FakeServers,
+    /// The entry of the app server.
+    entries: Vec<String>,
+    discovery: FakeDiscovery,
+    node: EdgeNode,
 }
 
-/// The edge node is told of a server on this watch, and knows it.
-fn is_told(servers: &Servers, node: &Node, mut watch: TcpStream) {
-    watch.write_all(WATCH.as_bytes()).expect("open");
-    write_list(&mut watch, &with_new(servers));
-    knows_new(servers, node);
-}
+impl Setup {
+    fn start(tag: &str) -> Setup {
+        let servers = FakeServers::new();
+        let entries = vec![endpoint_entry("s-1", servers.start("s-1", &[RESPONDS_OK]), 1, "ready")];
+        let discovery = FakeDiscovery::silent();
+        let node = EdgeNode::start_with(tag, discovery.address, &entries, with_long_drain_grace);
+        Setup { servers, entries, discovery, node }
+    }
 
-/// A list of one server that is new.
-fn with_new(servers: &Servers) -> String {
-    list(9, true, &[host("new", servers.start("new", &[SERVES]), 2, "ready")])
-}
+    /// A list of one server that is new.
+    fn list_with_new_server(&self) -> String {
+        let address = self.servers.start("new", &[RESPONDS_OK]);
+        endpoint_list(9, true, &[endpoint_entry("new", address, 2, "ready")])
+    }
 
-fn knows_new(servers: &Servers, node: &Node) {
-    let mut client = node.client();
-    let mut number = 0;
-    let mut next = || {
-        number += 1;
-        assert_eq!(client.ask(&request(&format!("r{number}"), "read", "20000m")).status(), 200);
-        servers.next().server
-    };
-    while next() != "new" {}
+    /// Answers the next watch with a new server, and waits until requests are sent to it.
+    fn next_watch_is_applied(&self) {
+        let (_, mut watch) = self.discovery.next_watch();
+        watch.write_all(WATCH_RESPONSE_HEAD.as_bytes()).expect("open");
+        send_list(&mut watch, &self.list_with_new_server());
+        self.wait_for_new_server();
+    }
+
+    /// Sends requests until one arrives at the new server.
+    fn wait_for_new_server(&self) {
+        let mut client = self.node.client();
+        let mut number = 0;
+        let mut next_server = || {
+            number += 1;
+            let request = request_text(&format!("r{number}"), "read", "20000m");
+            assert_eq!(client.exchange(&request).status(), 200);
+            self.servers.next_request().server
+        };
+        while next_server() != "new" {}
+    }
 }
 
-/// Plays what happens on two calls, each of which the edge node has to give up; the third one is answered.
-fn given_up(tag: &str, plays: impl Fn(&mut TcpStream, &[String])) {
-    let (servers, hosts, discovery, node) = follower(tag);
-    let mut held = Vec::new();
+/// Handles two watches in this way, each of which the edge node has to give up; the third one is answered.
+fn assert_given_up(tag: &str, handle: impl Fn(&mut TcpStream, &[String])) {
+    let setup = Setup::start(tag);
+    let mut open = Vec::new();
     for _ in 0..2 {
-        let (_, mut watch) = discovery.watch();
-        plays(&mut watch, &hosts);
-        held.push(watch);
+        let (_, mut watch) = setup.discovery.next_watch();
+        handle(&mut watch, &setup.entries);
+        open.push(watch);
     }
-    is_told(&servers, &node, discovery.watch().1);
+    setup.next_watch_is_applied();
 }
 
 #[test]
-fn a_call_that_is_accepted_and_silent_is_given_up() {
-    given_up("t-silent", |_, _| {});
+fn an_attempt_that_is_accepted_and_not_answered_is_given_up() {
+    assert_given_up("t-silent", |_, _| {});
 }
 
 #[test]
 fn an_answer_that_stops_in_its_head_is_given_up() {
-    given_up("t-head", |watch, _| watch.write_all(&WATCH.as_bytes()[..30]).expect("open"));
+    assert_given_up("t-head", |watch, _| {
+        watch.write_all(&WATCH_RESPONSE_HEAD.as_bytes()[..30]).expect("open")
+    });
 }
 
 #[test]
 fn an_answer_without_a_list_is_given_up() {
-    given_up("t-empty", |watch, _| watch.write_all(WATCH.as_bytes()).expect("open"));
+    assert_given_up("t-empty", |watch, _| watch.write_all(WATCH_RESPONSE_HEAD.as_bytes()).expect("open"));
 }
 
 #[test]
 fn a_list_that_stops_half_way_is_given_up() {
-    given_up("t-half", |watch, hosts| {
-        let text = list(2, true, hosts);
+    assert_given_up("t-half", |watch, entries| {
+        let text = endpoint_list(2, true, entries);
         let half = &text[..text.len() / 2];
-        watch.write_all(format!("{WATCH}{:x}\r\n{half}\r\n", half.len()).as_bytes()).expect("open");
+        watch
+            .write_all(format!("{WATCH_RESPONSE_HEAD}{:x}\r\n{half}\r\n", half.len()).as_bytes())
+            .expect("open");
     });
 }
 
-/// Danger: signs of life on a watch that tells nothing.
+/// Heartbeats on a watch that brings no list must not keep it.
 #[test]
-fn signs_of_life_without_a_list_are_given_up() {
-    given_up("t-life", |watch, _| {
-        watch.write_all(WATCH.as_bytes()).expect("open");
+fn heartbeats_without_a_list_are_given_up() {
+    assert_given_up("t-life", |watch, _| {
+        watch.write_all(WATCH_RESPONSE_HEAD.as_bytes()).expect("open");
         let mut watch = watch.try_clone().expect("a clone");
         std::thread::spawn(move || {
             // Ends with the edge node's side of the connection.
@@ -94,46 +113,46 @@
 
 #[test]
 fn a_watch_that_falls_silent_after_its_list_is_given_up() {
-    given_up("t-fallen", |watch, hosts| {
-        watch.write_all(WATCH.as_bytes()).expect("open");
-        write_list(watch, &list(2, true, hosts));
+    assert_given_up("t-fallen", |watch, entries| {
+        watch.write_all(WATCH_RESPONSE_HEAD.as_bytes()).expect("open");
+        send_list(watch, &endpoint_list(2, true, entries));
     });
 }
 
-/// Refused, broken off and spoilt by turns, so often that pauses have grown to their longest.
+/// Rejected, closed and malformed by turns, so often that backoffs have grown to their longest.
 #[test]
-fn calls_that_fail_in_every_way_are_made_again() {
-    let (servers, hosts, discovery, node) = follower("t-every");
-    let spoilt = list(2, true, &hosts).replace("\"seq\"", "seq");
+fn attempts_that_fail_in_every_way_are_made_again() {
+    let setup = Setup::start("t-every");
+    let malformed = endpoint_list(2, true, &setup.entries).replace("\"seq\"", "seq");
     for _ in 0..3 {
-        for words in [
+        for response in [
             "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nRetry-After: 3600\r\n\r\n".to_owned(),
             "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_owned(),
             "noise\r\n\r\n".to_owned(),
             String::new(),
-            format!("{WATCH}{}", line(&spoilt)),
+            format!("{WATCH_RESPONSE_HEAD}{}", list_chunk(&malformed)),
         ] {
-            let (_, mut watch) = discovery.watch();
-            watch.write_all(words.as_bytes()).expect("open");
+            let (_, mut watch) = setup.discovery.next_watch();
+            watch.write_all(response.as_bytes()).expect("open");
             watch.shutdown(Shutdown::Both).expect("open");
         }
     }
-    is_told(&servers, &node, discovery.watch().1);
+    setup.next_watch_is_applied();
 }
 
-/// SIGHUP, in the middle of a call that hangs and in a pause, goes to the address in the file at once.
+/// SIGHUP, during an attempt that hangs and during a backoff, opens a watch at the address in the file at once.
 #[test]
-fn sighup_in_the_midst_of_a_call_or_a_pause_calls_at_once() {
-    let (servers, _hosts, old, node) = follower("t-hup");
-    let (_, hangs) = old.watch();
-    let new = Discovery::mute();
-    let (from, to) = (old.address.to_string(), new.address.to_string());
-    node.reload(|text| text.replace(&from, &to));
-    let (_, refused) = new.watch();
-    // The call on the next signal is told, or the one after the pause if that is over first.
-    new.holds(with_new(&servers));
-    refused.shutdown(Shutdown::Both).expect("open");
-    node.reload(|text| text);
-    knows_new(&servers, &node);
-    drop(hangs);
+fn sighup_during_an_attempt_or_a_backoff_reconnects_at_once() {
+    let setup = Setup::start("t-hup");
+    let (_, hanging) = setup.discovery.next_watch();
+    let new = FakeDiscovery::silent();
+    let (from, to) = (setup.discovery.address.to_string(), new.address.to_string());
+    setup.node.reload(|text| text.replace(&from, &to));
+    let (_, closed) = new.next_watch();
+    // The attempt on the next signal gets it, or the one after the backoff if that is over first.
+    new.set_list(setup.list_with_new_server());
+    closed.shutdown(Shutdown::Both).expect("open");
+    setup.node.reload(|text| text);
+    setup.wait_for_new_server();
+    drop(hanging);
 }
--- a/tests/support/configuration.rs
+++ b/tests/support/configuration.rs
@@ -1,9 +1,35 @@
 //! Configurations of the edge node under test.
 
-pub(super) const SETTINGS: &str = r#"{"balancers":2,"me":0,"zone":"a","zones":["a"],"periodUs":2000,"discovery":"automatic","ceilings":{"cancel":true,"probes":false,"mayTell":true,"secondCopies":false,"sendCap":4,"connIdleUs":15000000,"connectTimeoutUs":250000},"classes":[{"name":"read","aimUs":400000,"deadlineUs":30000000,"lateValue":0.2,"worth":3.0,"repeat":"read_like"},{"name":"submit","aimUs":400000,"deadlineUs":30000000,"lateValue":0.2,"worth":2.0,"repeat":"idempotency_key","group":"cell","windowUs":60000000},{"name":"pay","aimUs":400000,"deadlineUs":30000000,"lateValue":0.2,"worth":9.0,"repeat":"non_idempotent"}],"packages":[{"name":"p","rate":1000.0,"storeSize":1000.0,"price":1.0},{"name":"tiny","rate":0.5,"storeSize":1.0,"price":1.0}],"rules":{"drainGraceUs":20000000,"coldFrom":0.2,"coldUs":1000000,"fallMultiple":3.0,"overloadForUs":1000000},"extra":{"peerInPerS":60.0,"maxUnits":1}}"#;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 
-/// A configuration as a file of its own; `name` ends with its extension.
-pub(crate) fn written(name: &str, config: &str) -> std::path::PathBuf {
+/// Settings in the form of the platform.
+const SETTINGS: &str = r#"{"balancers":2,"me":0,"zone":"a","zones":["a"],"periodUs":2000,"discovery":"automatic","ceilings":{"cancel":true,"probes":false,"mayTell":true,"secondCopies":false,"sendCap":4,"connIdleUs":15000000,"connectTimeoutUs":250000},"classes":[{"name":"read","aimUs":400000,"deadlineUs":30000000,"lateValue":0.2,"worth":3.0,"repeat":"read_like"},{"name":"submit","aimUs":400000,"deadlineUs":30000000,"lateValue":0.2,"worth":2.0,"repeat":"idempotency_key","group":"cell","windowUs":60000000},{"name":"pay","aimUs":400000,"deadlineUs":30000000,"lateValue":0.2,"worth":9.0,"repeat":"non_idempotent"}],"packages":[{"name":"p","rate":1000.0,"storeSize":1000.0,"price":1.0},{"name":"tiny","rate":0.5,"storeSize":1.0,"price":1.0}],"rules":{"drainGraceUs":20000000,"coldFrom":0.2,"coldUs":1000000,"fallMultiple":3.0,"overloadForUs":1000000},"extra":{"peerInPerS":60.0,"maxUnits":1}}"#;
+
+/// What differs between the configurations of the tests.
+pub(super) struct PlatformConfig<'a> {
+    /// Where discovery listens.
+    pub(super) discovery: SocketAddr,
+    /// The address of the node's datagrams.
+    pub(super) node_datagrams: SocketAddr,
+    /// The address of its peer's datagrams.
+    pub(super) peer_datagrams: SocketAddr,
+    /// The list that the node knows from the start.
+    pub(super) known_list: &'a str,
+}
+
+impl PlatformConfig<'_> {
+    /// The configuration in the form of the platform.
+    pub(super) fn text(&self) -> String {
+        let PlatformConfig { discovery, node_datagrams, peer_datagrams, known_list } = self;
+        format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"peer_listen":"{node_datagrams}","peers":["{node_datagrams}","{peer_datagrams}"],"known":{known_list},"settings":{SETTINGS}}}"#
+        )
+    }
+}
+
+/// Writes a configuration to a file of its own; `name` ends with its extension. Returns its path.
+pub(crate) fn write_config_file(name: &str, config: &str) -> PathBuf {
     let path = std::env::temp_dir().join(format!("edge-node-{}-{name}", std::process::id()));
     std::fs::write(&path, config).expect("the configuration is written");
     path
--- a/tests/support/fake_discovery.rs
+++ b/tests/support/fake_discovery.rs
@@ -1,98 +1,107 @@
-//! A stand-in for the agent of discovery, and lists in its form.
+//! A stand-in for the agent of discovery, and lists in the form in which it sends them.
 
-use super::http::Message;
-use super::PATIENCE;
+use super::http::HttpMessage;
+use super::TEST_TIMEOUT;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{self, Receiver};
+use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-/// An agent of discovery. Watches come to the test, which writes to them.
-pub(crate) struct Discovery {
+/// How the response to a watch begins.
+pub(crate) const WATCH_RESPONSE_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A watch that the edge node has opened: its request line, and the connection to respond on.
+type OpenedWatch = (String, TcpStream);
+
+/// The list with which each watch begins; `None` leaves the whole response to the test.
+type InitialList = Arc<Mutex<Option<String>>>;
+
+/// An agent of discovery. The watches that are opened on it go to the test, which writes to them.
+pub(crate) struct FakeDiscovery {
+    /// Where it listens.
     pub(crate) address: SocketAddr,
-    watches: Receiver<(String, TcpStream)>,
-    /// The list with which it begins each watch, if it answers at once.
-    held: Arc<Mutex<Option<String>>>,
+    watches: Receiver<OpenedWatch>,
+    initial_list: InitialList,
 }
 
-/// How the answer to a watch begins.
-pub(crate) const WATCH: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-impl Discovery {
-    /// One that holds a list of these servers, version 1.
-    pub(crate) fn start(hosts: &[String]) -> Discovery {
-        Discovery::of(Some(list(1, true, hosts)))
+impl FakeDiscovery {
+    /// Starts one that has a snapshot of these servers, version 1.
+    pub(crate) fn start(entries: &[String]) -> FakeDiscovery {
+        FakeDiscovery::listen_anywhere(Some(endpoint_list(1, true, entries)))
     }
 
-    /// One that says nothing: what comes on a watch, to the head of its answer, is for the test to write.
-    pub(crate) fn mute() -> Discovery {
-        Discovery::of(None)
+    /// Starts one that sends nothing by itself: the response to a watch, with its head, is for the test to write.
+    pub(crate) fn silent() -> FakeDiscovery {
+        FakeDiscovery::listen_anywhere(None)
     }
 
-    /// One that comes back at its old address, with a list that it holds.
-    pub(crate) fn back(address: SocketAddr, list: String) -> Discovery {
-        Discovery::on(TcpListener::bind(address).expect("its port"), Some(list))
+    /// Starts one at the address of an earlier one, with this list.
+    pub(crate) fn restart_at(address: SocketAddr, list: String) -> FakeDiscovery {
+        FakeDiscovery::listen(TcpListener::bind(address).expect("its port"), Some(list))
     }
 
-    fn of(held: Option<String>) -> Discovery {
-        Discovery::on(TcpListener::bind("127.0.0.1:0").expect("a port"), held)
+    fn listen_anywhere(initial_list: Option<String>) -> FakeDiscovery {
+        FakeDiscovery::listen(TcpListener::bind("127.0.0.1:0").expect("a port"), initial_list)
     }
 
-    fn on(listener: TcpListener, held: Option<String>) -> Discovery {
+    fn listen(listener: TcpListener, initial_list: Option<String>) -> FakeDiscovery {
         let address = listener.local_addr().expect("an address");
-        let (tell, watches) = mpsc::channel();
-        let held = Arc::new(Mutex::new(held));
-        let holds = Arc::clone(&held);
-        thread::spawn(move || {
-            for mut stream in listener.incoming().flatten() {
-                let Some(head) = Message::read(&mut BufReader::new(stream.try_clone().expect("a clone")))
-                else {
-                    continue;
-                };
-                if let Some(list) = &*holds.lock().expect("no panic") {
-                    // The edge node may have left.
-                    let _ = stream.write_all(format!("{WATCH}{}", line(list)).as_bytes());
-                }
-                // The test may have ended.
-                let _ = tell.send((head.start, stream));
-            }
-        });
-        Discovery { address, watches, held }
+        let (report, watches) = mpsc::channel();
+        let initial_list = Arc::new(Mutex::new(initial_list));
+        let served_list = Arc::clone(&initial_list);
+        thread::spawn(move || accept_watches(&listener, &served_list, &report));
+        FakeDiscovery { address, watches, initial_list }
     }
 
-    /// From now on it begins each watch with this list.
-    pub(crate) fn holds(&self, list: String) {
-        *self.held.lock().expect("no panic") = Some(list);
+    /// From now on each watch begins with this list.
+    pub(crate) fn set_list(&self, list: String) {
+        *self.initial_list.lock().expect("no panic") = Some(list);
     }
 
-    /// The next watch that the edge node opens: how it was asked for, and where to write.
-    pub(crate) fn watch(&self) -> (String, TcpStream) {
-        self.watches.recv_timeout(PATIENCE).expect("a watch is opened")
+    /// Waits for the next watch that the edge node opens: its request line, and the connection to respond on.
+    pub(crate) fn next_watch(&self) -> OpenedWatch {
+        self.watches.recv_timeout(TEST_TIMEOUT).expect("a watch is opened")
     }
 
-    /// How many watches have been opened that nobody looked at.
-    pub(crate) fn further(&self) -> usize {
+    /// How many watches have been opened that the test has not taken.
+    pub(crate) fn unseen_watches(&self) -> usize {
         self.watches.try_iter().count()
     }
 }
 
-/// A line of a watch, as a chunk.
-pub(crate) fn line(list: &str) -> String {
+/// Accepts watches one after the other, for ever.
+fn accept_watches(listener: &TcpListener, initial_list: &InitialList, report: &Sender<OpenedWatch>) {
+    for mut stream in listener.incoming().flatten() {
+        let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+        let Some(request) = HttpMessage::read(&mut reader) else { continue };
+        if let Some(list) = &*initial_list.lock().expect("no panic") {
+            // The edge node may have closed the connection.
+            let _ = stream.write_all(format!("{WATCH_RESPONSE_HEAD}{}", list_chunk(list)).as_bytes());
+        }
+        // The test may have ended.
+        let _ = report.send((request.start, stream));
+    }
+}
+
+/// A line of a watch, as a chunk of its response.
+pub(crate) fn list_chunk(list: &str) -> String {
     format!("{:x}\r\n{list}\n\r\n", list.len() + 1)
 }
 
-pub(crate) fn write_list(watch: &mut TcpStream, list: &str) {
-    watch.write_all(line(list).as_bytes()).expect("the watch is open");
+/// Sends a line on a watch.
+pub(crate) fn send_list(watch: &mut TcpStream, list: &str) {
+    watch.write_all(list_chunk(list).as_bytes()).expect("the watch is open");
 }
 
-/// An entry of the list, in discovery's form.
-pub(crate) fn host(name: &str, dial: SocketAddr, block: u32, health: &str) -> String {
+/// An entry of a list, in the form of discovery.
+pub(crate) fn endpoint_entry(name: &str, address: SocketAddr, cell: u32, health: &str) -> String {
     format!(
-        r#"{{"host":"{name}","dial":"{dial}","site":"a","class":"k","block":{block},"health":"{health}","share":1.0,"born_ms":0}}"#
+        r#"{{"host":"{name}","dial":"{address}","site":"a","class":"k","block":{cell},"health":"{health}","share":1.0,"born_ms":0}}"#
     )
 }
 
-pub(crate) fn list(seq: u64, whole: bool, hosts: &[String]) -> String {
-    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
+/// A list, in the form of discovery.
+pub(crate) fn endpoint_list(sequence: u64, is_snapshot: bool, entries: &[String]) -> String {
+    format!(r#"{{"seq":{sequence},"whole":{is_snapshot},"hosts":[{}]}}"#, entries.join(","))
 }
--- a/tests/support/fake_server.rs
+++ b/tests/support/fake_server.rs
@@ -1,68 +1,86 @@
-//! Stand-ins for app servers.
+//! Stand-ins for app servers: each behaves as its test says and reports the requests that arrive.
 
-use super::http::Message;
-use super::PATIENCE;
-use std::io::{BufReader, Write};
+use super::http::HttpMessage;
+use super::TEST_TIMEOUT;
+use std::io::{BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-/// What an app server does with a request.
+/// What a server does with a request.
 #[derive(Clone, Debug)]
-pub(crate) enum Does {
-    Answers(&'static str),
-    /// Closes the connection, without a word, after what it says.
-    Ends(&'static str),
-    /// Says nothing and keeps the connection open.
-    IsSilent,
+pub(crate) enum ServerBehavior {
+    /// Sends this response and keeps the connection open.
+    Respond(&'static str),
+    /// Sends this, which may be part of a response or nothing, and closes the connection.
+    RespondAndClose(&'static str),
+    /// Sends nothing and keeps the connection open.
+    NeverRespond,
 }
 
-pub(crate) const SERVES: Does = Does::Answers("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks");
-pub(crate) const ERRS: Does = Does::Answers("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n");
-pub(crate) const IS_FULL: Does =
-    Does::Answers("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
-
-/// A request that came whole to an app server, and the connection on which it came.
-pub(crate) struct Got {
+/// Responds with status 200 and a body.
+pub(crate) const RESPONDS_OK: ServerBehavior =
+    ServerBehavior::Respond("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks");
+/// Responds with status 500: the request may have been executed.
+pub(crate) const RESPONDS_ERROR: ServerBehavior =
+    ServerBehavior::Respond("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n");
+/// Responds with status 503 and says that the request was not executed.
+pub(crate) const RESPONDS_OVERLOADED: ServerBehavior =
+    ServerBehavior::Respond("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+
+/// A whole request that has arrived at a server.
+pub(crate) struct ReceivedRequest {
+    /// The name of the server.
     pub(crate) server: String,
-    pub(crate) message: Message,
+    /// The request.
+    pub(crate) message: HttpMessage,
+    /// The number of its connection at this server, from 0.
     pub(crate) connection: usize,
-    /// No earlier attempt of the request was still out.
+    /// No earlier attempt of the request was still open.
     pub(crate) alone: bool,
+    /// The connection on which it arrived.
     pub(crate) stream: TcpStream,
 }
 
-/// What is to be done by turns; the last of it for ever.
-pub(crate) type Turns = Arc<Mutex<Vec<Does>>>;
+/// The behaviors for the next requests, one each; the last stays in force.
+pub(crate) type SharedBehaviors = Arc<Mutex<Vec<ServerBehavior>>>;
 
-/// App servers, which do what they are told.
-pub(crate) struct Servers {
-    got: Receiver<Got>,
-    tell: Sender<Got>,
-    /// Attempts that were never answered, by the request's id.
-    unanswered: Arc<Mutex<Vec<(String, TcpStream)>>>,
+/// An attempt to which its server never responds.
+struct UnansweredAttempt {
+    request_id: String,
+    stream: TcpStream,
 }
 
-impl Servers {
-    pub(crate) fn new() -> Servers {
-        let (tell, got) = mpsc::channel();
-        Servers { got, tell, unanswered: Arc::default() }
+type UnansweredAttempts = Arc<Mutex<Vec<UnansweredAttempt>>>;
+
+/// A group of servers, whose requests arrive at the test in one queue.
+pub(crate) struct FakeServers {
+    requests: Receiver<ReceivedRequest>,
+    report: Sender<ReceivedRequest>,
+    unanswered: UnansweredAttempts,
+}
+
+impl FakeServers {
+    /// A group without servers.
+    pub(crate) fn new() -> FakeServers {
+        let (report, requests) = mpsc::channel();
+        FakeServers { requests, report, unanswered: Arc::default() }
     }
 
-    /// Starts one that has its own turns.
-    pub(crate) fn start(&self, name: &str, does: &[Does]) -> SocketAddr {
-        self.share(name, &Arc::new(Mutex::new(does.to_vec())))
+    /// Starts a server with behaviors of its own; returns its address.
+    pub(crate) fn start(&self, name: &str, behaviors: &[ServerBehavior]) -> SocketAddr {
+        self.start_sharing(name, &Arc::new(Mutex::new(behaviors.to_vec())))
     }
 
-    /// Starts one that takes turns with others.
-    pub(crate) fn share(&self, name: &str, turns: &Turns) -> SocketAddr {
+    /// Starts a server that takes its behaviors from a sequence shared with others; returns its address.
+    pub(crate) fn start_sharing(&self, name: &str, behaviors: &SharedBehaviors) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let server = Server {
+        let server = FakeServer {
             name: name.to_owned(),
-            turns: Arc::clone(turns),
-            tell: self.tell.clone(),
+            behaviors: Arc::clone(behaviors),
+            report: self.report.clone(),
             unanswered: Arc::clone(&self.unanswered),
         };
         thread::spawn(move || {
@@ -74,75 +92,102 @@
         address
     }
 
-    pub(crate) fn next(&self) -> Got {
-        let got = self.got.recv_timeout(PATIENCE).expect("a request comes to an app server");
-        assert!(got.alone, "two attempts of a request are out at once");
-        got
+    /// Waits for the next request. Fails if an earlier attempt of it is still open.
+    pub(crate) fn next_request(&self) -> ReceivedRequest {
+        let request = self.requests.recv_timeout(TEST_TIMEOUT).expect("a request arrives at an app server");
+        assert!(request.alone, "two attempts of a request are open at once");
+        request
     }
 
-    /// All that has come and was not looked at.
-    pub(crate) fn all_that_came(&self) -> Vec<Got> {
-        self.got.try_iter().collect()
+    /// All requests that have arrived and that the test has not taken.
+    pub(crate) fn unseen_requests(&self) -> Vec<ReceivedRequest> {
+        self.requests.try_iter().collect()
     }
 
-    /// Fails if a request has come that was not looked at.
-    pub(crate) fn got_no_more(&self) {
-        assert!(self.got.try_recv().is_err(), "one attempt too many");
+    /// Fails if a request has arrived that the test has not taken.
+    pub(crate) fn assert_no_more_requests(&self) {
+        assert!(self.requests.try_recv().is_err(), "one attempt too many");
     }
 }
 
 #[derive(Clone)]
-struct Server {
+struct FakeServer {
     name: String,
-    turns: Turns,
-    tell: Sender<Got>,
-    unanswered: Arc<Mutex<Vec<(String, TcpStream)>>>,
+    behaviors: SharedBehaviors,
+    report: Sender<ReceivedRequest>,
+    unanswered: UnansweredAttempts,
 }
 
-impl Server {
+impl FakeServer {
+    /// Serves a connection until either side closes it.
     fn serve(&self, connection: usize, mut stream: TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
-        while let Some(message) = Message::read(&mut reader) {
-            let turn = {
-                let mut turns = self.turns.lock().expect("no panic");
-                if turns.len() > 1 {
-                    turns.remove(0)
-                } else {
-                    turns[0].clone()
-                }
+        while let Some(message) = HttpMessage::read(&mut reader) {
+            let behavior = self.next_behavior();
+            let alone = self.register_attempt(&message, &behavior, &stream);
+            let request = ReceivedRequest {
+                server: self.name.clone(),
+                message,
+                connection,
+                alone,
+                stream: stream.try_clone().expect("a clone"),
             };
-            let id = message.header("x-request-id").to_owned();
-            let mut unanswered = self.unanswered.lock().expect("no panic");
-            let earlier = unanswered.iter().filter(|(other, _)| *other == id);
-            let alone = earlier.into_iter().all(|(_, stream)| closed_by_now(stream));
-            if matches!(turn, Does::IsSilent) {
-                unanswered.push((id, stream.try_clone().expect("a clone")));
-            }
-            drop(unanswered);
-            let (server, told) = (self.name.clone(), stream.try_clone().expect("a clone"));
             // The test may have ended.
-            let _ = self.tell.send(Got { server, message, connection, alone, stream: told });
-            match turn {
-                Does::Answers(words) => stream.write_all(words.as_bytes()).unwrap_or(()),
-                Does::Ends(words) => {
-                    stream.write_all(words.as_bytes()).unwrap_or(());
-                    let _ = stream.shutdown(Shutdown::Both);
-                }
-                Does::IsSilent => {}
-            }
+            let _ = self.report.send(request);
+            respond(&behavior, &mut stream);
+        }
+    }
+
+    fn next_behavior(&self) -> ServerBehavior {
+        let mut behaviors = self.behaviors.lock().expect("no panic");
+        if behaviors.len() > 1 {
+            behaviors.remove(0)
+        } else {
+            behaviors[0].clone()
         }
     }
+
+    /// Whether no earlier attempt of the request is still open. One that will not be answered is kept for the same
+    /// question about later ones.
+    fn register_attempt(&self, message: &HttpMessage, behavior: &ServerBehavior, stream: &TcpStream) -> bool {
+        let request_id = message.header("x-request-id").to_owned();
+        let mut unanswered = self.unanswered.lock().expect("no panic");
+        let mut earlier = unanswered.iter().filter(|attempt| attempt.request_id == request_id);
+        let alone = earlier.all(|attempt| is_closed_now(&attempt.stream));
+        if matches!(behavior, ServerBehavior::NeverRespond) {
+            let stream = stream.try_clone().expect("a clone");
+            unanswered.push(UnansweredAttempt { request_id, stream });
+        }
+        alone
+    }
 }
 
-/// Waits until the edge node has closed a connection to an app server.
-pub(crate) fn closed(got: &Got) -> bool {
-    got.stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-    matches!(got.stream.peek(&mut [0]), Ok(0) | Err(_))
+/// The edge node may have closed the connection, so errors are ignored.
+fn respond(behavior: &ServerBehavior, stream: &mut TcpStream) {
+    match behavior {
+        ServerBehavior::Respond(response) => {
+            let _ = stream.write_all(response.as_bytes());
+        }
+        ServerBehavior::RespondAndClose(response) => {
+            let _ = stream.write_all(response.as_bytes());
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        ServerBehavior::NeverRespond => {}
+    }
+}
+
+/// Waits for the edge node to close the connection of a request; false if it sends more or keeps it open.
+pub(crate) fn is_closed_in_time(request: &ReceivedRequest) -> bool {
+    request.stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time-out");
+    matches!(request.stream.peek(&mut [0]), Ok(0) | Err(_))
 }
 
-fn closed_by_now(stream: &TcpStream) -> bool {
+fn is_closed_now(stream: &TcpStream) -> bool {
     stream.set_nonblocking(true).expect("a mode");
-    let seen = stream.peek(&mut [0]);
+    let peeked = stream.peek(&mut [0]);
     stream.set_nonblocking(false).expect("a mode");
-    matches!(seen, Ok(0)) || seen.is_err_and(|error| error.kind() != std::io::ErrorKind::WouldBlock)
+    match peeked {
+        Ok(length) => length == 0,
+        Err(error) => error.kind() != ErrorKind::WouldBlock,
+    }
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,6 @@
-//! Stand-ins on loopback for what an edge node talks to: app servers, discovery, clients.
-// Each test file uses a part of them.
+//! The harness of the tests that run the edge node as a process: stand-ins on loopback for all that it talks to.
+
+// Each test file compiles the harness for itself and uses a part of it.
 #![allow(dead_code, unused_imports)]
 
 mod client;
@@ -8,15 +9,22 @@
 mod fake_server;
 mod http;
 mod node;
+mod previous_names;
 
-pub(crate) use client::*;
-pub(crate) use configuration::*;
-pub(crate) use fake_discovery::*;
-pub(crate) use fake_server::*;
-pub(crate) use http::*;
-pub(crate) use node::*;
+pub(crate) use client::{request_text, Client};
+pub(crate) use configuration::write_config_file;
+pub(crate) use fake_discovery::{
+    endpoint_entry, endpoint_list, list_chunk, send_list, FakeDiscovery, WATCH_RESPONSE_HEAD,
+};
+pub(crate) use fake_server::{
+    is_closed_in_time, FakeServers, ReceivedRequest, ServerBehavior, SharedBehaviors, RESPONDS_ERROR,
+    RESPONDS_OK, RESPONDS_OVERLOADED,
+};
+pub(crate) use http::HttpMessage;
+pub(crate) use node::{edge_node_command, spawn_edge_node, EdgeNode};
+pub(crate) use previous_names::*;
 
 use std::time::Duration;
 
-/// No wait is longer; only a failing test gets there.
-pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+/// Upper bound of every wait, which only a failing test reaches.
+pub(crate) const TEST_TIMEOUT: Duration = Duration::from_secs(60);
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -1,169 +1,179 @@
 //! The edge node under test, as a process of its own.
 
 use super::client::Client;
-use super::configuration::{written, SETTINGS};
-use super::fake_discovery::list;
-use super::PATIENCE;
+use super::configuration::{write_config_file, PlatformConfig};
+use super::fake_discovery::endpoint_list;
+use super::TEST_TIMEOUT;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{self, Receiver};
 use std::thread;
 
-/// An edge node that runs, with its peers' and its own datagrams' addresses.
-pub(crate) struct Node {
-    child: Child,
-    pub(crate) address: SocketAddr,
-    /// Where the peer's datagrams come in, and the node's.
-    pub(crate) peer: UdpSocket,
-    pub(crate) datagrams: SocketAddr,
-    config: std::path::PathBuf,
-    /// Its log after the first line.
-    said: Receiver<String>,
-}
-
 const PROGRAM: &str = env!("CARGO_BIN_EXE_edge-node");
+/// Variables by which the platform overrides configurations.
+const PLATFORM_VARIABLES: [&str; 4] = ["LB_CONFIG", "LB_NAME", "LB_LISTEN", "LB_DISCOVERY"];
 
-/// The program with these arguments, and without any variable of the platform's.
-pub(crate) fn program(arguments: &[&str]) -> Command {
+/// The program with these arguments, and without any variable of the platform.
+pub(crate) fn edge_node_command(arguments: &[&str]) -> Command {
     let mut command = Command::new(PROGRAM);
     command.args(arguments);
-    without_variables(command)
+    without_platform_variables(command)
 }
 
 /// The program under a limit on its descriptors that the machine enforces.
-fn limited(sockets: usize) -> Command {
+fn command_with_descriptor_limit(descriptors: usize) -> Command {
     let mut command = Command::new("/bin/sh");
-    command.args(["-c", &format!("ulimit -n {sockets} && exec \"$0\""), PROGRAM]);
-    without_variables(command)
+    command.args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\""), PROGRAM]);
+    without_platform_variables(command)
 }
 
-fn without_variables(mut command: Command) -> Command {
-    for key in ["LB_CONFIG", "LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
-        command.env_remove(key);
+fn without_platform_variables(mut command: Command) -> Command {
+    for name in PLATFORM_VARIABLES {
+        command.env_remove(name);
     }
     command
 }
 
-/// Starts the program with a configuration; it may fail.
-pub(crate) fn start(tag: &str, config: &str) -> (Child, std::path::PathBuf) {
-    launch(program(&[]), tag, config)
+/// Starts the program with a configuration in the form of the platform; it may fail. Returns the process and the path
+/// of the configuration.
+pub(crate) fn spawn_edge_node(tag: &str, config: &str) -> (Child, PathBuf) {
+    spawn_with_config(edge_node_command(&[]), tag, config)
 }
 
-fn launch(mut command: Command, tag: &str, config: &str) -> (Child, std::path::PathBuf) {
-    let path = written(&format!("{tag}.json"), config);
+fn spawn_with_config(mut command: Command, tag: &str, config: &str) -> (Child, PathBuf) {
+    let path = write_config_file(&format!("{tag}.json"), config);
     let child = command.env("LB_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("it starts");
     (child, path)
 }
 
-impl Node {
-    pub(crate) fn start(tag: &str, discovery: SocketAddr, hosts: &[String]) -> Node {
-        Node::with(tag, discovery, hosts, |config| config)
+/// An edge node that runs. Dropping it kills the process and removes its configuration.
+pub(crate) struct EdgeNode {
+    child: Child,
+    /// Where it listens for clients.
+    pub(crate) address: SocketAddr,
+    /// The socket of its only peer, which the test plays.
+    pub(crate) peer: UdpSocket,
+    /// The address of its own datagrams.
+    pub(crate) datagrams: SocketAddr,
+    config: PathBuf,
+    /// Its log after the first line.
+    log: Receiver<String>,
+}
+
+impl EdgeNode {
+    /// Starts one that knows these servers and follows this discovery.
+    pub(crate) fn start(tag: &str, discovery: SocketAddr, entries: &[String]) -> EdgeNode {
+        EdgeNode::start_with(tag, discovery, entries, |config| config)
     }
 
-    /// Starts one that may hold so many descriptors, by its configuration and by the machine.
-    pub(crate) fn with_sockets(tag: &str, discovery: SocketAddr, hosts: &[String], sockets: usize) -> Node {
-        let some = format!(r#""sockets":{sockets}"#);
-        let change = |config: String| config.replace(r#""sockets":1024"#, &some);
-        Node::run(limited(sockets), tag, discovery, hosts, change)
+    /// Starts one that may have this many descriptors, by its configuration and by a limit of the machine.
+    pub(crate) fn start_with_descriptor_limit(
+        tag: &str, discovery: SocketAddr, entries: &[String], descriptors: usize,
+    ) -> EdgeNode {
+        let limited = format!(r#""sockets":{descriptors}"#);
+        let edit = |config: String| config.replace(r#""sockets":1024"#, &limited);
+        EdgeNode::run(command_with_descriptor_limit(descriptors), tag, discovery, entries, edit)
     }
 
-    /// Starts one whose configuration is changed in its text.
-    pub(crate) fn with(
-        tag: &str, discovery: SocketAddr, hosts: &[String], change: impl FnOnce(String) -> String,
-    ) -> Node {
-        Node::run(program(&[]), tag, discovery, hosts, change)
+    /// Starts one after an edit of the text of its configuration.
+    pub(crate) fn start_with(
+        tag: &str, discovery: SocketAddr, entries: &[String], edit: impl FnOnce(String) -> String,
+    ) -> EdgeNode {
+        EdgeNode::run(edge_node_command(&[]), tag, discovery, entries, edit)
     }
 
     fn run(
-        command: Command, tag: &str, discovery: SocketAddr, hosts: &[String],
-        change: impl FnOnce(String) -> String,
-    ) -> Node {
+        command: Command, tag: &str, discovery: SocketAddr, entries: &[String],
+        edit: impl FnOnce(String) -> String,
+    ) -> EdgeNode {
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
-        peer.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        // A port that was free a moment ago; another process would have to take it just now.
+        peer.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time-out");
+        // The port is free when its socket is closed here; another process could only take it in the meantime.
         let free = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
         let datagrams = free.expect("an address");
-        let known = list(1, true, hosts);
-        let peer_address = peer.local_addr().expect("an address");
-        let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"peer_listen":"{datagrams}","peers":["{datagrams}","{peer_address}"],"known":{known},"settings":{SETTINGS}}}"#
-        );
-        let (child, config) = launch(command, tag, &change(config));
-        Node::of(child, config, peer, datagrams)
-    }
-
-    /// Starts one under a configuration of people, told by the command line. It has no peers.
-    pub(crate) fn of_people(tag: &str, config: &str) -> Node {
-        let path = written(&format!("{tag}.toml"), config);
-        let child =
-            program(&["serve", "--config"]).arg(&path).stdout(Stdio::null()).stderr(Stdio::piped()).spawn();
+        let config = PlatformConfig {
+            discovery,
+            node_datagrams: datagrams,
+            peer_datagrams: peer.local_addr().expect("an address"),
+            known_list: &endpoint_list(1, true, entries),
+        };
+        let (child, config) = spawn_with_config(command, tag, &edit(config.text()));
+        EdgeNode::wait_until_listening(child, config, peer, datagrams)
+    }
+
+    /// Starts one with a configuration in TOML, named on the command line. It has no peers.
+    pub(crate) fn start_with_toml(tag: &str, config: &str) -> EdgeNode {
+        let path = write_config_file(&format!("{tag}.toml"), config);
+        let mut command = edge_node_command(&["serve", "--config"]);
+        let child = command.arg(&path).stdout(Stdio::null()).stderr(Stdio::piped()).spawn();
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
         let datagrams = peer.local_addr().expect("an address");
-        Node::of(child.expect("it starts"), path, peer, datagrams)
+        EdgeNode::wait_until_listening(child.expect("it starts"), path, peer, datagrams)
     }
 
-    /// One that was started just now, once it listens.
-    fn of(mut child: Child, config: std::path::PathBuf, peer: UdpSocket, datagrams: SocketAddr) -> Node {
+    /// Waits until a process says in the first line of its log where it listens.
+    fn wait_until_listening(
+        mut child: Child, config: PathBuf, peer: UdpSocket, datagrams: SocketAddr,
+    ) -> EdgeNode {
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
         log.read_line(&mut line).expect("a line");
-        // The line may be text or JSON.
-        let words = line.split(|letter: char| !letter.is_ascii_digit() && !".:".contains(letter));
-        let Some(address) = words.rev().find_map(|word| word.parse().ok()) else {
-            // Guards against one that outlives its test.
+        let Some(address) = address_in(&line) else {
+            // A process that goes on running would outlive its test.
             let _ = child.kill();
             panic!("it listens: {line}")
         };
-        let (tell, said) = mpsc::channel();
-        // Read to its end, whoever listens: a full pipe would stop the edge node.
-        thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
-        Node { child, address, peer, datagrams, config, said }
+        EdgeNode { child, address, peer, datagrams, config, log: follow_log(log) }
     }
 
+    /// A new client with a connection of its own.
     pub(crate) fn client(&self) -> Client {
-        Client::on(TcpStream::connect(self.address).expect("the edge node accepts"))
+        Client::new(TcpStream::connect(self.address).expect("the edge node accepts"))
     }
 
-    /// Waits until the edge node has logged these words; the line with them.
-    pub(crate) fn says(&self, words: &str) -> String {
+    /// Waits until the edge node logs a line with this text; returns the line.
+    pub(crate) fn wait_for_log(&self, text: &str) -> String {
         loop {
-            let line = self.said.recv_timeout(PATIENCE).expect("it says so");
-            if line.contains(words) {
+            let line = self.log.recv_timeout(TEST_TIMEOUT).expect("it says so");
+            if line.contains(text) {
                 return line;
             }
         }
     }
 
-    /// What it has logged after its first line and was not looked at, once it has ended.
-    pub(crate) fn said(&self) -> Vec<String> {
-        self.said.iter().collect()
+    /// Waits until the edge node has ended; returns the lines of its log that the test has not taken.
+    pub(crate) fn remaining_log(&self) -> Vec<String> {
+        self.log.iter().collect()
     }
 
+    /// Sends SIGTERM.
     pub(crate) fn terminate(&self) {
         self.signal("-TERM");
     }
 
-    /// Has the machine hold the process where it is; what comes meanwhile comes in one moment.
-    pub(crate) fn stop(&self) {
+    /// Suspends the process; what arrives meanwhile is there all at once when it is resumed.
+    pub(crate) fn suspend(&self) {
         self.signal("-STOP");
     }
 
-    pub(crate) fn go_on(&self) {
+    /// Resumes the process.
+    pub(crate) fn resume(&self) {
         self.signal("-CONT");
     }
 
-    /// Puts another text in place of its configuration, then has it read again.
-    pub(crate) fn reload(&self, change: impl FnOnce(String) -> String) {
-        let text = self.configuration();
+    /// Edits the text of the configuration, then sends SIGHUP.
+    pub(crate) fn reload(&self, edit: impl FnOnce(String) -> String) {
+        let text = self.config_text();
         let new = self.config.with_extension("new");
-        std::fs::write(&new, change(text)).expect("the configuration is written");
+        std::fs::write(&new, edit(text)).expect("the configuration is written");
         std::fs::rename(new, &self.config).expect("the configuration is replaced");
         self.signal("-HUP");
     }
 
-    /// The text of its configuration.
-    pub(crate) fn configuration(&self) -> String {
+    /// The text of the configuration.
+    pub(crate) fn config_text(&self) -> String {
         std::fs::read_to_string(&self.config).expect("the configuration is there")
     }
 
@@ -172,25 +182,46 @@
         assert!(kill.expect("kill runs").success());
     }
 
-    /// How many descriptors it holds.
-    pub(crate) fn descriptors(&self) -> usize {
-        let held = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
-        held.expect("it runs").count()
+    /// How many descriptors the process has open.
+    pub(crate) fn open_descriptors(&self) -> usize {
+        let descriptors = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        descriptors.expect("it runs").count()
     }
 
+    /// Waits until the process has ended.
     pub(crate) fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("it ends")
     }
 
-    pub(crate) fn runs(&mut self) -> bool {
+    /// Whether the process still runs.
+    pub(crate) fn is_running(&mut self) -> bool {
         self.child.try_wait().expect("its state is known").is_none()
     }
 }
 
-impl Drop for Node {
+impl Drop for EdgeNode {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
     }
 }
+
+/// The last address in a line of the log, which may be text or JSON.
+fn address_in(line: &str) -> Option<SocketAddr> {
+    let words = line.split(|letter: char| !letter.is_ascii_digit() && !".:".contains(letter));
+    words.rev().find_map(|word| word.parse().ok())
+}
+
+/// Reads a log to its end on a thread of its own, whether or not the test takes the lines: a full pipe would stop the
+/// edge node.
+fn follow_log(log: BufReader<ChildStderr>) -> Receiver<String> {
+    let (sender, lines) = mpsc::channel();
+    thread::spawn(move || {
+        for line in log.lines().map_while(Result::ok) {
+            // The test may have ended.
+            let _ = sender.send(line);
+        }
+    });
+    lines
+}
