--- /dev/null
+++ b/src/state/hash_ring.rs
@@ -0,0 +1,53 @@
+//! Servers in an order by hash that is the same at every gateway, whatever their ids: where one comes or
+//! goes, what follows a position on the ring changes by one at the most.
+
+use super::ranked_set::RankedSet;
+use crate::hash::{fibonacci_hash, GOLDEN_RATIO};
+use crate::types::{GatewayId, ServerId};
+
+/// A server's place on the ring.
+type RingKey = (u64, ServerId);
+
+/// The ring.
+#[derive(Default)]
+pub(crate) struct HashRing(RankedSet<RingKey>);
+
+impl HashRing {
+    fn key(server: ServerId) -> RingKey {
+        (fibonacci_hash(server.0 ^ (server.0 >> 32)), server)
+    }
+
+    pub fn insert(&mut self, server: ServerId) {
+        self.0.insert(Self::key(server));
+    }
+
+    pub fn remove(&mut self, server: ServerId) {
+        self.0.remove(&Self::key(server));
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// A gateway's place on the ring. Steps of the golden ratio put the gateways of any run of numbers, as a
+    /// customer's are, far apart, so that they cover the servers evenly.
+    pub fn position_of(&self, gateway: GatewayId) -> usize {
+        let turn = GOLDEN_RATIO.wrapping_mul(u64::from(gateway.0));
+        ((u128::from(turn) * self.len() as u128) >> 64) as usize
+    }
+
+    /// All servers in order from a position on, wrapping round.
+    pub fn iter_from(&self, position: usize) -> impl Iterator<Item = ServerId> + '_ {
+        self.0.iter_from(position % self.len().max(1)).map(|(_, server)| server)
+    }
+}
+
+impl FromIterator<ServerId> for HashRing {
+    fn from_iter<I: IntoIterator<Item = ServerId>>(servers: I) -> Self {
+        HashRing(servers.into_iter().map(Self::key).collect())
+    }
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/hash_ring.rs"]
+mod tests;
