--- a/tests/reconnect.rs
+++ b/tests/reconnect.rs
@@ -145,14 +145,14 @@
             // The change comes now, and what is open from before says nothing of it.
             let change = simulation.last_known_at.max(simulation.now);
             for open in [WatchFailure::ConnectionLost, WatchFailure::Rejected] {
-                for (failure, hangs) in [
-                    (WatchFailure::ConnectionLost, false),
-                    (WatchFailure::Rejected, false),
-                    (WatchFailure::ConnectionLost, true),
+                for next in [
+                    Step::Fails(WatchFailure::ConnectionLost),
+                    Step::Fails(WatchFailure::Rejected),
+                    Step::FailsLate(WatchFailure::ConnectionLost),
                 ] {
                     let mut simulation = simulation.clone();
                     simulation.step(Step::FailsLate(open), 1.0);
-                    simulation.step(if hangs { Step::FailsLate(failure) } else { Step::Fails(failure) }, 1.0);
+                    simulation.step(next, 1.0);
                     longest = longest.max(simulation.now - change);
                 }
             }
