--- a/src/bin/edge-node/discovery/mod.rs
+++ b/src/bin/edge-node/discovery/mod.rs
@@ -32,7 +32,7 @@
     first_list: oneshot::Sender<()>,
 ) {
     if let Some(known) = known {
-        node.listed(EndpointUpdate::Snapshot, &known.entries.readable);
+        node.apply_endpoints(EndpointUpdate::Snapshot, &known.entries.readable);
     }
     let mut client = DiscoveryClient::new(node, first_list);
     loop {
@@ -56,7 +56,7 @@
 
 impl DiscoveryClient {
     fn new(node: Rc<Node>, first_list: oneshot::Sender<()>) -> DiscoveryClient {
-        let policy = ReconnectPolicy::new(node.named.drain_grace);
+        let policy = ReconnectPolicy::new(node.settings.drain_grace);
         DiscoveryClient { node, policy, epoch: Instant::now(), first_list: Some(first_list) }
     }
 
@@ -155,8 +155,8 @@
         }
         *last_sequence = Some(list.sequence);
         let kind = if list.is_snapshot { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
-        self.node.listed(kind, &list.entries.readable);
-        self.node.list_came(list);
+        self.node.apply_endpoints(kind, &list.entries.readable);
+        self.node.endpoint_list_applied(list);
         if let Some(first_list) = self.first_list.take() {
             // The receiver is gone if its wait for the first list has timed out.
             let _ = first_list.send(());
@@ -166,7 +166,7 @@
     /// Applies the entries that could be read of something malformed as changes, because drains may be among them.
     fn apply_entries(&self, entries: &[EndpointEntry]) {
         if !entries.is_empty() {
-            self.node.listed(EndpointUpdate::Delta, entries);
+            self.node.apply_endpoints(EndpointUpdate::Delta, entries);
         }
     }
 }
--- a/src/bin/edge-node/log/rate_limit_layer.rs
+++ b/src/bin/edge-node/log/rate_limit_layer.rs
@@ -43,7 +43,7 @@
             Decision::Pass { suppressed_before: 0 } => true,
             Decision::Pass { suppressed_before } => {
                 tracing::warn!(
-                    event = "left_out",
+                    event = "lines_suppressed",
                     lines = suppressed_before,
                     "left out {suppressed_before} lines like the next"
                 );
