--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -27,27 +27,27 @@
 
 /// A request under the example's classes and plans.
 fn read(id: &str) -> String {
-    request(id, "balance-read", "60000m")
+    request_text(id, "balance-read", "60000m")
         .replace("POST", "GET")
         .replace("Tier: p", "Tier: premier")
         .replace("Content-Length: 4\r\n\r\ntime", "\r\n")
 }
 
-fn admin(node: &Node) -> SocketAddr {
-    let line = node.says("admin listener on ");
+fn admin(node: &EdgeNode) -> SocketAddr {
+    let line = node.wait_for_log("admin listener on ");
     line.rsplit(' ').next().and_then(|word| word.parse().ok()).expect("an address")
 }
 
 fn connect(address: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(address).expect("it listens");
-    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time-out");
     stream
 }
 
 fn get(address: SocketAddr, path: &str) -> (u16, String) {
     let mut stream = connect(address);
     write!(stream, "GET {path} HTTP/1.1\r\nHost: a\r\n\r\n").expect("it is open");
-    let answer = Message::read(&mut BufReader::new(stream)).expect("an answer");
+    let answer = HttpMessage::read(&mut BufReader::new(stream)).expect("an answer");
     (answer.status(), String::from_utf8(answer.body).expect("it is text"))
 }
 
@@ -64,27 +64,32 @@
         if let Some(found) = ask() {
             return found;
         }
-        assert!(begun.elapsed() < PATIENCE, "it never comes");
+        assert!(begun.elapsed() < TEST_TIMEOUT, "it never comes");
     }
 }
 
 #[test]
 fn metrics_follow_requests_attempts_and_watches() {
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[SERVES, IS_FULL, SERVES, Does::IsSilent]), 1, "ready")];
-    let discovery = Discovery::start(&hosts);
-    let node = Node::of_people("figures", &config(discovery.address));
+    let servers = FakeServers::new();
+    let hosts = [endpoint_entry(
+        "s-1",
+        servers.start("s-1", &[RESPONDS_OK, RESPONDS_OVERLOADED, RESPONDS_OK, ServerBehavior::NeverRespond]),
+        1,
+        "ready",
+    )];
+    let discovery = FakeDiscovery::start(&hosts);
+    let node = EdgeNode::start_with_toml("figures", &config(discovery.address));
     let address = admin(&node);
-    let (_, watch) = discovery.watch();
+    let (_, watch) = discovery.next_watch();
     let mut client = node.client();
-    assert_eq!(client.ask(&read("a")).status(), 200);
-    assert_eq!(client.ask(&read("b")).status(), 200, "after one that was full");
+    assert_eq!(client.exchange(&read("a")).status(), 200);
+    assert_eq!(client.exchange(&read("b")).status(), 200, "after one that was full");
     for _ in 0..3 {
-        drop(servers.next());
+        drop(servers.next_request());
     }
     let mut leaves = node.client();
-    leaves.write(&read("open"));
-    servers.next();
+    leaves.send(&read("open"));
+    servers.next_request();
     // A connection without an open request may be closed at any time; only the waiting client's stays.
     drop(client);
     let state = until(|| {
@@ -100,7 +105,7 @@
     drop(leaves);
     drop(watch);
     for _ in 0..3 {
-        drop(discovery.watch());
+        drop(discovery.next_watch());
     }
     // The metrics show when the client's disconnect has been noticed.
     let series = |class: &str, plan: &str, outcome: &str| {
@@ -120,7 +125,7 @@
     let latency = "edge_node_request_duration_seconds_count{class=\"balance-read\"}";
     assert_eq!(figure(&text, latency), 2.0, "an abandoned request has no duration");
     // The last watch may have timed out by now, and so may those after it.
-    let opened = 4 + discovery.further();
+    let opened = 4 + discovery.unseen_watches();
     let resets = figure(&text, "edge_node_watch_resets_total");
     assert!(resets >= 3.0 && resets <= opened as f64, "{resets} resets of {opened} watches");
     assert_eq!(figure(&text, "edge_node_open_requests"), 0.0);
@@ -135,37 +140,37 @@
 
 #[test]
 fn the_readiness_probe_follows_the_phase() {
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[Does::IsSilent]), 1, "ready")];
-    let discovery = Discovery::mute();
-    let mut node = Node::of_people("ready", &with_grace(discovery.address, 3_000_000));
+    let servers = FakeServers::new();
+    let hosts = [endpoint_entry("s-1", servers.start("s-1", &[ServerBehavior::NeverRespond]), 1, "ready")];
+    let discovery = FakeDiscovery::silent();
+    let mut node = EdgeNode::start_with_toml("ready", &with_grace(discovery.address, 3_000_000));
     let address = admin(&node);
     assert_eq!(get(address, "/readyz"), (503, "starting\n".to_owned()));
     assert_eq!(get(address, "/healthz").0, 200);
-    let (_, mut watch) = discovery.watch();
-    watch.write_all(WATCH.as_bytes()).expect("it is open");
-    write_list(&mut watch, &list(1, true, &hosts));
-    node.says("ready: ");
+    let (_, mut watch) = discovery.next_watch();
+    watch.write_all(WATCH_RESPONSE_HEAD.as_bytes()).expect("it is open");
+    send_list(&mut watch, &endpoint_list(1, true, &hosts));
+    node.wait_for_log("ready: ");
     assert_eq!(get(address, "/readyz"), (200, "serving\n".to_owned()));
     // An open request keeps the edge node in its shutdown until the deadline.
-    node.client().write(&read("gone"));
+    node.client().send(&read("gone"));
     let mut client = node.client();
-    client.write(&read("open"));
-    while servers.next().message.header("x-request-id") != "open" {}
+    client.send(&read("open"));
+    while servers.next_request().message.header("x-request-id") != "open" {}
     node.terminate();
-    node.says("leaving on SIGTERM");
+    node.wait_for_log("leaving on SIGTERM");
     let (status, phase) = get(address, "/readyz");
     assert!(status == 503 && ["leaving\n", "closing\n"].contains(&phase.as_str()), "{status} {phase}");
-    assert!(node.runs());
+    assert!(node.is_running());
 }
 
 /// Malformed requests, slow clients and too many connections get 4xx or a close, and clients are served meanwhile.
 #[test]
 fn nothing_on_the_admin_port_affects_client_requests() {
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
-    let discovery = Discovery::start(&hosts);
-    let mut node = Node::of_people("noise", &config(discovery.address));
+    let servers = FakeServers::new();
+    let hosts = [endpoint_entry("s-1", servers.start("s-1", &[RESPONDS_OK]), 1, "ready")];
+    let discovery = FakeDiscovery::start(&hosts);
+    let mut node = EdgeNode::start_with_toml("noise", &config(discovery.address));
     let address = admin(&node);
     let long = format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(100_000));
     let noises: [&[u8]; 8] = [
@@ -190,46 +195,49 @@
     });
     assert_eq!((answers[4].as_str(), answers[5].as_str()), ("405", "404"));
     // More connections than may be open, all of them silent.
-    let before = node.descriptors();
+    let before = node.open_descriptors();
     let silent: Vec<_> = (0..40).map(|_| connect(address)).collect();
     let mut client = node.client();
     for number in 0..10 {
-        assert_eq!(client.ask(&read(&format!("r{number}"))).status(), 200);
+        assert_eq!(client.exchange(&read(&format!("r{number}"))).status(), 200);
     }
     // Eight of these, the client's own, and some to the server.
-    assert!(node.descriptors() <= before + 20, "{} of {before}", node.descriptors());
+    assert!(node.open_descriptors() <= before + 20, "{} of {before}", node.open_descriptors());
     for mut stream in silent {
         let mut rest = Vec::new();
         let _ = stream.read_to_end(&mut rest);
         assert!(rest.is_empty() || rest.starts_with(b"HTTP/1.1 4"), "each is closed by the edge node");
     }
     assert_eq!(get(address, "/healthz"), (200, "ok\n".to_owned()));
-    assert!(node.runs());
+    assert!(node.is_running());
 }
 
 #[test]
 fn there_is_no_admin_listener_in_the_platforms_configuration() {
-    let discovery = Discovery::start(&[]);
+    let discovery = FakeDiscovery::start(&[]);
     let with = |config: String| config.replacen('{', r#"{"admin":{"listen":"127.0.0.1:0"},"#, 1);
-    let mut node = Node::with("off", discovery.address, &[], with);
-    node.says("ready");
+    let mut node = EdgeNode::start_with("off", discovery.address, &[], with);
+    node.wait_for_log("ready");
     node.terminate();
     assert!(node.wait().success());
-    assert!(!node.said().iter().any(|line| line.contains("admin")), "the platform's form has no such key");
+    assert!(
+        !node.remaining_log().iter().any(|line| line.contains("admin")),
+        "the platform's form has no such key"
+    );
 }
 
 #[test]
 fn an_address_in_use_ends_the_start_with_one_plain_line() {
     let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = taken.local_addr().expect("an address");
-    let discovery = Discovery::start(&[]);
+    let discovery = FakeDiscovery::start(&[]);
     let text = config(discovery.address).replacen(
         "admin.listen = \"127.0.0.1:0\"",
         &format!("admin.listen = \"{address}\""),
         1,
     );
-    let path = written("taken.toml", &text);
-    let output = program(&["serve", "--config"]).arg(&path).output().expect("it runs");
+    let path = write_config_file("taken.toml", &text);
+    let output = edge_node_command(&["serve", "--config"]).arg(&path).output().expect("it runs");
     let _ = std::fs::remove_file(path);
     let error = String::from_utf8_lossy(&output.stderr);
     assert_eq!((output.status.code(), error.lines().count()), (Some(1), 1), "{error}");
@@ -238,8 +246,8 @@
 
 #[test]
 fn the_page_lists_every_metric() {
-    let discovery = Discovery::start(&[]);
-    let node = Node::of_people("page", &config(discovery.address));
+    let discovery = FakeDiscovery::start(&[]);
+    let node = EdgeNode::start_with_toml("page", &config(discovery.address));
     let (_, text) = get(admin(&node), "/metrics");
     let typed = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let mut coded: Vec<_> = typed.map(|line| line.replace(' ', "` | ")).collect();
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -15,7 +15,7 @@
 /// Runs the program to its end.
 fn run(arguments: &[&str]) -> Finished {
     let Output { status, stdout, stderr } =
-        program(arguments).stdin(Stdio::null()).output().expect("it runs");
+        edge_node_command(arguments).stdin(Stdio::null()).output().expect("it runs");
     let text = |bytes| String::from_utf8(bytes).expect("it is text");
     Finished { exit_code: status.code(), stdout: text(stdout), stderr: text(stderr) }
 }
@@ -71,7 +71,7 @@
 fn an_edge_node_that_cannot_listen_ends_with_1_in_one_plain_line() {
     let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = taken.local_addr().expect("an address").to_string();
-    let output = program(&["serve", "--config", "edge-node.example.toml"])
+    let output = edge_node_command(&["serve", "--config", "edge-node.example.toml"])
         .env("LB_LISTEN", &address)
         .output()
         .expect("it runs");
@@ -100,7 +100,8 @@
 /// A reader such as `head` closes the pipe when it has read enough.
 #[test]
 fn a_reader_that_closes_the_pipe_early_is_no_error() {
-    let mut child = program(&["man"]).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("it runs");
+    let mut child =
+        edge_node_command(&["man"]).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("it runs");
     drop(child.stdout.take());
     let output = child.wait_with_output().expect("it ends");
     assert!(output.status.success() && output.stderr.is_empty(), "{output:?}");
@@ -108,14 +109,14 @@
 
 #[test]
 fn serve_ends_with_0_after_sigterm() {
-    let discovery = Discovery::start(&[]);
+    let discovery = FakeDiscovery::start(&[]);
     let config = std::fs::read_to_string("edge-node.example.toml").expect("the example");
     let config = config
         .replace("127.0.0.1:8443", "127.0.0.1:0")
         .replace("127.0.0.1:8500", &discovery.address.to_string())
         .replace("127.0.0.1:7946", "127.0.0.1:0");
-    let mut node = Node::of_people("serve", &config);
-    assert_eq!(node.client().ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
+    let mut node = EdgeNode::start_with_toml("serve", &config);
+    assert_eq!(node.client().exchange("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
     node.terminate();
     assert_eq!(node.wait().code(), Some(0));
 }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -20,8 +20,8 @@
 
 /// Runs `check` on a configuration in a file of that name.
 fn check(name: &str, config: &str) -> Checked {
-    let path = written(name, config);
-    let output = program(&["check"]).arg(&path).stdin(Stdio::null()).output().expect("it runs");
+    let path = write_config_file(name, config);
+    let output = edge_node_command(&["check"]).arg(&path).stdin(Stdio::null()).output().expect("it runs");
     let _ = std::fs::remove_file(&path);
     let printed = String::from_utf8([output.stdout, output.stderr].concat()).expect("it is text");
     let file = format!("{}:", path.display());
@@ -168,8 +168,8 @@
         .replacen("units_per_s = 2.5", "units_per_s = -2.5", 1);
     let Checked { is_valid, lines } = check("several.toml", &config);
     assert!(!is_valid && lines.len() == 3, "{lines:?}");
-    let path = written("serve-several.toml", &config);
-    let output = program(&[]).env("LB_CONFIG", &path).output().expect("it runs");
+    let path = write_config_file("serve-several.toml", &config);
+    let output = edge_node_command(&[]).env("LB_CONFIG", &path).output().expect("it runs");
     let _ = std::fs::remove_file(&path);
     let error = String::from_utf8_lossy(&output.stderr);
     assert_eq!((output.status.code(), error.lines().count()), (Some(1), 1), "{error}");
@@ -252,7 +252,7 @@
 }
 
 /// The example with free loopback ports.
-fn served(discovery: &Discovery) -> String {
+fn served(discovery: &FakeDiscovery) -> String {
     example()
         .replace("127.0.0.1:8443", "127.0.0.1:0")
         .replace("127.0.0.1:8500", &discovery.address.to_string())
@@ -273,13 +273,14 @@
 
 #[test]
 fn values_of_operators_files_reach_the_edge_node_in_its_own_units() {
-    let servers = Servers::new();
-    let discovery = Discovery::start(&[host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")]);
-    let node = Node::of_people("figures", &served(&discovery));
-    let status = |words: String| node.client().ask(&words).status();
+    let servers = FakeServers::new();
+    let discovery =
+        FakeDiscovery::start(&[endpoint_entry("s-1", servers.start("s-1", &[RESPONDS_OK]), 1, "ready")]);
+    let node = EdgeNode::start_with_toml("figures", &served(&discovery));
+    let status = |words: String| node.client().exchange(&words).status();
     for (id, class) in [("a", "balance-read"), ("b", "post-payment")] {
         assert_eq!(status(example_request(id, class, "8", "4000m")), 200);
-        let left = servers.next().message.header("x-deadline").trim_end_matches('m').parse::<u64>();
+        let left = servers.next_request().message.header("x-deadline").trim_end_matches('m').parse::<u64>();
         assert!((1..=4000).contains(&left.expect("a number")), "a deadline in the right unit");
     }
     assert_eq!(status(example_request("c", "balance-read", "9", "4000m")), 400, "max_units is 8");
@@ -293,17 +294,17 @@
         400,
         "it is unsafe"
     );
-    servers.got_no_more();
+    servers.assert_no_more_requests();
 }
 
 #[test]
 fn the_environment_overrides_the_file() {
-    let discovery = Discovery::start(&[]);
-    let path = written(
+    let discovery = FakeDiscovery::start(&[]);
+    let path = write_config_file(
         "overridden.toml",
         &example().replacen("listen = \"127.0.0.1:7946\"", "listen = \"127.0.0.1:0\"", 1),
     );
-    let mut child = program(&["serve", "--config"])
+    let mut child = edge_node_command(&["serve", "--config"])
         .arg(&path)
         .env("LB_NAME", "other")
         .env("LB_LISTEN", "127.0.0.1:0")
@@ -311,7 +312,7 @@
         .stderr(Stdio::piped())
         .spawn()
         .expect("it starts");
-    let (asked, _watch) = discovery.watch();
+    let (asked, _watch) = discovery.next_watch();
     assert!(asked.contains("watch=1"));
     child.kill().expect("it runs");
     let output = child.wait_with_output().expect("it ends");
@@ -321,7 +322,10 @@
         said.lines().next().is_some_and(|line| line.contains("other: listening on 127.0.0.1:")),
         "{said}"
     );
-    let bad = program(&["serve", "--config", EXAMPLE]).env("LB_DISCOVERY", "x").output().expect("it runs");
+    let bad = edge_node_command(&["serve", "--config", EXAMPLE])
+        .env("LB_DISCOVERY", "x")
+        .output()
+        .expect("it runs");
     let said = String::from_utf8_lossy(&bad.stderr);
     assert!(
         bad.status.code() == Some(1) && said.contains("LB_DISCOVERY") && said.lines().count() == 1,
@@ -332,14 +336,14 @@
 /// A new configuration is applied as a whole or not at all; the keys that require a restart are named.
 #[test]
 fn sighup_applies_what_it_can_and_names_what_requires_a_restart() {
-    let old = Discovery::start(&[]);
-    let new = Discovery::start(&[]);
-    let mut node = Node::of_people("hangup", &served(&old));
-    old.watch();
+    let old = FakeDiscovery::start(&[]);
+    let new = FakeDiscovery::start(&[]);
+    let mut node = EdgeNode::start_with_toml("hangup", &served(&old));
+    old.next_watch();
     let to_new = |text: String| text.replace(&old.address.to_string(), &new.address.to_string());
     // An error elsewhere in the file leaves discovery where it is, too.
     node.reload(|text| to_new(text).replacen("max_attempts = 5", "max_attempts = 0", 1));
-    node.says("the old configuration stays");
+    node.wait_for_log("the old configuration stays");
     node.reload(|text| {
         text.replacen("max_attempts = 0", "max_attempts = 4", 1).replacen(
             "units_per_s = 2.5",
@@ -347,13 +351,13 @@
             1,
         )
     });
-    let said = node.says("reloaded");
+    let said = node.wait_for_log("reloaded");
     let waits = format!(
         "discovery at {}; waiting for a restart: plans[].units_per_s, requests.max_attempts",
         new.address
     );
     assert!(said.ends_with(&waits), "{said}");
-    new.watch();
+    new.next_watch();
     // The file is as it was at the start, so nothing requires a restart any more.
     node.reload(|text| {
         text.replacen("max_attempts = 4", "max_attempts = 5", 1).replacen(
@@ -362,15 +366,15 @@
             1,
         )
     });
-    let said = node.says("reloaded");
+    let said = node.wait_for_log("reloaded");
     assert!(said.ends_with(&format!("discovery at {}", new.address)), "{said}");
-    assert!(node.runs());
+    assert!(node.is_running());
 }
 
 #[test]
 fn the_page_and_the_program_have_the_same_keys() {
     let page = std::fs::read_to_string("docs/CONFIGURATION.md").expect("the page");
-    let keys = program(&["keys"]).output().expect("it runs");
+    let keys = edge_node_command(&["keys"]).output().expect("it runs");
     let keys = String::from_utf8(keys.stdout).expect("it is text");
     assert!(keys.lines().count() > 40);
     for row in keys.lines() {
--- a/tests/edge/start.rs
+++ b/tests/edge/start.rs
@@ -26,23 +26,23 @@
 
 /// All processes have to be ready within the limit. The drain grace is so long that a fraction of it would exceed it.
 fn assert_ready_in_time(tag: &str, discovery: std::net::SocketAddr) {
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
+    let servers = FakeServers::new();
+    let hosts = [endpoint_entry("s-1", servers.start("s-1", &[RESPONDS_OK]), 1, "ready")];
     let long = |config: String| config.replace(r#""drainGraceUs":20000000"#, r#""drainGraceUs":600000000"#);
     let begun = Instant::now();
-    let start = |number| Node::with(&format!("{tag}-{number}"), discovery, &hosts, long);
+    let start = |number| EdgeNode::start_with(&format!("{tag}-{number}"), discovery, &hosts, long);
     let nodes: Vec<_> = (0..PROCESSES).map(start).collect();
     for node in &nodes {
         let mut client = node.client();
         client.stream.set_read_timeout(Some(READY_WITHIN)).expect("a time-out");
-        assert_eq!(client.ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200, "{tag}");
+        assert_eq!(client.exchange("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200, "{tag}");
     }
     assert!(begun.elapsed() < READY_WITHIN, "{tag}: {:?}", begun.elapsed());
 }
 
 #[test]
 fn processes_are_ready_in_time_while_discovery_is_silent() {
-    assert_ready_in_time("s-silent", discovery(|_| std::thread::sleep(PATIENCE)));
+    assert_ready_in_time("s-silent", discovery(|_| std::thread::sleep(TEST_TIMEOUT)));
 }
 
 #[test]
@@ -51,11 +51,11 @@
         "s-slow",
         discovery(|stream| {
             // A list that arrives byte by byte for longer than any start may take.
-            let _ = stream.write_all(WATCH.as_bytes());
-            let text = list(2, true, &[]);
+            let _ = stream.write_all(WATCH_RESPONSE_HEAD.as_bytes());
+            let text = endpoint_list(2, true, &[]);
             for byte in text.bytes() {
                 let _ = stream.write_all(&[b'1', b'\r', b'\n', byte, b'\r', b'\n']);
-                std::thread::sleep(PATIENCE / 60);
+                std::thread::sleep(TEST_TIMEOUT / 60);
             }
         }),
     );
@@ -67,7 +67,7 @@
     assert_ready_in_time(
         "s-busy",
         discovery(|stream| {
-            let _ = Message::read(&mut std::io::BufReader::new(&*stream));
+            let _ = HttpMessage::read(&mut std::io::BufReader::new(&*stream));
             let _ = stream.write_all(busy);
         }),
     );
@@ -78,10 +78,10 @@
 /// A process that ended because its address is still in use would count as a crash, so it waits for the address.
 #[test]
 fn a_process_waits_for_addresses_in_use() {
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
-    let discovery = Discovery::start(&hosts);
-    let mut before = Node::start("s-before", discovery.address, &hosts);
+    let servers = FakeServers::new();
+    let hosts = [endpoint_entry("s-1", servers.start("s-1", &[RESPONDS_OK]), 1, "ready")];
+    let discovery = FakeDiscovery::start(&hosts);
+    let mut before = EdgeNode::start("s-before", discovery.address, &hosts);
     let (listen, datagrams) = (before.address.to_string(), before.datagrams.to_string());
     let taken = |config: String| {
         let own = config.split(r#""peer_listen":""#).nth(1).and_then(|rest| rest.split('"').next());
@@ -89,14 +89,14 @@
         config.replace(&own, &datagrams).replace("127.0.0.1:0", &listen)
     };
     std::thread::scope(|scope| {
-        let after = scope.spawn(|| Node::with("s-after", discovery.address, &hosts, taken));
+        let after = scope.spawn(|| EdgeNode::start_with("s-after", discovery.address, &hosts, taken));
         // By now the new process has found the addresses in use, or it binds them only after the old one has ended.
         std::thread::sleep(Duration::from_millis(300));
         before.terminate();
         assert!(before.wait().success());
         let after = after.join().expect("it listens");
         assert_eq!(after.address.to_string(), listen);
-        assert_eq!(after.client().ask(&request("a", "pay", "20000m")).status(), 200);
+        assert_eq!(after.client().exchange(&request_text("a", "pay", "20000m")).status(), 200);
     });
 }
 
@@ -105,13 +105,13 @@
 fn an_address_that_stays_in_use_ends_the_process_with_an_error() {
     let holds = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = holds.local_addr().expect("an address");
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
-    let discovery = Discovery::start(&hosts);
-    let free = Node::start("s-free", discovery.address, &hosts);
-    let config = free.configuration().replace("127.0.0.1:0", &address.to_string());
+    let servers = FakeServers::new();
+    let hosts = [endpoint_entry("s-1", servers.start("s-1", &[RESPONDS_OK]), 1, "ready")];
+    let discovery = FakeDiscovery::start(&hosts);
+    let free = EdgeNode::start("s-free", discovery.address, &hosts);
+    let config = free.config_text().replace("127.0.0.1:0", &address.to_string());
     drop(free);
-    let (child, path) = start("s-held", &config);
+    let (child, path) = spawn_edge_node("s-held", &config);
     let output = child.wait_with_output().expect("it ends");
     let _ = std::fs::remove_file(path);
     let error = String::from_utf8_lossy(&output.stderr);
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -14,7 +14,7 @@
 use support::*;
 
 /// The example under this discovery, with these keys of the log.
-fn config(discovery: &Discovery, log: &str) -> String {
+fn config(discovery: &FakeDiscovery, log: &str) -> String {
     std::fs::read_to_string("edge-node.example.toml")
         .expect("the example")
         .replace("127.0.0.1:8443", "127.0.0.1:0")
@@ -25,7 +25,7 @@
 
 /// A request of the example's classes and plans.
 fn read(id: &str) -> String {
-    request(id, "balance-read", "4000m")
+    request_text(id, "balance-read", "4000m")
         .replace("POST", "GET")
         .replace("Tier: p", "Tier: premier")
         .replace("Content-Length: 4\r\n\r\ntime", "\r\n")
@@ -50,50 +50,51 @@
 
 #[test]
 fn each_event_that_an_operator_acts_on_has_a_line_and_requests_have_none() {
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
-    let discovery = Discovery::start(&hosts);
-    let mut node = Node::of_people("life", &config(&discovery, ""));
-    let first = discovery.watch().1;
-    node.says("list 1 applied: the whole list, 1 entries");
-    node.says("ready: a list of servers has come");
-    assert_eq!(node.client().ask(&read("quiet-1")).status(), 200);
+    let servers = FakeServers::new();
+    let hosts = [endpoint_entry("s-1", servers.start("s-1", &[RESPONDS_OK]), 1, "ready")];
+    let discovery = FakeDiscovery::start(&hosts);
+    let mut node = EdgeNode::start_with_toml("life", &config(&discovery, ""));
+    let first = discovery.next_watch().1;
+    node.wait_for_log("list 1 applied: the whole list, 1 entries");
+    node.wait_for_log("ready: a list of servers has come");
+    assert_eq!(node.client().exchange(&read("quiet-1")).status(), 200);
     first.shutdown(std::net::Shutdown::Both).expect("it is open");
-    assert!(node.says("discovery: ").contains("WARN"));
-    discovery.watch();
-    node.says("discovery: the watch is back");
+    assert!(node.wait_for_log("discovery: ").contains("WARN"));
+    discovery.next_watch();
+    node.wait_for_log("discovery: the watch is back");
     node.reload(|text| text.replacen("attempts = 5", "attempts = 0", 1));
-    let said = node.says("the old configuration stays");
+    let said = node.wait_for_log("the old configuration stays");
     assert!(said.contains("ERROR") && said.contains("requests.max_attempts"), "{said}");
     node.reload(|text| text.replacen("attempts = 0", "attempts = 5", 1));
     let address = format!("reloaded: log level info, discovery at {}", discovery.address);
-    node.says(&address);
+    node.wait_for_log(&address);
     node.terminate();
-    node.says("leaving on SIGTERM: 0 requests open");
-    node.says("left: every client has its answer");
+    node.wait_for_log("leaving on SIGTERM: 0 requests open");
+    node.wait_for_log("left: every client has its answer");
     assert!(node.wait().success());
-    assert!(!node.said().iter().any(|line| line.contains("quiet-1")));
+    assert!(!node.remaining_log().iter().any(|line| line.contains("quiet-1")));
 }
 
 #[test]
 fn a_request_can_be_followed_by_its_id_once_the_level_is_debug() {
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[IS_FULL, SERVES]), 1, "ready")];
-    let discovery = Discovery::start(&hosts);
-    let mut node = Node::of_people("debug", &config(&discovery, "format = \"json\""));
-    assert_eq!(node.client().ask(&read("unseen")).status(), 200);
+    let servers = FakeServers::new();
+    let hosts =
+        [endpoint_entry("s-1", servers.start("s-1", &[RESPONDS_OVERLOADED, RESPONDS_OK]), 1, "ready")];
+    let discovery = FakeDiscovery::start(&hosts);
+    let mut node = EdgeNode::start_with_toml("debug", &config(&discovery, "format = \"json\""));
+    assert_eq!(node.client().exchange(&read("unseen")).status(), 200);
     node.reload(|text| text.replacen("[log]", "[log]\nlevel = \"debug\"", 1));
-    let said = node.says("reloaded");
-    assert_eq!(node.client().ask(&read("seen")).status(), 200);
+    let said = node.wait_for_log("reloaded");
+    assert_eq!(node.client().exchange(&read("seen")).status(), 200);
     node.reload(|text| text.replacen("\"debug\"", "\"warn\"", 1));
     // At this level no line shows that the reload is done; the watch that it opens does.
     for _ in 0..3 {
-        drop(discovery.watch());
+        drop(discovery.next_watch());
     }
-    assert_eq!(node.client().ask(&read("hidden")).status(), 200);
+    assert_eq!(node.client().exchange(&read("hidden")).status(), 200);
     node.terminate();
     assert!(node.wait().success());
-    let events: Vec<LogEvent> = node.said().iter().map(|line| LogEvent::parse(line)).collect();
+    let events: Vec<LogEvent> = node.remaining_log().iter().map(|line| LogEvent::parse(line)).collect();
     let of = |id: &str| -> Vec<&str> {
         let of_request = events.iter().filter(|event| event.fields["id"] == id);
         of_request.map(|event| event.name.as_str()).collect()
@@ -109,9 +110,9 @@
 /// Text from outside cannot forge a line of the log.
 #[test]
 fn a_line_stays_one_line() {
-    let discovery = Discovery::start(&[]);
-    let path = written("forged.toml", &config(&discovery, ""));
-    let mut child = program(&["serve", "--config"])
+    let discovery = FakeDiscovery::start(&[]);
+    let path = write_config_file("forged.toml", &config(&discovery, ""));
+    let mut child = edge_node_command(&["serve", "--config"])
         .arg(&path)
         .env("LB_NAME", "a\nb\x1b[31m")
         .stderr(Stdio::piped())
@@ -128,16 +129,19 @@
 /// The reader of the log may end; the edge node goes on.
 #[test]
 fn the_log_needs_no_reader() {
-    let discovery = Discovery::start(&[]);
-    let path = written("unread.toml", &config(&discovery, ""));
-    let mut child =
-        program(&["serve", "--config"]).arg(&path).stderr(Stdio::piped()).spawn().expect("it starts");
+    let discovery = FakeDiscovery::start(&[]);
+    let path = write_config_file("unread.toml", &config(&discovery, ""));
+    let mut child = edge_node_command(&["serve", "--config"])
+        .arg(&path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
     drop(child.stderr.take());
     for _ in 0..3 {
-        let (_, watch) = discovery.watch();
+        let (_, watch) = discovery.next_watch();
         // A watch that ends makes a line, and so does the signal; each opens the next watch.
         drop(watch);
-        let (_, watch) = discovery.watch();
+        let (_, watch) = discovery.next_watch();
         let hangup = std::process::Command::new("kill").args(["-HUP", &child.id().to_string()]).status();
         assert!(hangup.expect("kill runs").success());
         drop(watch);
--- a/tests/support/previous_names.rs
+++ b/tests/support/previous_names.rs
@@ -6,16 +6,10 @@
 use std::net::{SocketAddr, TcpStream};
 
 pub(crate) use super::client::request_text as request;
-pub(crate) use super::configuration::write_config_file as written;
 pub(crate) use super::fake_discovery::{
-    endpoint_entry as host, endpoint_list as list, list_chunk as line, send_list as write_list,
-    WATCH_RESPONSE_HEAD as WATCH,
+    endpoint_entry as host, endpoint_list as list, send_list as write_list,
 };
-pub(crate) use super::fake_server::{
-    is_closed_in_time as closed, SharedBehaviors as Turns, RESPONDS_ERROR as ERRS, RESPONDS_OK as SERVES,
-    RESPONDS_OVERLOADED as IS_FULL,
-};
-pub(crate) use super::node::{edge_node_command as program, spawn_edge_node as start};
+pub(crate) use super::fake_server::{is_closed_in_time as closed, RESPONDS_OK as SERVES};
 pub(crate) use super::{
     EdgeNode as Node, FakeDiscovery as Discovery, FakeServers as Servers, HttpMessage as Message,
     ReceivedRequest as Got, ServerBehavior as Does, TEST_TIMEOUT as PATIENCE,
@@ -29,19 +23,9 @@
     pub(crate) const fn Answers(response: &'static str) -> ServerBehavior {
         ServerBehavior::Respond(response)
     }
-
-    /// See [`ServerBehavior::RespondAndClose`].
-    pub(crate) const fn Ends(response: &'static str) -> ServerBehavior {
-        ServerBehavior::RespondAndClose(response)
-    }
 }
 
 impl FakeServers {
-    /// See [`FakeServers::start_sharing`].
-    pub(crate) fn share(&self, name: &str, behaviors: &super::SharedBehaviors) -> SocketAddr {
-        self.start_sharing(name, behaviors)
-    }
-
     /// See [`FakeServers::next_request`].
     pub(crate) fn next(&self) -> ReceivedRequest {
         self.next_request()
@@ -59,30 +43,15 @@
 }
 
 impl FakeDiscovery {
-    /// See [`FakeDiscovery::silent`].
-    pub(crate) fn mute() -> FakeDiscovery {
-        FakeDiscovery::silent()
-    }
-
     /// See [`FakeDiscovery::restart_at`].
     pub(crate) fn back(address: SocketAddr, list: String) -> FakeDiscovery {
         FakeDiscovery::restart_at(address, list)
     }
 
-    /// See [`FakeDiscovery::set_list`].
-    pub(crate) fn holds(&self, list: String) {
-        self.set_list(list);
-    }
-
     /// See [`FakeDiscovery::next_watch`].
     pub(crate) fn watch(&self) -> (String, TcpStream) {
         self.next_watch()
     }
-
-    /// See [`FakeDiscovery::unseen_watches`].
-    pub(crate) fn further(&self) -> usize {
-        self.unseen_watches()
-    }
 }
 
 impl EdgeNode {
@@ -100,21 +69,6 @@
         EdgeNode::start_with_descriptor_limit(tag, discovery, entries, descriptors)
     }
 
-    /// See [`EdgeNode::start_with_toml`].
-    pub(crate) fn of_people(tag: &str, config: &str) -> EdgeNode {
-        EdgeNode::start_with_toml(tag, config)
-    }
-
-    /// See [`EdgeNode::wait_for_log`].
-    pub(crate) fn says(&self, text: &str) -> String {
-        self.wait_for_log(text)
-    }
-
-    /// See [`EdgeNode::remaining_log`].
-    pub(crate) fn said(&self) -> Vec<String> {
-        self.remaining_log()
-    }
-
     /// See [`EdgeNode::suspend`].
     pub(crate) fn stop(&self) {
         self.suspend();
@@ -124,21 +78,6 @@
     pub(crate) fn go_on(&self) {
         self.resume();
     }
-
-    /// See [`EdgeNode::config_text`].
-    pub(crate) fn configuration(&self) -> String {
-        self.config_text()
-    }
-
-    /// See [`EdgeNode::open_descriptors`].
-    pub(crate) fn descriptors(&self) -> usize {
-        self.open_descriptors()
-    }
-
-    /// See [`EdgeNode::is_running`].
-    pub(crate) fn runs(&mut self) -> bool {
-        self.is_running()
-    }
 }
 
 impl Client {
