--- a/src/bin/edge-node/main.rs
+++ b/src/bin/edge-node/main.rs
@@ -3,7 +3,6 @@
 #![forbid(unsafe_code)]
 
 mod admin;
-mod ahead;
 mod bind;
 mod clients;
 mod command;
--- a/src/bin/edge-node/startup.rs
+++ b/src/bin/edge-node/startup.rs
@@ -121,7 +121,7 @@
 }
 
 async fn bind_clients(address: SocketAddr) -> Result<TcpListener> {
-    bind::when_free(format!("listen {address}"), || TcpListener::bind(address)).await
+    bind::with_retry(format!("listen {address}"), || TcpListener::bind(address)).await
 }
 
 async fn bind_peers(addresses: Option<PeerAddresses>, gateway_id: GatewayId) -> Result<Option<Peers>> {
