--- a/tests/edge/client_disconnect.rs
+++ b/tests/edge/client_disconnect.rs
@@ -13,15 +13,15 @@
 
 /// So many requests, one right behind the other.
 fn pipelined_requests(count: usize) -> String {
-    (0..count).map(|number| request(&format!("b{number}"), "pay", "20000m")).collect()
+    (0..count).map(|number| request_text(&format!("b{number}"), "pay", "20000m")).collect()
 }
 
 /// Time within which a close has to be noticed. Behind what the edge node reads ahead it is noticed at once.
 const CLOSE_NOTICED_WITHIN: Duration = Duration::from_millis(100);
 
 /// Closes a client's connection, with so many requests pipelined on it, and waits until the edge node has noticed.
-fn disconnect(client: Client, pipelined: usize, node: &Node) {
-    client.leave();
+fn disconnect(client: Client, pipelined: usize, node: &EdgeNode) {
+    client.close();
     if pipelined > PIPELINED_COUNTS[1] {
         std::thread::sleep(CLOSE_NOTICED_WITHIN);
     }
@@ -29,38 +29,38 @@
 }
 
 /// Returns once the edge node has read what came on any connection before the call.
-fn wait_until_read(node: &Node) {
-    assert_eq!(node.client().ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
+fn wait_until_read(node: &EdgeNode) {
+    assert_eq!(node.client().exchange("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
 }
 
 #[test]
 fn a_disconnect_cancels_the_attempt_in_flight() {
-    let (servers, _discovery, node) = with_one("gone", &[Does::IsSilent, SERVES]);
+    let (servers, _discovery, node) = with_one("gone", &[ServerBehavior::NeverRespond, RESPONDS_OK]);
     let mut client = node.client();
-    client.write(&request("a", "pay", "20000m"));
-    let got = servers.next();
-    client.leave();
-    assert!(closed(&got));
-    assert_eq!(node.client().ask(&request("b", "pay", "20000m")).status(), 200);
+    client.send(&request_text("a", "pay", "20000m"));
+    let got = servers.next_request();
+    client.close();
+    assert!(is_closed_in_time(&got));
+    assert_eq!(node.client().exchange(&request_text("b", "pay", "20000m")).status(), 200);
 }
 
 /// A client pipelines requests and disconnects: its attempt is cancelled, and none of the other requests is begun.
 fn disconnects_behind_pipelined_requests(tag: &str, count: usize) {
-    let (servers, _discovery, node) = with_one(tag, &[Does::IsSilent, SERVES]);
+    let (servers, _discovery, node) = with_one(tag, &[ServerBehavior::NeverRespond, RESPONDS_OK]);
     let mut client = node.client();
-    client.write(&request("a", "pay", "20000m"));
-    let got = servers.next();
-    client.write(&pipelined_requests(count));
-    client.leave();
-    got.stream.set_read_timeout(Some(PATIENCE / 6)).expect("a time-out");
+    client.send(&request_text("a", "pay", "20000m"));
+    let got = servers.next_request();
+    client.send(&pipelined_requests(count));
+    client.close();
+    got.stream.set_read_timeout(Some(TEST_TIMEOUT / 6)).expect("a time-out");
     let ends = got.stream.peek(&mut [0]);
     assert!(
         !ends.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock),
         "the attempt is still in flight"
     );
-    assert_eq!(node.client().ask(&request("c", "pay", "20000m")).status(), 200);
-    assert_eq!(servers.next().message.header("x-request-id"), "c");
-    servers.got_no_more();
+    assert_eq!(node.client().exchange(&request_text("c", "pay", "20000m")).status(), 200);
+    assert_eq!(servers.next_request().message.header("x-request-id"), "c");
+    servers.assert_no_more_requests();
 }
 
 #[test]
@@ -73,13 +73,13 @@
 /// In a large fleet a request waits for a lease from its customer's quota owner. Its client disconnects meanwhile;
 /// then the lease is granted.
 fn disconnects_during_a_lease_request(tag: &str, pipelined: usize) {
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
-    let discovery = Discovery::start(&hosts);
+    let servers = FakeServers::new();
+    let hosts = [endpoint_entry("s-1", servers.start("s-1", &[RESPONDS_OK]), 1, "ready")];
+    let discovery = FakeDiscovery::start(&hosts);
     let large_fleet = |config: String| config.replace(r#""balancers":2"#, r#""balancers":300"#);
-    let node = Node::with(tag, discovery.address, &hosts, large_fleet);
+    let node = EdgeNode::start_with(tag, discovery.address, &hosts, large_fleet);
     // The peer, gateway 1, is the only gateway of the customer, and so its quota owner.
-    let owned_by_peer = |id: &str| request(id, "pay", "20000m").replace("first=0", "first=1");
+    let owned_by_peer = |id: &str| request_text(id, "pay", "20000m").replace("first=0", "first=1");
     let receive_lease_request = || {
         let mut message = [0; 2000];
         node.peer.recv_from(&mut message).expect("a lease is requested");
@@ -91,22 +91,22 @@
         node.peer.send_to(&message, node.datagrams).expect("sent");
     };
     let mut leaving = node.client();
-    leaving.write(&owned_by_peer("a"));
+    leaving.send(&owned_by_peer("a"));
     let sequence = receive_lease_request();
-    leaving.write(&pipelined_requests(pipelined));
+    leaving.send(&pipelined_requests(pipelined));
     disconnect(leaving, pipelined, &node);
     grant(sequence);
     wait_until_read(&node);
     // Without a grant, a request of a plan without a hard limit is admitted by the local token bucket within this.
     std::thread::sleep(Duration::from_millis(700));
-    servers.got_no_more();
+    servers.assert_no_more_requests();
     let mut staying = node.client();
-    staying.write(&owned_by_peer("b"));
+    staying.send(&owned_by_peer("b"));
     // Should the grant come late, the local token bucket admits the request.
     grant(receive_lease_request());
-    assert_eq!(staying.answer().expect("an answer").status(), 200);
-    assert_eq!(servers.next().message.header("x-request-id"), "b");
-    servers.got_no_more();
+    assert_eq!(staying.read_response().expect("an answer").status(), 200);
+    assert_eq!(servers.next_request().message.header("x-request-id"), "b");
+    servers.assert_no_more_requests();
 }
 
 #[test]
@@ -122,45 +122,46 @@
 #[test]
 fn no_attempt_starts_after_a_disconnect_while_queued() {
     for pipelined in PIPELINED_COUNTS {
-        let silent = [Does::IsSilent, Does::IsSilent, SERVES];
+        let silent = [ServerBehavior::NeverRespond, ServerBehavior::NeverRespond, RESPONDS_OK];
         let (servers, _discovery, node) = with_one(&format!("queued-{pipelined}"), &silent);
         let mut staying = [node.client(), node.client()];
         let in_flight = ["a", "b"].iter().zip(&mut staying).map(|(id, client)| {
-            client.write(&request(id, "pay", "20000m"));
-            servers.next()
+            client.send(&request_text(id, "pay", "20000m"));
+            servers.next_request()
         });
-        let in_flight: Vec<Got> = in_flight.collect();
+        let in_flight: Vec<ReceivedRequest> = in_flight.collect();
         let mut leaving = node.client();
-        leaving.write(&request("c", "pay", "20000m"));
-        leaving.write(&pipelined_requests(pipelined));
+        leaving.send(&request_text("c", "pay", "20000m"));
+        leaving.send(&pipelined_requests(pipelined));
         wait_until_read(&node);
-        servers.got_no_more();
+        servers.assert_no_more_requests();
         disconnect(leaving, pipelined, &node);
         for (mut got, client) in in_flight.into_iter().zip(&mut staying) {
             got.stream.write_all(OK_RESPONSE).expect("the attempt is still in flight");
-            assert_eq!(client.answer().expect("an answer").status(), 200);
+            assert_eq!(client.read_response().expect("an answer").status(), 200);
         }
-        assert_eq!(node.client().ask(&request("d", "pay", "20000m")).status(), 200);
-        assert_eq!(servers.next().message.header("x-request-id"), "d");
-        servers.got_no_more();
+        assert_eq!(node.client().exchange(&request_text("d", "pay", "20000m")).status(), 200);
+        assert_eq!(servers.next_request().message.header("x-request-id"), "d");
+        servers.assert_no_more_requests();
     }
 }
 
 /// An attempt has failed and the request is queued for the next; its client disconnects.
 #[test]
 fn no_retry_starts_after_a_disconnect_while_queued() {
-    let (servers, _discovery, node) = with_one("again", &[Does::IsSilent, Does::IsSilent, SERVES]);
+    let (servers, _discovery, node) =
+        with_one("again", &[ServerBehavior::NeverRespond, ServerBehavior::NeverRespond, RESPONDS_OK]);
     let mut staying = node.client();
-    staying.write(&request("a", "pay", "20000m"));
-    let mut first = servers.next();
+    staying.send(&request_text("a", "pay", "20000m"));
+    let mut first = servers.next_request();
     let mut leaving = node.client();
-    leaving.write(&request("c", "read", "20000m"));
-    let mut failed = servers.next();
+    leaving.send(&request_text("c", "read", "20000m"));
+    let mut failed = servers.next_request();
     // Of a higher priority than the other, so it is first in the queue.
     let mut queued_first = node.client();
-    queued_first.write(&request("d", "pay", "20000m"));
+    queued_first.send(&request_text("d", "pay", "20000m"));
     wait_until_read(&node);
-    servers.got_no_more();
+    servers.assert_no_more_requests();
     failed
         .stream
         .write_all(b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n")
@@ -169,12 +170,12 @@
     disconnect(leaving, 0, &node);
     first.stream.write_all(OK_RESPONSE).expect("the attempt is still in flight");
     for client in [&mut staying, &mut queued_first] {
-        assert_eq!(client.answer().expect("an answer").status(), 200);
+        assert_eq!(client.read_response().expect("an answer").status(), 200);
     }
-    assert_eq!(servers.next().message.header("x-request-id"), "d");
-    assert_eq!(staying.ask(&request("e", "pay", "20000m")).status(), 200);
-    assert_eq!(servers.next().message.header("x-request-id"), "e");
-    servers.got_no_more();
+    assert_eq!(servers.next_request().message.header("x-request-id"), "d");
+    assert_eq!(staying.exchange(&request_text("e", "pay", "20000m")).status(), 200);
+    assert_eq!(servers.next_request().message.header("x-request-id"), "e");
+    servers.assert_no_more_requests();
 }
 
 /// An app server to which connections come up only once it accepts: until then its backlog is full.
@@ -236,12 +237,12 @@
 
 /// The client stays or disconnects, then the server accepts: something is written to it only if the client is still there.
 fn assert_written_only_if_client_stays(
-    action: ClientAction, client: Client, node: &Node, server: LateServer, tag: &str,
+    action: ClientAction, client: Client, node: &EdgeNode, server: LateServer, tag: &str,
 ) {
     let staying = match action {
         ClientAction::Stays => Some(client),
         ClientAction::Disconnects => {
-            client.leave();
+            client.close();
             None
         }
     };
@@ -263,13 +264,14 @@
         for (cancel, action) in CASES {
             scope.spawn(move || {
                 let (late_server, dial) = LateServer::start();
-                let hosts = [host("s-1", dial, 1, "ready")];
-                let discovery = Discovery::start(&hosts);
+                let hosts = [endpoint_entry("s-1", dial, 1, "ready")];
+                let discovery = FakeDiscovery::start(&hosts);
                 let tag = format!("late-{cancel}-{action:?}");
-                let node =
-                    Node::with(&tag, discovery.address, &hosts, |config| with_slow_connect(config, cancel));
+                let node = EdgeNode::start_with(&tag, discovery.address, &hosts, |config| {
+                    with_slow_connect(config, cancel)
+                });
                 let mut client = node.client();
-                client.write(&request("a", "pay", "20000m"));
+                client.send(&request_text("a", "pay", "20000m"));
                 wait_until_read(&node);
                 // One that stays shows that the connection does come up, and what is written then.
                 assert_written_only_if_client_stays(action, client, &node, late_server, &tag);
@@ -285,19 +287,21 @@
         for (cancel, action) in CASES {
             scope.spawn(move || {
                 let (late_server, dial) = LateServer::start();
-                let servers = Servers::new();
-                let first = servers.start("s-1", &[Does::IsSilent]);
-                let hosts = [host("s-1", first, 1, "ready")];
-                let discovery = Discovery::start(&hosts);
+                let servers = FakeServers::new();
+                let first = servers.start("s-1", &[ServerBehavior::NeverRespond]);
+                let hosts = [endpoint_entry("s-1", first, 1, "ready")];
+                let discovery = FakeDiscovery::start(&hosts);
                 let tag = format!("again-{cancel}-{action:?}");
-                let node =
-                    Node::with(&tag, discovery.address, &hosts, |config| with_slow_connect(config, cancel));
-                let (_, mut watch) = discovery.watch();
+                let node = EdgeNode::start_with(&tag, discovery.address, &hosts, |config| {
+                    with_slow_connect(config, cancel)
+                });
+                let (_, mut watch) = discovery.next_watch();
                 let mut client = node.client();
-                client.write(&request("a", "read", "20000m"));
-                let mut got = servers.next();
-                let moved = [host("s-1", first, 1, "draining"), host("late", dial, 1, "ready")];
-                write_list(&mut watch, &list(2, false, &moved));
+                client.send(&request_text("a", "read", "20000m"));
+                let mut got = servers.next_request();
+                let moved =
+                    [endpoint_entry("s-1", first, 1, "draining"), endpoint_entry("late", dial, 1, "ready")];
+                send_list(&mut watch, &endpoint_list(2, false, &moved));
                 wait_until_read(&node);
                 got.stream
                     .write_all(b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n")
@@ -313,24 +317,24 @@
 /// A request and the close behind it arrive together, on a connection that is open or has yet to be accepted.
 #[test]
 fn no_attempt_starts_for_a_request_that_arrives_together_with_the_close() {
-    let (servers, _discovery, node) = with_one("together", &[SERVES]);
+    let (servers, _discovery, node) = with_one("together", &[RESPONDS_OK]);
     let open: Vec<_> = PIPELINED_COUNTS.iter().map(|_| node.client()).collect();
     wait_until_read(&node);
-    node.stop();
+    node.suspend();
     let new: Vec<_> = PIPELINED_COUNTS.iter().map(|_| node.client()).collect();
     for (number, mut client) in open.into_iter().chain(new).enumerate() {
-        client.write(&request(&format!("a{number}"), "pay", "20000m"));
-        client.write(
+        client.send(&request_text(&format!("a{number}"), "pay", "20000m"));
+        client.send(
             &pipelined_requests(PIPELINED_COUNTS[number % PIPELINED_COUNTS.len()])
                 .replace("Id: b", &format!("Id: b{number}-")),
         );
-        client.leave();
+        client.close();
     }
     // The operating system has received all of it.
     std::thread::sleep(CLOSE_NOTICED_WITHIN);
-    node.go_on();
+    node.resume();
     wait_until_read(&node);
-    assert_eq!(node.client().ask(&request("stays", "pay", "20000m")).status(), 200);
-    assert_eq!(servers.next().message.header("x-request-id"), "stays");
-    servers.got_no_more();
+    assert_eq!(node.client().exchange(&request_text("stays", "pay", "20000m")).status(), 200);
+    assert_eq!(servers.next_request().message.header("x-request-id"), "stays");
+    servers.assert_no_more_requests();
 }
--- a/tests/edge/descriptors.rs
+++ b/tests/edge/descriptors.rs
@@ -19,16 +19,16 @@
 /// Clients that sent one request and stay, and some that never send one, do not shut out another.
 #[test]
 fn idle_clients_shut_out_nobody() {
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
-    let discovery = Discovery::start(&hosts);
-    let node = Node::with_sockets("idle", discovery.address, &hosts, 64);
+    let servers = FakeServers::new();
+    let hosts = [endpoint_entry("s-1", servers.start("s-1", &[RESPONDS_OK]), 1, "ready")];
+    let discovery = FakeDiscovery::start(&hosts);
+    let node = EdgeNode::start_with_descriptor_limit("idle", discovery.address, &hosts, 64);
     let mut clients = Vec::new();
     for number in 0..60 {
         let mut client = node.client();
-        client.stream.set_read_timeout(Some(PATIENCE / 3)).expect("a time-out");
+        client.stream.set_read_timeout(Some(TEST_TIMEOUT / 3)).expect("a time-out");
         if number < MAX_DESCRIPTORS / 2 {
-            assert_eq!(client.ask(&request(&format!("r{number}"), "read", "20000m")).status(), 200);
+            assert_eq!(client.exchange(&request_text(&format!("r{number}"), "read", "20000m")).status(), 200);
         }
         clients.push(client);
     }
@@ -37,39 +37,39 @@
 /// More clients than descriptors: the surplus waits, and is served once there is room.
 #[test]
 fn the_edge_node_survives_a_lack_of_descriptors() {
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
-    let discovery = Discovery::start(&hosts);
-    let node = Node::with_sockets("sockets", discovery.address, &hosts, 64);
+    let servers = FakeServers::new();
+    let hosts = [endpoint_entry("s-1", servers.start("s-1", &[RESPONDS_OK]), 1, "ready")];
+    let discovery = FakeDiscovery::start(&hosts);
+    let node = EdgeNode::start_with_descriptor_limit("sockets", discovery.address, &hosts, 64);
     let idle: Vec<_> = (0..60).map(|_| node.client()).collect();
     let mut last = node.client();
-    last.write(&request("a", "read", "20000m"));
+    last.send(&request_text("a", "read", "20000m"));
     drop(idle);
-    assert_eq!(last.answer().expect("an answer").status(), 200);
+    assert_eq!(last.read_response().expect("an answer").status(), 200);
 }
 
 /// More clients than may be open connect together, each with a request: none is evicted unread.
 #[test]
 fn clients_that_connect_with_a_request_together_are_all_answered() {
-    let servers = Servers::new();
-    let hosts = [host("s-1", servers.start("s-1", &[SERVES]), 1, "ready")];
-    let discovery = Discovery::start(&hosts);
-    let node = Node::with_sockets("moment", discovery.address, &hosts, MAX_DESCRIPTORS);
-    assert_eq!(node.client().ask(READY).status(), 200);
-    node.stop();
+    let servers = FakeServers::new();
+    let hosts = [endpoint_entry("s-1", servers.start("s-1", &[RESPONDS_OK]), 1, "ready")];
+    let discovery = FakeDiscovery::start(&hosts);
+    let node = EdgeNode::start_with_descriptor_limit("moment", discovery.address, &hosts, MAX_DESCRIPTORS);
+    assert_eq!(node.client().exchange(READY).status(), 200);
+    node.suspend();
     let connect = |number: usize| {
         let mut client = node.client();
-        client.write(&if number < MAX_DESCRIPTORS / 2 {
+        client.send(&if number < MAX_DESCRIPTORS / 2 {
             READY.to_owned()
         } else {
-            request(&format!("r{number}"), "read", "20000m")
+            request_text(&format!("r{number}"), "read", "20000m")
         });
         client
     };
     let clients: Vec<_> = (0..MAX_DESCRIPTORS).map(connect).collect();
-    node.go_on();
+    node.resume();
     for mut client in clients {
-        assert_eq!(client.answer().map(|answer| answer.status()), Some(200));
+        assert_eq!(client.read_response().map(|answer| answer.status()), Some(200));
     }
 }
 
@@ -109,48 +109,50 @@
 }
 
 /// Sends a request on a new connection; `None` if it was closed unread, which is allowed while descriptors are short.
-fn ask_on_new_connection(node: &Node, request: &str) -> Option<u16> {
+fn ask_on_new_connection(node: &EdgeNode, request: &str) -> Option<u16> {
     let mut client = node.client();
     std::io::Write::write_all(&mut client.stream, request.as_bytes()).ok()?;
-    client.answer().map(|answer| answer.status())
+    client.read_response().map(|answer| answer.status())
 }
 
 /// Most connections that a client may need beside such idle ones.
 const MAX_TRIES: usize = 50;
 
-fn assert_answered(node: &Node, request: impl Fn(usize) -> String) {
+fn assert_answered(node: &EdgeNode, request: impl Fn(usize) -> String) {
     let answer = (0..MAX_TRIES).find_map(|number| ask_on_new_connection(node, &request(number)));
     assert_eq!(answer, Some(200));
 }
 
 #[test]
 fn idle_clients_leave_descriptors_for_discovery_servers_and_readiness_probes() {
-    let servers = Servers::new();
+    let servers = FakeServers::new();
     let address = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
     let address = address.expect("an address");
-    let old = host("old", servers.start("old", &[SERVES]), 1, "ready");
-    let node = Node::with_sockets("filled", address, &[old], MAX_DESCRIPTORS);
+    let old = endpoint_entry("old", servers.start("old", &[RESPONDS_OK]), 1, "ready");
+    let node = EdgeNode::start_with_descriptor_limit("filled", address, &[old], MAX_DESCRIPTORS);
     let stop = AtomicBool::new(false);
     std::thread::scope(|scope| {
         scope.spawn(|| hold_idle_connections(node.address, &stop));
         // Ends that thread also where this one panics.
         let _stop_guard = StopGuard(&stop);
         assert_answered(&node, |_| READY.to_owned());
-        assert_answered(&node, |number| request(&format!("a{number}"), "read", "20000m"));
-        assert_eq!(servers.next().server, "old");
+        assert_answered(&node, |number| request_text(&format!("a{number}"), "read", "20000m"));
+        assert_eq!(servers.next_request().server, "old");
         // So long that all have connected, have been closed and have connected again.
         std::thread::sleep(Duration::from_millis(500));
         let new: Vec<_> = (0..8)
-            .map(|number| host(&format!("new-{number}"), servers.start("new", &[SERVES]), 1, "ready"))
+            .map(|number| {
+                endpoint_entry(&format!("new-{number}"), servers.start("new", &[RESPONDS_OK]), 1, "ready")
+            })
             .collect();
-        let discovery = Discovery::back(address, list(7, true, &new));
-        discovery.watch();
+        let discovery = FakeDiscovery::restart_at(address, endpoint_list(7, true, &new));
+        discovery.next_watch();
         assert_answered(&node, |_| READY.to_owned());
         let mut number = 0;
         while {
             number += 1;
-            assert_answered(&node, |again| request(&format!("b{number}-{again}"), "read", "20000m"));
-            servers.next().server != "new"
+            assert_answered(&node, |again| request_text(&format!("b{number}-{again}"), "read", "20000m"));
+            servers.next_request().server != "new"
         } {}
         assert_answered(&node, |_| READY.to_owned());
     });
@@ -168,34 +170,34 @@
 /// A client that reads slowly: its answers are far more than the operating system buffers, so some stay unwritten.
 #[test]
 fn a_connection_with_an_unwritten_answer_is_not_evicted_for_another() {
-    let servers = Servers::new();
+    let servers = FakeServers::new();
     let response = format!(
         "HTTP/1.1 200 OK\r\nContent-Length: {LARGE_BODY_BYTES}\r\n\r\n{}",
         "r".repeat(LARGE_BODY_BYTES)
     );
-    let answers = Does::Answers(Box::leak(response.into_boxed_str()));
-    let hosts = [host("s-1", servers.start("s-1", &[answers]), 1, "ready")];
-    let discovery = Discovery::start(&hosts);
-    let node = Node::with_sockets("slowly", discovery.address, &hosts, MAX_DESCRIPTORS);
+    let answers = ServerBehavior::Respond(Box::leak(response.into_boxed_str()));
+    let hosts = [endpoint_entry("s-1", servers.start("s-1", &[answers]), 1, "ready")];
+    let discovery = FakeDiscovery::start(&hosts);
+    let node = EdgeNode::start_with_descriptor_limit("slowly", discovery.address, &hosts, MAX_DESCRIPTORS);
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
     socket.set_recv_buffer_size(1).expect("the least there is");
     socket.connect(&node.address.into()).expect("the edge node accepts");
-    let mut slow = Client::on(socket.into());
+    let mut slow = Client::new(socket.into());
     let pipelined: String =
-        (0..PIPELINED_COUNT).map(|number| request(&format!("r{number}"), "read", "20000m")).collect();
-    slow.write(&pipelined);
-    servers.next();
+        (0..PIPELINED_COUNT).map(|number| request_text(&format!("r{number}"), "read", "20000m")).collect();
+    slow.send(&pipelined);
+    servers.next_request();
     // Until the operating system takes no more of what is written.
     std::thread::sleep(Duration::from_millis(500));
     // Others have sent requests later, and hold all the connections there may be.
     let connect = |_| {
         let mut client = node.client();
-        assert_eq!(client.ask(READY).status(), 200);
+        assert_eq!(client.exchange(READY).status(), 200);
         client
     };
     let others: Vec<_> = (0..MAX_DESCRIPTORS).map(connect).collect();
     for number in 0..PIPELINED_COUNT {
-        let answer = slow.answer().map(|answer| (answer.status(), answer.body.len()));
+        let answer = slow.read_response().map(|answer| (answer.status(), answer.body.len()));
         assert_eq!(answer, Some((200, LARGE_BODY_BYTES)), "{number}");
     }
     drop(others);
