--- a/src/bin/edge-node/config/platform.rs
+++ b/src/bin/edge-node/config/platform.rs
@@ -4,7 +4,7 @@
 use super::file::ConfigFormat;
 use super::schema::{RestartValues, MIN_FILE_DESCRIPTORS};
 use super::{Config, OperatorOptions, PeerAddresses};
-use crate::lists::List;
+use crate::endpoint_list::EndpointList;
 use edge_node::settings::{self, ParseError, ResolvedSettings, SettingsError};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -88,7 +88,7 @@
     #[serde(rename = "peers_all")]
     peer_broadcast: Option<SocketAddr>,
     #[serde(rename = "known")]
-    initial_endpoints: Option<List>,
+    initial_endpoints: Option<EndpointList>,
     settings: Box<RawValue>,
 }
 
--- a/src/bin/edge-node/main.rs
+++ b/src/bin/edge-node/main.rs
@@ -8,7 +8,7 @@
 mod command;
 mod config;
 mod discovery;
-mod lists;
+mod endpoint_list;
 mod log;
 mod metrics;
 mod node;
--- a/src/bin/edge-node/node/endpoints.rs
+++ b/src/bin/edge-node/node/endpoints.rs
@@ -2,7 +2,7 @@
 //! watch that brings them.
 
 use super::Node;
-use crate::lists::{Health, Host, List};
+use crate::endpoint_list::{EndpointEntry, EndpointHealth, EndpointList};
 use edge_node::{CellId, Endpoint, EndpointState, EndpointUpdate, Event, Micros, ServerId, ZoneId};
 use std::cell::Cell;
 use std::fmt;
@@ -52,28 +52,28 @@
 impl Node {
     /// Applies endpoints: first to the connection pools, then to the decision module. In this order no request that
     /// waits for a connection is sent to a server that has left.
-    pub(crate) fn apply_endpoints(self: &Rc<Self>, kind: EndpointUpdate, hosts: &[Host]) {
+    pub(crate) fn apply_endpoints(self: &Rc<Self>, kind: EndpointUpdate, hosts: &[EndpointEntry]) {
         let zones = &self.settings.zone_names;
         let endpoints = hosts.iter().map(|host| endpoint(host, zones)).collect();
-        let addresses = hosts.iter().map(|host| (server_id(&host.host), dial_address(host)));
+        let addresses = hosts.iter().map(|host| (server_id(&host.name), dial_address(host)));
         self.upstream.listed(kind == EndpointUpdate::Snapshot, addresses);
         self.dispatch(Event::EndpointsUpdated { kind, endpoints });
     }
 
     /// Notes and logs that a list from discovery has been applied.
-    pub(crate) fn endpoint_list_applied(&self, list: &List) {
-        let sequence = list.seq;
-        let entries = list.hosts.read.len();
+    pub(crate) fn endpoint_list_applied(&self, list: &EndpointList) {
+        let sequence = list.sequence;
+        let entries = list.entries.readable.len();
         self.watch.last_list.set(Some(AppliedList { sequence, applied_at: Instant::now() }));
         if self.watch.is_lost.take() {
             info!(event = "watch_restored", seq = sequence, "discovery: the watch is back");
         }
-        let extent = if list.whole { "the whole list" } else { "changes" };
+        let extent = if list.is_snapshot { "the whole list" } else { "changes" };
         info!(
             event = "endpoints_updated",
             seq = sequence,
             entries,
-            whole = list.whole,
+            whole = list.is_snapshot,
             "list {sequence} applied: {extent}, {entries} entries"
         );
     }
@@ -93,28 +93,28 @@
 }
 
 /// An entry of discovery's list in the decision module's terms.
-fn endpoint(host: &Host, zone_names: &[String]) -> Endpoint {
+fn endpoint(host: &EndpointEntry, zone_names: &[String]) -> Endpoint {
     Endpoint {
-        server: server_id(&host.host),
-        zone: zone_id(&host.site, zone_names),
-        cell: CellId(host.block),
+        server: server_id(&host.name),
+        zone: zone_id(&host.zone, zone_names),
+        cell: CellId(host.cell),
         state: endpoint_state(host.health),
-        weight: host.share,
-        started_at: (host.born_ms > 0).then_some(host.born_ms.saturating_mul(MICROS_PER_MILLI)),
+        weight: host.weight,
+        started_at: (host.started_at_ms > 0).then_some(host.started_at_ms.saturating_mul(MICROS_PER_MILLI)),
     }
 }
 
-fn endpoint_state(health: Health) -> EndpointState {
+fn endpoint_state(health: EndpointHealth) -> EndpointState {
     match health {
-        Health::Ready => EndpointState::Ready,
-        Health::Draining => EndpointState::Draining,
-        Health::Gone => EndpointState::Gone,
+        EndpointHealth::Ready => EndpointState::Ready,
+        EndpointHealth::Draining => EndpointState::Draining,
+        EndpointHealth::Gone => EndpointState::Gone,
     }
 }
 
 /// Where new connections to a server go; `None` if it takes none.
-fn dial_address(host: &Host) -> Option<SocketAddr> {
-    host.dial.filter(|_| host.health == Health::Ready)
+fn dial_address(host: &EndpointEntry) -> Option<SocketAddr> {
+    host.address.filter(|_| host.health == EndpointHealth::Ready)
 }
 
 fn zone_id(name: &str, zone_names: &[String]) -> ZoneId {
