--- a/tests/unit/endpoints.rs
+++ b/tests/unit/endpoints.rs
@@ -2,15 +2,15 @@
 
 use super::*;
 
-fn host(health: Health) -> Host {
-    Host {
-        host: "s-1".to_owned(),
-        dial: Some("127.0.0.1:9000".parse().expect("an address")),
-        site: "north".to_owned(),
-        block: 7,
+fn host(health: EndpointHealth) -> EndpointEntry {
+    EndpointEntry {
+        name: "s-1".to_owned(),
+        address: Some("127.0.0.1:9000".parse().expect("an address")),
+        zone: "north".to_owned(),
+        cell: 7,
         health,
-        share: 0.5,
-        born_ms: 1200,
+        weight: 0.5,
+        started_at_ms: 1200,
     }
 }
 
@@ -36,20 +36,20 @@
 
 #[test]
 fn an_entry_keeps_its_values_and_its_start_becomes_microseconds() {
-    let endpoint = endpoint(&host(Health::Draining), &zones(&["north"]));
+    let endpoint = endpoint(&host(EndpointHealth::Draining), &zones(&["north"]));
     assert_eq!(endpoint.server, server_id("s-1"));
     assert_eq!(endpoint.zone, ZoneId(0));
     assert_eq!(endpoint.cell, CellId(7));
     assert_eq!(endpoint.state, EndpointState::Draining);
     assert_eq!(endpoint.weight, 0.5);
     assert_eq!(endpoint.started_at, Some(1_200_000));
-    let unknown_start = Host { born_ms: 0, ..host(Health::Ready) };
+    let unknown_start = EndpointEntry { started_at_ms: 0, ..host(EndpointHealth::Ready) };
     assert_eq!(super::endpoint(&unknown_start, &[]).started_at, None);
 }
 
 #[test]
 fn only_a_server_that_is_ready_takes_new_connections() {
-    assert_eq!(dial_address(&host(Health::Ready)), host(Health::Ready).dial);
-    assert_eq!(dial_address(&host(Health::Draining)), None);
-    assert_eq!(dial_address(&host(Health::Gone)), None);
+    assert_eq!(dial_address(&host(EndpointHealth::Ready)), host(EndpointHealth::Ready).address);
+    assert_eq!(dial_address(&host(EndpointHealth::Draining)), None);
+    assert_eq!(dial_address(&host(EndpointHealth::Gone)), None);
 }
