--- a/src/bin/edge-node/admin.rs
+++ b/src/bin/edge-node/admin.rs
@@ -110,7 +110,7 @@
     fn readiness(&self) -> AdminResponse {
         match self.phase() {
             Phase::Serving => response(StatusCode::OK, TEXT, "serving\n"),
-            phase => response(StatusCode::SERVICE_UNAVAILABLE, TEXT, format!("{}\n", phase.word())),
+            phase => response(StatusCode::SERVICE_UNAVAILABLE, TEXT, format!("{}\n", phase.as_str())),
         }
     }
 
@@ -126,7 +126,7 @@
         json!({
             "name": self.name,
             "version": env!("CARGO_PKG_VERSION"),
-            "phase": self.phase().word(),
+            "phase": self.phase().as_str(),
             "up_s": self.started.elapsed().as_secs(),
             "open_requests": status.open_requests,
             "oldest_requests": self.oldest_requests(),
--- /dev/null
+++ b/src/bin/edge-node/clients/read_ahead.rs
@@ -0,0 +1,155 @@
+//! A client's connection that can be read ahead, so that its end is noticed behind whatever was sent before it.
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::future::{poll_fn, Future};
+use std::io::{self, IoSlice};
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{ready, Context, Poll, Waker};
+use std::time::Duration;
+use tokio::io::{AsyncRead, Interest, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Most bytes read ahead of one request, which bounds the memory that clients sending at full speed can take.
+const MAX_READ_AHEAD: usize = 16 * 1024;
+/// Bytes read ahead at a time.
+const READ_AHEAD_CHUNK: usize = 1024;
+/// With that much read ahead, the operating system is asked this often whether it has seen the end. What it knows is
+/// enough: the end of a client that has sent more than the system buffers has not arrived yet.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A connection shared by the HTTP server, which reads and writes, and by whoever watches for its end. The socket is
+/// closed when the last clone is dropped.
+#[derive(Clone)]
+pub(super) struct ReadAheadStream(Rc<RefCell<Inner>>);
+
+/// The socket and what is known of it, behind all clones of the stream.
+struct Inner {
+    stream: TokioIo<TcpStream>,
+    /// Bytes read ahead that the HTTP server has not read yet.
+    buffered: Vec<u8>,
+    /// Whether the stream has ended or broken, behind the buffered bytes.
+    ended: bool,
+    /// Whether the operating system took nothing of the last write.
+    write_blocked: Rc<Cell<bool>>,
+}
+
+impl ReadAheadStream {
+    /// Wraps an accepted connection.
+    pub(super) fn new(stream: TcpStream) -> ReadAheadStream {
+        ReadAheadStream(Rc::new(RefCell::new(Inner {
+            stream: TokioIo::new(stream),
+            buffered: Vec::new(),
+            ended: false,
+            write_blocked: Rc::default(),
+        })))
+    }
+
+    /// Whether the client reads so slowly that the rest of a response is still unwritten. The cell outlives the
+    /// connection.
+    pub(super) fn write_blocked(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.0.borrow().write_blocked)
+    }
+
+    /// Returns once the client has closed the connection, or once it broke.
+    ///
+    /// Cancel safe: what has been read ahead stays in the stream's buffer.
+    pub(super) async fn wait_for_client_close(&self) {
+        loop {
+            let read_ahead = poll_fn(|context| self.0.borrow_mut().poll_read_ahead(context)).await;
+            if read_ahead == ReadAhead::Ended || self.0.borrow().is_read_closed() {
+                return;
+            }
+            tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
+        }
+    }
+}
+
+/// Where reading ahead stopped.
+#[derive(PartialEq)]
+enum ReadAhead {
+    /// At the end of the stream.
+    Ended,
+    /// At [`MAX_READ_AHEAD`].
+    BufferFull,
+}
+
+impl Inner {
+    fn record_write<T>(&mut self, written: Poll<T>) -> Poll<T> {
+        self.write_blocked.set(written.is_pending());
+        written
+    }
+
+    /// Reads ahead until the stream ends or the buffer is full.
+    fn poll_read_ahead(&mut self, context: &mut Context<'_>) -> Poll<ReadAhead> {
+        let mut chunk = [0; READ_AHEAD_CHUNK];
+        while !self.ended {
+            if self.buffered.len() >= MAX_READ_AHEAD {
+                return Poll::Ready(ReadAhead::BufferFull);
+            }
+            let mut chunk = ReadBuf::new(&mut chunk);
+            let result = ready!(Pin::new(self.stream.inner_mut()).poll_read(context, &mut chunk));
+            self.ended = result.is_err() || chunk.filled().is_empty();
+            self.buffered.extend_from_slice(chunk.filled());
+        }
+        Poll::Ready(ReadAhead::Ended)
+    }
+
+    /// Whether the operating system has seen the end, behind whatever has not been read.
+    fn is_read_closed(&self) -> bool {
+        let stream = self.stream.inner();
+        // Readiness to read would be reported for unread bytes too. Asked for urgent data, which nobody sends, the
+        // system reports the end alone. The future is polled once, without waiting.
+        let readiness = pin!(stream.ready(Interest::PRIORITY));
+        match readiness.poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(ready) => ready.is_ok_and(|ready| ready.is_read_closed()),
+            Poll::Pending => false,
+        }
+    }
+}
+
+impl Read for ReadAheadStream {
+    fn poll_read(
+        self: Pin<&mut Self>, context: &mut Context<'_>, mut buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let inner = &mut *self.0.borrow_mut();
+        if inner.buffered.is_empty() && !inner.ended {
+            return Pin::new(&mut inner.stream).poll_read(context, buffer);
+        }
+        // At the end, with nothing buffered, this reads zero bytes: the end of the stream.
+        let length = inner.buffered.len().min(buffer.remaining());
+        buffer.put_slice(&inner.buffered[..length]);
+        inner.buffered.drain(..length);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for ReadAheadStream {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let mut inner = self.0.borrow_mut();
+        let written = Pin::new(&mut inner.stream).poll_write(context, bytes);
+        inner.record_write(written)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>, context: &mut Context<'_>, slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let mut inner = self.0.borrow_mut();
+        let written = Pin::new(&mut inner.stream).poll_write_vectored(context, slices);
+        inner.record_write(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(context)
+    }
+}
--- a/src/bin/edge-node/config/mod.rs
+++ b/src/bin/edge-node/config/mod.rs
@@ -13,7 +13,7 @@
 pub(crate) use error::{ConfigError, InvalidConfig};
 pub(crate) use schema::{markdown_table, RestartValues};
 
-use crate::lists::List;
+use crate::endpoint_list::EndpointList;
 use crate::log::LogOptions;
 use edge_node::settings::ResolvedSettings;
 use error::Diagnostic;
@@ -41,7 +41,7 @@
     /// Where messages between edge nodes arrive and go, if there are any.
     pub(crate) peers: Option<PeerAddresses>,
     /// The endpoint list as the platform last held it, which may be outdated.
-    pub(crate) initial_endpoints: Option<List>,
+    pub(crate) initial_endpoints: Option<EndpointList>,
     /// The settings of the decision module.
     pub(crate) settings: ResolvedSettings,
     /// What only operators' files can configure.
--- a/src/bin/edge-node/startup.rs
+++ b/src/bin/edge-node/startup.rs
@@ -6,14 +6,14 @@
 use crate::admin::{self, Admin};
 use crate::clients::{self, Phase};
 use crate::config::{Config, PeerAddresses};
-use crate::lists::List;
+use crate::endpoint_list::EndpointList;
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::node::{self, Node, NodeParts};
 use crate::peers::Peers;
 use crate::reload::Reload;
 use crate::shutdown::Shutdown;
-use crate::upstream::{Room, Upstream};
+use crate::upstream::{BodyBudget, Upstream};
 use crate::{bind, discovery};
 use anyhow::{Context, Result};
 use edge_node::reconnect;
@@ -72,7 +72,7 @@
     spawn_local(reload.run(signals.hangup));
     let first_list = start_discovery(&node, discovery_seen, config.initial_endpoints);
     spawn_local(node::receive_peer_messages(Rc::clone(&node)));
-    spawn_local(retire_idle_connections(Rc::clone(&node)));
+    spawn_local(evict_idle_connections(Rc::clone(&node)));
 
     let waited = wait_for_first_list(&node, first_list).await;
     phase.send_replace(Phase::Serving);
@@ -121,7 +121,7 @@
 }
 
 async fn bind_clients(address: SocketAddr) -> Result<TcpListener> {
-    bind::when_free(format!("listen {address}"), || TcpListener::bind(address)).await
+    bind::with_retry(format!("listen {address}"), || TcpListener::bind(address)).await
 }
 
 async fn bind_peers(addresses: Option<PeerAddresses>, gateway_id: GatewayId) -> Result<Option<Peers>> {
@@ -158,7 +158,7 @@
 
     fn upstream(&self, settings: &ResolvedSettings) -> Upstream {
         Upstream::new(
-            Room::new(self.large_body_bytes),
+            BodyBudget::new(self.large_body_bytes),
             self.connections_per_side,
             settings.connection_idle_timeout,
             settings.connect_timeout,
@@ -181,15 +181,15 @@
 
 /// Starts to watch discovery; the receiver gets the word that a first list has been applied.
 fn start_discovery(
-    node: &Rc<Node>, address: watch::Receiver<SocketAddr>, known: Option<List>,
+    node: &Rc<Node>, address: watch::Receiver<SocketAddr>, known: Option<EndpointList>,
 ) -> oneshot::Receiver<()> {
     let (list_came, first_list) = oneshot::channel();
-    spawn_local(discovery::follow(Rc::clone(node), address, known, list_came));
+    spawn_local(discovery::watch_endpoints(Rc::clone(node), address, known, list_came));
     first_list
 }
 
-async fn retire_idle_connections(node: Rc<Node>) {
-    node.upstream.retire().await;
+async fn evict_idle_connections(node: Rc<Node>) {
+    node.upstream.evict_idle_connections().await;
 }
 
 /// How the wait for the first endpoint list ended.
@@ -203,7 +203,7 @@
 /// Waits for the first endpoint list, while clients wait in the backlog. What discovery holds counts as told from the
 /// first moment on, and the list in the configuration may be old; if discovery stays silent, that list has to do.
 async fn wait_for_first_list(node: &Node, first_list: oneshot::Receiver<()>) -> FirstList {
-    let deadline = reconnect::first_list_in(node.settings.drain_grace);
+    let deadline = reconnect::first_list_timeout(node.settings.drain_grace);
     match tokio::time::timeout(deadline, first_list).await {
         Ok(_) => FirstList::Received,
         Err(_) => FirstList::DeadlinePassed,
