--- a/tests/common/harness.rs
+++ b/tests/common/harness.rs
@@ -22,7 +22,7 @@
     pub server: ServerId,
 }
 
-/// A gateway, the endpoints that it was told of, and what it has done.
+/// A gateway, the endpoints that it was notified of, and what it has done.
 pub struct GatewayHarness {
     pub now: Micros,
     pub gateway: Gateway,
@@ -42,7 +42,7 @@
 
 impl GatewayHarness {
     pub fn new(seed: u64, settings: Settings, now: Micros) -> Self {
-        let gateway = Gateway::new(seed, settings.clone(), now).expect("sound settings");
+        let gateway = Gateway::new(seed, settings.clone(), now).expect("valid settings");
         GatewayHarness {
             now,
             gateway,
--- a/tests/common/settings.rs
+++ b/tests/common/settings.rs
@@ -20,6 +20,9 @@
 pub const TWO_CONCURRENT: PlanId = PlanId(3);
 pub const PLAN_COUNT: usize = 4;
 
+/// Gateways of a fleet that shares quotas by leases, as it has too many for broadcasts.
+pub const LARGE_FLEET: u32 = 300;
+
 /// The settings of a gateway without any change.
 pub fn settings(gateway: u32, gateway_count: u32) -> Settings {
     SettingsBuilder::new(gateway, gateway_count).build()
--- a/tests/policy/deadlines.rs
+++ b/tests/policy/deadlines.rs
@@ -12,7 +12,7 @@
     actions.iter().filter_map(retry_after).collect()
 }
 
-/// Held back until its token bucket covers it, a client would wait in vain; it is told when to retry instead.
+/// Held back until its token bucket covers it, a client would wait in vain; it is rejected with a `Retry-After` instead.
 #[test]
 fn a_rejection_tells_when_the_token_bucket_will_cover_the_request() {
     let mut gateway = GatewayHarness::with_servers(1, settings(0, 1), S, 8);
@@ -31,7 +31,7 @@
     assert_eq!(retry_after(50 * MS), None, "it is covered then");
 }
 
-/// A rejected client is told when to retry where the settings allow it, and no later than they allow.
+/// A rejection has a `Retry-After` where the settings allow one, and none longer than they allow.
 #[test]
 fn retry_after_keeps_to_the_settings() {
     for (longest, expected) in [(None, None), (Some(5 * MS), Some(5 * MS)), (Some(10 * S), Some(80 * MS))] {
@@ -45,7 +45,7 @@
     }
 }
 
-/// A client is told by half of its time that nothing was sent, and when to retry.
+/// By half of its timeout a client knows that nothing was sent, and when to retry.
 #[test]
 fn what_is_not_sent_by_half_of_its_time_is_rejected() {
     let mut gateway = GatewayHarness::new(1, settings(0, 2), S);
--- a/tests/policy/gossip.rs
+++ b/tests/policy/gossip.rs
@@ -17,7 +17,7 @@
 
 #[test]
 fn arbitrary_messages_do_no_harm_in_a_large_fleet() {
-    let mut gateway = GatewayHarness::with_servers(1, settings(0, 300), S, 4);
+    let mut gateway = GatewayHarness::with_servers(1, settings(0, LARGE_FLEET), S, 4);
     let mut random = fastrand::Rng::with_seed(3);
     for kind in 0..6u8 {
         for size in 0..80 {
@@ -26,7 +26,7 @@
             gateway.handle(Event::PeerMessage { from: GatewayId(5), bytes });
         }
     }
-    // The reports of one peer, however many, eject no server: requests are still sent on.
+    // The reports of one peer, however many, eject no server: all four are still used.
     let mut used = BTreeSet::new();
     for customer in 0..200 {
         let id = gateway.request(IDEMPOTENT, UNLIMITED, CustomerId(customer), 2 * S);
@@ -36,5 +36,5 @@
             gateway.finish(&id, AttemptOutcome::Success);
         }
     }
-    assert!(!used.is_empty(), "something is sent on");
+    assert_eq!(used.len(), 4, "{used:?}");
 }
--- a/tests/policy/lease.rs
+++ b/tests/policy/lease.rs
@@ -13,8 +13,8 @@
     }
 }
 
-/// Hazard: lease requests that are lost among too many, each of which makes one more. What a gateway takes in is
-/// bounded, so a busy one must not ask and be answered for each request.
+/// Hazard: lease requests are lost among too many, and each lost one causes one more. What a gateway takes in is
+/// bounded, so a busy one must not exchange messages with an owner for each request.
 #[test]
 fn a_busy_gateway_sends_fewer_lease_requests_than_it_has_requests() {
     let mut fleet = Fleet::new(60, 40, |settings| {
@@ -29,7 +29,7 @@
     let messages = fleet.messages_sent - messages_before;
     assert!(
         messages * 4 <= requests * 5,
-        "{messages} messages for {requests} requests; two for each, if each asked and was answered"
+        "{messages} messages for {requests} requests; it would be two for each without leases"
     );
 }
 
@@ -58,20 +58,20 @@
 
 /// A hard limit of 40 units that refills in 2 s, under a quota that binds no sooner.
 fn hard_limited_settings(gateway: u32) -> Settings {
-    SettingsBuilder::new(gateway, 300)
+    SettingsBuilder::new(gateway, LARGE_FLEET)
         .rate(HARD_LIMITED, 20.0)
         .burst(HARD_LIMITED, 1000.0)
         .hard_limit(HARD_LIMITED, HardLimit { rate: 20.0, capacity: 40.0 })
         .build()
 }
 
-/// The quota owner that gateways ask.
+/// The quota owner that gateways request leases of.
 struct Owner {
     id: GatewayId,
     harness: GatewayHarness,
 }
 
-/// A gateway, the owner that it asks, and how many requests were sent on.
+/// A gateway, its customer's quota owner, and how many requests were sent on.
 struct LeaseScenario {
     gateway: GatewayHarness,
     owner: Option<Owner>,
@@ -168,10 +168,10 @@
     assert!((most - 3.0..=most).contains(&(once as f64)), "{once} of {most}");
 }
 
-/// In a partition, or where more is sent than can be taken in, asking on and on makes it worse.
+/// In a partition, or where more is sent than can be taken in, more lease requests make it worse.
 #[test]
-fn a_request_without_an_answer_asks_at_growing_intervals() {
-    let mut gateway = GatewayHarness::with_servers(5, settings(0, 300), S, 40);
+fn an_unanswered_lease_request_is_repeated_at_growing_intervals() {
+    let mut gateway = GatewayHarness::with_servers(5, settings(0, LARGE_FLEET), S, 40);
     gateway.request(IDEMPOTENT, HARD_LIMITED, CUSTOMER, 8 * S);
     gateway.advance(3900 * MS);
     let is_message = |action: &&Action| matches!(action, Action::SendToPeer { .. });
--- a/tests/policy/load_balancing.rs
+++ b/tests/policy/load_balancing.rs
@@ -47,7 +47,7 @@
 #[test]
 fn a_large_fleet_chooses_servers_by_reported_load() {
     const FULL: ServerId = ServerId(0);
-    let mut gateway = GatewayHarness::sole_gateway(5, settings(0, 300), S, 4);
+    let mut gateway = GatewayHarness::sole_gateway(5, settings(0, LARGE_FLEET), S, 4);
     let load = |server| if server == FULL { 30.0 } else { 0.0 };
     gateway.reported_loads = (0..4).map(ServerId).map(|server| (server, load(server))).collect();
     let servers = gateway.request_in_turn(200, 100 * MS);
@@ -61,7 +61,8 @@
 fn a_gateway_of_a_large_fleet_uses_a_subset_of_the_servers() {
     let mut used_by_fleet = BTreeSet::new();
     for number in 0..60 {
-        let mut gateway = GatewayHarness::sole_gateway(u64::from(number), settings(number, 300), S, 60);
+        let mut gateway =
+            GatewayHarness::sole_gateway(u64::from(number), settings(number, LARGE_FLEET), S, 60);
         let mut used = BTreeSet::new();
         for _ in 0..60 {
             let id = gateway.request(IDEMPOTENT, UNLIMITED, CUSTOMER, 2 * S);
--- a/tests/policy/load_shedding.rs
+++ b/tests/policy/load_shedding.rs
@@ -8,7 +8,7 @@
 
 #[test]
 fn a_large_fleet_sheds_by_reported_load() {
-    let mut gateway = GatewayHarness::sole_gateway(5, settings(0, 300), S, 8);
+    let mut gateway = GatewayHarness::sole_gateway(5, settings(0, LARGE_FLEET), S, 8);
     let report =
         |full: u64| (0..8).map(move |server| (ServerId(server), if server < full { FULL } else { 0.0 }));
     gateway.reported_loads = report(2).collect();
@@ -22,7 +22,7 @@
 /// One request that hangs must not look like many.
 #[test]
 fn a_request_that_hangs_sheds_no_other() {
-    let mut gateway = GatewayHarness::sole_gateway(5, settings(0, 300), S, 4);
+    let mut gateway = GatewayHarness::sole_gateway(5, settings(0, LARGE_FLEET), S, 4);
     gateway.request(NON_IDEMPOTENT, UNLIMITED, CUSTOMER, 6 * S);
     let mut sent = 0;
     for number in 0..55 {
--- a/tests/policy/outlier_detection.rs
+++ b/tests/policy/outlier_detection.rs
@@ -1,4 +1,4 @@
-//! Servers that stall or can't be reached are left alone, and those beside them are not.
+//! Servers that stall or can't be reached are left alone, and the others of their zone are not.
 
 use crate::common::*;
 use edge_node::*;
@@ -38,9 +38,9 @@
 #[test]
 fn probes_of_a_dead_server_do_not_count_against_its_zone() {
     const DEAD: ServerId = ServerId(0);
-    const BESIDE: ServerId = ServerId(2);
+    const NEIGHBOUR: ServerId = ServerId(2);
     let mut gateway = GatewayHarness::with_servers(3, settings(0, 1), S, 4);
-    let mut beside = 0;
+    let mut to_neighbour = 0;
     for number in 0..600 {
         let known_to_be_dead = number >= 300;
         let id = gateway.request(IDEMPOTENT, UNLIMITED, CUSTOMER, 2 * S);
@@ -55,17 +55,17 @@
                 _ => AttemptOutcome::Success,
             };
             gateway.finish(&id, outcome);
-            beside += u32::from(known_to_be_dead && server == BESIDE);
+            to_neighbour += u32::from(known_to_be_dead && server == NEIGHBOUR);
         }
         gateway.advance(40 * MS);
     }
-    assert!(beside > 60, "{beside} of 300 went to the healthy server of that zone");
+    assert!(to_neighbour > 60, "{to_neighbour} of 300 went to the healthy server of that zone");
 }
 
 /// A server that takes no connection is left alone, also where most are so, and costs no request its answer.
 #[test]
 fn a_large_fleet_backs_off_from_unreachable_servers() {
-    let mut gateway = GatewayHarness::sole_gateway(5, settings(0, 300), S, 10);
+    let mut gateway = GatewayHarness::sole_gateway(5, settings(0, LARGE_FLEET), S, 10);
     let mut served = 0;
     let mut unreachable = 0;
     for _ in 0..100 {
--- a/tests/policy/quota.rs
+++ b/tests/policy/quota.rs
@@ -1,4 +1,4 @@
-//! Quotas by the gateway's own token buckets: what they cover, what peers are heard to use, hard limits and concurrency
+//! Quotas by the gateway's own token buckets: what they cover, what peers use, hard limits and concurrency
 //! limits.
 
 use crate::common::*;
@@ -6,19 +6,19 @@
 
 const PEER: GatewayId = GatewayId(1);
 
-/// The usage that a peer tells, without any customer's count.
+/// A usage message without any customer's count.
 fn usage_bytes(incarnation: u32) -> Vec<u8> {
     let mut bytes = vec![4, 0];
     bytes.extend(incarnation.to_le_bytes());
     bytes
 }
 
-/// A peer tells that it is alive.
+/// Shows only that the peer is alive.
 fn heartbeat(incarnation: u32) -> Event {
     Event::PeerMessage { from: PEER, bytes: usage_bytes(incarnation) }
 }
 
-/// A peer tells the running count of a customer's units.
+/// The peer's running count of a customer's units.
 fn usage(incarnation: u32, customer: CustomerId, count: u16) -> Event {
     let mut bytes = usage_bytes(incarnation);
     bytes.extend(&customer.0.to_le_bytes()[..5]);
@@ -32,8 +32,8 @@
     sent.filter(|sent| *sent).count()
 }
 
-/// The peer is heard for ten seconds, twice a second.
-fn hear_for_ten_seconds(gateway: &mut GatewayHarness, message: &Event) {
+/// The peer sends a message twice a second for ten seconds.
+fn receive_for_ten_seconds(gateway: &mut GatewayHarness, message: &Event) {
     for _ in 0..20 {
         gateway.now += 500 * MS;
         gateway.handle(message.clone());
@@ -74,8 +74,8 @@
     gateway.finish(&first, AttemptOutcome::Success);
     let known = usage(5, CUSTOMER, 10);
     gateway.handle(known.clone());
-    // Both halves of the burst are full after ten seconds in which the peer is heard.
-    hear_for_ten_seconds(&mut gateway, &known);
+    // Both halves of the burst are full after ten seconds of messages from the peer.
+    receive_for_ten_seconds(&mut gateway, &known);
     for count in counts {
         gateway.handle(usage(5, CUSTOMER, *count));
     }
@@ -99,12 +99,12 @@
     let first = gateway.request(IDEMPOTENT, SMALL_QUOTA, CUSTOMER, 2 * S);
     gateway.finish(&first, AttemptOutcome::Success);
     gateway.handle(usage(5, CUSTOMER, 90));
-    hear_for_ten_seconds(&mut gateway, &usage(5, CustomerId(8), 1));
+    receive_for_ten_seconds(&mut gateway, &usage(5, CustomerId(8), 1));
     gateway.handle(usage(5, CUSTOMER, 3));
     assert!(admitted(&mut gateway, SMALL_QUOTA, 6) < 2, "the three units that the peer used are gone");
 }
 
-/// Peers that are much older tell a gateway that it has restarted: what it has not seen may have been used.
+/// Peers of a much older incarnation show a gateway that it has restarted: what it has not seen may have been used.
 #[test]
 fn a_restart_refills_no_token_bucket() {
     let sent = |incarnation: u32| {
--- a/tests/policy/quota_owner.rs
+++ b/tests/policy/quota_owner.rs
@@ -78,10 +78,10 @@
 }
 
 #[test]
-fn a_customer_far_over_its_quota_does_not_drown_its_owners() {
+fn a_customer_far_over_its_quota_does_not_overload_its_owners() {
     let mut fleet = Fleet::new(60, 40, |settings| settings.rate(SMALL_QUOTA, 2.0));
     let sent = fleet.drive(SMALL_QUOTA, 250, 8);
     assert!((12..=28).contains(&sent), "still its quota: {sent}");
-    // 2000 requests that all asked would take some 4000 messages.
+    // With a lease request for each of 2000 requests there would be some 4000 messages.
     assert!(fleet.messages_sent < 2400, "{}", fleet.messages_sent);
 }
--- a/tests/policy/slow_start.rs
+++ b/tests/policy/slow_start.rs
@@ -27,12 +27,12 @@
     assert!((1..=27).contains(&sent), "{sent}");
 }
 
-const GATEWAYS: u32 = 300;
 const SECONDS: usize = 5;
 
 /// Attempts by second at a server that has just started, of one gateway that is the only one of its customer.
 fn sent_by_second(number: u32) -> [usize; SECONDS] {
-    let mut gateway = Gateway::new(u64::from(number), settings(number, GATEWAYS), S).expect("sound settings");
+    let mut gateway =
+        Gateway::new(u64::from(number), settings(number, LARGE_FLEET), S).expect("valid settings");
     let endpoints = vec![Endpoint { started_at: Some(S), ..ready_endpoint(0) }];
     let mut actions = Vec::new();
     gateway.handle(S, Event::EndpointsUpdated { kind: EndpointUpdate::Snapshot, endpoints }, &mut actions);
@@ -61,7 +61,7 @@
 #[test]
 fn hundreds_of_gateways_do_not_overload_a_cold_server() {
     let mut by_second = [0; SECONDS];
-    for number in 0..GATEWAYS {
+    for number in 0..LARGE_FLEET {
         for (sum, sent) in by_second.iter_mut().zip(sent_by_second(number)) {
             *sum += sent;
         }
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -1,4 +1,4 @@
-//! One seeded log of events, replayed through the module: the actions that come out are hashed, and compared with the
+//! One seeded log of events, replayed through the library: its actions are hashed, and compared with the
 //! digests of a version whose decisions are to be kept. What is hashed are the values of an action alone, in an encoding
 //! written out by hand: no name of a type, a variant or a field is in it, so that a renaming changes no digest.
 //!
@@ -22,23 +22,19 @@
     digest.write(&(gateway as u64).to_le_bytes());
     match action {
         Action::SendAttempt { id, server, timeout } => {
-            digest.write(&[0]);
-            write_bytes(digest, id.0.as_bytes());
+            write_kind_and_id(digest, 0, id);
             digest.write(&server.0.to_le_bytes());
             write_optional(digest, *timeout);
         }
         Action::Reject { id, retry_after } => {
-            digest.write(&[1]);
-            write_bytes(digest, id.0.as_bytes());
+            write_kind_and_id(digest, 1, id);
             write_optional(digest, *retry_after);
         }
         Action::Fail { id } => {
-            digest.write(&[2]);
-            write_bytes(digest, id.0.as_bytes());
+            write_kind_and_id(digest, 2, id);
         }
         Action::CancelAttempt { id, attempt } => {
-            digest.write(&[3]);
-            write_bytes(digest, id.0.as_bytes());
+            write_kind_and_id(digest, 3, id);
             digest.write(&attempt.0.to_le_bytes());
         }
         Action::Broadcast { bytes } => {
@@ -63,6 +59,11 @@
     }
 }
 
+fn write_kind_and_id(digest: &mut FnvHasher, kind: u8, id: &RequestId) {
+    digest.write(&[kind]);
+    write_bytes(digest, id.0.as_bytes());
+}
+
 fn write_bytes(digest: &mut FnvHasher, bytes: &[u8]) {
     digest.write(&(bytes.len() as u64).to_le_bytes());
     digest.write(bytes);
@@ -143,7 +144,7 @@
 /// Gateways of a fleet that are simulated; messages to the others are lost.
 const SIMULATED_GATEWAYS: u32 = 3;
 /// Fleets of more gateways than this share quotas by leases.
-const LARGE_FLEET: u32 = 20;
+const LARGEST_SMALL_FLEET: u32 = 20;
 
 /// How a server behaves.
 #[derive(Clone, Copy, PartialEq)]
@@ -230,7 +231,7 @@
         .burst(SMALL_QUOTA, 30.0)
         .zone(ZoneId(number % 2), 0.02)
         .build();
-    Gateway::new(seed + u64::from(number), settings, STARTED_AT).expect("sound settings")
+    Gateway::new(seed + u64::from(number), settings, STARTED_AT).expect("valid settings")
 }
 
 impl Simulation {
@@ -245,7 +246,7 @@
             now: STARTED_AT,
             random: Rng::with_seed(seed),
             gateways: simulated.map(|number| simulated_gateway(number, gateways, seed)).collect(),
-            is_large_fleet: gateways > LARGE_FLEET,
+            is_large_fleet: gateways > LARGEST_SMALL_FLEET,
             servers: (0..servers).map(server).collect(),
             schedule: BTreeMap::new(),
             last_sequence: 0,
@@ -359,7 +360,7 @@
     /// How many gateways a customer's requests come through.
     fn gateways_of(&self, customer: u64) -> u32 {
         match customer {
-            36.. if self.is_large_fleet => 300,
+            36.. if self.is_large_fleet => LARGE_FLEET,
             0..30 if self.is_large_fleet => SIMULATED_GATEWAYS,
             _ => self.gateways.len() as u32,
         }
--- a/tests/unit/peer_usage.rs
+++ b/tests/unit/peer_usage.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-/// A peer of incarnation 5 that has been heard at time 0 with a count of 10.
-fn heard() -> PeerUsage {
+/// A peer of incarnation 5, first observed at time 0 with a count of 10.
+fn known_peer() -> PeerUsage {
     let mut peer = PeerUsage::default();
     assert_eq!(peer.delta(0, 5, 10), 0, "what it forwarded before is over");
     peer
@@ -11,7 +11,7 @@
 
 /// The increases that counts of incarnation 5 give, one ms after the other.
 fn deltas(counts: &[u16]) -> Vec<u16> {
-    let mut peer = heard();
+    let mut peer = known_peer();
     (1..).zip(counts).map(|(ms, count)| peer.delta(ms * 1000, 5, *count)).collect()
 }
 
@@ -25,9 +25,9 @@
 
 #[test]
 fn a_peer_that_restarted_or_evicted_the_customer_counts_from_zero() {
-    assert_eq!(heard().delta(1, 6, 3), 3, "restarted");
-    assert_eq!(heard().delta(USAGE_WINDOW, 5, 3), 0, "late");
-    assert_eq!(heard().delta(USAGE_WINDOW + 1, 5, 3), 3, "evicted: it was silent for a window");
+    assert_eq!(known_peer().delta(1, 6, 3), 3, "restarted");
+    assert_eq!(known_peer().delta(USAGE_WINDOW, 5, 3), 0, "late");
+    assert_eq!(known_peer().delta(USAGE_WINDOW + 1, 5, 3), 3, "evicted: it was silent for a window");
 }
 
 #[test]
