--- a/src/bin/edge-node/main.rs
+++ b/src/bin/edge-node/main.rs
@@ -3,13 +3,12 @@
 #![forbid(unsafe_code)]
 
 mod admin;
-mod ahead;
 mod bind;
 mod clients;
 mod command;
 mod config;
 mod discovery;
-mod lists;
+mod endpoint_list;
 mod log;
 mod metrics;
 mod node;
--- a/src/bin/edge-node/node/peer_messages.rs
+++ b/src/bin/edge-node/node/peer_messages.rs
@@ -1,6 +1,7 @@
 //! Messages of other edge nodes on their way to the decision module, and back.
 
 use super::Node;
+use crate::peers::Datagram;
 use edge_node::{Event, GatewayId};
 use std::rc::Rc;
 
@@ -11,7 +12,7 @@
 pub(crate) async fn receive_peer_messages(node: Rc<Node>) {
     let Some(peers) = &node.peers else { return };
     loop {
-        if let Some((from, bytes)) = peers.receive().await {
+        if let Some(Datagram { from, bytes }) = peers.receive().await {
             node.dispatch(Event::PeerMessage { from, bytes });
         }
     }
@@ -21,14 +22,14 @@
     /// Sends a message to one peer.
     pub(super) fn send_to_peer(&self, to: GatewayId, bytes: &[u8]) {
         if let Some(peers) = &self.peers {
-            peers.tell(to, bytes);
+            peers.send_to(to, bytes);
         }
     }
 
     /// Sends a message to all peers.
     pub(super) fn broadcast(&self, bytes: &[u8]) {
         if let Some(peers) = &self.peers {
-            peers.tell_all(bytes);
+            peers.broadcast(bytes);
         }
     }
 }
--- a/src/bin/edge-node/node/status.rs
+++ b/src/bin/edge-node/node/status.rs
@@ -44,7 +44,7 @@
 
     /// The figures at this moment.
     pub(crate) fn status(&self) -> StatusSnapshot {
-        let (datagrams_sent, datagrams_received) = self.peers.as_ref().map_or((0, 0), Peers::counted);
+        let datagrams = self.peers.as_ref().map(Peers::datagram_counts).unwrap_or_default();
         let last_list = self.watch.last_list();
         StatusSnapshot {
             open_requests: self.open_requests(),
@@ -55,8 +55,8 @@
             tracked_entries: self.gateway.borrow().tracked_entries(),
             list_age: last_list.map(|list| list.applied_at.elapsed()),
             list_sequence: last_list.map_or(0, |list| list.sequence),
-            datagrams_sent,
-            datagrams_received,
+            datagrams_sent: datagrams.sent,
+            datagrams_received: datagrams.received,
         }
     }
 
--- a/src/bin/edge-node/shutdown.rs
+++ b/src/bin/edge-node/shutdown.rs
@@ -41,7 +41,7 @@
             open,
             "leaving on SIGTERM: {open} requests open"
         );
-        self.phase.send_replace(Phase::Leaving);
+        self.phase.send_replace(Phase::Draining);
     }
 
     /// No new connection is accepted any more, and idle ones are closed.
--- a/src/bin/edge-node/startup.rs
+++ b/src/bin/edge-node/startup.rs
@@ -6,7 +6,7 @@
 use crate::admin::{self, Admin};
 use crate::clients::{self, Phase};
 use crate::config::{Config, PeerAddresses};
-use crate::lists::List;
+use crate::endpoint_list::EndpointList;
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::node::{self, Node, NodeParts};
@@ -121,7 +121,7 @@
 }
 
 async fn bind_clients(address: SocketAddr) -> Result<TcpListener> {
-    bind::when_free(format!("listen {address}"), || TcpListener::bind(address)).await
+    bind::with_retry(format!("listen {address}"), || TcpListener::bind(address)).await
 }
 
 async fn bind_peers(addresses: Option<PeerAddresses>, gateway_id: GatewayId) -> Result<Option<Peers>> {
@@ -181,10 +181,10 @@
 
 /// Starts to watch discovery; the receiver gets the word that a first list has been applied.
 fn start_discovery(
-    node: &Rc<Node>, address: watch::Receiver<SocketAddr>, known: Option<List>,
+    node: &Rc<Node>, address: watch::Receiver<SocketAddr>, known: Option<EndpointList>,
 ) -> oneshot::Receiver<()> {
     let (list_came, first_list) = oneshot::channel();
-    spawn_local(discovery::follow(Rc::clone(node), address, known, list_came));
+    spawn_local(discovery::watch_endpoints(Rc::clone(node), address, known, list_came));
     first_list
 }
 
@@ -203,7 +203,7 @@
 /// Waits for the first endpoint list, while clients wait in the backlog. What discovery holds counts as told from the
 /// first moment on, and the list in the configuration may be old; if discovery stays silent, that list has to do.
 async fn wait_for_first_list(node: &Node, first_list: oneshot::Receiver<()>) -> FirstList {
-    let deadline = reconnect::first_list_in(node.settings.drain_grace);
+    let deadline = reconnect::first_list_timeout(node.settings.drain_grace);
     match tokio::time::timeout(deadline, first_list).await {
         Ok(_) => FirstList::Received,
         Err(_) => FirstList::DeadlinePassed,
