--- a/fleet-lab/src/hybrid/real_node.rs
+++ b/fleet-lab/src/hybrid/real_node.rs
@@ -2,7 +2,7 @@
 
 use super::environment::Environment;
 use super::ledger::FinalAnswer;
-use super::scenario::{PlannedRequest, CLASSES, CLIENT_TIMEOUT};
+use super::scenario::{plan_name, PlannedRequest, CLASSES, CLIENT_TIMEOUT};
 use anyhow::{bail, Context, Result};
 use bytes::Bytes;
 use edge_node::{GatewayId, Micros, RequestId};
@@ -117,16 +117,14 @@
         &self, environment: &Environment, id: &RequestId, request: &PlannedRequest, give_up_at: Micros,
     ) -> Option<FinalAnswer> {
         let time_left = Duration::from_micros(give_up_at.saturating_sub(environment.clock.now()));
-        let exchange = self.exchange(environment, id, request);
+        let exchange = self.exchange(id, request);
         let answer = tokio::time::timeout(time_left, exchange).await.ok()?.ok()?;
         environment.ledger.borrow_mut().answered(environment.clock.now(), &id.0, answer);
         Some(answer)
     }
 
-    async fn exchange(
-        &self, environment: &Environment, id: &RequestId, request: &PlannedRequest,
-    ) -> Result<FinalAnswer> {
-        let request = self.http_request(environment, id, request)?;
+    async fn exchange(&self, id: &RequestId, request: &PlannedRequest) -> Result<FinalAnswer> {
+        let request = self.http_request(id, request)?;
         let response = self.client.request(request).await?;
         let status = response.status();
         let body = response.into_body().collect().await?.to_bytes();
@@ -139,9 +137,7 @@
         })
     }
 
-    fn http_request(
-        &self, environment: &Environment, id: &RequestId, request: &PlannedRequest,
-    ) -> Result<Request<Full<Bytes>>> {
+    fn http_request(&self, id: &RequestId, request: &PlannedRequest) -> Result<Request<Full<Bytes>>> {
         let PlannedRequest { customer, units, .. } = request;
         let class = CLASSES[request.class];
         let (method, body) = if request.class == 0 { (Method::GET, "") } else { (Method::POST, "paid") };
@@ -151,7 +147,7 @@
             .uri(format!("http://{}/{class}/{:016x}", self.address, customer.id.0))
             .header("x-request-id", &*id.0)
             .header("x-class", class)
-            .header("x-tier", environment.scenario.plan_name(customer.plan))
+            .header("x-tier", plan_name(customer.plan))
             .header("x-deadline", format!("{}m", CLIENT_TIMEOUT / 1000))
             .header("x-call-terms", terms)
             .body(Full::from(body))?;
--- a/fleet-lab/src/hybrid/scenario.rs
+++ b/fleet-lab/src/hybrid/scenario.rs
@@ -56,6 +56,11 @@
     Plan { name: "premier", share: 0.34, node_count: 4, weight: 1.8 },
 ];
 
+/// Name of a plan.
+pub(super) fn plan_name(plan: PlanId) -> &'static str {
+    PLANS[plan.0].name
+}
+
 /// Names of the classes: the first is idempotent, the second is not.
 pub(super) const CLASSES: [&str; 2] = ["balance-read", "post-payment"];
 
@@ -215,11 +220,6 @@
         ((busy_slots / SERVER_COUNT as f64 / UTILIZATION).ceil() as usize).max(1)
     }
 
-    /// Name of a plan.
-    pub(super) fn plan_name(&self, plan: PlanId) -> &'static str {
-        PLANS[plan.0].name
-    }
-
     /// The settings of one node, in the deployment's JSON.
     pub(super) fn settings(&self, node: GatewayId) -> serde_json::Value {
         json!({
--- a/src/bin/edge-node/clients/mod.rs
+++ b/src/bin/edge-node/clients/mod.rs
@@ -24,6 +24,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tracing::warn;
 
 /// Pause after a connection that could not be accepted, mostly for lack of descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -35,15 +36,15 @@
 pub(crate) async fn serve(
     listener: TcpListener, node: Rc<Node>, max_connections: usize, phase: watch::Receiver<Phase>,
 ) {
-    let mut connections = ConnectionTable::new(Rc::clone(&node), max_connections, phase.clone());
-    accept_until_closing(&listener, &mut connections, &node, phase).await;
+    let mut connections = ConnectionTable::new(node, max_connections, phase.clone());
+    accept_until_closing(&listener, &mut connections, phase).await;
     accept_backlog(&listener, &mut connections).await;
     drop(listener);
     connections.join_all().await;
 }
 
 async fn accept_until_closing(
-    listener: &TcpListener, connections: &mut ConnectionTable, node: &Node, phase: watch::Receiver<Phase>,
+    listener: &TcpListener, connections: &mut ConnectionTable, phase: watch::Receiver<Phase>,
 ) {
     let closing = wait_for_closing(phase);
     tokio::pin!(closing);
@@ -53,7 +54,7 @@
                 Ok((stream, _)) => connections.insert(stream).await,
                 Err(error) => {
                     // The connection stays in the backlog until there is a descriptor for it.
-                    node.accept_failed(&error);
+                    warn!(event = "accept_failed", cause = %error, "a connection was not accepted: {error}");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
--- a/src/bin/edge-node/node/status.rs
+++ b/src/bin/edge-node/node/status.rs
@@ -5,9 +5,7 @@
 use crate::metrics::StatusSnapshot;
 use crate::peers::Peers;
 use std::cell::Cell;
-use std::io;
 use std::rc::Rc;
-use tracing::warn;
 
 /// A directory with an entry for each descriptor of this process.
 const DESCRIPTOR_DIRECTORY: &str = "/proc/self/fd";
@@ -37,11 +35,6 @@
         ClientConnectionGuard::new(&self.client_connections)
     }
 
-    /// Logs that a client's connection could not be accepted; it waits in the backlog.
-    pub(crate) fn accept_failed(&self, error: &io::Error) {
-        warn!(event = "accept_failed", cause = %error, "a connection was not accepted: {error}");
-    }
-
     /// The figures at this moment.
     pub(crate) fn status(&self) -> StatusSnapshot {
         let datagrams = self.peers.as_ref().map(Peers::datagram_counts).unwrap_or_default();
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -17,20 +17,22 @@
 }
 
 /// Gateways, and the network between them.
-pub struct Fleet {
-    pub gateways: Vec<GatewayHarness>,
-    pub random: fastrand::Rng,
+pub(crate) struct Fleet {
+    pub(crate) gateways: Vec<GatewayHarness>,
+    pub(crate) random: fastrand::Rng,
     /// Messages that gateways have sent, with those that are lost.
-    pub messages_sent: u64,
+    pub(crate) messages_sent: u64,
     /// Messages that each gateway has taken in, by index.
-    pub messages_received: BTreeMap<usize, u64>,
+    pub(crate) messages_received: BTreeMap<usize, u64>,
     network: Vec<Delivery>,
     /// How many actions of each gateway have been looked through for messages.
     actions_collected: Vec<usize>,
 }
 
 impl Fleet {
-    pub fn new(gateways: u32, servers: u64, change: impl Fn(SettingsBuilder) -> SettingsBuilder) -> Self {
+    pub(crate) fn new(
+        gateways: u32, servers: u64, change: impl Fn(SettingsBuilder) -> SettingsBuilder,
+    ) -> Self {
         let gateway = |number| {
             let settings = change(SettingsBuilder::new(number, gateways)).build();
             GatewayHarness::with_servers(u64::from(number), settings, S, servers)
@@ -46,17 +48,17 @@
         }
     }
 
-    pub fn now(&self) -> Micros {
+    pub(crate) fn now(&self) -> Micros {
         self.gateways[0].now
     }
 
     /// The most messages that one gateway has taken in.
-    pub fn most_received(&self) -> u64 {
+    pub(crate) fn most_received(&self) -> u64 {
         self.messages_received.values().max().copied().unwrap_or(0)
     }
 
     /// Lets time pass at every gateway, and delivers what is due.
-    pub fn advance(&mut self, span: Micros) {
+    pub(crate) fn advance(&mut self, span: Micros) {
         let end = self.now() + span;
         while self.now() < end {
             for index in 0..self.gateways.len() {
@@ -97,18 +99,18 @@
     }
 
     /// Ends with success what is in flight anywhere, and returns how many attempts that were.
-    pub fn complete_all(&mut self) -> usize {
+    pub(crate) fn complete_all(&mut self) -> usize {
         self.gateways.iter_mut().map(GatewayHarness::complete_all).sum()
     }
 
     /// Sends requests of one customer through random gateways at a steady rate, and returns how many attempts were
     /// sent and completed.
-    pub fn drive(&mut self, plan: PlanId, rate: u64, seconds: u64) -> usize {
+    pub(crate) fn drive(&mut self, plan: PlanId, rate: u64, seconds: u64) -> usize {
         self.drive_through(plan, rate, seconds, |random, gateways| random.usize(0..gateways))
     }
 
     /// The same through gateways that `choose` picks, of so many.
-    pub fn drive_through(
+    pub(crate) fn drive_through(
         &mut self, plan: PlanId, rate: u64, seconds: u64, choose: impl Fn(&mut fastrand::Rng, usize) -> usize,
     ) -> usize {
         let mut sent = 0;
@@ -123,14 +125,14 @@
     }
 
     /// Starts a gateway from nothing; what is on its way to it still arrives.
-    pub fn restart(&mut self, index: usize, seed: u64, settings: Settings, servers: u64) {
+    pub(crate) fn restart(&mut self, index: usize, seed: u64, settings: Settings, servers: u64) {
         let now = self.gateways[index].now;
         self.gateways[index] = GatewayHarness::with_servers(seed, settings, now, servers);
         self.actions_collected[index] = 0;
     }
 
     /// Starts every gateway from nothing.
-    pub fn restart_all(&mut self, seed: u64, servers: u64) {
+    pub(crate) fn restart_all(&mut self, seed: u64, servers: u64) {
         let count = self.gateways.len();
         for index in 0..count {
             self.restart(index, seed, super::settings(index as u32, count as u32), servers);
--- a/tests/common/harness.rs
+++ b/tests/common/harness.rs
@@ -9,39 +9,39 @@
 /// Time between two rounds of timers.
 const TIMER_STEP: Micros = 2 * MS;
 
-pub struct PendingTimer {
-    pub fires_at: Micros,
-    pub token: u64,
+pub(crate) struct PendingTimer {
+    pub(crate) fires_at: Micros,
+    pub(crate) token: u64,
 }
 
 /// An attempt that was sent and has not finished.
 #[derive(Clone)]
-pub struct InFlightAttempt {
-    pub request: RequestId,
-    pub attempt: AttemptNumber,
-    pub server: ServerId,
+pub(crate) struct InFlightAttempt {
+    pub(crate) request: RequestId,
+    pub(crate) attempt: AttemptNumber,
+    pub(crate) server: ServerId,
 }
 
 /// A gateway, the endpoints that it was notified of, and what it has done.
-pub struct GatewayHarness {
-    pub now: Micros,
-    pub gateway: Gateway,
-    pub settings: Settings,
-    pub timers: Vec<PendingTimer>,
-    pub endpoints: BTreeMap<ServerId, Endpoint>,
-    pub in_flight: Vec<InFlightAttempt>,
+pub(crate) struct GatewayHarness {
+    pub(crate) now: Micros,
+    pub(crate) gateway: Gateway,
+    pub(crate) settings: Settings,
+    pub(crate) timers: Vec<PendingTimer>,
+    pub(crate) endpoints: BTreeMap<ServerId, Endpoint>,
+    pub(crate) in_flight: Vec<InFlightAttempt>,
     /// Everything that the gateway has done so far.
-    pub actions: Vec<Action>,
+    pub(crate) actions: Vec<Action>,
     /// The gateways that customers' requests come through.
-    pub customer_gateways: GatewaySet,
+    pub(crate) customer_gateways: GatewaySet,
     /// Requests in flight that each server reports.
-    pub reported_loads: BTreeMap<ServerId, f64>,
+    pub(crate) reported_loads: BTreeMap<ServerId, f64>,
     requests: RequestLog,
     last_request: u64,
 }
 
 impl GatewayHarness {
-    pub fn new(seed: u64, settings: Settings, now: Micros) -> Self {
+    pub(crate) fn new(seed: u64, settings: Settings, now: Micros) -> Self {
         let gateway = Gateway::new(seed, settings.clone(), now).expect("valid settings");
         GatewayHarness {
             now,
@@ -58,20 +58,20 @@
         }
     }
 
-    pub fn with_servers(seed: u64, settings: Settings, now: Micros, servers: u64) -> Self {
+    pub(crate) fn with_servers(seed: u64, settings: Settings, now: Micros, servers: u64) -> Self {
         let mut harness = GatewayHarness::new(seed, settings, now);
         harness.update_endpoints(EndpointUpdate::Snapshot, (0..servers).map(ready_endpoint).collect());
         harness
     }
 
     /// The only gateway of its customers, so that it decides on their quotas without another one.
-    pub fn sole_gateway(seed: u64, settings: Settings, now: Micros, servers: u64) -> Self {
+    pub(crate) fn sole_gateway(seed: u64, settings: Settings, now: Micros, servers: u64) -> Self {
         let customer_gateways = GatewaySet { first: settings.gateway_id, count: 1 };
         let harness = GatewayHarness::with_servers(seed, settings, now, servers);
         GatewayHarness { customer_gateways, ..harness }
     }
 
-    pub fn update_endpoints(&mut self, kind: EndpointUpdate, endpoints: Vec<Endpoint>) {
+    pub(crate) fn update_endpoints(&mut self, kind: EndpointUpdate, endpoints: Vec<Endpoint>) {
         if kind == EndpointUpdate::Snapshot {
             self.endpoints.clear();
         }
@@ -82,7 +82,7 @@
     }
 
     /// A request of one unit arrives.
-    pub fn request(
+    pub(crate) fn request(
         &mut self, class: ClassId, plan: PlanId, customer: CustomerId, client_timeout: Micros,
     ) -> RequestId {
         self.last_request += 1;
@@ -101,7 +101,7 @@
     }
 
     /// A request arrives, and succeeds if it is sent at once; returns whether it was.
-    pub fn request_and_complete(
+    pub(crate) fn request_and_complete(
         &mut self, class: ClassId, plan: PlanId, customer: CustomerId, client_timeout: Micros,
     ) -> bool {
         let id = self.request(class, plan, customer, client_timeout);
@@ -114,7 +114,7 @@
 
     /// Idempotent requests without a limit arrive one after the other, and succeed if they are sent at once; returns
     /// the servers that they were sent to.
-    pub fn request_in_turn(&mut self, count: usize, interval: Micros) -> Vec<ServerId> {
+    pub(crate) fn request_in_turn(&mut self, count: usize, interval: Micros) -> Vec<ServerId> {
         let mut servers = Vec::new();
         for _ in 0..count {
             let id = self.request(IDEMPOTENT, UNLIMITED, CUSTOMER, 2 * S);
@@ -128,13 +128,13 @@
     }
 
     /// The server at which a request is in flight.
-    pub fn server_of(&self, id: &RequestId) -> Option<ServerId> {
+    pub(crate) fn server_of(&self, id: &RequestId) -> Option<ServerId> {
         let attempt = self.in_flight.iter().find(|attempt| attempt.request == *id)?;
         Some(attempt.server)
     }
 
     /// Ends the attempt of a request that is in flight.
-    pub fn finish(&mut self, id: &RequestId, outcome: AttemptOutcome) -> Vec<Action> {
+    pub(crate) fn finish(&mut self, id: &RequestId, outcome: AttemptOutcome) -> Vec<Action> {
         let index = self.in_flight.iter().position(|attempt| attempt.request == *id);
         let InFlightAttempt { request, attempt, server } =
             self.in_flight.remove(index.expect("an attempt in flight"));
@@ -144,7 +144,7 @@
     }
 
     /// Ends with success what is in flight now, and returns how many attempts that were.
-    pub fn complete_all(&mut self) -> usize {
+    pub(crate) fn complete_all(&mut self) -> usize {
         let in_flight = self.in_flight.clone();
         for attempt in &in_flight {
             self.finish(&attempt.request, AttemptOutcome::Success);
@@ -153,12 +153,12 @@
     }
 
     /// The client of a request goes away.
-    pub fn disconnect(&mut self, id: &RequestId) {
+    pub(crate) fn disconnect(&mut self, id: &RequestId) {
         self.requests.client_disconnected(id);
         self.handle(Event::ClientDisconnected { id: id.clone() });
     }
 
-    pub fn handle(&mut self, event: Event) -> Vec<Action> {
+    pub(crate) fn handle(&mut self, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         self.gateway.handle(self.now, event, &mut actions);
         for action in &actions {
@@ -169,7 +169,7 @@
     }
 
     /// Lets time pass in steps, and fires every timer that is due.
-    pub fn advance(&mut self, span: Micros) -> Vec<Action> {
+    pub(crate) fn advance(&mut self, span: Micros) -> Vec<Action> {
         let end = self.now + span;
         let mut actions = Vec::new();
         while self.now < end {
@@ -181,7 +181,7 @@
     }
 
     /// Fires the timers that are due now.
-    pub fn fire_due_timers(&mut self) -> Vec<Action> {
+    pub(crate) fn fire_due_timers(&mut self) -> Vec<Action> {
         let now = self.now;
         let (due, later) = self.timers.drain(..).partition(|timer| timer.fires_at <= now);
         self.timers = later;
@@ -209,24 +209,24 @@
     }
 
     /// How many attempts have been sent.
-    pub fn sent_count(&self) -> usize {
+    pub(crate) fn sent_count(&self) -> usize {
         count_sent(&self.actions)
     }
 
     /// How many requests have been rejected or have failed.
-    pub fn refused_count(&self) -> usize {
+    pub(crate) fn refused_count(&self) -> usize {
         let refusals = self.actions.iter();
         refusals.filter(|action| matches!(action, Action::Reject { .. } | Action::Fail { .. })).count()
     }
 }
 
 /// How many of these actions send an attempt.
-pub fn count_sent(actions: &[Action]) -> usize {
+pub(crate) fn count_sent(actions: &[Action]) -> usize {
     actions.iter().filter(|action| matches!(action, Action::SendAttempt { .. })).count()
 }
 
 /// A ready server; even and odd numbers are zones and cells apart.
-pub fn ready_endpoint(server: u64) -> Endpoint {
+pub(crate) fn ready_endpoint(server: u64) -> Endpoint {
     Endpoint {
         server: ServerId(server),
         zone: ZoneId((server % 2) as u32),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,18 +1,18 @@
 //! What the tests of the decision library share: settings, a harness around one gateway, and a fleet of them.
 #![allow(dead_code, unused_imports)]
 
-pub mod fleet;
+pub(crate) mod fleet;
 mod harness;
 mod request_log;
 mod settings;
 
-pub use harness::{count_sent, ready_endpoint, GatewayHarness, InFlightAttempt};
-pub use settings::*;
+pub(crate) use harness::{count_sent, ready_endpoint, GatewayHarness, InFlightAttempt};
+pub(crate) use settings::*;
 
 use edge_node::{CustomerId, Micros};
 
-pub const MS: Micros = 1_000;
-pub const S: Micros = 1_000_000;
+pub(crate) const MS: Micros = 1_000;
+pub(crate) const S: Micros = 1_000_000;
 
 /// The customer of tests that need only one.
-pub const CUSTOMER: CustomerId = CustomerId(7);
+pub(crate) const CUSTOMER: CustomerId = CustomerId(7);
--- a/tests/common/request_log.rs
+++ b/tests/common/request_log.rs
@@ -35,10 +35,10 @@
 
 /// All requests that a gateway was given.
 #[derive(Default)]
-pub struct RequestLog(BTreeMap<RequestId, RequestRecord>);
+pub(crate) struct RequestLog(BTreeMap<RequestId, RequestRecord>);
 
 impl RequestLog {
-    pub fn received(&mut self, id: RequestId, class: ClassId, deadline: Micros) {
+    pub(crate) fn received(&mut self, id: RequestId, class: ClassId, deadline: Micros) {
         self.0.insert(id, RequestRecord { class, deadline, open: true, ..RequestRecord::default() });
     }
 
@@ -47,7 +47,7 @@
     }
 
     /// Checks that an attempt may be sent, and returns its number.
-    pub fn attempt_sent(
+    pub(crate) fn attempt_sent(
         &mut self, id: &RequestId, endpoint: &Endpoint, settings: &Settings,
     ) -> AttemptNumber {
         let record = self.record(id);
@@ -64,7 +64,7 @@
     }
 
     /// Returns whether its client has its final answer.
-    pub fn attempt_finished(&mut self, id: &RequestId, outcome: AttemptOutcome) -> bool {
+    pub(crate) fn attempt_finished(&mut self, id: &RequestId, outcome: AttemptOutcome) -> bool {
         let record = self.record(id);
         record.in_flight = false;
         if possibly_executed(outcome) {
@@ -76,19 +76,19 @@
         !record.open
     }
 
-    pub fn client_disconnected(&mut self, id: &RequestId) {
+    pub(crate) fn client_disconnected(&mut self, id: &RequestId) {
         self.record(id).open = false;
     }
 
     /// Checks that the final answer is the first one.
-    pub fn failed(&mut self, id: &RequestId) {
+    pub(crate) fn failed(&mut self, id: &RequestId) {
         let record = self.record(id);
         assert!(record.open, "rule 1: a second final answer");
         record.open = false;
     }
 
     /// Checks the same, and that the client may safely retry.
-    pub fn rejected(&mut self, id: &RequestId, settings: &Settings) {
+    pub(crate) fn rejected(&mut self, id: &RequestId, settings: &Settings) {
         self.failed(id);
         let record = self.record(id);
         let may_repeat_anywhere = matches!(
@@ -102,7 +102,7 @@
     }
 
     /// Checks that no client waits for longer than its timeout.
-    pub fn assert_answered_in_time(&self, now: Micros) {
+    pub(crate) fn assert_answered_in_time(&self, now: Micros) {
         for (id, record) in &self.0 {
             let in_time = now <= record.deadline + TIMER_TOLERANCE;
             assert!(!record.open || in_time, "rule 1: {id:?} had no final answer in time");
--- a/tests/common/settings.rs
+++ b/tests/common/settings.rs
@@ -4,35 +4,35 @@
 use edge_node::*;
 
 /// The classes, by what they allow to be executed twice.
-pub const IDEMPOTENT: ClassId = ClassId(0);
-pub const KEYED_BY_CELL: ClassId = ClassId(1);
-pub const NON_IDEMPOTENT: ClassId = ClassId(2);
-pub const KEYED: ClassId = ClassId(3);
-pub const CLASS_COUNT: usize = 4;
+pub(crate) const IDEMPOTENT: ClassId = ClassId(0);
+pub(crate) const KEYED_BY_CELL: ClassId = ClassId(1);
+pub(crate) const NON_IDEMPOTENT: ClassId = ClassId(2);
+pub(crate) const KEYED: ClassId = ClassId(3);
+pub(crate) const CLASS_COUNT: usize = 4;
 
 /// One unit a second, with a burst of 4.
-pub const SMALL_QUOTA: PlanId = PlanId(0);
+pub(crate) const SMALL_QUOTA: PlanId = PlanId(0);
 /// No limit by rate.
-pub const UNLIMITED: PlanId = PlanId(1);
+pub(crate) const UNLIMITED: PlanId = PlanId(1);
 /// A hard limit of 8 units a second and a capacity of 12, under a quota that binds no sooner.
-pub const HARD_LIMITED: PlanId = PlanId(2);
+pub(crate) const HARD_LIMITED: PlanId = PlanId(2);
 /// Two attempts in flight at once, over all gateways.
-pub const TWO_CONCURRENT: PlanId = PlanId(3);
-pub const PLAN_COUNT: usize = 4;
+pub(crate) const TWO_CONCURRENT: PlanId = PlanId(3);
+pub(crate) const PLAN_COUNT: usize = 4;
 
 /// Gateways of a fleet that shares quotas by leases, as it has too many for broadcasts.
-pub const LARGE_FLEET: u32 = 300;
+pub(crate) const LARGE_FLEET: u32 = 300;
 
 /// The settings of a gateway without any change.
-pub fn settings(gateway: u32, gateway_count: u32) -> Settings {
+pub(crate) fn settings(gateway: u32, gateway_count: u32) -> Settings {
     SettingsBuilder::new(gateway, gateway_count).build()
 }
 
 /// Settings of a gateway, changed one by one.
-pub struct SettingsBuilder(Settings);
+pub(crate) struct SettingsBuilder(Settings);
 
 impl SettingsBuilder {
-    pub fn new(gateway: u32, gateway_count: u32) -> Self {
+    pub(crate) fn new(gateway: u32, gateway_count: u32) -> Self {
         SettingsBuilder(Settings {
             gateway_id: GatewayId(gateway),
             gateway_count,
@@ -59,38 +59,38 @@
         })
     }
 
-    pub fn rate(mut self, plan: PlanId, rate: f64) -> Self {
+    pub(crate) fn rate(mut self, plan: PlanId, rate: f64) -> Self {
         self.0.plans[plan.0].rate = rate;
         self
     }
 
-    pub fn burst(mut self, plan: PlanId, burst: f64) -> Self {
+    pub(crate) fn burst(mut self, plan: PlanId, burst: f64) -> Self {
         self.0.plans[plan.0].burst = burst;
         self
     }
 
-    pub fn hard_limit(mut self, plan: PlanId, limit: HardLimit) -> Self {
+    pub(crate) fn hard_limit(mut self, plan: PlanId, limit: HardLimit) -> Self {
         self.0.plans[plan.0].hard_limit = Some(limit);
         self
     }
 
-    pub fn zone(mut self, zone: ZoneId, cross_zone_cost: f64) -> Self {
+    pub(crate) fn zone(mut self, zone: ZoneId, cross_zone_cost: f64) -> Self {
         self.0.zone = zone;
         self.0.cross_zone_cost = cross_zone_cost;
         self
     }
 
-    pub fn peer_messages_per_second(mut self, rate: f64) -> Self {
+    pub(crate) fn peer_messages_per_second(mut self, rate: f64) -> Self {
         self.0.peer_messages_per_second = rate;
         self
     }
 
-    pub fn max_retry_after(mut self, longest: Option<Micros>) -> Self {
+    pub(crate) fn max_retry_after(mut self, longest: Option<Micros>) -> Self {
         self.0.permissions.max_retry_after = longest;
         self
     }
 
-    pub fn build(self) -> Settings {
+    pub(crate) fn build(self) -> Settings {
         self.0
     }
 }
--- a/tests/edge/discovery_deadline.rs
+++ b/tests/edge/discovery_deadline.rs
@@ -76,7 +76,7 @@
 #[test]
 fn an_answer_that_stops_in_its_head_is_given_up() {
     assert_given_up("t-head", |watch, _| {
-        watch.write_all(&WATCH_RESPONSE_HEAD.as_bytes()[..30]).expect("open")
+        watch.write_all(&WATCH_RESPONSE_HEAD.as_bytes()[..30]).expect("open");
     });
 }
 
--- a/tests/gateway_pair/mod.rs
+++ b/tests/gateway_pair/mod.rs
@@ -64,7 +64,7 @@
 }
 
 /// The entry of a server by its number.
-pub fn endpoint(number: u64) -> Endpoint {
+pub(crate) fn endpoint(number: u64) -> Endpoint {
     Endpoint {
         server: ServerId(number * 0x1_0000_0001),
         zone: ZoneId((number % 4) as u32),
@@ -76,18 +76,18 @@
 }
 
 /// The number of a server.
-pub fn server_number(server: ServerId) -> u64 {
+pub(crate) fn server_number(server: ServerId) -> u64 {
     server.0 & 0xFFFF_FFFF
 }
 
 /// A whole list of so many servers.
-pub fn snapshot(servers: u64) -> Event {
+pub(crate) fn snapshot(servers: u64) -> Event {
     let endpoints = (0..servers).map(endpoint).collect();
     Event::EndpointsUpdated { kind: EndpointUpdate::Snapshot, endpoints }
 }
 
 /// A change of some entries of the list.
-pub fn delta(endpoints: Vec<Endpoint>) -> Event {
+pub(crate) fn delta(endpoints: Vec<Endpoint>) -> Event {
     Event::EndpointsUpdated { kind: EndpointUpdate::Delta, endpoints }
 }
 
@@ -106,28 +106,28 @@
 
 /// An attempt that a gateway has sent.
 #[derive(Clone, Copy, Debug)]
-pub struct SentAttempt {
+pub(crate) struct SentAttempt {
     /// The index of the gateway.
-    pub gateway: usize,
+    pub(crate) gateway: usize,
     /// The server.
-    pub server: ServerId,
+    pub(crate) server: ServerId,
 }
 
 /// Two gateways, whose messages reach each other at once.
-pub struct GatewayPair {
+pub(crate) struct GatewayPair {
     /// The time, µs.
-    pub now: Micros,
+    pub(crate) now: Micros,
     /// Both gateways.
-    pub gateways: Vec<Gateway>,
+    pub(crate) gateways: Vec<Gateway>,
     scheduled: BTreeMap<Due, GatewayEvent>,
     last_sequence: u64,
     /// All attempts so far.
-    pub sent: Vec<SentAttempt>,
+    pub(crate) sent: Vec<SentAttempt>,
 }
 
 impl GatewayPair {
     /// Two gateways that know so many servers.
-    pub fn new(servers: u64) -> anyhow::Result<GatewayPair> {
+    pub(crate) fn new(servers: u64) -> anyhow::Result<GatewayPair> {
         let mut gateways = Vec::new();
         for number in 0..MEMBERS as u32 {
             gateways.push(Gateway::new(9 + u64::from(number), settings(number), MS)?);
@@ -141,12 +141,12 @@
     }
 
     /// Entries of the list of servers that both gateways have visited so far.
-    pub fn entries_visited(&self) -> u64 {
+    pub(crate) fn entries_visited(&self) -> u64 {
         self.gateways.iter().map(|gateway| gateway.entries_visited()).sum()
     }
 
     /// Gives a gateway an event, and delivers the messages that follow from it.
-    pub fn handle(&mut self, gateway: usize, event: Event) {
+    pub(crate) fn handle(&mut self, gateway: usize, event: Event) {
         let mut events = VecDeque::from([GatewayEvent { gateway, event }]);
         while let Some(GatewayEvent { gateway, event }) = events.pop_front() {
             let mut actions = Vec::new();
@@ -183,7 +183,7 @@
     }
 
     /// One request, some time after the last one, and all events that are due until then.
-    pub fn request(&mut self, number: u64) {
+    pub(crate) fn request(&mut self, number: u64) {
         self.now += REQUEST_INTERVAL;
         while let Some(first) = self.scheduled.first_entry().filter(|first| first.key().at <= self.now) {
             let GatewayEvent { gateway, event } = first.remove();
@@ -202,7 +202,7 @@
     }
 
     /// All requests of a range of numbers.
-    pub fn requests(&mut self, numbers: std::ops::Range<u64>) {
+    pub(crate) fn requests(&mut self, numbers: std::ops::Range<u64>) {
         for number in numbers {
             self.request(number);
         }
