--- a/src/bin/edge-node/discovery/list_reader.rs
+++ b/src/bin/edge-node/discovery/list_reader.rs
@@ -1,5 +1,8 @@
 //! The incremental reader of a watch: JSON objects, each on one line or many, with empty lines as heartbeats between
 //! them. It takes bytes in whatever pieces they arrive, keeps what is incomplete and passes over what can't be read.
+//!
+//! Neither a line codec nor `serde_json`'s stream of values serves here: an object may span lines, and of a malformed
+//! one the entries that can be read have to be applied, as drains may be among them.
 
 use crate::endpoint_list::{EndpointEntry, EndpointList};
 
--- a/src/bin/edge-node/log/rate_limiter.rs
+++ b/src/bin/edge-node/log/rate_limiter.rs
@@ -1,4 +1,5 @@
-//! Limits how many events of each kind pass in a time window.
+//! Limits how many events of each kind pass in a time window. Crates for rate limits tell whether an event passes, but
+//! not how many were suppressed before it, which the log has to report.
 
 use std::collections::HashMap;
 use std::hash::Hash;
--- a/src/bin/edge-node/upstream/pool.rs
+++ b/src/bin/edge-node/upstream/pool.rs
@@ -1,4 +1,7 @@
 //! The idle connections of one server.
+//!
+//! The pooled client of `hyper-util` is not used: it sends a request again by itself where a connection was closed, and
+//! doesn't tell whether a byte was written, which decides whether a request may be retried.
 
 use super::connection::PooledConnection;
 use std::net::SocketAddr;
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -1,4 +1,5 @@
-//! Messages between gateways: their types, and their layout in at most 256 bytes.
+//! Messages between gateways: their types, and their layout in at most 256 bytes. The layout is written out by hand:
+//! gateways of two releases talk to each other, so it must not follow the types as a serde codec's would.
 
 mod decode;
 mod encode;
