--- a/tests/replay/action_digest.rs
+++ b/tests/replay/action_digest.rs
@@ -6,7 +6,7 @@
 
 /// Writes one action of a gateway into a digest: its number by kind, then its values in a fixed order, each text and
 /// list of bytes behind its length.
-pub fn write_action(digest: &mut FnvHasher, gateway: usize, action: &Action) {
+pub(crate) fn write_action(digest: &mut FnvHasher, gateway: usize, action: &Action) {
     digest.write(&(gateway as u64).to_le_bytes());
     match action {
         Action::SendAttempt { id, server, timeout } => {
--- a/tests/replay/simulated_server.rs
+++ b/tests/replay/simulated_server.rs
@@ -6,7 +6,7 @@
 
 /// How a server behaves.
 #[derive(Clone, Copy, PartialEq)]
-pub enum ServerHealth {
+pub(crate) enum ServerHealth {
     Healthy,
     Slow,
     Failing,
@@ -14,19 +14,19 @@
     Hung,
 }
 
-pub struct SimulatedServer {
-    pub endpoint: Endpoint,
-    pub health: ServerHealth,
-    pub in_flight: u32,
+pub(crate) struct SimulatedServer {
+    pub(crate) endpoint: Endpoint,
+    pub(crate) health: ServerHealth,
+    pub(crate) in_flight: u32,
 }
 
 impl SimulatedServer {
-    pub fn healthy(endpoint: Endpoint) -> Self {
+    pub(crate) fn healthy(endpoint: Endpoint) -> Self {
         SimulatedServer { endpoint, health: ServerHealth::Healthy, in_flight: 0 }
     }
 
     /// Takes an attempt in: how long it takes, and how it ends.
-    pub fn serve(&mut self, random: &mut Rng) -> ServedAttempt {
+    pub(crate) fn serve(&mut self, random: &mut Rng) -> ServedAttempt {
         use AttemptOutcome::{
             ConnectionLost, NotSent, Overloaded, ServerError, Success, TimedOut, Unreachable,
         };
@@ -53,7 +53,7 @@
 }
 
 /// How an attempt fares at a server.
-pub struct ServedAttempt {
-    pub latency: Micros,
-    pub outcome: AttemptOutcome,
+pub(crate) struct ServedAttempt {
+    pub(crate) latency: Micros,
+    pub(crate) outcome: AttemptOutcome,
 }
--- a/tests/replay/simulation.rs
+++ b/tests/replay/simulation.rs
@@ -53,7 +53,7 @@
 }
 
 /// Gateways, servers and the network, on one clock and one sequence of random numbers.
-pub struct Simulation {
+pub(crate) struct Simulation {
     now: Micros,
     random: Rng,
     gateways: Vec<Gateway>,
@@ -80,7 +80,7 @@
 }
 
 impl Simulation {
-    pub fn new(gateways: u32, servers: u64, seed: u64) -> Simulation {
+    pub(crate) fn new(gateways: u32, servers: u64, seed: u64) -> Simulation {
         let simulated = 0..SIMULATED_GATEWAYS.min(gateways);
         let server = |number| {
             let weight = 1.0 + (number % 3) as f64;
@@ -328,7 +328,7 @@
     }
 
     /// Runs for the whole span, with few requests and many by turns.
-    pub fn run(mut self) -> SimulationResult {
+    pub(crate) fn run(mut self) -> SimulationResult {
         let mut next = NextSteps {
             request: STARTED_AT,
             endpoint_change: STARTED_AT + S,
@@ -365,9 +365,9 @@
 }
 
 /// The digest of all actions, and the names of all events, actions and outcomes that occurred.
-pub struct SimulationResult {
-    pub digest: u64,
-    pub occurred: BTreeSet<String>,
+pub(crate) struct SimulationResult {
+    pub(crate) digest: u64,
+    pub(crate) occurred: BTreeSet<String>,
 }
 
 /// The name of a variant, without its fields.
