--- a/src/bin/edge-node/config/schema/keys/fleet.rs
+++ b/src/bin/edge-node/config/schema/keys/fleet.rs
@@ -118,6 +118,6 @@
         default: DefaultValue::Number(0.0),
         in_platform_json: PlatformPresence::Optional,
         on_reload: OnReload::RequiresRestart,
-        description: "Datagrams a second that an edge node takes in; 0 for no known limit.",
+        description: "Datagrams a second that an edge node takes in; at 0 edge nodes do not tell each other their usage.",
     },
 ];
--- a/src/bin/edge-node/metrics.rs
+++ b/src/bin/edge-node/metrics.rs
@@ -29,8 +29,8 @@
 pub(crate) enum RequestOutcome {
     /// The client got a server's answer.
     Served,
-    /// It was rejected before it reached a server.
-    Refused,
+    /// It was rejected, so that its client may safely retry.
+    Rejected,
     /// No server could answer it.
     Failed,
     /// Its client disconnected, or its deadline passed.
@@ -39,13 +39,13 @@
 
 impl RequestOutcome {
     const ALL: [RequestOutcome; 4] =
-        [RequestOutcome::Served, RequestOutcome::Refused, RequestOutcome::Failed, RequestOutcome::Abandoned];
+        [RequestOutcome::Served, RequestOutcome::Rejected, RequestOutcome::Failed, RequestOutcome::Abandoned];
 
     /// The word that stands for it in labels and in the log.
     pub(crate) fn label(self) -> &'static str {
         match self {
             RequestOutcome::Served => "served",
-            RequestOutcome::Refused => "refused",
+            RequestOutcome::Rejected => "refused",
             RequestOutcome::Failed => "failed",
             RequestOutcome::Abandoned => "abandoned",
         }
--- a/src/bin/edge-node/node/pending_requests.rs
+++ b/src/bin/edge-node/node/pending_requests.rs
@@ -28,7 +28,7 @@
     fn outcome(&self) -> RequestOutcome {
         match self {
             Answer::Served(_) => RequestOutcome::Served,
-            Answer::Refused(_) => RequestOutcome::Refused,
+            Answer::Refused(_) => RequestOutcome::Rejected,
             Answer::Failed => RequestOutcome::Failed,
         }
     }
