--- a/fleet-lab/src/hybrid/datagrams.rs
+++ b/fleet-lab/src/hybrid/datagrams.rs
@@ -1,5 +1,7 @@
 //! Datagrams between nodes. Each node that runs has an address at which the others know it: a hollow node reads there
 //! itself, and what arrives for a real node is counted and forwarded, so that the messages of real nodes can be counted.
+//!
+//! Delay and loss are those of the sockets. The network of `world` draws both, and knows no sockets.
 
 use anyhow::{Context, Result};
 use edge_node::GatewayId;
--- a/fleet-lab/src/hybrid/endpoint_registry.rs
+++ b/fleet-lab/src/hybrid/endpoint_registry.rs
@@ -1,4 +1,8 @@
 //! The list of servers that discovery serves, with its versions.
+//!
+//! Nodes watch it and know the version they have, as real ones do. The discovery of `world` keeps the position of every
+//! gateway itself, and has outages. What a gateway knows of draining servers is recorded by one type for both,
+//! [`DrainingServers`](crate::world::draining::DrainingServers).
 
 use super::scenario::ListedState;
 use edge_node::{CellId, Endpoint, EndpointState, Micros, ServerId, ZoneId};
--- a/fleet-lab/src/hybrid/environment.rs
+++ b/fleet-lab/src/hybrid/environment.rs
@@ -5,11 +5,12 @@
 use super::ledger::Ledger;
 use super::scenario::Scenario;
 use super::servers::Server;
-use edge_node::{Endpoint, EndpointState, GatewayId, Micros};
+use edge_node::{Endpoint, GatewayId, Micros};
 use std::cell::RefCell;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// Unix time that never goes back. Real and hollow nodes exchange times of it.
+/// Unix time that never goes back. Real and hollow nodes exchange times of it. The simulation has no clock, since its
+/// time is that of the next event.
 pub(super) struct Clock {
     started: Instant,
     /// Unix time at the start, µs.
@@ -51,8 +52,7 @@
         let now = self.clock.now();
         let mut ledger = self.ledger.borrow_mut();
         for endpoint in endpoints {
-            let is_ready = endpoint.state == EndpointState::Ready;
-            ledger.endpoint_received(now, node, endpoint.server, is_ready);
+            ledger.endpoint_received(now, node, endpoint.server, endpoint.state);
         }
     }
 }
--- a/fleet-lab/src/hybrid/hollow_node.rs
+++ b/fleet-lab/src/hybrid/hollow_node.rs
@@ -2,9 +2,10 @@
 //! clients and servers by calls, and messages with other nodes, real ones too, by datagrams.
 
 use super::environment::Environment;
-use super::ledger::FinalAnswer;
+use super::ledger::ReceivedAnswer;
 use super::scenario::{PlannedRequest, CLIENT_TIMEOUT};
 use super::servers::{AttemptReply, AttemptStatus};
+use crate::world::final_answer::FinalAnswer;
 use anyhow::{Context, Result};
 use edge_node::Gateway;
 use edge_node::{
@@ -125,7 +126,8 @@
 
     /// Gives a final answer. A second one would not reach the client, which has the first, so each is recorded.
     fn answer(&self, id: &RequestId, answer: FinalAnswer) {
-        self.environment.ledger.borrow_mut().answered(self.environment.clock.now(), &id.0, answer);
+        let now = self.environment.clock.now();
+        self.environment.ledger.borrow_mut().answered(now, &id.0, ReceivedAnswer::Genuine(answer));
         if let Some(open) = self.open_requests.borrow_mut().remove(id) {
             // The client may have disconnected.
             let _ = open.answer.send(answer);
--- a/fleet-lab/src/hybrid/ledger.rs
+++ b/fleet-lab/src/hybrid/ledger.rs
@@ -1,12 +1,20 @@
 //! The record of all requests of a run, and the check of the invariants. No input, no output, no clock.
+//!
+//! The records and checks of single requests, quotas and drains are those of the simulation. What differs is what can be
+//! observed: here attempts are seen only where they arrive and run, and a client's end of waiting ends nothing.
 
-use edge_node::{CustomerId, GatewayId, Micros, ServerId};
+use crate::world::draining::{DrainGrace, DrainingServers};
+use crate::world::final_answer::FinalAnswer;
+use crate::world::request_record::RequestRecord;
+use crate::world::seconds_between;
+use crate::world::usage_limit::{Excess, UsageLimit};
+use edge_node::{CustomerId, EndpointState, GatewayId, Micros, ServerId};
 use serde::Serialize;
 use std::collections::HashMap;
 use std::sync::Arc;
 
 /// A final answer is missing if it comes later than this after the client's timeout, µs: half a second, and
-/// [`SOCKET_TOLERANCE`].
+/// [`SOCKET_TOLERANCE`]. The simulation allows far less, as its clock does not go on while a gateway computes.
 pub const ANSWER_GRACE: Micros = 550_000;
 /// By this every time limit is longer on sockets, µs.
 pub const SOCKET_TOLERANCE: Micros = 50_000;
@@ -24,9 +32,20 @@
     pub tolerance_per_s: f64,
 }
 
-/// A client's request.
+/// A customer and its quota.
+#[derive(Clone, Copy, Debug)]
+pub struct CustomerQuota {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Its quota.
+    pub quota: Quota,
+}
+
+/// A request as a client sends it over a socket. The simulation's
+/// [`ClientRequest`](crate::world::clients::ClientRequest) is another type: it also says what the client will do,
+/// which the simulation decides beforehand, and it names the customer by index.
 #[derive(Clone, Debug)]
-pub struct ClientRequest {
+pub struct SentRequest {
     /// The node at which it arrives.
     pub node: GatewayId,
     /// The customer whose request it is.
@@ -39,75 +58,45 @@
     pub timeout: Micros,
 }
 
-/// A final answer.
+/// A final answer as its client receives it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FinalAnswer {
-    /// Served with what a server made for this request.
-    Served,
-    /// Served with something else.
+pub enum ReceivedAnswer {
+    /// A final answer to this request.
+    Genuine(FinalAnswer),
+    /// A server's answer that no server made for this request. In the simulation answers have no content, so only here
+    /// it is checked.
     Forged,
-    /// Rejected: sending the request again is harmless.
-    Rejected,
-    /// Failed.
-    Failed,
 }
 
+/// A request, and what servers and its client observed of it. An attempt is known by the server at which it arrived.
 #[derive(Debug)]
-struct RequestRecord {
-    request: ClientRequest,
-    sent_at: Micros,
-    /// An attempt has arrived at a server.
-    has_arrived: bool,
-    /// How many attempts began to run.
-    executions: u32,
-    answers: u32,
-    /// One of the answers was late.
+struct ObservedRequest {
+    record: RequestRecord<SentRequest, ServerId>,
+    /// One of the answers was late. The simulation closes a request by an event when its answer is overdue; here
+    /// nothing does, so an answer may still come.
     is_late: bool,
 }
 
-/// How far the use of a quota is beyond it.
-#[derive(Clone, Copy, Debug, Default)]
-struct Excess {
-    /// Units beyond the quota; negative within it.
-    units: f64,
-    /// Units that were tolerated then.
-    tolerated: f64,
-}
-
-impl Excess {
-    fn beyond_tolerance(&self) -> f64 {
-        self.units - self.tolerated
-    }
-}
-
 #[derive(Debug)]
 struct QuotaUsage {
     quota: Quota,
-    tokens: f64,
-    updated_at: Micros,
-    /// The greatest excess relative to its tolerance.
-    peak: Option<Excess>,
+    limit: UsageLimit,
 }
 
 impl QuotaUsage {
     fn new(quota: Quota, now: Micros) -> QuotaUsage {
-        QuotaUsage { quota, tokens: quota.burst, updated_at: now, peak: None }
+        QuotaUsage { quota, limit: UsageLimit::unused(now, quota.rate, quota.burst) }
     }
 
     fn consume(&mut self, started_at: Micros, now: Micros, units: f64) {
-        let seconds_since = |since: Micros| now.saturating_sub(since) as f64 / 1e6;
-        let refilled = self.tokens + self.quota.rate * seconds_since(self.updated_at);
-        self.tokens = refilled.min(self.quota.burst) - units;
-        self.updated_at = now;
-        let tolerated = self.quota.tolerance + self.quota.tolerance_per_s * seconds_since(started_at);
-        let excess = Excess { units: -self.tokens, tolerated };
-        if self.peak.is_none_or(|peak| excess.beyond_tolerance() > peak.beyond_tolerance()) {
-            self.peak = Some(excess);
-        }
+        let elapsed = seconds_between(started_at, now);
+        let tolerated = self.quota.tolerance + self.quota.tolerance_per_s * elapsed;
+        self.limit.consume(now, units, tolerated);
     }
 }
 
-/// The result of checking one invariant.
+/// The result of checking one invariant. The simulation's [`Violations`](crate::world::invariant::Violations) give
+/// times instead: it checks at each event, whereas here some violations are known only at the end of the run.
 #[derive(Clone, Debug, Serialize, PartialEq)]
 pub struct InvariantResult {
     /// The invariant.
@@ -128,11 +117,11 @@
 #[derive(Debug)]
 pub struct Ledger {
     started_at: Micros,
-    drain_grace: Micros,
+    drain_grace: DrainGrace,
     quotas: HashMap<CustomerId, QuotaUsage>,
-    requests: HashMap<Arc<str>, RequestRecord>,
-    /// Since when a node has known that a server is draining or gone, µs.
-    draining_since: HashMap<(GatewayId, ServerId), Micros>,
+    requests: HashMap<Arc<str>, ObservedRequest>,
+    /// What each node knows of servers that are draining or gone.
+    draining: HashMap<GatewayId, DrainingServers>,
     drains_received: u64,
     attempts_while_draining: u64,
     attempts_after_grace: u64,
@@ -142,16 +131,14 @@
 
 impl Ledger {
     /// An empty record. Times are in µs.
-    pub fn new(
-        now: Micros, drain_grace: Micros, quotas: impl IntoIterator<Item = (CustomerId, Quota)>,
-    ) -> Ledger {
-        let quotas = quotas.into_iter();
+    pub fn new(now: Micros, drain_grace: Micros, quotas: impl IntoIterator<Item = CustomerQuota>) -> Ledger {
+        let usage = |CustomerQuota { customer, quota }| (customer, QuotaUsage::new(quota, now));
         Ledger {
             started_at: now,
-            drain_grace,
-            quotas: quotas.map(|(customer, quota)| (customer, QuotaUsage::new(quota, now))).collect(),
+            drain_grace: DrainGrace(drain_grace + SOCKET_TOLERANCE),
+            quotas: quotas.into_iter().map(usage).collect(),
             requests: HashMap::new(),
-            draining_since: HashMap::new(),
+            draining: HashMap::new(),
             drains_received: 0,
             attempts_while_draining: 0,
             attempts_after_grace: 0,
@@ -166,66 +153,59 @@
     }
 
     /// A client has sent a request. Ids are never used twice.
-    pub fn request_sent(&mut self, now: Micros, id: Arc<str>, request: ClientRequest) {
-        let record = RequestRecord {
-            request,
-            sent_at: now,
-            has_arrived: false,
-            executions: 0,
-            answers: 0,
-            is_late: false,
-        };
-        self.requests.insert(id, record);
+    pub fn request_sent(&mut self, now: Micros, id: Arc<str>, request: SentRequest) {
+        let record = RequestRecord::new(now, request);
+        self.requests.insert(id, ObservedRequest { record, is_late: false });
     }
 
     /// An attempt has arrived at a server. Returns the units of its request; `None` if no client sent it.
     pub fn attempt_arrived(&mut self, now: Micros, id: &str, server: ServerId) -> Option<f64> {
-        let Some(record) = self.requests.get_mut(id) else {
+        let Some(ObservedRequest { record, .. }) = self.requests.get_mut(id) else {
             self.unknown_requests += 1;
             return None;
         };
-        let request = &record.request;
-        if let Some(draining_since) = self.draining_since.get(&(request.node, server)) {
-            self.attempts_while_draining += 1;
-            let is_after_grace = now > draining_since + self.drain_grace + SOCKET_TOLERANCE;
-            self.attempts_after_grace += u64::from(is_after_grace);
+        let is_first = record.add_attempt(server);
+        let SentRequest { node, customer, units, .. } = record.request;
+        self.count_attempt_while_draining(now, node, server);
+        if let Some(quota) = self.quotas.get_mut(&customer).filter(|_| is_first) {
+            quota.consume(self.started_at, now, units);
         }
-        let is_first = !std::mem::replace(&mut record.has_arrived, true);
-        if let Some(quota) = self.quotas.get_mut(&request.customer).filter(|_| is_first) {
-            quota.consume(self.started_at, now, request.units);
+        Some(units)
+    }
+
+    fn count_attempt_while_draining(&mut self, now: Micros, node: GatewayId, server: ServerId) {
+        let draining_since = self.draining.get(&node).and_then(|draining| draining.since(server));
+        if let Some(draining_since) = draining_since {
+            self.attempts_while_draining += 1;
+            self.attempts_after_grace += u64::from(self.drain_grace.is_over(now, draining_since));
         }
-        Some(request.units)
     }
 
     /// An attempt has begun to run.
     pub fn execution_started(&mut self, id: &str) {
-        if let Some(record) = self.requests.get_mut(id) {
-            record.executions += 1;
+        if let Some(observed) = self.requests.get_mut(id) {
+            observed.record.execution_started();
         }
     }
 
     /// A client has received an answer.
-    pub fn answered(&mut self, now: Micros, id: &str, answer: FinalAnswer) {
-        let Some(record) = self.requests.get_mut(id) else {
+    pub fn answered(&mut self, now: Micros, id: &str, answer: ReceivedAnswer) {
+        let Some(observed) = self.requests.get_mut(id) else {
             self.unknown_requests += 1;
             return;
         };
-        record.answers += 1;
-        record.is_late |= now > record.sent_at + record.request.timeout + ANSWER_GRACE;
-        self.forged_answers += u64::from(answer == FinalAnswer::Forged);
+        let record = &mut observed.record;
+        record.answered();
+        observed.is_late |= now > record.arrived_at + record.request.timeout + ANSWER_GRACE;
+        self.forged_answers += u64::from(answer == ReceivedAnswer::Forged);
     }
 
-    /// A node has received from discovery that a server is ready, or that it is draining or gone.
-    pub fn endpoint_received(&mut self, now: Micros, node: GatewayId, server: ServerId, is_ready: bool) {
-        if is_ready {
-            self.draining_since.remove(&(node, server));
-            return;
-        }
-        let drains_received = &mut self.drains_received;
-        self.draining_since.entry((node, server)).or_insert_with(|| {
-            *drains_received += 1;
-            now
-        });
+    /// A node has received a server's state from discovery.
+    pub fn endpoint_received(
+        &mut self, now: Micros, node: GatewayId, server: ServerId, state: EndpointState,
+    ) {
+        let is_new_drain = self.draining.entry(node).or_default().state_received(now, server, state);
+        self.drains_received += u64::from(is_new_drain);
     }
 
     /// Checks all invariants, once all requests have ended.
@@ -239,42 +219,46 @@
         ]
     }
 
-    fn count(&self, condition: impl Fn(&RequestRecord) -> bool) -> u64 {
-        self.requests.values().filter(|record| condition(record)).count() as u64
+    fn count(&self, condition: impl Fn(&ObservedRequest) -> bool) -> u64 {
+        self.requests.values().filter(|observed| condition(observed)).count() as u64
     }
 
     fn check_quotas(&self) -> InvariantResult {
-        let peaks: Vec<Excess> = self.quotas.values().filter_map(|quota| quota.peak).collect();
+        let peaks: Vec<Excess> = self.quotas.values().filter_map(|usage| usage.limit.peak()).collect();
         let by_excess =
             |one: &Excess, other: &Excess| one.beyond_tolerance().total_cmp(&other.beyond_tolerance());
         let Excess { units, tolerated } = peaks.iter().copied().max_by(by_excess).unwrap_or_default();
         InvariantResult {
             invariant: "quotas hold over all nodes together",
             checked: peaks.len() as u64,
-            violations: peaks.iter().filter(|peak| peak.beyond_tolerance() > 0.0).count() as u64,
+            violations: peaks.iter().filter(|peak| peak.is_violation()).count() as u64,
             details: format!("at the nearest {units:.1} units beyond one, {tolerated:.1} allowed for doubt"),
         }
     }
 
     fn check_answers(&self) -> InvariantResult {
-        let missing = self.count(|record| record.answers == 0);
-        let late = self.count(|record| record.is_late);
-        let repeated = self.count(|record| record.answers > 1);
+        let is_missing = |observed: &ObservedRequest| observed.record.is_open();
+        let is_repeated = |observed: &ObservedRequest| observed.record.is_answered_after_end();
+        let missing = self.count(is_missing);
+        let late = self.count(|observed| observed.is_late);
+        let repeated = self.count(is_repeated);
         InvariantResult {
             invariant: "one final answer each, in time",
             checked: self.requests.len() as u64,
-            violations: self.count(|record| record.answers != 1 || record.is_late),
+            violations: self
+                .count(|observed| is_missing(observed) || is_repeated(observed) || observed.is_late),
             details: format!("{missing} without, {late} late, {repeated} with more than one"),
         }
     }
 
     fn check_idempotency(&self) -> InvariantResult {
-        let is_non_idempotent = |record: &RequestRecord| record.request.is_non_idempotent;
-        let repeated = self.count(|record| !is_non_idempotent(record) && record.executions > 1);
+        let is_non_idempotent = |observed: &ObservedRequest| observed.record.request.is_non_idempotent;
+        let is_repeated = |observed: &ObservedRequest| observed.record.is_executed_repeatedly();
+        let repeated = self.count(|observed| !is_non_idempotent(observed) && is_repeated(observed));
         InvariantResult {
             invariant: "what is unsafe to repeat runs once",
-            checked: self.count(|record| is_non_idempotent(record) && record.executions > 0),
-            violations: self.count(|record| is_non_idempotent(record) && record.executions > 1),
+            checked: self.count(|observed| is_non_idempotent(observed) && observed.record.is_executed()),
+            violations: self.count(|observed| is_non_idempotent(observed) && is_repeated(observed)),
             details: format!("{repeated} safe ones ran more than once"),
         }
     }
--- a/fleet-lab/src/hybrid/load.rs
+++ b/fleet-lab/src/hybrid/load.rs
@@ -1,14 +1,13 @@
 //! The load of a run: clients that send requests to all nodes, whatever answers they get, and what that costs.
 
 use super::environment::Environment;
-use super::ledger::{ClientRequest, ANSWER_GRACE};
+use super::ledger::{ReceivedAnswer, SentRequest, ANSWER_GRACE};
 use super::nodes::{usage_of, Node, NodeUsage};
 use super::report::NodeTotals;
 use super::scenario::{FaultProfile, PlannedRequest, CLIENT_TIMEOUT};
+use crate::world::{seconds_to_next_event, Rng};
 use anyhow::{Context, Result};
 use edge_node::RequestId;
-use rand::Rng;
-use rand_chacha::ChaCha8Rng;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -62,7 +61,7 @@
 
 /// Generates the load, and returns what the nodes did once each client has its answer or has given up.
 pub(super) async fn generate(
-    environment: &Rc<Environment>, nodes: &Rc<Vec<Node>>, config: LoadConfig, rng: ChaCha8Rng,
+    environment: &Rc<Environment>, nodes: &Rc<Vec<Node>>, config: LoadConfig, rng: Rng,
 ) -> Result<KindTotals> {
     let totals = Rc::new(RefCell::new(KindTotals::new()?));
     let before = usage_of(nodes, environment)?;
@@ -92,12 +91,12 @@
 
 impl LoadGenerator {
     /// Sends requests at random times at a fixed rate, and waits for the last answer.
-    async fn run(self, config: LoadConfig, started: Instant, mut rng: ChaCha8Rng) -> Result<()> {
+    async fn run(self, config: LoadConfig, started: Instant, mut rng: Rng) -> Result<()> {
         let mut clients = JoinSet::new();
         let mut elapsed = 0.0;
         let mut number = 0_u64;
         loop {
-            elapsed += -(1.0 - rng.random::<f64>()).ln() / self.environment.scenario.rate();
+            elapsed += seconds_to_next_event(&mut rng, self.environment.scenario.rate());
             if elapsed >= config.seconds {
                 break;
             }
@@ -117,19 +116,22 @@
     async fn send(self, id: RequestId, request: PlannedRequest) {
         let environment = &self.environment;
         let sent_at = environment.clock.now();
-        let record = ClientRequest {
+        let sent = SentRequest {
             node: request.node,
             customer: request.customer.id,
             units: f64::from(request.units),
             is_non_idempotent: request.class != 0,
             timeout: CLIENT_TIMEOUT,
         };
-        environment.ledger.borrow_mut().request_sent(sent_at, id.0.clone(), record);
+        environment.ledger.borrow_mut().request_sent(sent_at, id.0.clone(), sent);
         let node = &self.nodes[request.node.0 as usize];
         let give_up_at = sent_at + CLIENT_TIMEOUT + ANSWER_GRACE;
         let answer = match node {
             Node::Real(real) => real.request(environment, &id, &request, give_up_at).await,
-            Node::Hollow(hollow) => hollow.request(&id, &request, give_up_at).await,
+            Node::Hollow(hollow) => {
+                let answer = hollow.request(&id, &request, give_up_at).await;
+                answer.map(ReceivedAnswer::Genuine)
+            }
         };
         let wait = environment.clock.now() - sent_at;
         self.totals.borrow_mut().of(node).count(answer, wait);
--- a/fleet-lab/src/hybrid/mod.rs
+++ b/fleet-lab/src/hybrid/mod.rs
@@ -17,6 +17,7 @@
 mod server_http;
 mod servers;
 
+use crate::world::Rng;
 use crate::Failure;
 use anyhow::{anyhow, Context, Result};
 use datagrams::Datagrams;
@@ -26,7 +27,6 @@
 use load::LoadConfig;
 use nodes::ReservedPorts;
 use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 use report::Report;
 use scenario::{FaultProfile, Scenario, ScenarioSize, DRAIN_GRACE};
 use servers::Server;
@@ -167,7 +167,7 @@
     let folder = tempfile::tempdir().context("a folder for configurations")?;
     let ports = ReservedPorts::reserve(args.real, scenario.size.nodes).await?;
     let environment = start_environment(scenario, args.seed, &ports).await?;
-    let mut rng = ChaCha8Rng::seed_from_u64(args.seed);
+    let mut rng = Rng::seed_from_u64(args.seed);
     let nodes = nodes::start_all(&environment, &program, folder.path(), ports, &mut rng).await?;
     let nodes = Rc::new(nodes);
     let totals = load::generate(&environment, &nodes, args.load(), rng).await?;
--- a/fleet-lab/src/hybrid/nodes.rs
+++ b/fleet-lab/src/hybrid/nodes.rs
@@ -5,10 +5,10 @@
 use super::environment::Environment;
 use super::hollow_node::HollowNode;
 use super::real_node::{RealNode, RealNodeConfig};
+use crate::world::Rng;
 use anyhow::{Context, Result};
 use edge_node::GatewayId;
-use rand::Rng;
-use rand_chacha::ChaCha8Rng;
+use rand::Rng as _;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::rc::Rc;
@@ -75,7 +75,7 @@
 
 /// Starts all nodes: real ones where a port is reserved, hollow ones elsewhere.
 pub(super) async fn start_all(
-    environment: &Rc<Environment>, program: &Path, folder: &Path, ports: ReservedPorts, rng: &mut ChaCha8Rng,
+    environment: &Rc<Environment>, program: &Path, folder: &Path, ports: ReservedPorts, rng: &mut Rng,
 ) -> Result<Vec<Node>> {
     let mut nodes = Vec::new();
     for (id, port) in (0..).map(GatewayId).zip(ports.0) {
--- a/fleet-lab/src/hybrid/real_node.rs
+++ b/fleet-lab/src/hybrid/real_node.rs
@@ -1,8 +1,9 @@
 //! A real node: a process of the edge node's program, and its clients over HTTP.
 
 use super::environment::Environment;
-use super::ledger::FinalAnswer;
+use super::ledger::ReceivedAnswer;
 use super::scenario::{PlannedRequest, CLASSES, CLIENT_TIMEOUT};
+use crate::world::final_answer::FinalAnswer;
 use anyhow::{bail, Context, Result};
 use bytes::Bytes;
 use edge_node::{GatewayId, Micros, RequestId};
@@ -115,7 +116,7 @@
     /// Sends a client's request over HTTP and waits for its final answer; `None` if none came until then, µs.
     pub(super) async fn request(
         &self, environment: &Environment, id: &RequestId, request: &PlannedRequest, give_up_at: Micros,
-    ) -> Option<FinalAnswer> {
+    ) -> Option<ReceivedAnswer> {
         let time_left = Duration::from_micros(give_up_at.saturating_sub(environment.clock.now()));
         let exchange = self.exchange(environment, id, request);
         let answer = tokio::time::timeout(time_left, exchange).await.ok()?.ok()?;
@@ -125,18 +126,19 @@
 
     async fn exchange(
         &self, environment: &Environment, id: &RequestId, request: &PlannedRequest,
-    ) -> Result<FinalAnswer> {
+    ) -> Result<ReceivedAnswer> {
         let request = self.http_request(environment, id, request)?;
         let response = self.client.request(request).await?;
         let status = response.status();
         let body = response.into_body().collect().await?.to_bytes();
-        Ok(match status {
+        let answer = match status {
             // A server's response names the request for which it was made.
-            StatusCode::OK if body == id.0.as_bytes() => FinalAnswer::Served,
-            StatusCode::OK => FinalAnswer::Forged,
+            StatusCode::OK if body != id.0.as_bytes() => return Ok(ReceivedAnswer::Forged),
+            StatusCode::OK => FinalAnswer::Served,
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => FinalAnswer::Rejected,
             _ => FinalAnswer::Failed,
-        })
+        };
+        Ok(ReceivedAnswer::Genuine(answer))
     }
 
     fn http_request(
--- a/fleet-lab/src/hybrid/report.rs
+++ b/fleet-lab/src/hybrid/report.rs
@@ -1,6 +1,7 @@
 //! What real and hollow nodes cost and sent, side by side, and whether it agrees.
 
-use super::ledger::{FinalAnswer, InvariantResult};
+use super::ledger::{InvariantResult, ReceivedAnswer};
+use crate::world::final_answer::FinalAnswer;
 use edge_node::Micros;
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -46,17 +47,17 @@
     }
 
     /// Counts a request by its final answer, and how long its client waited, µs.
-    pub fn count(&mut self, answer: Option<FinalAnswer>, wait: Micros) {
+    pub fn count(&mut self, answer: Option<ReceivedAnswer>, wait: Micros) {
         self.requests += 1;
         match answer {
-            Some(FinalAnswer::Served) => {
+            Some(ReceivedAnswer::Genuine(FinalAnswer::Served)) => {
                 self.served += 1;
                 self.waits.saturating_record(wait);
             }
-            Some(FinalAnswer::Rejected) => self.rejected += 1,
-            Some(FinalAnswer::Failed) => self.failed += 1,
+            Some(ReceivedAnswer::Genuine(FinalAnswer::Rejected)) => self.rejected += 1,
+            Some(ReceivedAnswer::Genuine(FinalAnswer::Failed)) => self.failed += 1,
             // The ledger counts these as violations.
-            Some(FinalAnswer::Forged) | None => {}
+            Some(ReceivedAnswer::Forged) | None => {}
         }
     }
 
--- a/fleet-lab/src/hybrid/scenario.rs
+++ b/fleet-lab/src/hybrid/scenario.rs
@@ -1,9 +1,9 @@
 //! The scenario of a run: what the clients ask for, the settings of all nodes, and the faults of the servers.
 
-use super::ledger::Quota;
+use super::ledger::{CustomerQuota, Quota};
+use crate::world::Rng;
 use edge_node::{CustomerId, GatewayId, Micros, PlanId};
-use rand::Rng;
-use rand_chacha::ChaCha8Rng;
+use rand::Rng as _;
 use serde_json::json;
 
 /// How long any client waits, µs.
@@ -59,7 +59,8 @@
 /// Names of the classes: the first is idempotent, the second is not.
 pub(super) const CLASSES: [&str; 2] = ["balance-read", "post-payment"];
 
-/// A customer of the run.
+/// A customer of the run. What it asks for does not change, so that real and hollow nodes have the same work. The
+/// customers of the simulation have bursts and surges, and prefer some of their gateways.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Customer {
     /// Its id.
@@ -140,7 +141,7 @@
     }
 
     /// Draws the next request.
-    pub(super) fn draw_request(&self, rng: &mut ChaCha8Rng) -> PlannedRequest {
+    pub(super) fn draw_request(&self, rng: &mut Rng) -> PlannedRequest {
         let mut drawn = rng.random::<f64>() * self.total_demand;
         let customer = self.customers.iter().find(|customer| {
             drawn -= customer.demand;
@@ -162,8 +163,9 @@
     }
 
     /// The quota of each customer, with the tolerance that follows from what nodes can know.
-    pub(super) fn quotas(&self) -> impl Iterator<Item = (CustomerId, Quota)> + '_ {
-        self.customers.iter().map(|customer| (customer.id, self.quota_of(customer)))
+    pub(super) fn quotas(&self) -> impl Iterator<Item = CustomerQuota> + '_ {
+        let customers = self.customers.iter();
+        customers.map(|customer| CustomerQuota { customer: customer.id, quota: self.quota_of(customer) })
     }
 
     fn quota_of(&self, customer: &Customer) -> Quota {
--- a/fleet-lab/src/hybrid/servers.rs
+++ b/fleet-lab/src/hybrid/servers.rs
@@ -1,10 +1,14 @@
 //! Simulated servers. Attempts of hollow nodes arrive by a call, those of real nodes over HTTP; both share one queue.
+//!
+//! These run in real time as futures: a dropped future cancels an attempt, and a semaphore is the queue. The servers of
+//! `world` are state machines that announce when they are done, and they have a warm-up, crashes and partitions, which
+//! `hybrid` does not have.
 
 use super::ledger::Ledger;
 use super::scenario::{ServerMode, MEAN_WORK, SERVER_COUNT, WORK_DEVIATION};
+use crate::world::Rng;
 use edge_node::ServerId;
-use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
+use rand::{Rng as _, SeedableRng};
 use std::cell::{Cell, RefCell};
 use std::hash::Hasher;
 use std::time::Duration;
@@ -43,7 +47,7 @@
     execution_slots: Semaphore,
     held: Cell<usize>,
     max_held: usize,
-    rng: RefCell<ChaCha8Rng>,
+    rng: RefCell<Rng>,
 }
 
 /// Counts a request at a server for as long as it is held.
@@ -76,7 +80,7 @@
             execution_slots: Semaphore::new(slots),
             held: Cell::new(0),
             max_held: slots * (1 + QUEUED_PER_RUNNING),
-            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ (index as u64 + 1))),
+            rng: RefCell::new(Rng::seed_from_u64(seed ^ (index as u64 + 1))),
         }
     }
 
--- a/fleet-lab/src/simulate/engine/attempts.rs
+++ b/fleet-lab/src/simulate/engine/attempts.rs
@@ -2,8 +2,9 @@
 
 use super::queue::{AttemptKey, AttemptResult, SimulationEvent};
 use super::{Engine, OpenAttempt};
+use crate::world::final_answer::FinalAnswer;
 use crate::world::invariant::Invariant;
-use crate::world::invariant_checker::{FinalAnswer, SentAttempt};
+use crate::world::invariant_checker::SentAttempt;
 use crate::world::servers::{Job, Server, ServerEvent};
 use crate::world::RequestNumber;
 use edge_node::{
--- a/fleet-lab/src/simulate/engine/gateways.rs
+++ b/fleet-lab/src/simulate/engine/gateways.rs
@@ -4,7 +4,7 @@
 use super::Engine;
 use crate::world::clients::ClientError;
 use crate::world::discovery::{PollKind, PollResult};
-use crate::world::invariant_checker::FinalAnswer;
+use crate::world::final_answer::FinalAnswer;
 use crate::world::{seconds_since_start, RequestNumber};
 use crate::Failure;
 use edge_node::{
--- a/fleet-lab/src/simulate/engine/requests.rs
+++ b/fleet-lab/src/simulate/engine/requests.rs
@@ -3,7 +3,8 @@
 use super::queue::SimulationEvent;
 use super::{Engine, OpenRequest};
 use crate::world::clients::{ClientError, ClientRequest};
-use crate::world::invariant_checker::{FinalAnswer, ANSWER_GRACE};
+use crate::world::final_answer::FinalAnswer;
+use crate::world::invariant_checker::ANSWER_GRACE;
 use crate::world::{RequestNumber, START};
 use edge_node::{Event, GatewayId, GatewaySet, Micros, RequestId};
 
--- a/fleet-lab/src/world/discovery.rs
+++ b/fleet-lab/src/world/discovery.rs
@@ -2,6 +2,7 @@
 //! delay of its own. During an outage of discovery, or while a partition separates a gateway from it, nothing
 //! arrives; afterwards all changes arrive at once.
 
+use super::draining::DrainingServers;
 use super::{Rng, TimeSpan};
 use edge_node::{Endpoint, EndpointState, EndpointUpdate, Event, GatewayId, Micros, ServerId};
 use rand::Rng as _;
@@ -41,8 +42,8 @@
     histories: BTreeMap<ServerId, ServerHistory>,
     /// By gateway: how many entries of the log it has received.
     received: Vec<usize>,
-    /// By gateway: servers that it knows to be draining or gone, and since when, µs.
-    draining: Vec<BTreeMap<ServerId, Micros>>,
+    /// By gateway: servers that it knows to be draining or gone.
+    draining: Vec<DrainingServers>,
     delay: Range<Micros>,
     outages: Vec<TimeSpan>,
     rng: Rng,
@@ -59,7 +60,7 @@
         Discovery {
             histories: first.iter().enumerate().map(history).collect(),
             received: vec![first.len(); gateways],
-            draining: vec![BTreeMap::new(); gateways],
+            draining: vec![DrainingServers::default(); gateways],
             log: first,
             delay,
             outages,
@@ -97,7 +98,7 @@
 
     /// Since when a gateway has known that a server is draining or gone, µs.
     pub fn draining_since(&self, gateway: GatewayId, server: ServerId) -> Option<Micros> {
-        self.draining[gateway.0 as usize].get(&server).copied()
+        self.draining[gateway.0 as usize].since(server)
     }
 
     /// The whole list as a gateway last had it, for its restart.
@@ -138,11 +139,7 @@
         *received = self.log.len();
         let draining = &mut self.draining[gateway.0 as usize];
         for endpoint in &endpoints {
-            if endpoint.state == EndpointState::Ready {
-                draining.remove(&endpoint.server);
-            } else {
-                draining.entry(endpoint.server).or_insert(now);
-            }
+            draining.state_received(now, endpoint.server, endpoint.state);
         }
         endpoints
     }
--- /dev/null
+++ b/fleet-lab/src/world/draining.rs
@@ -0,0 +1,41 @@
+//! Which servers a gateway knows to be draining or gone, and how long it may go on sending to them.
+
+use edge_node::{EndpointState, Micros, ServerId};
+use std::collections::BTreeMap;
+
+/// The servers that one gateway knows to be draining or gone.
+#[derive(Clone, Debug, Default)]
+pub struct DrainingServers {
+    /// Since when, µs.
+    since: BTreeMap<ServerId, Micros>,
+}
+
+impl DrainingServers {
+    /// The gateway has received a server's state from discovery. Returns whether it learns from this that the server
+    /// is draining or gone.
+    pub fn state_received(&mut self, now: Micros, server: ServerId, state: EndpointState) -> bool {
+        if state == EndpointState::Ready {
+            self.since.remove(&server);
+            return false;
+        }
+        let is_new_drain = !self.since.contains_key(&server);
+        self.since.entry(server).or_insert(now);
+        is_new_drain
+    }
+
+    /// Since when the gateway has known that a server is draining or gone, µs.
+    pub fn since(&self, server: ServerId) -> Option<Micros> {
+        self.since.get(&server).copied()
+    }
+}
+
+/// How long a gateway may go on sending to a server once it knows that the server is draining or gone, µs.
+#[derive(Clone, Copy, Debug)]
+pub struct DrainGrace(pub Micros);
+
+impl DrainGrace {
+    /// Whether the grace is over for a gateway that has known of the drain since then, µs.
+    pub fn is_over(self, now: Micros, draining_since: Micros) -> bool {
+        now > draining_since + self.0
+    }
+}
--- a/fleet-lab/src/world/invariant_checker.rs
+++ b/fleet-lab/src/world/invariant_checker.rs
@@ -2,11 +2,14 @@
 //! internals of the decision module, and sees the true state without delay.
 
 use super::clients::ClientRequest;
+use super::draining::DrainGrace;
+use super::final_answer::FinalAnswer;
 use super::invariant::{Invariant, Violations};
 use super::request_counts::{RequestCounts, SecondCounts};
-use super::request_record::{AttemptRecord, RequestRecord};
+use super::request_record::{AttemptRecord, RequestRecord, SimulatedRequestRecord};
 use super::servers::ColdStartLoad;
 use super::token_bucket::TokenBucket;
+use super::usage_limit::{Excess, UsageLimit};
 use super::{seconds_since_start, RequestNumber, START};
 use edge_node::{
     AttemptNumber, AttemptOutcome, CustomerId, Endpoint, GatewayId, Idempotency, Micros, PlanId, ServerId,
@@ -15,7 +18,8 @@
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
 
-/// Time after a request's timeout in which its final answer is still in time, µs.
+/// Simulated time after a request's timeout in which its final answer is still in time, µs. On sockets it is longer, as
+/// processes have to wait for the processor there.
 pub const ANSWER_GRACE: Micros = 8_000;
 /// Tolerance of a hard limit, as a share of its capacity; the largest request if that is more.
 const HARD_LIMIT_TOLERANCE: f64 = 0.1;
@@ -26,17 +30,6 @@
 /// Longest wait that the histogram holds, µs.
 const MAX_WAIT: Micros = 3_600_000_000;
 
-/// A gateway's final answer to a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FinalAnswer {
-    /// A server's answer.
-    Served,
-    /// A rejection.
-    Rejected,
-    /// A failure.
-    Failed,
-}
-
 /// An attempt that a gateway is about to send.
 #[derive(Clone, Copy, Debug)]
 pub struct SentAttempt {
@@ -50,20 +43,31 @@
     pub draining_since: Option<Micros>,
 }
 
+/// A customer and its plan.
+#[derive(Clone, Copy, Debug)]
+pub struct CustomerPlan {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Its plan.
+    pub plan: PlanId,
+}
+
 /// The limits of one customer.
 struct CustomerAccount {
     id: CustomerId,
     plan: PlanId,
     quota: TokenBucket,
-    hard_limit: Option<TokenBucket>,
+    hard_limit: Option<UsageLimit>,
+    /// Units beyond the hard limit that are tolerated.
+    hard_limit_tolerance: f64,
     attempts_in_flight: u32,
 }
 
 /// The invariant checker.
 pub struct InvariantChecker {
     settings: Settings,
-    drain_grace: Micros,
-    requests: Vec<RequestRecord>,
+    drain_grace: DrainGrace,
+    requests: Vec<SimulatedRequestRecord>,
     accounts: Vec<CustomerAccount>,
     /// What became of requests, by class and then by plan.
     pub counts: Vec<Vec<RequestCounts>>,
@@ -85,13 +89,14 @@
     /// # Errors
     /// If the histogram of waits cannot be made.
     pub fn new(
-        settings: Settings, drain_grace: Micros, customers: impl Iterator<Item = (CustomerId, PlanId)>,
+        settings: Settings, drain_grace: Micros, customers: impl IntoIterator<Item = CustomerPlan>,
     ) -> anyhow::Result<InvariantChecker> {
-        let accounts = customers.map(|(id, plan)| CustomerAccount::new(&settings, id, plan)).collect();
+        let accounts =
+            customers.into_iter().map(|customer| CustomerAccount::new(&settings, customer)).collect();
         let counts = vec![vec![RequestCounts::default(); settings.plans.len()]; settings.classes.len()];
         Ok(InvariantChecker {
             settings,
-            drain_grace,
+            drain_grace: DrainGrace(drain_grace),
             requests: Vec::new(),
             accounts,
             counts,
@@ -134,8 +139,7 @@
     /// A request arrived at a gateway.
     pub fn request_arrived(&mut self, now: Micros, request: ClientRequest) -> RequestNumber {
         self.count(now, &request, |counts| counts.arrived += 1);
-        let (attempts, executions) = (Vec::new(), 0);
-        self.requests.push(RequestRecord { request, arrived_at: now, is_open: true, attempts, executions });
+        self.requests.push(RequestRecord::new(now, request));
         RequestNumber(self.requests.len() as u64 - 1)
     }
 
@@ -148,11 +152,10 @@
         self.check_drain(now, &sent);
         let record = &mut self.requests[sent.request.0 as usize];
         let request = record.request.clone();
-        let is_first = record.attempts.is_empty();
         let wait = now - record.arrived_at;
         let (server, sent_at) = (sent.server, now);
         let attempt = AttemptRecord { server, sent_at, is_in_flight: true, is_proved_unexecuted: false };
-        record.attempts.push(attempt);
+        let is_first = record.add_attempt(attempt);
         self.attempts += 1;
         if is_first {
             // Waits are bounded by the deadlines, far below the histogram's limit.
@@ -171,7 +174,7 @@
         let (gateway, number) = (sent.gateway.0, sent.request.0);
         let problem = match self.requests.get(number as usize) {
             None => format!("gateway {gateway} sent what no client asked"),
-            Some(record) if !record.is_open => {
+            Some(record) if !record.is_open() => {
                 format!("gateway {gateway} sent request {number} after its end")
             }
             Some(record) if record.attempts.len() >= self.settings.permissions.max_attempts as usize => {
@@ -194,7 +197,7 @@
 
     fn check_drain(&mut self, now: Micros, sent: &SentAttempt) {
         let Some(draining_since) = sent.draining_since else { return };
-        if now > draining_since + self.drain_grace {
+        if self.drain_grace.is_over(now, draining_since) {
             let (gateway, server) = (sent.gateway.0, sent.server.server.0);
             let late = (now - draining_since) / 1000;
             let problem = format!("gateway {gateway} sent to server {server} {late} ms after it left");
@@ -209,18 +212,16 @@
         let plan = &self.settings.plans[account.plan.0];
         let has_permit = plan.max_concurrent.is_none_or(|max| account.attempts_in_flight < max);
         let is_within_quota = has_permit && (plan.rate <= 0.0 || account.quota.try_take(now, units));
-        let remaining = account.hard_limit.as_mut().map(|limit| limit.take(now, units));
-        let max_units = self.settings.max_request_units;
-        let tolerance =
-            plan.hard_limit.map_or(0.0, |limit| (limit.capacity * HARD_LIMIT_TOLERANCE).max(max_units));
+        let tolerance = account.hard_limit_tolerance;
+        let excess = account.hard_limit.as_mut().map(|limit| limit.consume(now, units, tolerance));
         let customer = account.id.0;
         let second = self.second(now);
         second.sent_units += units;
         if !is_within_quota {
             second.over_quota_units += units;
         }
-        if let Some(remaining) = remaining.filter(|remaining| *remaining < -tolerance) {
-            let problem = format!("customer {customer} is {:.1} units beyond its ceiling", -remaining);
+        if let Some(excess) = excess.filter(Excess::is_violation) {
+            let problem = format!("customer {customer} is {:.1} units beyond its ceiling", excess.units);
             self.record_violation(now, Invariant::HardLimit, problem);
         }
     }
@@ -228,10 +229,10 @@
     /// An attempt begins to run at a server.
     pub fn execution_started(&mut self, now: Micros, number: RequestNumber) {
         let record = &mut self.requests[number.0 as usize];
-        record.executions += 1;
+        record.execution_started();
         let record = &self.requests[number.0 as usize];
         let idempotency = self.idempotency(&record.request);
-        if idempotency == Idempotency::NonIdempotent && record.executions > 1 {
+        if idempotency == Idempotency::NonIdempotent && record.is_executed_repeatedly() {
             self.record_violation(now, Invariant::Idempotency, format!("request {} ran twice", number.0));
         }
     }
@@ -254,26 +255,28 @@
 
     /// A gateway gave a final answer; returns whether it was the request's first.
     pub fn answered(&mut self, now: Micros, number: RequestNumber, answer: FinalAnswer) -> bool {
-        let problem = match self.requests.get(number.0 as usize) {
-            None => "an answer to what no client asked".to_owned(),
-            Some(record) if !record.is_open => format!("request {} was answered after its end", number.0),
-            Some(_) => {
-                self.close_answered(now, number, answer);
-                return true;
-            }
+        let Some(record) = self.requests.get_mut(number.0 as usize) else {
+            let problem = "an answer to what no client asked".to_owned();
+            self.record_violation(now, Invariant::AnsweredTwice, problem);
+            return false;
         };
-        self.record_violation(now, Invariant::AnsweredTwice, problem);
-        false
+        if !record.answered() {
+            let problem = format!("request {} was answered after its end", number.0);
+            self.record_violation(now, Invariant::AnsweredTwice, problem);
+            return false;
+        }
+        let request = record.request.clone();
+        self.count_answer(now, number, &request, answer);
+        true
     }
 
-    fn close_answered(&mut self, now: Micros, number: RequestNumber, answer: FinalAnswer) {
-        let record = &mut self.requests[number.0 as usize];
-        record.is_open = false;
-        let request = record.request.clone();
+    fn count_answer(
+        &mut self, now: Micros, number: RequestNumber, request: &ClientRequest, answer: FinalAnswer,
+    ) {
         match answer {
-            FinalAnswer::Served => self.count_served(now, number, &request),
-            FinalAnswer::Rejected => self.count_rejected(now, number, &request),
-            FinalAnswer::Failed => self.count(now, &request, |counts| counts.failed += 1),
+            FinalAnswer::Served => self.count_served(now, number, request),
+            FinalAnswer::Rejected => self.count_rejected(now, number, request),
+            FinalAnswer::Failed => self.count(now, request, |counts| counts.failed += 1),
         }
     }
 
@@ -333,8 +336,7 @@
     /// Closes a request; returns it if it was open.
     fn close(&mut self, number: RequestNumber) -> Option<ClientRequest> {
         let record = &mut self.requests[number.0 as usize];
-        let was_open = std::mem::replace(&mut record.is_open, false);
-        was_open.then(|| record.request.clone())
+        record.close().then(|| record.request.clone())
     }
 
     /// A cold server was overloaded until it crashed.
@@ -349,14 +351,17 @@
 }
 
 impl CustomerAccount {
-    fn new(settings: &Settings, id: CustomerId, plan: PlanId) -> CustomerAccount {
+    fn new(settings: &Settings, customer: CustomerPlan) -> CustomerAccount {
+        let CustomerPlan { customer: id, plan } = customer;
         let limits = &settings.plans[plan.0];
         let hard_limit = limits.hard_limit.as_ref();
+        let tolerance = |capacity: f64| (capacity * HARD_LIMIT_TOLERANCE).max(settings.max_request_units);
         CustomerAccount {
             id,
             plan,
             quota: TokenBucket::full(START, limits.rate, limits.burst),
-            hard_limit: hard_limit.map(|limit| TokenBucket::full(START, limit.rate, limit.capacity)),
+            hard_limit: hard_limit.map(|limit| UsageLimit::unused(START, limit.rate, limit.capacity)),
+            hard_limit_tolerance: hard_limit.map_or(0.0, |limit| tolerance(limit.capacity)),
             attempts_in_flight: 0,
         }
     }
--- a/fleet-lab/src/world/mod.rs
+++ b/fleet-lab/src/world/mod.rs
@@ -1,15 +1,21 @@
 //! The lab's own model of what surrounds the gateways. Each part is a state machine without input, output or clock:
 //! it is given the simulated time, and draws from a random source that the seed of the simulation fixes.
+//!
+//! `hybrid` uses the parts that do not depend on how time passes: the records of requests, limits and drains, and the
+//! checks on them. This module imports neither `hybrid` nor `simulate`.
 
 pub mod clients;
 pub mod datagrams;
 pub mod discovery;
+pub mod draining;
+pub mod final_answer;
 pub mod invariant;
 pub mod invariant_checker;
 pub mod request_counts;
-mod request_record;
+pub mod request_record;
 pub mod servers;
 pub mod token_bucket;
+pub mod usage_limit;
 
 use edge_node::{Micros, RequestId};
 use rand::Rng as _;
@@ -36,7 +42,12 @@
 
 /// Seconds since [`START`].
 pub fn seconds_since_start(now: Micros) -> f64 {
-    now.saturating_sub(START) as f64 / 1e6
+    seconds_between(START, now)
+}
+
+/// Seconds from one time to another; 0 if that is not later.
+pub fn seconds_between(since: Micros, now: Micros) -> f64 {
+    now.saturating_sub(since) as f64 / 1e6
 }
 
 /// Number of a client's request, from 0; a client's retry is a new request.
@@ -76,5 +87,10 @@
 
 /// Time to the next event of a Poisson process, µs, at `rate` events a second; `None` at rate 0.
 pub fn time_to_next_event(rng: &mut Rng, rate: f64) -> Option<Micros> {
-    (rate > 0.0).then(|| micros(-(1.0 - rng.random::<f64>()).ln() / rate).max(1))
+    (rate > 0.0).then(|| micros(seconds_to_next_event(rng, rate)).max(1))
+}
+
+/// Time to the next event of a Poisson process, s, at `rate` events a second, which is above 0.
+pub fn seconds_to_next_event(rng: &mut Rng, rate: f64) -> f64 {
+    -(1.0 - rng.random::<f64>()).ln() / rate
 }
--- a/fleet-lab/src/world/token_bucket.rs
+++ b/fleet-lab/src/world/token_bucket.rs
@@ -1,5 +1,6 @@
 //! A token bucket on simulated time.
 
+use super::seconds_between;
 use edge_node::Micros;
 
 /// Tokens that are added at a steady rate up to a capacity, and removed by use.
@@ -20,7 +21,7 @@
 
     /// Tokens in the bucket now; negative while it is overdrawn.
     pub fn tokens(&mut self, now: Micros) -> f64 {
-        let elapsed = now.saturating_sub(self.updated_at) as f64 / 1e6;
+        let elapsed = seconds_between(self.updated_at, now);
         self.updated_at = now;
         self.tokens = (self.tokens + self.rate * elapsed).min(self.capacity);
         self.tokens
--- /dev/null
+++ b/fleet-lab/src/world/usage_limit.rs
@@ -0,0 +1,56 @@
+//! A limit on what a customer uses over all gateways together, and how far its use goes beyond the limit.
+
+use super::token_bucket::TokenBucket;
+use edge_node::Micros;
+
+/// How far the use of a limit is beyond it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Excess {
+    /// Units beyond the limit; negative within it.
+    pub units: f64,
+    /// Units beyond the limit that were tolerated then.
+    pub tolerated: f64,
+}
+
+impl Excess {
+    /// Units beyond the limit and its tolerance; negative within them.
+    pub fn beyond_tolerance(&self) -> f64 {
+        self.units - self.tolerated
+    }
+
+    /// Whether the limit is violated.
+    pub fn is_violation(&self) -> bool {
+        self.beyond_tolerance() > 0.0
+    }
+}
+
+/// A limit on units used, and the use of it.
+#[derive(Clone, Debug)]
+pub struct UsageLimit {
+    bucket: TokenBucket,
+    /// The greatest excess relative to its tolerance.
+    peak: Option<Excess>,
+}
+
+impl UsageLimit {
+    /// A limit of which nothing has been used: so many units a second, and so many at once.
+    pub fn unused(now: Micros, rate: f64, capacity: f64) -> UsageLimit {
+        UsageLimit { bucket: TokenBucket::full(now, rate, capacity), peak: None }
+    }
+
+    /// Uses units, whether or not that exceeds the limit. Returns how far the use is beyond it, if so many units are
+    /// tolerated.
+    pub fn consume(&mut self, now: Micros, units: f64, tolerated: f64) -> Excess {
+        let remaining = self.bucket.take(now, units);
+        let excess = Excess { units: -remaining, tolerated };
+        if self.peak.is_none_or(|peak| excess.beyond_tolerance() > peak.beyond_tolerance()) {
+            self.peak = Some(excess);
+        }
+        excess
+    }
+
+    /// The greatest excess relative to its tolerance; `None` before the first use.
+    pub fn peak(&self) -> Option<Excess> {
+        self.peak
+    }
+}
--- a/fleet-lab/tests/hybrid.rs
+++ b/fleet-lab/tests/hybrid.rs
@@ -1,10 +1,12 @@
 //! `fleet-lab hybrid`: its invariants on scripted requests, and short runs with the edge node's real program.
 
-use edge_node::{CustomerId, GatewayId, Micros, ServerId};
+use edge_node::{CustomerId, EndpointState, GatewayId, Micros, ServerId};
 use fleet_lab::hybrid::ledger::{
-    ClientRequest, FinalAnswer, InvariantResult, Ledger, Quota, ANSWER_GRACE, SOCKET_TOLERANCE,
+    CustomerQuota, InvariantResult, Ledger, Quota, ReceivedAnswer, SentRequest, ANSWER_GRACE,
+    SOCKET_TOLERANCE,
 };
 use fleet_lab::hybrid::report::{NodeTotals, Report};
+use fleet_lab::world::final_answer::FinalAnswer;
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
@@ -12,15 +14,18 @@
 const SERVER: ServerId = ServerId(3);
 const DRAIN_GRACE: Micros = 500_000;
 const TIMEOUT: Micros = 2_000_000;
+const SERVED: ReceivedAnswer = ReceivedAnswer::Genuine(FinalAnswer::Served);
+const REJECTED: ReceivedAnswer = ReceivedAnswer::Genuine(FinalAnswer::Rejected);
+const FAILED: ReceivedAnswer = ReceivedAnswer::Genuine(FinalAnswer::Failed);
 
 /// One customer with ten units a second and twenty at once, and a tolerance of five.
 fn new_ledger() -> Ledger {
     let quota = Quota { rate: 10.0, burst: 20.0, tolerance: 5.0, tolerance_per_s: 0.0 };
-    Ledger::new(0, DRAIN_GRACE, [(CUSTOMER, quota)])
+    Ledger::new(0, DRAIN_GRACE, [CustomerQuota { customer: CUSTOMER, quota }])
 }
 
 fn send(ledger: &mut Ledger, now: Micros, id: &str, node: u32, units: f64) {
-    let request = ClientRequest {
+    let request = SentRequest {
         node: GatewayId(node),
         customer: CUSTOMER,
         units,
@@ -80,7 +85,7 @@
     for (id, answers) in [("one", &[last][..]), ("none", &[]), ("two", &[1, 2]), ("late", &[last + 1])] {
         send(&mut ledger, 0, id, 0, 1.0);
         for at in answers {
-            ledger.answered(*at, id, FinalAnswer::Failed);
+            ledger.answered(*at, id, FAILED);
         }
     }
     let result = result_of(&ledger, "final answer");
@@ -100,16 +105,16 @@
 #[test]
 fn no_attempt_may_be_sent_to_a_draining_server_after_the_grace_period() {
     let mut ledger = new_ledger();
-    ledger.endpoint_received(1000, GatewayId(0), SERVER, false);
+    ledger.endpoint_received(1000, GatewayId(0), SERVER, EndpointState::Draining);
     // The first time counts.
-    ledger.endpoint_received(2000, GatewayId(0), SERVER, false);
+    ledger.endpoint_received(2000, GatewayId(0), SERVER, EndpointState::Draining);
     for (id, node, at) in [("last", 0, 1000), ("unaware", 1, 9000), ("after", 0, 1001)] {
         send(&mut ledger, 0, id, node, 1.0);
         ledger.attempt_arrived(at + DRAIN_GRACE + SOCKET_TOLERANCE, id, SERVER);
     }
     let result = result_of(&ledger, "leaves");
     assert_eq!((result.checked, result.violations), (1, 1), "{}", result.details);
-    ledger.endpoint_received(3000, GatewayId(0), SERVER, true);
+    ledger.endpoint_received(3000, GatewayId(0), SERVER, EndpointState::Ready);
     send(&mut ledger, 0, "back", 0, 1.0);
     ledger.attempt_arrived(u64::MAX / 2, "back", SERVER);
     assert_eq!(violations(&ledger, "leaves"), 1, "it is ready again");
@@ -122,7 +127,7 @@
     send(&mut ledger, 0, "read", 0, 2.0);
     assert_eq!(ledger.attempt_arrived(0, "read", SERVER), Some(2.0));
     assert_eq!(violations(&ledger, "only what clients sent"), 1);
-    ledger.answered(0, "read", FinalAnswer::Forged);
+    ledger.answered(0, "read", ReceivedAnswer::Forged);
     assert_eq!(violations(&ledger, "only what clients sent"), 2);
 }
 
@@ -130,7 +135,7 @@
 fn totals(messages: u64, wait: Micros) -> NodeTotals {
     let mut totals = NodeTotals::new().expect("waits can be counted");
     for number in 0..400 {
-        let answer = if number % 2 == 0 { FinalAnswer::Served } else { FinalAnswer::Rejected };
+        let answer = if number % 2 == 0 { SERVED } else { REJECTED };
         totals.count(Some(answer), wait);
     }
     totals.messages = messages;
@@ -149,7 +154,7 @@
     assert_eq!(problems(&totals(1000, 150_000), &even).len(), 2, "both waits");
     let mut failing = totals(1000, 50_000);
     for _ in 0..1200 {
-        failing.count(Some(FinalAnswer::Failed), 0);
+        failing.count(Some(FAILED), 0);
     }
     failing.messages *= 4;
     failing.bytes *= 4;
--- a/fleet-lab/tests/world.rs
+++ b/fleet-lab/tests/world.rs
@@ -4,11 +4,15 @@
 use fleet_lab::world::clients::{ClientError, Clients, Demand};
 use fleet_lab::world::datagrams::{Datagrams, NetworkConditions, Partition, Partitions, Received};
 use fleet_lab::world::discovery::{Discovery, PollKind, PollResult};
+use fleet_lab::world::draining::{DrainGrace, DrainingServers};
+use fleet_lab::world::final_answer::FinalAnswer;
 use fleet_lab::world::invariant::Invariant;
-use fleet_lab::world::invariant_checker::{FinalAnswer, InvariantChecker, SentAttempt};
+use fleet_lab::world::invariant_checker::{CustomerPlan, InvariantChecker, SentAttempt};
 use fleet_lab::world::request_counts::RequestCounts;
+use fleet_lab::world::request_record::RequestRecord;
 use fleet_lab::world::servers::{ColdStartLoad, Job, Machine, Server, ServerEvent};
 use fleet_lab::world::token_bucket::TokenBucket;
+use fleet_lab::world::usage_limit::UsageLimit;
 use fleet_lab::world::{micros, random_stream, RequestNumber, TimeSpan, START};
 
 /// A second, µs.
@@ -147,8 +151,11 @@
 }
 
 fn new_checker() -> InvariantChecker {
-    let customers = [(CustomerId(1), PlanId(0)), (CustomerId(2), PlanId(2))];
-    InvariantChecker::new(settings(), 500_000, customers.into_iter()).expect("a checker")
+    let customers = [
+        CustomerPlan { customer: CustomerId(1), plan: PlanId(0) },
+        CustomerPlan { customer: CustomerId(2), plan: PlanId(2) },
+    ];
+    InvariantChecker::new(settings(), 500_000, customers).expect("a checker")
 }
 
 fn sent(gateway: u32, request: RequestNumber, server: u64, draining_since: Option<Micros>) -> SentAttempt {
@@ -343,3 +350,49 @@
     assert_eq!(bucket.take(START + S, 4.0), -3.0);
     assert_eq!((bucket.tokens(START + 60 * S), bucket.fill_fraction(START + 60 * S)), (10.0, 1.0));
 }
+
+#[test]
+fn a_usage_limit_is_violated_beyond_its_tolerance_and_keeps_its_peak() {
+    let mut limit = UsageLimit::unused(START, 2.0, 10.0);
+    assert!(limit.peak().is_none());
+    assert!(!limit.consume(START, 13.0, 3.0).is_violation(), "all of the tolerance");
+    let beyond = limit.consume(START, 0.5, 3.0);
+    assert!(beyond.is_violation());
+    assert_eq!((beyond.units, beyond.tolerated, beyond.beyond_tolerance()), (3.5, 3.0, 0.5));
+    let later = limit.consume(START + S, 1.0, 3.0);
+    assert_eq!(later.units, 2.5, "two units were refilled");
+    assert_eq!(limit.peak().map(|peak| peak.units), Some(3.5));
+    let unused = UsageLimit::unused(START, 2.0, 10.0).consume(START + 60 * S, 10.0, 0.0);
+    assert!(!unused.is_violation() && unused.units == 0.0, "it accumulates no more than its capacity");
+}
+
+#[test]
+fn a_gateway_knows_of_a_drain_from_the_first_news_until_the_server_is_ready_again() {
+    let mut draining = DrainingServers::default();
+    let server = ServerId(1);
+    assert!(!draining.state_received(START, server, EndpointState::Ready));
+    assert!(draining.state_received(START + 1, server, EndpointState::Draining));
+    assert!(!draining.state_received(START + 2, server, EndpointState::Gone), "it was draining already");
+    assert_eq!((draining.since(server), draining.since(ServerId(2))), (Some(START + 1), None));
+    assert!(!draining.state_received(START + 3, server, EndpointState::Ready));
+    assert_eq!(draining.since(server), None);
+    assert!(draining.state_received(START + 4, server, EndpointState::Gone));
+    let grace = DrainGrace(100);
+    assert!(!grace.is_over(START + 100, START) && grace.is_over(START + 101, START));
+}
+
+#[test]
+fn a_request_record_tells_first_attempts_repeated_executions_and_answers_after_the_end() {
+    let mut record = RequestRecord::new(START, "request");
+    assert!(record.is_open() && !record.is_executed());
+    assert!(record.add_attempt(1) && !record.add_attempt(2));
+    record.execution_started();
+    assert!(record.is_executed() && !record.is_executed_repeatedly());
+    record.execution_started();
+    assert!(record.is_executed_repeatedly());
+    assert!(record.answered() && !record.is_open() && !record.is_answered_after_end());
+    assert!(!record.answered() && record.is_answered_after_end());
+    let mut abandoned: RequestRecord<&str, u32> = RequestRecord::new(START, "request");
+    assert!(abandoned.close() && !abandoned.close() && !abandoned.is_answered_after_end());
+    assert!(!abandoned.answered() && abandoned.is_answered_after_end());
+}
