fleet-lab: one count of messages for both networks; named items in the world's tests

Changed: `world::datagrams::MessageCounts` with `add` serves both; finished attempts and due runs are structs in the tests, with the same assertions.

--- a/fleet-lab/src/hybrid/datagrams.rs
+++ b/fleet-lab/src/hybrid/datagrams.rs
@@ -3,6 +3,7 @@
 //!
 //! Delay and loss are those of the sockets. The network of `world` draws both, and knows no sockets.
 
+use crate::world::datagrams::MessageCounts;
 use anyhow::{Context, Result};
 use edge_node::GatewayId;
 use std::cell::Cell;
@@ -15,10 +16,8 @@
 /// What one node has sent.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct SentMessages {
-    /// Datagrams.
-    pub(super) messages: u64,
-    /// Their bytes, without headers.
-    pub(super) bytes: u64,
+    /// All datagrams.
+    pub(super) counts: MessageCounts,
     /// Datagrams that were longer than the protocol allows.
     pub(super) too_long: u64,
 }
@@ -130,8 +129,7 @@
     fn count(&self, from: GatewayId, bytes: &[u8]) {
         let counter = &self.nodes[from.0 as usize].sent;
         let mut sent = counter.get();
-        sent.messages += 1;
-        sent.bytes += bytes.len() as u64;
+        sent.counts.add(bytes.len());
         sent.too_long += u64::from(bytes.len() > MAX_DATAGRAM);
         counter.set(sent);
     }
--- a/fleet-lab/src/hybrid/load.rs
+++ b/fleet-lab/src/hybrid/load.rs
@@ -53,8 +53,8 @@
     fn add_usage(&mut self, node: &Node, before: &NodeUsage, after: &NodeUsage) {
         let totals = self.of(node);
         totals.cost += after.cost.saturating_sub(before.cost).as_secs_f64() * 1e6;
-        totals.messages += after.sent.messages - before.sent.messages;
-        totals.bytes += after.sent.bytes - before.sent.bytes;
+        totals.messages += after.sent.counts.messages - before.sent.counts.messages;
+        totals.bytes += after.sent.counts.bytes - before.sent.counts.bytes;
         totals.too_long += after.sent.too_long;
     }
 }
--- a/fleet-lab/src/hybrid/servers.rs
+++ b/fleet-lab/src/hybrid/servers.rs
@@ -1,8 +1,8 @@
 //! Simulated servers. Attempts of hollow nodes arrive by a call, those of real nodes over HTTP; both share one queue.
 //!
 //! These run in real time as futures: a dropped future cancels an attempt, and a semaphore is the queue. The servers of
-//! `world` are state machines that announce when they are done, and they have a warm-up, crashes and partitions, which
-//! `hybrid` does not have.
+//! `world` are state machines that announce when they are done, and they have a warm-up and crashes, which `hybrid` does
+//! not have.
 
 use super::ledger::Ledger;
 use super::scenario::{ServerMode, MEAN_WORK, SERVER_COUNT, WORK_DEVIATION};
--- a/fleet-lab/src/simulate/report.rs
+++ b/fleet-lab/src/simulate/report.rs
@@ -1,7 +1,7 @@
 //! The results of a simulation. All of them follow from the seed.
 
 use super::experiment::Experiment;
-use crate::world::datagrams::{Received, Traffic};
+use crate::world::datagrams::{MessageCounts, Traffic};
 use crate::world::invariant::{Invariant, Violations};
 use crate::world::invariant_checker::InvariantChecker;
 use crate::world::request_counts::{RequestCounts, SecondCounts};
@@ -45,10 +45,10 @@
 impl MessageRates {
     fn new(traffic: &Traffic, seconds: f64, gateways: u32) -> MessageRates {
         let gateway_seconds = seconds * f64::from(gateways);
-        let max = |figure: fn(&Received) -> u64| {
+        let max = |figure: fn(&MessageCounts) -> u64| {
             traffic.received.iter().map(figure).max().unwrap_or(0) as f64 / seconds
         };
-        let mean = |figure: fn(&Received) -> u64| {
+        let mean = |figure: fn(&MessageCounts) -> u64| {
             traffic.received.iter().map(figure).sum::<u64>() as f64 / gateway_seconds
         };
         MessageRates {
--- a/fleet-lab/src/world/datagrams.rs
+++ b/fleet-lab/src/world/datagrams.rs
@@ -58,20 +58,28 @@
     pub accepted_per_second: f64,
 }
 
-/// Messages that have reached one gateway.
+/// Messages that one gateway has sent or received.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Received {
-    /// Messages, dropped ones included.
+pub struct MessageCounts {
+    /// Messages.
     pub messages: u64,
-    /// Their bytes.
+    /// Their bytes, without headers.
     pub bytes: u64,
 }
 
+impl MessageCounts {
+    /// Counts a message of so many bytes.
+    pub fn add(&mut self, bytes: usize) {
+        self.messages += 1;
+        self.bytes += bytes as u64;
+    }
+}
+
 /// What became of the messages.
 #[derive(Clone, Debug, Default)]
 pub struct Traffic {
-    /// What reached each gateway.
-    pub received: Vec<Received>,
+    /// What reached each gateway, dropped messages included.
+    pub received: Vec<MessageCounts>,
     /// Messages sent, one for each receiver.
     pub sent: u64,
     /// Messages lost on their way, those to another side of a partition included.
@@ -96,7 +104,7 @@
         // What arrives within one second is accepted if it is no more than the rate.
         let rate = conditions.accepted_per_second;
         let budget = TokenBucket::full(now, rate, rate.max(1.0));
-        let traffic = Traffic { received: vec![Received::default(); gateways], ..Traffic::default() };
+        let traffic = Traffic { received: vec![MessageCounts::default(); gateways], ..Traffic::default() };
         Datagrams { accept_budgets: vec![budget; gateways], conditions, rng, traffic }
     }
 
@@ -115,9 +123,7 @@
 
     /// A message arrives; returns whether its receiver accepts it.
     pub fn accept(&mut self, now: Micros, to: GatewayId, bytes: usize) -> bool {
-        let received = &mut self.traffic.received[to.0 as usize];
-        received.messages += 1;
-        received.bytes += bytes as u64;
+        self.traffic.received[to.0 as usize].add(bytes);
         let accepted = self.accept_budgets[to.0 as usize].try_take(now, 1.0);
         self.traffic.dropped += u64::from(!accepted);
         accepted
--- a/fleet-lab/tests/world.rs
+++ b/fleet-lab/tests/world.rs
@@ -2,7 +2,7 @@
 
 use edge_node::*;
 use fleet_lab::world::clients::{ClientError, Clients, Demand};
-use fleet_lab::world::datagrams::{Datagrams, NetworkConditions, Partition, Partitions, Received};
+use fleet_lab::world::datagrams::{Datagrams, MessageCounts, NetworkConditions, Partition, Partitions};
 use fleet_lab::world::discovery::{Discovery, PollKind, PollResult};
 use fleet_lab::world::draining::{DrainGrace, DrainingServers};
 use fleet_lab::world::final_answer::FinalAnswer;
@@ -51,22 +51,43 @@
     Server::new(&mut random_stream(1, 1), endpoint(1, started), machine(), RULES)
 }
 
-/// The request, outcome and load report of each attempt that finished.
-fn finished(events: &[ServerEvent]) -> Vec<(u64, AttemptOutcome, Option<f64>)> {
+/// An attempt that finished.
+#[derive(Debug, PartialEq)]
+struct FinishedAttempt {
+    request: RequestNumber,
+    outcome: AttemptOutcome,
+    reported_load: Option<f64>,
+}
+
+impl FinishedAttempt {
+    fn new(request: u64, outcome: AttemptOutcome, reported_load: Option<f64>) -> FinishedAttempt {
+        FinishedAttempt { request: RequestNumber(request), outcome, reported_load }
+    }
+}
+
+/// The attempts that finished.
+fn finished(events: &[ServerEvent]) -> Vec<FinishedAttempt> {
     let finished = |event: &ServerEvent| match event {
         ServerEvent::Finished { job, outcome, reported_load } => {
-            Some((job.request.0, *outcome, *reported_load))
+            Some(FinishedAttempt::new(job.request.0, *outcome, *reported_load))
         }
         _ => None,
     };
     events.iter().filter_map(finished).collect()
 }
 
-/// The runs that were started or delayed, and when each is due.
-fn due(events: &[ServerEvent]) -> Vec<(u64, Micros)> {
+/// A run that was started or delayed, and when it is due.
+#[derive(Debug, PartialEq)]
+struct DueRun {
+    run: u64,
+    done_at: Micros,
+}
+
+/// The runs that were started or delayed.
+fn due(events: &[ServerEvent]) -> Vec<DueRun> {
     let due = |event: &ServerEvent| match event {
         ServerEvent::Started { run, done_at, .. } | ServerEvent::Delayed { run, done_at } => {
-            Some((*run, *done_at))
+            Some(DueRun { run: *run, done_at: *done_at })
         }
         _ => None,
     };
@@ -79,12 +100,15 @@
     for number in 0..11 {
         server.arrive(START, job(number, true), &mut out);
     }
-    assert_eq!(due(&out), [(1, START + 100_000), (2, START + 100_000)]);
-    assert_eq!(finished(&out), [(10, AttemptOutcome::Overloaded, Some(10.0))]);
+    assert_eq!(
+        due(&out),
+        [DueRun { run: 1, done_at: START + 100_000 }, DueRun { run: 2, done_at: START + 100_000 }]
+    );
+    assert_eq!(finished(&out), [FinishedAttempt::new(10, AttemptOutcome::Overloaded, Some(10.0))]);
     out.clear();
     server.complete(START + 100_000, 1, &mut out);
-    assert_eq!(finished(&out), [(0, AttemptOutcome::Success, Some(9.0))]);
-    assert_eq!(due(&out), [(3, START + 200_000)]);
+    assert_eq!(finished(&out), [FinishedAttempt::new(0, AttemptOutcome::Success, Some(9.0))]);
+    assert_eq!(due(&out), [DueRun { run: 3, done_at: START + 200_000 }]);
     server.cancel(RequestNumber(3), AttemptNumber(0));
     out.clear();
     server.complete(START + 100_000, 2, &mut out);
@@ -102,14 +126,14 @@
     out.clear();
     server.complete(START + 100_000, 1, &mut out);
     // 40 ms of its work were done before the hang, 60 are left.
-    assert_eq!(due(&out), [(1, START + 5 * S + 60_000)]);
+    assert_eq!(due(&out), [DueRun { run: 1, done_at: START + 5 * S + 60_000 }]);
     out.clear();
     server.complete(START + 5 * S + 60_000, 1, &mut out);
     assert_eq!(finished(&out).len(), 1);
     server.set_slowdown(6.0);
     out.clear();
     server.arrive(START + 6 * S, job(1, true), &mut out);
-    assert_eq!(due(&out), [(2, START + 6 * S + 600_000)]);
+    assert_eq!(due(&out), [DueRun { run: 2, done_at: START + 6 * S + 600_000 }]);
 }
 
 #[test]
@@ -117,7 +141,7 @@
     // 20 a second when warm; cold 5; twice that for 2 s is 20, and 2 x root of 20, and 2: 30.9.
     let (mut server, mut out) = (server(Some(START)), Vec::new());
     server.arrive(START, job(0, false), &mut out);
-    assert_eq!(due(&out), [(1, START + 400_000)]);
+    assert_eq!(due(&out), [DueRun { run: 1, done_at: START + 400_000 }]);
     for number in 1..30 {
         server.arrive(START, job(number, number > 5), &mut out);
     }
@@ -128,10 +152,13 @@
     assert!((load.budget - 30.94).abs() < 0.01 && load.calls == 31.0, "{load:?}");
     assert!((load.start_known_share - 25.0 / 31.0).abs() < 1e-9, "{load:?}");
     // The connections of all attempts that it held are lost, and it accepts no further ones.
-    assert_eq!(finished(&out).iter().filter(|end| end.1 == AttemptOutcome::ConnectionLost).count(), 11);
+    assert_eq!(
+        finished(&out).iter().filter(|attempt| attempt.outcome == AttemptOutcome::ConnectionLost).count(),
+        11
+    );
     out.clear();
     server.arrive(START + S, job(31, true), &mut out);
-    assert_eq!(finished(&out), [(31, AttemptOutcome::Unreachable, None)]);
+    assert_eq!(finished(&out), [FinishedAttempt::new(31, AttemptOutcome::Unreachable, None)]);
 }
 
 #[test]
@@ -280,7 +307,7 @@
     let mut datagrams = Datagrams::new(random_stream(1, 3), START, conditions, 2);
     let accepted = (0..20).filter(|_| datagrams.accept(START, GatewayId(1), 100)).count();
     assert_eq!((accepted, datagrams.traffic.dropped), (5, 15));
-    assert_eq!(datagrams.traffic.received[1], Received { messages: 20, bytes: 2_000 });
+    assert_eq!(datagrams.traffic.received[1], MessageCounts { messages: 20, bytes: 2_000 });
     assert!(datagrams.accept(START + S, GatewayId(1), 100) && datagrams.accept(START, GatewayId(0), 1));
     let delivered = (0..1_000).filter(|_| datagrams.send(START, false).is_some()).count();
     assert!((400..600).contains(&delivered), "{delivered}");
