fleet-lab: the limits of a customer have a module of their own

Seen: the invariant checker read and changed the token buckets, the hard limit and the concurrency permits of a customer in four places.

Changed: `world::customer_account` holds them behind `charge`, `correct`, `is_half_unused`, `attempt_sent` and `attempt_finished`; a plan without a quota is `None` in place of a bucket that nobody asks. The checker keeps the records of requests and the violations.

--- /dev/null
+++ b/fleet-lab/src/world/customer_account.rs
@@ -0,0 +1,95 @@
+//! What a customer uses of its quota, its concurrency permits and its hard limit, over all gateways together.
+
+use super::token_bucket::TokenBucket;
+use super::usage_limit::{Excess, UsageLimit};
+use super::START;
+use edge_node::{CustomerId, Micros, PlanId, Settings};
+
+/// Tolerance of a hard limit, as a share of its capacity; the largest request if that is more.
+const HARD_LIMIT_TOLERANCE: f64 = 0.1;
+/// From this fraction of its tokens on, a quota is half unused.
+const HALF_UNUSED: f64 = 0.5;
+
+/// A customer and its plan.
+#[derive(Clone, Copy, Debug)]
+pub struct CustomerPlan {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Its plan.
+    pub plan: PlanId,
+}
+
+/// What a request's first attempt does to its customer's limits.
+pub(super) struct Charge {
+    /// Neither the quota nor the concurrency permits are exceeded.
+    pub(super) is_within_quota: bool,
+    /// How far the hard limit is exceeded; `None` if there is no limit.
+    pub(super) hard_limit_excess: Option<Excess>,
+}
+
+/// The limits of one customer.
+pub(super) struct CustomerAccount {
+    pub(super) id: CustomerId,
+    pub(super) plan: PlanId,
+    /// `None` if its plan has no quota.
+    quota: Option<TokenBucket>,
+    hard_limit: Option<UsageLimit>,
+    /// Units beyond the hard limit that are tolerated.
+    hard_limit_tolerance: f64,
+    max_concurrent: Option<u32>,
+    attempts_in_flight: u32,
+}
+
+impl CustomerAccount {
+    /// The account of a customer that has used nothing.
+    pub(super) fn new(settings: &Settings, customer: CustomerPlan) -> CustomerAccount {
+        let CustomerPlan { customer: id, plan } = customer;
+        let limits = &settings.plans[plan.0];
+        let hard_limit = limits.hard_limit.as_ref();
+        let tolerance = |capacity: f64| (capacity * HARD_LIMIT_TOLERANCE).max(settings.max_request_units);
+        let has_quota = limits.rate > 0.0;
+        CustomerAccount {
+            id,
+            plan,
+            quota: has_quota.then(|| TokenBucket::full(START, limits.rate, limits.burst)),
+            hard_limit: hard_limit.map(|limit| UsageLimit::unused(START, limit.rate, limit.capacity)),
+            hard_limit_tolerance: hard_limit.map_or(0.0, |limit| tolerance(limit.capacity)),
+            max_concurrent: limits.max_concurrent,
+            attempts_in_flight: 0,
+        }
+    }
+
+    /// A request's first attempt consumes its units.
+    pub(super) fn charge(&mut self, now: Micros, units: f64) -> Charge {
+        let has_permit = self.max_concurrent.is_none_or(|max| self.attempts_in_flight < max);
+        let quota = self.quota.as_mut();
+        let is_within_quota = has_permit && quota.is_none_or(|quota| quota.try_take(now, units));
+        let tolerated = self.hard_limit_tolerance;
+        let hard_limit = self.hard_limit.as_mut();
+        let hard_limit_excess = hard_limit.map(|limit| limit.consume(now, units, tolerated));
+        Charge { is_within_quota, hard_limit_excess }
+    }
+
+    /// The actual size of a request has become known: `units` more than were charged, or less if negative.
+    pub(super) fn correct(&mut self, now: Micros, units: f64) {
+        if let Some(quota) = &mut self.quota {
+            quota.take(now, units);
+        }
+    }
+
+    /// Whether at least half of the quota is unused, and as many units as a request has; not if there is no quota.
+    pub(super) fn is_half_unused(&mut self, now: Micros, units: f64) -> bool {
+        let Some(quota) = &mut self.quota else { return false };
+        quota.fill_fraction(now) >= HALF_UNUSED && quota.tokens(now) >= units
+    }
+
+    /// An attempt is in flight from now on.
+    pub(super) fn attempt_sent(&mut self) {
+        self.attempts_in_flight += 1;
+    }
+
+    /// An attempt is no longer in flight.
+    pub(super) fn attempt_finished(&mut self) {
+        self.attempts_in_flight = self.attempts_in_flight.saturating_sub(1);
+    }
+}
--- a/fleet-lab/src/world/invariant_checker.rs
+++ b/fleet-lab/src/world/invariant_checker.rs
@@ -2,18 +2,17 @@
 //! internals of the decision module, and sees the true state without delay.
 
 use super::clients::ClientRequest;
+use super::customer_account::{Charge, CustomerAccount, CustomerPlan};
 use super::draining::DrainGrace;
 use super::final_answer::FinalAnswer;
 use super::invariant::{Invariant, Violations};
 use super::request_counts::{RequestCounts, SecondCounts};
 use super::request_record::{AttemptRecord, RequestRecord, SimulatedRequestRecord};
 use super::servers::ColdStartLoad;
-use super::token_bucket::TokenBucket;
-use super::usage_limit::{Excess, UsageLimit};
+use super::usage_limit::Excess;
 use super::{seconds_since_start, RequestNumber, START};
 use edge_node::{
-    AttemptNumber, AttemptOutcome, CustomerId, Endpoint, GatewayId, Idempotency, Micros, PlanId, ServerId,
-    Settings,
+    AttemptNumber, AttemptOutcome, Endpoint, GatewayId, Idempotency, Micros, ServerId, Settings,
 };
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
@@ -21,8 +20,6 @@
 /// Simulated time after a request's timeout in which its final answer is still in time, µs. On sockets it is longer, as
 /// processes have to wait for the processor there.
 pub const ANSWER_GRACE: Micros = 8_000;
-/// Tolerance of a hard limit, as a share of its capacity; the largest request if that is more.
-const HARD_LIMIT_TOLERANCE: f64 = 0.1;
 /// Above this share of calls from gateways that knew of the start, the crash of a cold server is their fault.
 const MAX_START_KNOWN_SHARE: f64 = 2.0 / 3.0;
 /// Violations of one invariant that are described.
@@ -43,26 +40,6 @@
     pub draining_since: Option<Micros>,
 }
 
-/// A customer and its plan.
-#[derive(Clone, Copy, Debug)]
-pub struct CustomerPlan {
-    /// The customer.
-    pub customer: CustomerId,
-    /// Its plan.
-    pub plan: PlanId,
-}
-
-/// The limits of one customer.
-struct CustomerAccount {
-    id: CustomerId,
-    plan: PlanId,
-    quota: TokenBucket,
-    hard_limit: Option<UsageLimit>,
-    /// Units beyond the hard limit that are tolerated.
-    hard_limit_tolerance: f64,
-    attempts_in_flight: u32,
-}
-
 /// The invariant checker.
 pub struct InvariantChecker {
     settings: Settings,
@@ -162,7 +139,7 @@
             self.waits.saturating_record(wait.max(1));
             self.charge(now, &request);
         }
-        self.accounts[request.customer].attempts_in_flight += 1;
+        self.accounts[request.customer].attempt_sent();
         true
     }
 
@@ -209,18 +186,14 @@
     fn charge(&mut self, now: Micros, request: &ClientRequest) {
         let units = request.estimated_units;
         let account = &mut self.accounts[request.customer];
-        let plan = &self.settings.plans[account.plan.0];
-        let has_permit = plan.max_concurrent.is_none_or(|max| account.attempts_in_flight < max);
-        let is_within_quota = has_permit && (plan.rate <= 0.0 || account.quota.try_take(now, units));
-        let tolerance = account.hard_limit_tolerance;
-        let excess = account.hard_limit.as_mut().map(|limit| limit.consume(now, units, tolerance));
         let customer = account.id.0;
+        let Charge { is_within_quota, hard_limit_excess } = account.charge(now, units);
         let second = self.second(now);
         second.sent_units += units;
         if !is_within_quota {
             second.over_quota_units += units;
         }
-        if let Some(excess) = excess.filter(Excess::is_violation) {
+        if let Some(excess) = hard_limit_excess.filter(Excess::is_violation) {
             let problem = format!("customer {customer} is {:.1} units beyond its ceiling", excess.units);
             self.record_violation(now, Invariant::HardLimit, problem);
         }
@@ -248,8 +221,7 @@
             AttemptOutcome::Overloaded | AttemptOutcome::Unreachable | AttemptOutcome::NotSent
         );
         if std::mem::replace(&mut attempt.is_in_flight, false) {
-            let account = &mut self.accounts[record.request.customer];
-            account.attempts_in_flight = account.attempts_in_flight.saturating_sub(1);
+            self.accounts[record.request.customer].attempt_finished();
         }
     }
 
@@ -283,7 +255,7 @@
     fn count_served(&mut self, now: Micros, number: RequestNumber, request: &ClientRequest) {
         // The actual size becomes known with the answer.
         let correction = request.actual_units - request.estimated_units;
-        self.accounts[request.customer].quota.take(now, correction);
+        self.accounts[request.customer].correct(now, correction);
         let latency_objective = self.settings.classes[request.class.0].latency_objective;
         if now <= self.requests[number.0 as usize].arrived_at + latency_objective {
             self.count(now, request, |counts| counts.served += 1);
@@ -297,12 +269,10 @@
         let was_sent = !record.attempts.is_empty();
         let is_harmless = record.may_be_rejected(self.idempotency(request));
         let account = &mut self.accounts[request.customer];
-        let has_quota = self.settings.plans[account.plan.0].rate > 0.0;
-        let is_half_unused = account.quota.fill_fraction(now) >= 0.5;
-        let is_within_quota = is_half_unused && account.quota.tokens(now) >= request.estimated_units;
+        let is_half_unused = account.is_half_unused(now, request.estimated_units);
         self.count(now, request, |counts| {
             counts.rejected += 1;
-            counts.rejected_within_quota += u64::from(!was_sent && has_quota && is_within_quota);
+            counts.rejected_within_quota += u64::from(!was_sent && is_half_unused);
         });
         if !is_harmless {
             let problem = format!("request {} refused, which may have run", number.0);
@@ -349,20 +319,3 @@
         }
     }
 }
-
-impl CustomerAccount {
-    fn new(settings: &Settings, customer: CustomerPlan) -> CustomerAccount {
-        let CustomerPlan { customer: id, plan } = customer;
-        let limits = &settings.plans[plan.0];
-        let hard_limit = limits.hard_limit.as_ref();
-        let tolerance = |capacity: f64| (capacity * HARD_LIMIT_TOLERANCE).max(settings.max_request_units);
-        CustomerAccount {
-            id,
-            plan,
-            quota: TokenBucket::full(START, limits.rate, limits.burst),
-            hard_limit: hard_limit.map(|limit| UsageLimit::unused(START, limit.rate, limit.capacity)),
-            hard_limit_tolerance: hard_limit.map_or(0.0, |limit| tolerance(limit.capacity)),
-            attempts_in_flight: 0,
-        }
-    }
-}
--- a/fleet-lab/src/world/mod.rs
+++ b/fleet-lab/src/world/mod.rs
@@ -5,6 +5,7 @@
 //! checks on them. This module imports neither `hybrid` nor `simulate`.
 
 pub mod clients;
+pub mod customer_account;
 pub mod datagrams;
 pub mod discovery;
 pub mod draining;
--- a/fleet-lab/tests/world.rs
+++ b/fleet-lab/tests/world.rs
@@ -2,12 +2,13 @@
 
 use edge_node::*;
 use fleet_lab::world::clients::{ClientError, Clients, Demand};
+use fleet_lab::world::customer_account::CustomerPlan;
 use fleet_lab::world::datagrams::{Datagrams, MessageCounts, NetworkConditions, Partition, Partitions};
 use fleet_lab::world::discovery::{Discovery, PollKind, PollResult};
 use fleet_lab::world::draining::{DrainGrace, DrainingServers};
 use fleet_lab::world::final_answer::FinalAnswer;
 use fleet_lab::world::invariant::Invariant;
-use fleet_lab::world::invariant_checker::{CustomerPlan, InvariantChecker, SentAttempt};
+use fleet_lab::world::invariant_checker::{InvariantChecker, SentAttempt};
 use fleet_lab::world::request_counts::RequestCounts;
 use fleet_lab::world::request_record::RequestRecord;
 use fleet_lab::world::servers::{ColdStartLoad, Job, Machine, Server, ServerEvent};
