--- a/fleet-lab/src/world/clients.rs
+++ b/fleet-lab/src/world/clients.rs
@@ -2,7 +2,9 @@
 //! their quotas; deadlines, retries that follow the advice of a rejection, and clients that disconnect.
 
 use super::datagrams::Temporary;
-use super::{micros, time_to_next_event, Rng, TimeSpan, START};
+use super::demand_pattern::{DemandPattern, Phase};
+use super::request_size::{draw_units, mean_units};
+use super::{micros, time_to_next_event, Rng, TimeSpan};
 use edge_node::{ClassId, CustomerId, GatewayId, Idempotency, Micros, PlanId, Settings};
 use rand::Rng as _;
 
@@ -14,29 +16,9 @@
 const MISESTIMATED_SHARE: f64 = 0.2;
 /// Requests a second of a customer whose plan has no quota.
 const UNLIMITED_RATE: f64 = 5.0;
-/// What a customer uses of its quota between two bursts.
-const BETWEEN_BURSTS_SHARE: f64 = 0.4;
 /// Customers that take part in a flood.
 const FLOODING_CUSTOMERS: usize = 2;
 
-/// How a customer uses its quota; shares are of the quota.
-#[derive(Clone, Copy, Debug)]
-enum DemandPattern {
-    /// Always this share.
-    Steady(f64),
-    /// Long phases of up to four times the quota.
-    Sustained(f64),
-    /// Short bursts of several times the quota.
-    Bursty(f64),
-}
-
-/// Whether a customer is at the peak of its pattern, and until when.
-#[derive(Clone, Copy, Debug)]
-struct Phase {
-    is_peak: bool,
-    until: Micros,
-}
-
 /// Which of its gateways a customer uses most, counted from the first, and until when.
 #[derive(Clone, Copy, Debug)]
 struct PreferredGateway {
@@ -285,84 +267,3 @@
         flood_rate: 0.0,
     }
 }
-
-impl DemandPattern {
-    fn draw(rng: &mut Rng) -> DemandPattern {
-        let chance = rng.random::<f64>();
-        if chance < 0.17 {
-            DemandPattern::Steady(rng.random_range(0.85..1.0))
-        } else if chance < 0.26 {
-            DemandPattern::Sustained(rng.random_range(1.5..4.0))
-        } else if chance < 0.42 {
-            DemandPattern::Bursty(rng.random_range(2.0..7.6))
-        } else {
-            DemandPattern::Steady(rng.random_range(0.1..0.6))
-        }
-    }
-
-    fn next_phase(self, rng: &mut Rng, now: Micros, last: Phase) -> Phase {
-        // The first burst comes at any time, not in the first moment of the simulation.
-        let is_started = last.until > START;
-        let (is_peak, seconds) = match self {
-            DemandPattern::Steady(_) => (false, 20.0..30.0),
-            DemandPattern::Sustained(_) => (!last.is_peak, 5.0..15.0),
-            DemandPattern::Bursty(_) if last.is_peak => (false, 6.0..20.0),
-            DemandPattern::Bursty(_) => (is_started, 1.1..4.6),
-        };
-        Phase { is_peak, until: now + micros(rng.random_range(seconds)) }
-    }
-
-    /// Share of the quota that is asked for now.
-    fn share(self, is_peak: bool) -> f64 {
-        match self {
-            DemandPattern::Steady(share) => share,
-            DemandPattern::Sustained(share) | DemandPattern::Bursty(share) if is_peak => share,
-            DemandPattern::Sustained(_) | DemandPattern::Bursty(_) => BETWEEN_BURSTS_SHARE,
-        }
-    }
-
-    /// Mean share of the quota that is asked for within it.
-    fn mean_share_within_quota(self) -> f64 {
-        match self {
-            DemandPattern::Steady(share) => share,
-            DemandPattern::Sustained(_) => 0.7,
-            DemandPattern::Bursty(_) => 0.5,
-        }
-    }
-
-    fn scaled(self, factor: f64) -> DemandPattern {
-        match self {
-            DemandPattern::Steady(share) => DemandPattern::Steady(share * factor),
-            other => other,
-        }
-    }
-}
-
-/// A size that requests may have.
-struct SizeClass {
-    units: f64,
-    /// Its probability is proportional to this.
-    weight: f64,
-}
-
-/// Sizes from 1 unit to the largest; the probability of each is inverse to its square.
-fn size_classes(max_units: f64) -> impl Iterator<Item = SizeClass> {
-    let sizes = 1..=(max_units as u32).max(1);
-    sizes.map(|units| SizeClass { units: f64::from(units), weight: 1.0 / f64::from(units * units) })
-}
-
-fn draw_units(rng: &mut Rng, max_units: f64) -> f64 {
-    let mut drawn = rng.random::<f64>() * size_classes(max_units).map(|size| size.weight).sum::<f64>();
-    for size in size_classes(max_units) {
-        drawn -= size.weight;
-        if drawn <= 0.0 {
-            return size.units;
-        }
-    }
-    1.0
-}
-
-fn mean_units(max_units: f64) -> f64 {
-    let total: f64 = size_classes(max_units).map(|size| size.weight).sum();
-    size_classes(max_units).map(|size| size.units * size.weight).sum::<f64>() / total
-}
--- a/fleet-lab/src/world/mod.rs
+++ b/fleet-lab/src/world/mod.rs
@@ -7,6 +7,7 @@
 pub mod clients;
 pub mod customer_account;
 pub mod datagrams;
+mod demand_pattern;
 pub mod discovery;
 pub mod draining;
 pub mod final_answer;
@@ -14,6 +15,7 @@
 pub mod invariant_checker;
 pub mod request_counts;
 pub mod request_record;
+mod request_size;
 pub mod servers;
 pub mod token_bucket;
 pub mod usage_limit;
