--- a/src/bin/edge-node/clients/request.rs
+++ b/src/bin/edge-node/clients/request.rs
@@ -6,7 +6,7 @@
 use super::request_head::{RequestHead, IDEMPOTENCY_KEY};
 use super::response::{self, BufferedResponse};
 use crate::node::{Answer, Node};
-use crate::upstream::Forward;
+use crate::upstream::UpstreamRequest;
 use bytes::Bytes;
 use edge_node::{Event, RequestId};
 use http_body_util::{BodyExt, Limited};
@@ -60,7 +60,7 @@
     /// For the decision module.
     event: Event,
     /// For the servers, once the decision module sends it.
-    forward: Forward,
+    forward: UpstreamRequest,
 }
 
 /// Parses the head, then reads the body to its end.
@@ -77,11 +77,12 @@
 /// it is read; the reservation is released when this returns or is dropped.
 async fn read_body(node: &Node, head: &RequestHead, body: Incoming) -> Result<Bytes, RequestError> {
     let announced = body.size_hint().lower();
-    let (limit, _reservation) = node.upstream.room.take(announced).ok_or(RequestError::BodyTooLarge)?;
+    let reservation = node.upstream.body_budget.reserve(announced);
+    let reservation = reservation.map_err(|_| RequestError::BodyTooLarge)?;
     if !head.allows_body && !body.is_end_stream() {
         return Err(RequestError::UnexpectedBody);
     }
-    let whole = Limited::new(body, limit).collect();
+    let whole = Limited::new(body, reservation.max_bytes()).collect();
     match tokio::time::timeout(BODY_READ_TIMEOUT, whole).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         _ => Err(RequestError::IncompleteBody),
@@ -103,8 +104,9 @@
             client_timeout: client_timeout.as_micros() as u64,
         };
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
-        let key = parts.headers.get(IDEMPOTENCY_KEY).cloned();
-        let forward = Forward { id: head.id, method: parts.method, target, key, body, deadline };
+        let idempotency_key = parts.headers.get(IDEMPOTENCY_KEY).cloned();
+        let forward =
+            UpstreamRequest { id: head.id, method: parts.method, target, idempotency_key, body, deadline };
         AdmittedRequest { event, forward }
     }
 }
--- a/src/bin/edge-node/node/attempts.rs
+++ b/src/bin/edge-node/node/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::pending_requests::NextAttempt;
 use super::{Answer, Node};
-use crate::upstream::Ending;
+use crate::upstream::{Attempt, AttemptResult};
 use edge_node::{AttemptNumber, Event, Micros, RequestId, ServerId};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -76,7 +76,8 @@
         // never aborted, so each attempt is reported to the decision module once.
         tokio::task::spawn_local(async move {
             let is_open = || node.requests.contains(&id);
-            let result = node.upstream.attempt(&request, server, deadline, cancelled, is_open).await;
+            let attempt = Attempt { request: &request, server, deadline, cancelled, is_open };
+            let result = node.upstream.attempt(attempt).await;
             node.finish_attempt(id, number, result);
         });
     }
@@ -88,8 +89,8 @@
 
     /// Reports the end of an attempt. Its connection is closed or free again by now, so that a request never has two
     /// attempts in flight.
-    fn finish_attempt(self: &Rc<Self>, id: RequestId, attempt: AttemptNumber, result: Ending) {
-        let Ending { outcome, body, load } = result;
+    fn finish_attempt(self: &Rc<Self>, id: RequestId, attempt: AttemptNumber, result: AttemptResult) {
+        let AttemptResult { outcome, body, reported_load } = result;
         debug!(
             event = "attempt_finished",
             id = %id.0,
@@ -107,7 +108,7 @@
             self.answer_request(&id, Answer::Served(body));
         }
         let closed = !self.requests.contains(&id);
-        self.dispatch(Event::AttemptFinished { id, attempt, outcome, closed, reported_load: load });
+        self.dispatch(Event::AttemptFinished { id, attempt, outcome, closed, reported_load });
     }
 }
 
--- a/src/bin/edge-node/node/endpoints.rs
+++ b/src/bin/edge-node/node/endpoints.rs
@@ -3,6 +3,7 @@
 
 use super::Node;
 use crate::endpoint_list::{EndpointEntry, EndpointHealth, EndpointList};
+use crate::upstream::ServerAddress;
 use edge_node::{CellId, Endpoint, EndpointState, EndpointUpdate, Event, Micros, ServerId, ZoneId};
 use std::cell::Cell;
 use std::fmt;
@@ -55,8 +56,10 @@
     pub(crate) fn apply_endpoints(self: &Rc<Self>, kind: EndpointUpdate, hosts: &[EndpointEntry]) {
         let zones = &self.settings.zone_names;
         let endpoints = hosts.iter().map(|host| endpoint(host, zones)).collect();
-        let addresses = hosts.iter().map(|host| (server_id(&host.name), dial_address(host)));
-        self.upstream.listed(kind == EndpointUpdate::Snapshot, addresses);
+        let addresses = hosts
+            .iter()
+            .map(|host| ServerAddress { server: server_id(&host.name), address: dial_address(host) });
+        self.upstream.update_endpoints(kind, addresses);
         self.dispatch(Event::EndpointsUpdated { kind, endpoints });
     }
 
--- a/src/bin/edge-node/node/pending_requests.rs
+++ b/src/bin/edge-node/node/pending_requests.rs
@@ -2,7 +2,7 @@
 
 use super::Node;
 use crate::metrics::RequestOutcome;
-use crate::upstream::Forward;
+use crate::upstream::UpstreamRequest;
 use bytes::Bytes;
 use edge_node::{AttemptNumber, ClassId, Event, Micros, PlanId, RequestId};
 use std::cell::RefCell;
@@ -55,7 +55,7 @@
 
 /// A request that has no final answer yet.
 struct PendingRequest {
-    request: Rc<Forward>,
+    request: Rc<UpstreamRequest>,
     answer: oneshot::Sender<Answer>,
     attempts_started: u32,
     kind: Option<RequestKind>,
@@ -64,7 +64,9 @@
 }
 
 impl PendingRequest {
-    fn new(request: Forward, kind: Option<RequestKind>, answer: oneshot::Sender<Answer>) -> PendingRequest {
+    fn new(
+        request: UpstreamRequest, kind: Option<RequestKind>, answer: oneshot::Sender<Answer>,
+    ) -> PendingRequest {
         PendingRequest {
             request: Rc::new(request),
             answer,
@@ -78,7 +80,7 @@
 /// An attempt that is about to be sent.
 pub(super) struct NextAttempt {
     /// The request to be sent.
-    pub(super) request: Rc<Forward>,
+    pub(super) request: Rc<UpstreamRequest>,
     /// Counts the attempts of the request, from 0 on.
     pub(super) number: AttemptNumber,
 }
@@ -157,7 +159,7 @@
     /// Whoever waits for the answer has to call [`Node::abandon_request`] when it stops waiting. Dropping the receiver
     /// alone leaves the request in the table.
     pub(crate) fn accept_request(
-        self: &Rc<Self>, event: Event, request: Forward,
+        self: &Rc<Self>, event: Event, request: UpstreamRequest,
     ) -> Option<oneshot::Receiver<Answer>> {
         let id = request.id.clone();
         if self.requests.contains(&id) || self.attempts.contains(&id) {
--- a/src/bin/edge-node/node/status.rs
+++ b/src/bin/edge-node/node/status.rs
@@ -51,7 +51,7 @@
             client_connections: self.client_connections.get(),
             server_connections: self.upstream.open_sockets(),
             open_descriptors: open_descriptors(),
-            servers_ready: self.upstream.known(),
+            servers_ready: self.upstream.ready_servers(),
             tracked_entries: self.gateway.borrow().tracked_entries(),
             list_age: last_list.map(|list| list.applied_at.elapsed()),
             list_sequence: last_list.map_or(0, |list| list.sequence),
--- a/src/bin/edge-node/startup.rs
+++ b/src/bin/edge-node/startup.rs
@@ -13,7 +13,7 @@
 use crate::peers::Peers;
 use crate::reload::Reload;
 use crate::shutdown::Shutdown;
-use crate::upstream::{Room, Upstream};
+use crate::upstream::{BodyBudget, Upstream};
 use crate::{bind, discovery};
 use anyhow::{Context, Result};
 use edge_node::reconnect;
@@ -72,7 +72,7 @@
     spawn_local(reload.run(signals.hangup));
     let first_list = start_discovery(&node, discovery_seen, config.initial_endpoints);
     spawn_local(node::receive_peer_messages(Rc::clone(&node)));
-    spawn_local(retire_idle_connections(Rc::clone(&node)));
+    spawn_local(evict_idle_connections(Rc::clone(&node)));
 
     let waited = wait_for_first_list(&node, first_list).await;
     phase.send_replace(Phase::Serving);
@@ -158,7 +158,7 @@
 
     fn upstream(&self, settings: &ResolvedSettings) -> Upstream {
         Upstream::new(
-            Room::new(self.large_body_bytes),
+            BodyBudget::new(self.large_body_bytes),
             self.connections_per_side,
             settings.connection_idle_timeout,
             settings.connect_timeout,
@@ -188,8 +188,8 @@
     first_list
 }
 
-async fn retire_idle_connections(node: Rc<Node>) {
-    node.upstream.retire().await;
+async fn evict_idle_connections(node: Rc<Node>) {
+    node.upstream.evict_idle_connections().await;
 }
 
 /// How the wait for the first endpoint list ended.
--- /dev/null
+++ b/src/bin/edge-node/upstream/mod.rs
@@ -0,0 +1,171 @@
+//! App servers as this node sees them: connection pools, and the attempts that use them.
+//!
+//! [`Upstream`] follows the endpoint list and makes attempts. `attempt` takes one attempt from its connection to its
+//! end, `response` validates what the server answers, `pool` and `connection` keep connections, `socket` counts them,
+//! and `body_budget` bounds the memory of bodies.
+
+mod attempt;
+mod body_budget;
+mod connection;
+mod pool;
+mod response;
+mod socket;
+
+pub(crate) use attempt::{Attempt, AttemptResult, UpstreamRequest};
+pub(crate) use body_budget::BodyBudget;
+
+use connection::{ConnectError, PooledConnection};
+use edge_node::{EndpointUpdate, Micros, ServerId};
+use pool::ServerPool;
+use socket::OpenSockets;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Share of the servers' idle timeout for which a connection is kept. A request that is written while the server
+/// closes the connection ends with a reset, after which it may have been executed.
+const IDLE_TIMEOUT_SHARE: f64 = 0.6;
+/// Time between two evictions of idle connections.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A server of the endpoint list.
+pub(crate) struct ServerAddress {
+    /// The server.
+    pub(crate) server: ServerId,
+    /// Where it is reached; `None` if nothing may be sent to it.
+    pub(crate) address: Option<SocketAddr>,
+}
+
+/// The servers that are ready, and the connections to them.
+pub(crate) struct Upstream {
+    /// Memory for the large bodies of requests and responses.
+    pub(crate) body_budget: BodyBudget,
+    pools: RefCell<HashMap<ServerId, ServerPool>>,
+    open_sockets: OpenSockets,
+    max_sockets: usize,
+    idle_timeout: Duration,
+    connect_timeout: Duration,
+}
+
+impl Upstream {
+    /// No servers yet. `max_sockets` connections may be open at a time; both timeouts are in µs, and the idle timeout
+    /// is the one after which a server closes a connection.
+    pub(crate) fn new(
+        body_budget: BodyBudget, max_sockets: usize, connection_idle_timeout: Micros, connect_timeout: Micros,
+    ) -> Upstream {
+        Upstream {
+            body_budget,
+            pools: RefCell::default(),
+            open_sockets: OpenSockets::default(),
+            max_sockets,
+            idle_timeout: Duration::from_micros(connection_idle_timeout).mul_f64(IDLE_TIMEOUT_SHARE),
+            connect_timeout: Duration::from_micros(connect_timeout),
+        }
+    }
+
+    /// Connections to servers that are open.
+    pub(crate) fn open_sockets(&self) -> usize {
+        self.open_sockets.count()
+    }
+
+    /// Servers that are ready.
+    pub(crate) fn ready_servers(&self) -> usize {
+        self.pools.borrow().len()
+    }
+
+    /// Follows the endpoint list. The idle connections of a server are closed if it is no longer ready, has moved, or
+    /// is missing from a snapshot; those in use are closed when their attempt ends.
+    pub(crate) fn update_endpoints(
+        &self, kind: EndpointUpdate, endpoints: impl Iterator<Item = ServerAddress>,
+    ) {
+        let mut pools = self.pools.borrow_mut();
+        let mut previous = match kind {
+            EndpointUpdate::Snapshot => std::mem::take(&mut *pools),
+            EndpointUpdate::Delta => HashMap::new(),
+        };
+        for ServerAddress { server, address } in endpoints {
+            let existing = previous.remove(&server).or_else(|| pools.remove(&server));
+            if let Some(pool) = updated_pool(existing, address) {
+                pools.insert(server, pool);
+            }
+        }
+        for pool in previous.into_values() {
+            pool.close_idle();
+        }
+    }
+
+    /// Closes connections that have been idle for too long, for ever. It holds nothing while it waits, so that the
+    /// future may be dropped at any time.
+    pub(crate) async fn evict_idle_connections(&self) {
+        loop {
+            tokio::time::sleep(EVICTION_INTERVAL).await;
+            for pool in self.pools.borrow_mut().values_mut() {
+                pool.evict_expired(self.idle_timeout);
+            }
+        }
+    }
+
+    /// Whether a connection reaches the server at its current address. An address may pass from one server to
+    /// another.
+    fn leads_to(&self, server: ServerId, connection: &PooledConnection) -> bool {
+        self.pools.borrow().get(&server).is_some_and(|pool| pool.address() == connection.address())
+    }
+
+    fn take_idle(&self, server: ServerId) -> Option<PooledConnection> {
+        self.pools.borrow_mut().get_mut(&server)?.take_idle(self.idle_timeout)
+    }
+
+    /// Returns a connection to its pool, or closes it if it does not belong there any more.
+    fn release(&self, server: ServerId, mut connection: PooledConnection) {
+        connection.mark_idle();
+        let is_usable = self.leads_to(server, &connection) && !connection.is_closed();
+        match self.pools.borrow_mut().get_mut(&server) {
+            Some(pool) if is_usable => pool.put_idle(connection),
+            _ => connection.close_in_background(),
+        }
+    }
+
+    /// Opens a connection to a server. If the future is dropped, the socket is closed and no longer counted.
+    async fn connect(&self, server: ServerId) -> Result<PooledConnection, ConnectError> {
+        let address = self.pools.borrow().get(&server).map(ServerPool::address);
+        let address = address.ok_or(ConnectError::UnknownServer)?;
+        if self.open_sockets.count() >= self.max_sockets {
+            self.close_oldest_idle().await?;
+        }
+        let guard = self.open_sockets.add();
+        PooledConnection::open(address, self.connect_timeout, guard).await
+    }
+
+    /// Closes the connection that has been idle for the longest time, and returns when that is done.
+    ///
+    /// # Errors
+    /// No connection is idle.
+    async fn close_oldest_idle(&self) -> Result<(), ConnectError> {
+        let oldest = self.take_oldest_idle().ok_or(ConnectError::SocketLimit)?;
+        oldest.close().await;
+        Ok(())
+    }
+
+    fn take_oldest_idle(&self) -> Option<PooledConnection> {
+        let mut pools = self.pools.borrow_mut();
+        let with_idle = pools.values_mut().filter_map(|pool| Some((pool.oldest_idle_since()?, pool)));
+        let (_since, pool) = with_idle.min_by_key(|(since, _pool)| *since)?;
+        pool.take_oldest()
+    }
+}
+
+/// The pool of a server at `address`: the existing one if the server has not moved.
+fn updated_pool(existing: Option<ServerPool>, address: Option<SocketAddr>) -> Option<ServerPool> {
+    if let Some(pool) = existing {
+        if address == Some(pool.address()) {
+            return Some(pool);
+        }
+        pool.close_idle();
+    }
+    address.map(ServerPool::new)
+}
+
+#[cfg(test)]
+#[path = "../../../../tests/unit/upstream.rs"]
+mod tests;
--- a/tests/server_table.rs
+++ b/tests/server_table.rs
@@ -3,7 +3,7 @@
 mod common;
 mod gateway_pair;
 
-use common::{settings, Stand, KEYED, S};
+use common::{settings, GatewayHarness, KEYED_BY_CELL, S, UNLIMITED};
 use edge_node::*;
 use gateway_pair::{delta, endpoint, server_number, snapshot, GatewayPair};
 use std::collections::BTreeSet;
@@ -108,17 +108,15 @@
 /// A keyed request whose repeats are only recognized in one cell is repeated among the few servers of that cell.
 #[test]
 fn a_repeat_stays_in_the_cell_of_the_first_attempt() {
-    let mut stand = Stand::new(3, settings(0, 4_200), S);
-    stand.spread = 1;
-    stand.servers(EndpointUpdate::Snapshot, (0..5_000).map(endpoint).collect());
+    let mut gateway = GatewayHarness::new(3, settings(0, 4_200), S);
+    gateway.customer_gateways.count = 1;
+    gateway.update_endpoints(EndpointUpdate::Snapshot, (0..5_000).map(endpoint).collect());
     for round in 0..20 {
-        let id = stand.request(KEYED, 1, round, 2 * S);
-        let server_in_use =
-            |stand: &Stand| stand.out.iter().find(|(out, _, _)| *out == id).map(|(_, _, server)| *server);
-        let first = server_in_use(&stand).expect("a first attempt");
-        stand.end(&id, AttemptOutcome::ConnectionLost);
-        let repeat = server_in_use(&stand).expect("a repeat");
-        assert_eq!(stand.list[&first].cell, stand.list[&repeat].cell);
-        stand.end(&id, AttemptOutcome::Success);
+        let id = gateway.request(KEYED_BY_CELL, UNLIMITED, CustomerId(round), 2 * S);
+        let first = gateway.server_of(&id).expect("a first attempt");
+        gateway.finish(&id, AttemptOutcome::ConnectionLost);
+        let repeat = gateway.server_of(&id).expect("a repeat");
+        assert_eq!(gateway.endpoints[&first].cell, gateway.endpoints[&repeat].cell);
+        gateway.finish(&id, AttemptOutcome::Success);
     }
 }
--- a/tests/unit/pending_requests.rs
+++ b/tests/unit/pending_requests.rs
@@ -8,11 +8,11 @@
 }
 
 fn insert(requests: &PendingRequests, name: &str) {
-    let request = Forward {
+    let request = UpstreamRequest {
         id: id(name),
         method: Method::GET,
         target: "/".to_owned(),
-        key: None,
+        idempotency_key: None,
         body: Bytes::new(),
         deadline: Instant::now(),
     };
