--- a/fleet-lab/src/hybrid/datagrams.rs
+++ b/fleet-lab/src/hybrid/datagrams.rs
@@ -1,6 +1,9 @@
 //! Datagrams between nodes. Each node that runs has an address at which the others know it: a hollow node reads there
 //! itself, and what arrives for a real node is counted and forwarded, so that the messages of real nodes can be counted.
+//!
+//! Delay and loss are those of the sockets. The network of `world` draws both, and knows no sockets.
 
+use crate::world::datagrams::MessageCounts;
 use anyhow::{Context, Result};
 use edge_node::GatewayId;
 use std::cell::Cell;
@@ -13,10 +16,8 @@
 /// What one node has sent.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct SentMessages {
-    /// Datagrams.
-    pub(super) messages: u64,
-    /// Their bytes, without headers.
-    pub(super) bytes: u64,
+    /// All datagrams.
+    pub(super) counts: MessageCounts,
     /// Datagrams that were longer than the protocol allows.
     pub(super) too_long: u64,
 }
@@ -128,8 +129,7 @@
     fn count(&self, from: GatewayId, bytes: &[u8]) {
         let counter = &self.nodes[from.0 as usize].sent;
         let mut sent = counter.get();
-        sent.messages += 1;
-        sent.bytes += bytes.len() as u64;
+        sent.counts.add(bytes.len());
         sent.too_long += u64::from(bytes.len() > MAX_DATAGRAM);
         counter.set(sent);
     }
--- a/fleet-lab/tests/world.rs
+++ b/fleet-lab/tests/world.rs
@@ -2,13 +2,18 @@
 
 use edge_node::*;
 use fleet_lab::world::clients::{ClientError, Clients, Demand};
-use fleet_lab::world::datagrams::{Datagrams, NetworkConditions, Partition, Partitions, Received};
+use fleet_lab::world::customer_account::CustomerPlan;
+use fleet_lab::world::datagrams::{Datagrams, MessageCounts, NetworkConditions, Partition, Partitions};
 use fleet_lab::world::discovery::{Discovery, PollKind, PollResult};
+use fleet_lab::world::draining::{DrainGrace, DrainingServers};
+use fleet_lab::world::final_answer::FinalAnswer;
 use fleet_lab::world::invariant::Invariant;
-use fleet_lab::world::invariant_checker::{FinalAnswer, InvariantChecker, SentAttempt};
+use fleet_lab::world::invariant_checker::{InvariantChecker, SentAttempt};
 use fleet_lab::world::request_counts::RequestCounts;
+use fleet_lab::world::request_record::RequestRecord;
 use fleet_lab::world::servers::{ColdStartLoad, Job, Machine, Server, ServerEvent};
 use fleet_lab::world::token_bucket::TokenBucket;
+use fleet_lab::world::usage_limit::UsageLimit;
 use fleet_lab::world::{micros, random_stream, RequestNumber, TimeSpan, START};
 
 /// A second, µs.
@@ -47,22 +52,43 @@
     Server::new(&mut random_stream(1, 1), endpoint(1, started), machine(), RULES)
 }
 
-/// The request, outcome and load report of each attempt that finished.
-fn finished(events: &[ServerEvent]) -> Vec<(u64, AttemptOutcome, Option<f64>)> {
+/// An attempt that finished.
+#[derive(Debug, PartialEq)]
+struct FinishedAttempt {
+    request: RequestNumber,
+    outcome: AttemptOutcome,
+    reported_load: Option<f64>,
+}
+
+impl FinishedAttempt {
+    fn new(request: u64, outcome: AttemptOutcome, reported_load: Option<f64>) -> FinishedAttempt {
+        FinishedAttempt { request: RequestNumber(request), outcome, reported_load }
+    }
+}
+
+/// The attempts that finished.
+fn finished(events: &[ServerEvent]) -> Vec<FinishedAttempt> {
     let finished = |event: &ServerEvent| match event {
         ServerEvent::Finished { job, outcome, reported_load } => {
-            Some((job.request.0, *outcome, *reported_load))
+            Some(FinishedAttempt::new(job.request.0, *outcome, *reported_load))
         }
         _ => None,
     };
     events.iter().filter_map(finished).collect()
 }
 
-/// The runs that were started or delayed, and when each is due.
-fn due(events: &[ServerEvent]) -> Vec<(u64, Micros)> {
+/// A run that was started or delayed, and when it is due.
+#[derive(Debug, PartialEq)]
+struct DueRun {
+    run: u64,
+    done_at: Micros,
+}
+
+/// The runs that were started or delayed.
+fn due(events: &[ServerEvent]) -> Vec<DueRun> {
     let due = |event: &ServerEvent| match event {
         ServerEvent::Started { run, done_at, .. } | ServerEvent::Delayed { run, done_at } => {
-            Some((*run, *done_at))
+            Some(DueRun { run: *run, done_at: *done_at })
         }
         _ => None,
     };
@@ -75,12 +101,15 @@
     for number in 0..11 {
         server.arrive(START, job(number, true), &mut out);
     }
-    assert_eq!(due(&out), [(1, START + 100_000), (2, START + 100_000)]);
-    assert_eq!(finished(&out), [(10, AttemptOutcome::Overloaded, Some(10.0))]);
+    assert_eq!(
+        due(&out),
+        [DueRun { run: 1, done_at: START + 100_000 }, DueRun { run: 2, done_at: START + 100_000 }]
+    );
+    assert_eq!(finished(&out), [FinishedAttempt::new(10, AttemptOutcome::Overloaded, Some(10.0))]);
     out.clear();
     server.complete(START + 100_000, 1, &mut out);
-    assert_eq!(finished(&out), [(0, AttemptOutcome::Success, Some(9.0))]);
-    assert_eq!(due(&out), [(3, START + 200_000)]);
+    assert_eq!(finished(&out), [FinishedAttempt::new(0, AttemptOutcome::Success, Some(9.0))]);
+    assert_eq!(due(&out), [DueRun { run: 3, done_at: START + 200_000 }]);
     server.cancel(RequestNumber(3), AttemptNumber(0));
     out.clear();
     server.complete(START + 100_000, 2, &mut out);
@@ -98,14 +127,14 @@
     out.clear();
     server.complete(START + 100_000, 1, &mut out);
     // 40 ms of its work were done before the hang, 60 are left.
-    assert_eq!(due(&out), [(1, START + 5 * S + 60_000)]);
+    assert_eq!(due(&out), [DueRun { run: 1, done_at: START + 5 * S + 60_000 }]);
     out.clear();
     server.complete(START + 5 * S + 60_000, 1, &mut out);
     assert_eq!(finished(&out).len(), 1);
     server.set_slowdown(6.0);
     out.clear();
     server.arrive(START + 6 * S, job(1, true), &mut out);
-    assert_eq!(due(&out), [(2, START + 6 * S + 600_000)]);
+    assert_eq!(due(&out), [DueRun { run: 2, done_at: START + 6 * S + 600_000 }]);
 }
 
 #[test]
@@ -113,7 +142,7 @@
     // 20 a second when warm; cold 5; twice that for 2 s is 20, and 2 x root of 20, and 2: 30.9.
     let (mut server, mut out) = (server(Some(START)), Vec::new());
     server.arrive(START, job(0, false), &mut out);
-    assert_eq!(due(&out), [(1, START + 400_000)]);
+    assert_eq!(due(&out), [DueRun { run: 1, done_at: START + 400_000 }]);
     for number in 1..30 {
         server.arrive(START, job(number, number > 5), &mut out);
     }
@@ -124,10 +153,13 @@
     assert!((load.budget - 30.94).abs() < 0.01 && load.calls == 31.0, "{load:?}");
     assert!((load.start_known_share - 25.0 / 31.0).abs() < 1e-9, "{load:?}");
     // The connections of all attempts that it held are lost, and it accepts no further ones.
-    assert_eq!(finished(&out).iter().filter(|end| end.1 == AttemptOutcome::ConnectionLost).count(), 11);
+    assert_eq!(
+        finished(&out).iter().filter(|attempt| attempt.outcome == AttemptOutcome::ConnectionLost).count(),
+        11
+    );
     out.clear();
     server.arrive(START + S, job(31, true), &mut out);
-    assert_eq!(finished(&out), [(31, AttemptOutcome::Unreachable, None)]);
+    assert_eq!(finished(&out), [FinishedAttempt::new(31, AttemptOutcome::Unreachable, None)]);
 }
 
 #[test]
@@ -147,8 +179,11 @@
 }
 
 fn new_checker() -> InvariantChecker {
-    let customers = [(CustomerId(1), PlanId(0)), (CustomerId(2), PlanId(2))];
-    InvariantChecker::new(settings(), 500_000, customers.into_iter()).expect("a checker")
+    let customers = [
+        CustomerPlan { customer: CustomerId(1), plan: PlanId(0) },
+        CustomerPlan { customer: CustomerId(2), plan: PlanId(2) },
+    ];
+    InvariantChecker::new(settings(), 500_000, customers).expect("a checker")
 }
 
 fn sent(gateway: u32, request: RequestNumber, server: u64, draining_since: Option<Micros>) -> SentAttempt {
@@ -273,7 +308,7 @@
     let mut datagrams = Datagrams::new(random_stream(1, 3), START, conditions, 2);
     let accepted = (0..20).filter(|_| datagrams.accept(START, GatewayId(1), 100)).count();
     assert_eq!((accepted, datagrams.traffic.dropped), (5, 15));
-    assert_eq!(datagrams.traffic.received[1], Received { messages: 20, bytes: 2_000 });
+    assert_eq!(datagrams.traffic.received[1], MessageCounts { messages: 20, bytes: 2_000 });
     assert!(datagrams.accept(START + S, GatewayId(1), 100) && datagrams.accept(START, GatewayId(0), 1));
     let delivered = (0..1_000).filter(|_| datagrams.send(START, false).is_some()).count();
     assert!((400..600).contains(&delivered), "{delivered}");
@@ -343,3 +378,49 @@
     assert_eq!(bucket.take(START + S, 4.0), -3.0);
     assert_eq!((bucket.tokens(START + 60 * S), bucket.fill_fraction(START + 60 * S)), (10.0, 1.0));
 }
+
+#[test]
+fn a_usage_limit_is_violated_beyond_its_tolerance_and_keeps_its_peak() {
+    let mut limit = UsageLimit::unused(START, 2.0, 10.0);
+    assert!(limit.peak().is_none());
+    assert!(!limit.consume(START, 13.0, 3.0).is_violation(), "all of the tolerance");
+    let beyond = limit.consume(START, 0.5, 3.0);
+    assert!(beyond.is_violation());
+    assert_eq!((beyond.units, beyond.tolerated, beyond.beyond_tolerance()), (3.5, 3.0, 0.5));
+    let later = limit.consume(START + S, 1.0, 3.0);
+    assert_eq!(later.units, 2.5, "two units were refilled");
+    assert_eq!(limit.peak().map(|peak| peak.units), Some(3.5));
+    let unused = UsageLimit::unused(START, 2.0, 10.0).consume(START + 60 * S, 10.0, 0.0);
+    assert!(!unused.is_violation() && unused.units == 0.0, "it accumulates no more than its capacity");
+}
+
+#[test]
+fn a_gateway_knows_of_a_drain_from_the_first_news_until_the_server_is_ready_again() {
+    let mut draining = DrainingServers::default();
+    let server = ServerId(1);
+    assert!(!draining.state_received(START, server, EndpointState::Ready));
+    assert!(draining.state_received(START + 1, server, EndpointState::Draining));
+    assert!(!draining.state_received(START + 2, server, EndpointState::Gone), "it was draining already");
+    assert_eq!((draining.since(server), draining.since(ServerId(2))), (Some(START + 1), None));
+    assert!(!draining.state_received(START + 3, server, EndpointState::Ready));
+    assert_eq!(draining.since(server), None);
+    assert!(draining.state_received(START + 4, server, EndpointState::Gone));
+    let grace = DrainGrace(100);
+    assert!(!grace.is_over(START + 100, START) && grace.is_over(START + 101, START));
+}
+
+#[test]
+fn a_request_record_tells_first_attempts_repeated_executions_and_answers_after_the_end() {
+    let mut record = RequestRecord::new(START, "request");
+    assert!(record.is_open() && !record.is_executed());
+    assert!(record.add_attempt(1) && !record.add_attempt(2));
+    record.execution_started();
+    assert!(record.is_executed() && !record.is_executed_repeatedly());
+    record.execution_started();
+    assert!(record.is_executed_repeatedly());
+    assert!(record.answered() && !record.is_open() && !record.is_answered_after_end());
+    assert!(!record.answered() && record.is_answered_after_end());
+    let mut abandoned: RequestRecord<&str, u32> = RequestRecord::new(START, "request");
+    assert!(abandoned.close() && !abandoned.close() && !abandoned.is_answered_after_end());
+    assert!(!abandoned.answered() && abandoned.is_answered_after_end());
+}
