--- a/src/gateway/leases.rs
+++ b/src/gateway/leases.rs
@@ -157,7 +157,7 @@
         request.quota.pending = None;
         self.quotas.pending.remove(&pending.sequence);
         let misses = self.quotas.unresponsive.entry(request.quota.owner.gateway).or_default();
-        *misses = policy::missed(*misses, now);
+        misses.record(now.saturating_add(policy::OWNER_COOLDOWN));
         let hard_limit = self.deployment.plan_of(request).hard_limit.as_ref();
         if !policy::decides_alone(request, hard_limit) {
             return self.request_lease(now, id, actions);
--- a/src/policy/fuzzy_controller.rs
+++ b/src/policy/fuzzy_controller.rs
@@ -139,3 +139,7 @@
         self.limit = Some((limit - moved * total.max(least / 2.0)).clamp(least, most));
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/fuzzy_controller.rs"]
+mod tests;
--- a/src/policy/lease.rs
+++ b/src/policy/lease.rs
@@ -8,13 +8,13 @@
 use crate::state::deployment::Context;
 use crate::state::lease::LeaseRenewal;
 use crate::state::quota_owners::QuotaOwners;
-use crate::state::quota_state::{OwnerMisses, QuotaState};
+use crate::state::quota_state::QuotaState;
 use crate::state::request::{PendingLeaseRequest, QuotaOwner, Request};
 use crate::state::token_bucket::TokenBucket;
 use crate::types::Micros;
 
 /// µs for which an unresponsive owner is passed over.
-const OWNER_COOLDOWN: Micros = 1_000_000;
+pub(crate) const OWNER_COOLDOWN: Micros = 1_000_000;
 /// Lease requests on end without an answer that make an owner unresponsive: one alone is mostly a lost
 /// message.
 const MISSES_UNTIL_UNRESPONSIVE: u32 = 3;
@@ -73,11 +73,6 @@
     now > pending.sent_at.saturating_add(ANSWER_TIMEOUT << doublings)
 }
 
-/// The misses of an owner after one more.
-pub(crate) fn missed(misses: OwnerMisses, now: Micros) -> OwnerMisses {
-    OwnerMisses { count: misses.count + 1, cooldown_until: now.saturating_add(OWNER_COOLDOWN) }
-}
-
 /// Whether the own bucket decides on a request, as its owners are silent; it may not under a hard limit.
 pub(crate) fn decides_alone(request: &Request, hard_limit: Option<&HardLimit>) -> bool {
     request.quota.misses >= MISSES_UNTIL_UNRESPONSIVE && hard_limit.is_none()
--- a/src/state/quota_state.rs
+++ b/src/state/quota_state.rs
@@ -16,6 +16,14 @@
     pub(crate) cooldown_until: Micros,
 }
 
+impl OwnerMisses {
+    /// One more lease request had no answer.
+    pub(crate) fn record(&mut self, cooldown_until: Micros) {
+        self.count += 1;
+        self.cooldown_until = cooldown_until;
+    }
+}
+
 /// Quotas as this gateway sees them.
 pub(crate) struct QuotaState {
     /// When this gateway started.
