--- a/fleet-lab/src/simulate/report.rs
+++ b/fleet-lab/src/simulate/report.rs
@@ -1,12 +1,13 @@
 //! The results of a simulation. All of them follow from the seed.
 
 use super::experiment::Experiment;
+use crate::world::cold_start::ColdStartLoad;
 use crate::world::datagrams::{MessageCounts, Traffic};
 use crate::world::invariant::{Invariant, Violations};
 use crate::world::invariant_checker::InvariantChecker;
 use crate::world::request_counts::{RequestCounts, SecondCounts};
 use crate::world::seconds_since_start;
-use crate::world::servers::{ColdStartLoad, Server};
+use crate::world::servers::Server;
 use edge_node::Micros;
 use serde::Serialize;
 use std::collections::BTreeMap;
--- a/fleet-lab/src/world/invariant_checker.rs
+++ b/fleet-lab/src/world/invariant_checker.rs
@@ -2,13 +2,13 @@
 //! internals of the decision module, and sees the true state without delay.
 
 use super::clients::ClientRequest;
+use super::cold_start::ColdStartLoad;
 use super::customer_account::{Charge, CustomerAccount, CustomerPlan};
 use super::draining::DrainGrace;
 use super::final_answer::FinalAnswer;
 use super::invariant::{Invariant, Violations};
 use super::request_counts::{RequestCounts, SecondCounts};
 use super::request_record::{AttemptRecord, RequestRecord, SimulatedRequestRecord};
-use super::servers::ColdStartLoad;
 use super::usage_limit::Excess;
 use super::{seconds_since_start, RequestNumber, START};
 use edge_node::{
--- a/fleet-lab/src/world/mod.rs
+++ b/fleet-lab/src/world/mod.rs
@@ -5,6 +5,7 @@
 //! checks on them. This module imports neither `hybrid` nor `simulate`.
 
 pub mod clients;
+pub mod cold_start;
 pub mod customer_account;
 pub mod datagrams;
 mod demand_pattern;
--- a/fleet-lab/src/world/servers.rs
+++ b/fleet-lab/src/world/servers.rs
@@ -1,6 +1,6 @@
-//! Servers: cores, a queue, load reports, the warm-up after a start and the crash of a cold server that is
-//! overloaded, hangs, slowness and drains.
+//! Servers: cores, a queue, load reports, the crash of a cold server that is overloaded, hangs, slowness and drains.
 
+use super::cold_start::{ColdCall, ColdStart, ColdStartLoad};
 use super::{RequestNumber, Rng, TimeSpan};
 use edge_node::{AttemptNumber, AttemptOutcome, Endpoint, GatewayId, Micros, Rules};
 use rand::Rng as _;
@@ -81,29 +81,6 @@
     Crashed(ColdStartLoad),
 }
 
-/// The highest load of a cold server, compared with what it can bear.
-#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
-pub struct ColdStartLoad {
-    /// Calls within the overload window, in requests of mean work.
-    pub calls: f64,
-    /// Calls that the settings allow within the window at that moment.
-    pub allowed: f64,
-    /// Calls that make it crash: the allowed ones, twice their root, and two.
-    pub budget: f64,
-    /// Share of the calls that came from gateways which knew of the start.
-    #[serde(rename = "told")]
-    pub start_known_share: f64,
-    /// Time since the server's start, µs.
-    pub age: Micros,
-}
-
-impl ColdStartLoad {
-    /// Calls as a fraction of the budget.
-    pub fn fraction(&self) -> f64 {
-        self.calls / self.budget.max(f64::MIN_POSITIVE)
-    }
-}
-
 /// Whether a server's process accepts connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ProcessState {
@@ -112,14 +89,6 @@
     Crashed,
 }
 
-/// A call to a cold server.
-struct ColdCall {
-    at: Micros,
-    /// Its work as a multiple of the mean.
-    work: f64,
-    start_known: bool,
-}
-
 /// The load that a server reports until the next measurement.
 #[derive(Default)]
 struct LoadReport {
@@ -132,7 +101,6 @@
     /// Its entry in the list of servers.
     pub endpoint: Endpoint,
     machine: Machine,
-    rules: Rules,
     process: ProcessState,
     running: BTreeMap<u64, Job>,
     queue: VecDeque<Job>,
@@ -143,9 +111,7 @@
     slowdown: f64,
     report: LoadReport,
     report_interval: Micros,
-    /// Calls within the overload window, while it is cold.
-    cold_calls: VecDeque<ColdCall>,
-    highest_cold_load: ColdStartLoad,
+    cold_start: ColdStart,
 }
 
 impl Server {
@@ -154,8 +120,8 @@
         let report_interval = rng.random_range(machine.report_interval.clone());
         Server {
             endpoint,
+            cold_start: ColdStart::new(rules, machine.capacity()),
             machine,
-            rules,
             process: ProcessState::Up,
             running: BTreeMap::new(),
             queue: VecDeque::new(),
@@ -164,8 +130,6 @@
             slowdown: 1.0,
             report: LoadReport::default(),
             report_interval,
-            cold_calls: VecDeque::new(),
-            highest_cold_load: ColdStartLoad::default(),
         }
     }
 
@@ -176,7 +140,7 @@
 
     /// The highest load while it was cold; `None` for a server that never was.
     pub fn highest_cold_load(&self) -> Option<ColdStartLoad> {
-        self.endpoint.started_at.map(|_| self.highest_cold_load)
+        self.endpoint.started_at.map(|_| self.cold_start.highest_load())
     }
 
     /// Whether it crashed by overload.
@@ -184,13 +148,6 @@
         self.process == ProcessState::Crashed
     }
 
-    /// Fraction of its capacity that it has reached since its start.
-    fn warm_up_fraction(&self, now: Micros) -> f64 {
-        let Some(started_at) = self.endpoint.started_at else { return 1.0 };
-        let age = now.saturating_sub(started_at) as f64 / self.rules.warm_up_period.max(1) as f64;
-        (self.rules.warm_up_from + (1.0 - self.rules.warm_up_from) * age).min(1.0)
-    }
-
     /// Sets the factor by which all work that begins from now on takes longer.
     pub fn set_slowdown(&mut self, factor: f64) {
         self.slowdown = factor;
@@ -208,7 +165,7 @@
         self.hang = None;
         self.slowdown = 1.0;
         self.report = LoadReport { expires_at: now, load: 0.0 };
-        self.cold_calls.clear();
+        self.cold_start.restart();
     }
 
     /// Its process ends: the connections of all attempts that it holds are lost.
@@ -238,40 +195,6 @@
         Some(self.report.load)
     }
 
-    /// Counts a call while the server is cold; returns whether it is overloaded by it.
-    fn is_overloaded_by(&mut self, now: Micros, job: &Job) -> bool {
-        let warm_up_fraction = self.warm_up_fraction(now);
-        if warm_up_fraction >= 1.0 {
-            return false;
-        }
-        let work = job.work as f64 / self.machine.mean_work();
-        self.cold_calls.push_back(ColdCall { at: now, work, start_known: job.start_known });
-        let window = self.rules.overload_window;
-        while self.cold_calls.front().is_some_and(|call| call.at + window <= now) {
-            self.cold_calls.pop_front();
-        }
-        let load = self.cold_start_load(now, warm_up_fraction);
-        if load.calls / load.budget > self.highest_cold_load.fraction() {
-            self.highest_cold_load = load;
-        }
-        load.calls > load.budget
-    }
-
-    fn cold_start_load(&self, now: Micros, warm_up_fraction: f64) -> ColdStartLoad {
-        let calls: f64 = self.cold_calls.iter().map(|call| call.work).sum();
-        let with_start_known = self.cold_calls.iter().filter(|call| call.start_known);
-        let start_known_calls: f64 = with_start_known.map(|call| call.work).sum();
-        let window = self.rules.overload_window as f64 / 1e6;
-        let allowed = self.rules.overload_multiple * self.machine.capacity() * warm_up_fraction * window;
-        ColdStartLoad {
-            calls,
-            allowed,
-            budget: allowed + 2.0 * allowed.sqrt() + 2.0,
-            start_known_share: start_known_calls / calls,
-            age: now.saturating_sub(self.endpoint.started_at.unwrap_or(now)),
-        }
-    }
-
     /// An attempt arrives.
     pub fn arrive(&mut self, now: Micros, job: Job, events: &mut Vec<ServerEvent>) {
         if !self.is_up() {
@@ -279,10 +202,12 @@
             events.push(ServerEvent::Finished { job, outcome, reported_load: None });
             return;
         }
-        if self.is_overloaded_by(now, &job) {
+        let work = job.work as f64 / self.machine.mean_work();
+        let call = ColdCall { at: now, work, start_known: job.start_known };
+        if self.cold_start.is_overloaded_by(call, self.endpoint.started_at) {
             self.queue.push_back(job);
             self.end_process(ProcessState::Crashed, events);
-            events.push(ServerEvent::Crashed(self.highest_cold_load));
+            events.push(ServerEvent::Crashed(self.cold_start.highest_load()));
             return;
         }
         if self.held() >= self.machine.slots {
@@ -301,7 +226,8 @@
             if job.expires_at <= now {
                 continue; // its gateway no longer waits for it
             }
-            let duration = (job.work as f64 * self.slowdown / self.warm_up_fraction(now)) as Micros;
+            let warm_up_fraction = self.cold_start.warm_up_fraction(now, self.endpoint.started_at);
+            let duration = (job.work as f64 * self.slowdown / warm_up_fraction) as Micros;
             let starts_at = self.hang.map_or(now, |hang| hang.end.max(now));
             self.last_run += 1;
             self.running.insert(self.last_run, job);
--- a/fleet-lab/tests/world.rs
+++ b/fleet-lab/tests/world.rs
@@ -2,6 +2,7 @@
 
 use edge_node::*;
 use fleet_lab::world::clients::{ClientError, Clients, Demand};
+use fleet_lab::world::cold_start::ColdStartLoad;
 use fleet_lab::world::customer_account::CustomerPlan;
 use fleet_lab::world::datagrams::{Datagrams, MessageCounts, NetworkConditions, Partition, Partitions};
 use fleet_lab::world::discovery::{Discovery, PollKind, PollResult};
@@ -11,7 +12,7 @@
 use fleet_lab::world::invariant_checker::{InvariantChecker, SentAttempt};
 use fleet_lab::world::request_counts::RequestCounts;
 use fleet_lab::world::request_record::RequestRecord;
-use fleet_lab::world::servers::{ColdStartLoad, Job, Machine, Server, ServerEvent};
+use fleet_lab::world::servers::{Job, Machine, Server, ServerEvent};
 use fleet_lab::world::token_bucket::TokenBucket;
 use fleet_lab::world::usage_limit::UsageLimit;
 use fleet_lab::world::{micros, random_stream, RequestNumber, TimeSpan, START};
