--- a/tests/edge/watch.rs
+++ b/tests/edge/watch.rs
@@ -107,7 +107,7 @@
     let release = Release::new();
     let nobody = std::net::TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
     let silent = FakeDiscovery::silent();
-    for (tag, address) in [("down", nobody.expect("an address")), ("mute", silent.address)] {
+    for (tag, address) in [("down", nobody.expect("an address")), ("silent", silent.address)] {
         let node =
             EdgeNode::start_with(tag, address, &release.before(), |config| with_drain_grace(config, 500_000));
         let mut client = node.client();
