--- a/src/bin/edge-node/discovery/watch.rs
+++ b/src/bin/edge-node/discovery/watch.rs
@@ -110,3 +110,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../../../tests/unit/discovery_watch.rs"]
+mod tests;
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -153,3 +153,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/outlier_detection.rs"]
+mod tests;
--- a/tests/edge/client_disconnect.rs
+++ b/tests/edge/client_disconnect.rs
@@ -338,3 +338,20 @@
     assert_eq!(servers.next_request().message.header("x-request-id"), "stays");
     servers.assert_no_more_requests();
 }
+
+/// Where the attempt may not be cancelled, its answer would be taken for that of another request under the same id.
+#[test]
+fn an_id_stays_in_use_while_the_attempt_of_a_disconnected_client_is_in_flight() {
+    let servers = FakeServers::new();
+    let behaviors = [ServerBehavior::NeverRespond, RESPONDS_OK];
+    let hosts = [endpoint_entry("s-1", servers.start("s-1", &behaviors), 1, "ready")];
+    let discovery = FakeDiscovery::start(&hosts);
+    let node =
+        EdgeNode::start_with("in-use", discovery.address, &hosts, |config| with_slow_connect(config, false));
+    let mut client = node.client();
+    client.send(&request_text("a", "pay", "20000m"));
+    let _in_flight = servers.next_request();
+    disconnect(client, 0, &node);
+    assert_eq!(node.client().exchange(&request_text("a", "pay", "20000m")).status(), 400);
+    assert_eq!(node.client().exchange(&request_text("b", "pay", "20000m")).status(), 200);
+}
--- a/tests/edge/shutdown.rs
+++ b/tests/edge/shutdown.rs
@@ -117,3 +117,19 @@
     assert!(node.wait().success());
     assert_eq!(servers.unseen_requests().len(), cuts.len());
 }
+
+/// A shutdown waits for the last deadline, not only for as long again as it drained.
+#[test]
+fn a_request_that_is_open_long_after_the_drain_period_is_answered() {
+    let (servers, _discovery, mut node) = with_one("s-long", &[ServerBehavior::NeverRespond]);
+    let mut client = node.client();
+    client.send(&request_text("a", "pay", "20000m"));
+    let mut got = servers.next_request();
+    start_shutdown(&node);
+    std::thread::sleep(2 * DRAINED_AFTER);
+    got.stream
+        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks")
+        .expect("the attempt is still in flight");
+    assert_eq!(client.read_response().map(|answer| answer.status()), Some(200));
+    assert!(node.wait().success());
+}
--- a/tests/policy/lease.rs
+++ b/tests/policy/lease.rs
@@ -178,3 +178,46 @@
     let lease_requests = gateway.actions.iter().filter(is_message).count();
     assert!((4..=8).contains(&lease_requests), "{lease_requests} lease requests in 3.9 s");
 }
+
+/// A message to another gateway.
+#[derive(Clone)]
+struct SentMessage {
+    to: GatewayId,
+    bytes: Vec<u8>,
+}
+
+/// The messages among these actions.
+fn sent_messages(actions: &[Action]) -> Vec<SentMessage> {
+    let message = |action: &Action| match action {
+        Action::SendToPeer { to, bytes } => Some(SentMessage { to: *to, bytes: bytes.clone() }),
+        _ => None,
+    };
+    actions.iter().filter_map(message).collect()
+}
+
+/// Only misses on end make an owner unresponsive: a few messages are always lost.
+#[test]
+fn an_owner_that_answers_in_between_is_asked_again_and_not_its_standby() {
+    let settings = |gateway| {
+        let nothing_to_grant = HardLimit { rate: 0.1, capacity: 12.0 };
+        SettingsBuilder::new(gateway, LARGE_FLEET)
+            .rate(HARD_LIMITED, 20.0)
+            .hard_limit(HARD_LIMITED, nothing_to_grant)
+    };
+    let mut gateway = GatewayHarness::with_servers(1, settings(3).build(), S, 40);
+    let mut owner: Option<GatewayHarness> = None;
+    for _ in 0..5 {
+        gateway.actions.clear();
+        gateway.request(IDEMPOTENT, HARD_LIMITED, CUSTOMER, 2 * S);
+        gateway.advance(100 * MS); // the first lease request is lost, and repeated
+        let sent = sent_messages(&gateway.actions);
+        let SentMessage { to, bytes } = sent.last().expect("a lease request").clone();
+        let owner = owner.get_or_insert_with(|| GatewayHarness::new(1, settings(to.0).build(), S));
+        assert!(sent.iter().all(|message| message.to == owner.settings.gateway_id), "the same owner");
+        owner.now = gateway.now;
+        let from = gateway.settings.gateway_id;
+        for answer in sent_messages(&owner.handle(Event::PeerMessage { from, bytes })) {
+            gateway.handle(Event::PeerMessage { from: to, bytes: answer.bytes });
+        }
+    }
+}
--- a/tests/policy/load_balancing.rs
+++ b/tests/policy/load_balancing.rs
@@ -91,3 +91,14 @@
     }
     assert_eq!(used.len(), 200);
 }
+
+#[test]
+fn a_retry_goes_to_another_one_of_equal_servers() {
+    for seed in 0..20 {
+        let mut gateway = GatewayHarness::with_servers(seed, settings(0, 2), S, 2);
+        let id = gateway.request(IDEMPOTENT, UNLIMITED, CUSTOMER, 2 * S);
+        let first = gateway.server_of(&id).expect("a first attempt");
+        gateway.finish(&id, AttemptOutcome::NotSent); // which tells nothing of the server
+        assert_ne!(gateway.server_of(&id), Some(first), "seed {seed}");
+    }
+}
--- a/tests/policy/quota.rs
+++ b/tests/policy/quota.rs
@@ -218,3 +218,14 @@
         assert!(scenario.sent > 50, "the hard limit lets its rate through: {}", scenario.sent);
     }
 }
+
+#[test]
+fn requests_with_a_wrong_plan_that_are_not_on_end_do_not_change_the_plan() {
+    let mut gateway = GatewayHarness::with_servers(1, settings(0, 2), S, 4);
+    let mut sent = admitted(&mut gateway, SMALL_QUOTA, 1);
+    for _ in 0..4 {
+        sent += admitted(&mut gateway, UNLIMITED, 2);
+        sent += admitted(&mut gateway, SMALL_QUOTA, 1);
+    }
+    assert_eq!(sent, 4, "a burst of 4");
+}
--- a/tests/policy/quota_owner.rs
+++ b/tests/policy/quota_owner.rs
@@ -2,6 +2,7 @@
 
 use crate::common::fleet::Fleet;
 use crate::common::*;
+use edge_node::*;
 
 #[test]
 fn a_customer_of_hundreds_of_gateways_gets_its_quota_and_little_more() {
@@ -85,3 +86,28 @@
     // With a lease request for each of 2000 requests there would be some 4000 messages.
     assert!(fleet.messages_sent < 2400, "{}", fleet.messages_sent);
 }
+
+#[test]
+fn an_owner_grants_no_more_permits_than_the_concurrency_limit() {
+    let mut gateway = GatewayHarness::sole_gateway(1, settings(0, LARGE_FLEET), S, 40);
+    for _ in 0..5 {
+        gateway.request(IDEMPOTENT, TWO_CONCURRENT, CUSTOMER, 2 * S);
+    }
+    assert_eq!(gateway.in_flight.len(), 2);
+}
+
+/// Otherwise requests that wait for a server would take the permits from themselves.
+#[test]
+fn the_permit_of_an_expired_grant_is_released_before_the_request_asks_again() {
+    let hard_limit = HardLimit { rate: 8.0, capacity: 12.0 };
+    let settings = SettingsBuilder::new(0, LARGE_FLEET).hard_limit(TWO_CONCURRENT, hard_limit).build();
+    let mut gateway = GatewayHarness::sole_gateway(1, settings, S, 0);
+    gateway.request(IDEMPOTENT, TWO_CONCURRENT, CUSTOMER, 4 * S); // the owner's part of the hard limit starts empty
+    gateway.advance(2 * S);
+    let refused = gateway.refused_count();
+    for _ in 0..2 {
+        gateway.request(IDEMPOTENT, TWO_CONCURRENT, CUSTOMER, 4 * S);
+    }
+    gateway.advance(600 * MS); // a grant holds for 375 ms
+    assert_eq!(gateway.refused_count(), refused);
+}
--- a/tests/unit/connection_state.rs
+++ b/tests/unit/connection_state.rs
@@ -35,3 +35,16 @@
     assert!(state.take_first_request());
     assert!(!state.take_first_request());
 }
+
+#[test]
+fn a_connection_without_a_request_is_evicted_before_one_that_has_just_become_idle() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().expect("a runtime");
+    let unused = runtime.block_on(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let stream = tokio::net::TcpStream::connect(address).await.expect("a connection");
+        ConnectionState::new(&ReadAheadStream::new(stream))
+    });
+    let just_idle = state(Some(Instant::now()), false);
+    assert!(unused.eviction_order() < just_idle.eviction_order());
+}
--- /dev/null
+++ b/tests/unit/outlier_detection.rs
@@ -0,0 +1,16 @@
+//! When a server is ejected, and when it is probed again.
+
+use super::*;
+use crate::types::Endpoint;
+
+/// Attempts that were sent before the ejection and fail after it must not put off the probe.
+#[test]
+fn a_failure_after_the_ejection_does_not_put_off_the_probe() {
+    const CLASS: ClassId = ClassId(0);
+    let mut server = Server::unknown(Endpoint::default(), 0, 1);
+    server.health[CLASS.0].failure_rate = 1.0;
+    for probe_at in [100, 200] {
+        update_ejection(&mut server, CLASS, 0.0, probe_at);
+    }
+    assert_eq!(server.health[CLASS.0].next_probe_at, Some(100));
+}
--- a/tests/unit/token_bucket.rs
+++ b/tests/unit/token_bucket.rs
@@ -83,3 +83,11 @@
     bucket.consume(1000.0);
     assert!(!is_idle(&mut bucket, 2 * MIN_IDLE), "not full");
 }
+
+#[test]
+fn a_retry_is_not_announced_to_peers() {
+    let mut bucket = bucket(1);
+    bucket.attempt_sent(0, 1.0, true);
+    bucket.attempt_sent(1, 1.0, false);
+    assert_eq!((bucket.forwarded_units, bucket.forwarded_at), (1.0, 0));
+}
