--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -1,5 +1,4 @@
-//! Admission: whether a request that has just arrived may be sent, has to ask for its quota first, or is
-//! rejected.
+//! Admission: whether a request that has just arrived may be sent, asks for its quota first, or is rejected.
 
 use super::deadlines::FINAL_ANSWER_MARGIN;
 use super::load_shedding::shed_probability;
--- a/src/policy/lease.rs
+++ b/src/policy/lease.rs
@@ -15,8 +15,7 @@
 
 /// µs for which an unresponsive owner is passed over.
 pub(crate) const OWNER_COOLDOWN: Micros = 1_000_000;
-/// Lease requests on end without an answer that make an owner unresponsive: one alone is mostly a lost
-/// message.
+/// Lease requests on end without an answer that make an owner unresponsive: one alone may be a lost message.
 const MISSES_UNTIL_UNRESPONSIVE: u32 = 3;
 /// How often the time to answer is doubled for one request.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
--- a/src/policy/load_balancing.rs
+++ b/src/policy/load_balancing.rs
@@ -40,8 +40,7 @@
 /// meets seldom costs a handshake each time, and holds a connection in between.
 const SUBSET_SIZE: f64 = 7.0;
 
-/// How many of the ready servers a gateway uses: more where servers are many, or some would be used by no
-/// gateway.
+/// How many of the ready servers a gateway uses: more where these are many, so that each one is used.
 pub(super) fn subset_size(settings: &Settings, ready: usize) -> usize {
     let per_gateway = SUBSET_SIZE * ready as f64 / f64::from(settings.gateway_count);
     SUBSET_SIZE.max(per_gateway).ceil() as usize
@@ -139,8 +138,7 @@
         may_send(self.deployment, request, self.context.now, &server.endpoint)
     }
 
-    /// Whether so few servers are healthy that none counts as ejected: ejecting all when all are bad helps
-    /// nobody.
+    /// Whether so few servers are healthy that none counts as ejected: ejecting all helps nobody.
     fn ignores_ejection(&self, class: ClassId) -> bool {
         let healthy = self.servers.healthy_count(class) as f64;
         healthy < self.servers.ready_count() as f64 * MIN_HEALTHY_SHARE
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -1,5 +1,4 @@
-//! Outlier detection: what attempts tell of a server, when it is ejected for a class, and when it is probed
-//! again.
+//! Outlier detection: what attempts tell of a server, when it is ejected for a class, and when probed again.
 
 use super::deadlines::TIMER_PERIOD;
 use crate::state::attempt::Attempt;
@@ -35,13 +34,11 @@
 pub(crate) const OTHER_CLASS_SHARE: f64 = 0.25;
 /// Weight of an attempt in whether its zone can be reached.
 pub(crate) const ZONE_WEIGHT: f64 = 0.2;
-/// µs for which a server that took no connection is left alone, spread up to twice that, and how often it is
-/// doubled.
+/// µs for which a server that took no connection is left alone, spread up to twice that, and its doublings.
 const CONNECT_BACKOFF: Micros = 500_000;
 const MAX_CONNECT_DOUBLINGS: u32 = 4;
 
-/// µs until the next probe of an ejected server. In a large fleet, all gateways' probes of it come at that
-/// pace.
+/// µs until the next probe of an ejected server: in a large fleet, the pace of all gateways' probes together.
 pub(crate) fn probe_interval(deployment: &Deployment, random: &mut fastrand::Rng) -> Micros {
     let spread = 0.5 + random.f64();
     let factor = match deployment.mode {
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -15,8 +15,7 @@
     (budget + BUDGET_PER_ATTEMPT).min(MAX_BUDGET)
 }
 
-/// Whether an attempt may be sent to an endpoint without the request being executed twice. Every attempt
-/// passes here.
+/// Whether an attempt may be sent without the request being executed twice. Every attempt passes here.
 pub(crate) fn may_send(deployment: &Deployment, request: &Request, now: Micros, endpoint: &Endpoint) -> bool {
     if request.in_flight.is_some() {
         return false;
