--- /dev/null
+++ b/tests/edge/retries.rs
@@ -0,0 +1,100 @@
+//! Failed attempts: which of them are retried, where, and until when.
+
+use super::support::*;
+use super::with_one;
+use std::time::Instant;
+
+/// An edge node with two servers. The first attempt gets one answer, all others get another.
+fn with_two(
+    tag: &str, blocks: [u32; 2], first: ServerBehavior, then: ServerBehavior,
+) -> (FakeServers, FakeDiscovery, EdgeNode) {
+    let servers = FakeServers::new();
+    let turns = SharedBehaviors::new(vec![first, then].into());
+    let number = |(block, name): (u32, &str)| {
+        endpoint_entry(name, servers.start_sharing(name, &turns), block, "ready")
+    };
+    let hosts: Vec<_> = blocks.into_iter().zip(["s-1", "s-2"]).map(number).collect();
+    let discovery = FakeDiscovery::start(&hosts);
+    let node = EdgeNode::start(tag, discovery.address, &hosts);
+    (servers, discovery, node)
+}
+
+/// A request that was not executed may be retried whatever its class; one that may have been executed is retried only
+/// if its class allows it.
+#[test]
+fn a_request_that_may_have_been_executed_is_retried_only_if_its_class_allows_it() {
+    let reset = ServerBehavior::RespondAndClose("");
+    let cut = ServerBehavior::RespondAndClose("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\nran");
+    let cases = [
+        ("full", RESPONDS_OVERLOADED, "pay", 200, 2),
+        ("full-keyed", RESPONDS_OVERLOADED, "submit", 200, 2),
+        ("reset-safe", reset.clone(), "read", 200, 2),
+        ("reset-unsafe", reset.clone(), "pay", 502, 1),
+        ("cut-safe", cut.clone(), "read", 200, 2),
+        ("cut-unsafe", cut, "pay", 502, 1),
+        ("unframed-unsafe", ServerBehavior::RespondAndClose("HTTP/1.1 200 OK\r\n\r\nran"), "pay", 502, 1),
+        ("error-safe", RESPONDS_ERROR, "read", 200, 2),
+        ("error-unsafe", RESPONDS_ERROR, "pay", 502, 1),
+        ("reset-keyed", reset, "submit", 200, 2),
+    ];
+    for (tag, first, class, status, attempts) in cases {
+        // Both servers are in one cell, so that a request with an idempotency key may go to either.
+        let (servers, _discovery, node) = with_two(tag, [1, 1], first, RESPONDS_OK);
+        let answer = node.client().exchange(&request_text(tag, class, "20000m"));
+        assert_eq!(answer.status(), status, "{tag}");
+        for _ in 0..attempts {
+            servers.next_request();
+        }
+        servers.assert_no_more_requests();
+    }
+}
+
+#[test]
+fn a_request_with_an_idempotency_key_is_retried_in_its_own_cell() {
+    let (servers, _discovery, node) =
+        with_two("cell", [1, 2], ServerBehavior::RespondAndClose(""), RESPONDS_OK);
+    let answer = node.client().exchange(&request_text("a", "submit", "20000m"));
+    let (first, second) = (servers.next_request(), servers.next_request());
+    assert_eq!((answer.status(), first.server), (200, second.server));
+    servers.assert_no_more_requests();
+}
+
+#[test]
+fn a_refused_connection_proves_that_nothing_was_executed() {
+    let servers = FakeServers::new();
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    let dead = gone.expect("an address");
+    let dial = servers.start("s-2", &[RESPONDS_OK]);
+    let hosts = [endpoint_entry("s-1", dead, 1, "ready"), endpoint_entry("s-2", dial, 2, "ready")];
+    let discovery = FakeDiscovery::start(&hosts);
+    let node = EdgeNode::start("refused", discovery.address, &hosts);
+    let mut client = node.client();
+    for number in 0..6 {
+        assert_eq!(client.exchange(&request_text(&format!("r{number}"), "pay", "20000m")).status(), 200);
+    }
+}
+
+#[test]
+fn a_server_that_never_answers_fails_the_request_by_its_deadline() {
+    let (servers, _discovery, node) = with_one("silent", &[ServerBehavior::NeverRespond]);
+    let begun = Instant::now();
+    let answer = node.client().exchange(&request_text("a", "pay", "700m"));
+    assert_eq!(answer.status(), 502, "a non-idempotent request that may have been executed is not rejected");
+    assert!(begun.elapsed().as_millis() < 20_000, "the deadline is enforced");
+    assert!(is_closed_in_time(&servers.next_request()), "the attempt is given up");
+    servers.assert_no_more_requests();
+}
+
+/// A stalled attempt is cancelled and its connection closed before the next attempt is written.
+#[test]
+fn two_attempts_of_a_request_are_never_in_flight_at_once() {
+    let (servers, _discovery, node) = with_two("stalled", [1, 1], ServerBehavior::NeverRespond, RESPONDS_OK);
+    for (number, class) in ["read", "submit"].into_iter().enumerate() {
+        assert_eq!(node.client().exchange(&request_text(class, class, "20000m")).status(), 200);
+        servers.next_request();
+        // Whether the first attempt had ended shows when the second arrives.
+        if number == 0 {
+            assert!(servers.next_request().alone);
+        }
+    }
+}
--- a/tests/edge/shutdown.rs
+++ b/tests/edge/shutdown.rs
@@ -117,3 +117,31 @@
     assert!(node.wait().success());
     assert_eq!(servers.unseen_requests().len(), cuts.len());
 }
+
+#[test]
+fn sigterm_completes_the_requests_that_were_accepted() {
+    let (servers, _discovery, mut node) = with_one("term", &[ServerBehavior::NeverRespond, RESPONDS_OK]);
+    let (mut held, mut idle) = (node.client(), node.client());
+    assert_eq!(idle.exchange("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
+    held.send(&request_text("a", "read", "20000m"));
+    let got = servers.next_request();
+    node.terminate();
+    // New connections are still accepted for a while, and closed after their answer.
+    let late = loop {
+        let answer = node.client().exchange("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n");
+        if answer.status() != 200 {
+            break answer;
+        }
+    };
+    assert_eq!((late.status(), late.header("connection")), (503, "close"));
+    let answer = idle.exchange(&request_text("b", "read", "20000m"));
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    idle.assert_closed();
+    let mut stream = got.stream;
+    stream
+        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks")
+        .expect("the attempt is still in flight");
+    let answer = held.read_response().expect("an accepted request is answered");
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    assert!(node.wait().success());
+}
--- a/tests/edge/start.rs
+++ b/tests/edge/start.rs
@@ -118,3 +118,14 @@
     assert!(!output.status.success() && error.lines().count() == 1, "{error}");
     assert!(error.contains(&format!("listen {address}")), "{error}");
 }
+
+#[test]
+fn an_invalid_configuration_ends_the_start_with_one_plain_line() {
+    for (number, config) in ["", "{}", "{\"name\":1}", "[]"].into_iter().enumerate() {
+        let (child, path) = spawn_edge_node(&format!("config-{number}"), config);
+        let output = child.wait_with_output().expect("it ends");
+        let _ = std::fs::remove_file(path);
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success() && error.lines().count() == 1, "{config}: {error}");
+    }
+}
