tests: invalid requests are tables of cases, endpoint tests share a request sequence

Changed: the 32 invalid requests are `InvalidRequest` values in six tables by what is invalid, sent to one process as before; `RequestSequence` and `next_snapshot_watch` serve both tests of endpoint lists.

--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -31,11 +31,11 @@
 
 use support::*;
 
-/// An edge node with one server, which behaves in this way.
-fn with_one(tag: &str, does: &[ServerBehavior]) -> (FakeServers, FakeDiscovery, EdgeNode) {
+/// An edge node with one app server, which takes these behaviors in turn; the last one stays in force.
+fn with_one(tag: &str, behaviors: &[ServerBehavior]) -> (FakeServers, FakeDiscovery, EdgeNode) {
     let servers = FakeServers::new();
-    let hosts = [endpoint_entry("s-1", servers.start("s-1", does), 1, "ready")];
-    let discovery = FakeDiscovery::start(&hosts);
-    let node = EdgeNode::start(tag, discovery.address, &hosts);
+    let entries = [endpoint_entry("s-1", servers.start("s-1", behaviors), 1, "ready")];
+    let discovery = FakeDiscovery::start(&entries);
+    let node = EdgeNode::start(tag, discovery.address, &entries);
     (servers, discovery, node)
 }
--- a/tests/edge/endpoints.rs
+++ b/tests/edge/endpoints.rs
@@ -2,59 +2,88 @@
 
 use super::support::*;
 use super::with_one;
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+
+/// Requests that a client sends one after the other, to observe which app server receives each.
+struct RequestSequence<'a> {
+    servers: &'a FakeServers,
+    client: Client,
+    sent: usize,
+}
+
+impl<'a> RequestSequence<'a> {
+    fn new(node: &EdgeNode, servers: &'a FakeServers) -> RequestSequence<'a> {
+        RequestSequence { servers, client: node.client(), sent: 0 }
+    }
+
+    /// Sends a request, which has to succeed; returns the name of the app server that received it.
+    fn next_server(&mut self) -> String {
+        self.sent += 1;
+        let request = request_text(&format!("r{}", self.sent), "read", "20000m");
+        assert_eq!(self.client.exchange(&request).status(), 200);
+        self.servers.next_request().server
+    }
+
+    /// Sends requests until one arrives at this server; from then on all do.
+    fn wait_until_received_by(&mut self, name: &str) {
+        let mut received = 0;
+        while received < 10 {
+            let server = self.next_server();
+            assert!(received == 0 || server == name, "{server} after {name}");
+            received += u32::from(server == name);
+        }
+    }
+}
+
+/// The next watch, which has to ask for a snapshot: it names no list from which to continue.
+fn next_snapshot_watch(discovery: &FakeDiscovery) -> TcpStream {
+    let (request_line, watch) = discovery.next_watch();
+    assert!(request_line.contains("watch=1") && !request_line.contains("from"), "{request_line}");
+    watch
+}
+
+/// Breaks a watch within a line.
+fn break_within_line(mut watch: TcpStream) {
+    watch.write_all(b"14\r\n{\"seq\":3,").expect("open");
+    watch.shutdown(Shutdown::Both).expect("open");
+}
 
 #[test]
 fn endpoint_lists_are_applied_in_order_and_a_broken_watch_is_reopened() {
     let servers = FakeServers::new();
-    let one = servers.start("s-1", &[RESPONDS_OK]);
-    let two = servers.start("s-2", &[RESPONDS_OK]);
-    let three = servers.start("s-3", &[RESPONDS_OK]);
-    let hosts = [endpoint_entry("s-1", one, 1, "ready")];
-    let discovery = FakeDiscovery::start(&hosts);
-    let node = EdgeNode::start("list", discovery.address, &hosts);
-    let mut client = node.client();
-    let mut number = 0;
-    let mut until = |name: &str| {
-        // Once a change is visible, it has to last.
-        let mut held = 0;
-        while held < 10 {
-            number += 1;
-            assert_eq!(client.exchange(&request_text(&format!("r{number}"), "read", "20000m")).status(), 200);
-            let server = servers.next_request().server;
-            assert!(held == 0 || server == name, "{server} after {name}");
-            held += u32::from(server == name);
-        }
-    };
-    until("s-1");
-    let (asked, mut watch) = discovery.next_watch();
-    assert!(asked.contains("watch=1") && !asked.contains("from"), "{asked}");
+    let [one, two, three] = ["s-1", "s-2", "s-3"].map(|name| servers.start(name, &[RESPONDS_OK]));
+    let entries = [endpoint_entry("s-1", one, 1, "ready")];
+    let discovery = FakeDiscovery::start(&entries);
+    let node = EdgeNode::start("list", discovery.address, &entries);
+    let mut requests = RequestSequence::new(&node, &servers);
+    requests.wait_until_received_by("s-1");
+    let mut watch = next_snapshot_watch(&discovery);
     // A change: one server drains, another is added.
     let changed = [endpoint_entry("s-1", one, 1, "draining"), endpoint_entry("s-2", two, 2, "ready")];
     send_list(&mut watch, &endpoint_list(2, false, &changed));
-    until("s-2");
-    // The watch breaks within a line; the last list stays in use, and the next watch begins with a snapshot.
+    requests.wait_until_received_by("s-2");
+    // The last list stays in use after the break, and the next watch begins with a snapshot.
     discovery.set_list(endpoint_list(2, true, &changed));
-    watch.write_all(b"14\r\n{\"seq\":3,").expect("open");
-    watch.shutdown(std::net::Shutdown::Both).expect("open");
-    let (asked, mut watch) = discovery.next_watch();
-    assert!(asked.contains("watch=1") && !asked.contains("from"), "{asked}");
-    until("s-2");
+    break_within_line(watch);
+    let mut watch = next_snapshot_watch(&discovery);
+    requests.wait_until_received_by("s-2");
     // An outdated change is ignored; a server that is missing from a snapshot is gone.
-    send_list(
-        &mut watch,
-        &endpoint_list(
-            1,
-            false,
-            &[endpoint_entry("s-2", two, 2, "gone"), endpoint_entry("s-1", one, 1, "ready")],
-        ),
-    );
+    let outdated = [endpoint_entry("s-2", two, 2, "gone"), endpoint_entry("s-1", one, 1, "ready")];
+    send_list(&mut watch, &endpoint_list(1, false, &outdated));
     send_list(&mut watch, &endpoint_list(4, true, &[endpoint_entry("s-3", three, 3, "ready")]));
-    until("s-3");
+    requests.wait_until_received_by("s-3");
     // The server's address changes.
     let moved = servers.start("s-3 moved", &[RESPONDS_OK]);
     send_list(&mut watch, &endpoint_list(5, false, &[endpoint_entry("s-3", moved, 3, "ready")]));
-    until("s-3 moved");
+    requests.wait_until_received_by("s-3 moved");
+}
+
+/// The edge node has to close a watch at once.
+fn assert_watch_closed(mut watch: TcpStream) {
+    let mut rest = Vec::new();
+    watch.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time-out");
+    watch.read_to_end(&mut rest).expect("the old watch ends");
 }
 
 /// SIGHUP ends a process that has no handler for it. The new discovery numbers its lists from the start again, and the
@@ -62,37 +91,24 @@
 #[test]
 fn sighup_changes_to_the_discovery_address_in_the_file() {
     let (servers, old, mut node) = with_one("reload", &[RESPONDS_OK]);
-    let (asked, mut before) = old.next_watch();
-    assert!(asked.contains("watch=1") && !asked.contains("from"), "{asked}");
-    let serves = |client: &mut Client, id: &str| {
-        assert_eq!(client.exchange(&request_text(id, "read", "20000m")).status(), 200);
-        servers.next_request().server
-    };
-    let mut client = node.client();
+    let old_watch = next_snapshot_watch(&old);
+    let mut requests = RequestSequence::new(&node, &servers);
     // An invalid configuration changes nothing.
     node.reload(|text| text.replacen('{', "", 1));
     // Waits for each reload: a signal that is handled late would read the next file, and change the address twice.
     node.wait_for_log("the old configuration stays");
-    assert_eq!(serves(&mut client, "a"), "s-1");
+    assert_eq!(requests.next_server(), "s-1");
     node.reload(|text| format!("{{{text}"));
     node.wait_for_log("reloaded");
     let new = FakeDiscovery::silent();
-    let (from, to) = (old.address.to_string(), new.address.to_string());
-    node.reload(|text| text.replace(&from, &to));
-    let (asked, mut watch) = new.next_watch();
-    assert!(asked.contains("watch=1") && !asked.contains("from"), "{asked}");
-    // The old watch is closed at once.
-    let mut rest = Vec::new();
-    before.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time-out");
-    std::io::Read::read_to_end(&mut before, &mut rest).expect("the old watch ends");
-    assert_eq!(serves(&mut client, "b"), "s-1");
+    node.reload(|text| text.replace(&old.address.to_string(), &new.address.to_string()));
+    let mut new_watch = next_snapshot_watch(&new);
+    assert_watch_closed(old_watch);
+    assert_eq!(requests.next_server(), "s-1");
     let two = servers.start("s-2", &[RESPONDS_OK]);
-    watch.write_all(WATCH_RESPONSE_HEAD.as_bytes()).expect("open");
-    send_list(&mut watch, &endpoint_list(1, true, &[endpoint_entry("s-2", two, 2, "ready")]));
-    let mut number = 0;
-    while serves(&mut client, &format!("c{number}")) != "s-2" {
-        number += 1;
-    }
+    new_watch.write_all(WATCH_RESPONSE_HEAD.as_bytes()).expect("open");
+    send_list(&mut new_watch, &endpoint_list(1, true, &[endpoint_entry("s-2", two, 2, "ready")]));
+    while requests.next_server() != "s-2" {}
     node.terminate();
     // A reload during the shutdown is harmless.
     node.reload(|text| text);
--- a/tests/edge/forwarding.rs
+++ b/tests/edge/forwarding.rs
@@ -2,6 +2,8 @@
 
 use super::support::*;
 use super::with_one;
+use std::net::Shutdown;
+use std::time::Duration;
 
 #[test]
 fn requests_are_forwarded_unchanged_and_answered_over_pooled_connections() {
@@ -11,18 +13,18 @@
     for (number, class) in ["read", "submit", "pay"].into_iter().enumerate() {
         let answer = client.exchange(&request_text(class, class, "20000m"));
         assert_eq!((answer.status(), &answer.body[..]), (200, &b"ranks"[..]));
-        let got = servers.next_request();
+        let received = servers.next_request();
         let method = if class == "read" { "GET" } else { "POST" };
         let start = format!("{method} /{class}/00000000b4d65521?game=7 HTTP/1.1");
-        assert_eq!(got.message.start, start);
-        assert_eq!(got.message.header("x-request-id"), class);
-        assert!(got.message.header("x-deadline").ends_with('m'));
-        assert_eq!(got.message.body, if class == "read" { &b""[..] } else { b"time" });
+        assert_eq!(received.message.start, start);
+        assert_eq!(received.message.header("x-request-id"), class);
+        assert!(received.message.header("x-deadline").ends_with('m'));
+        assert_eq!(received.message.body, if class == "read" { &b""[..] } else { b"time" });
         let key = if class == "submit" { "5c0f6e1a" } else { "" };
-        assert_eq!(got.message.header("idempotency-key"), key);
-        assert_eq!(got.connection, 0, "request {number} opened a connection of its own");
+        assert_eq!(received.message.header("idempotency-key"), key);
+        assert_eq!(received.connection, 0, "request {number} opened a connection of its own");
         // A connection is not used again right after an answer.
-        std::thread::sleep(std::time::Duration::from_millis(100));
+        std::thread::sleep(Duration::from_millis(100));
     }
     servers.assert_no_more_requests();
 }
@@ -84,10 +86,10 @@
     let (servers, _discovery, node) = with_one("idle", &[RESPONDS_OK]);
     let mut client = node.client();
     assert_eq!(client.exchange(&request_text("a", "pay", "20000m")).status(), 200);
-    let got = servers.next_request();
-    got.stream.shutdown(std::net::Shutdown::Both).expect("it is open");
+    let received = servers.next_request();
+    received.stream.shutdown(Shutdown::Both).expect("it is open");
     // The edge node closes its side as soon as it sees the close.
-    assert!(is_closed_in_time(&got));
+    assert!(is_closed_in_time(&received));
     let answer = client.exchange(&request_text("b", "pay", "20000m"));
     assert_eq!((answer.status(), servers.next_request().connection), (200, 1));
 }
--- a/tests/edge/invalid_requests.rs
+++ b/tests/edge/invalid_requests.rs
@@ -4,53 +4,112 @@
 use super::with_one;
 use std::io::Write;
 
-#[test]
-fn invalid_requests_are_answered_4xx_and_affect_no_other() {
-    let (servers, _discovery, mut node) = with_one("bad", &[RESPONDS_OK]);
-    let good = request_text("a", "read", "20000m");
-    let cases = [
-        ("X-Class: read", "X-Class: write", "400"),
-        ("X-Class: read\r\n", "", "400"),
-        ("/read/", "/pay/", "400"),
-        ("00000000b4d65521", "b4d65521", "400"),
-        ("00000000b4d65521", "ffffffffffffffff", "400"),
-        ("X-Tier: p", "X-Tier: q", "400"),
-        ("X-Deadline: 20000m", "X-Deadline: 20", "400"),
-        ("X-Deadline: 20000m", "X-Deadline: NaNm", "400"),
-        ("X-Deadline: 20000m\r\n", "", "400"),
-        ("X-Request-Id: a\r\n", "", "400"),
-        ("units=1", "units=-1", "400"),
-        ("X-Call-Terms", "X-Terms", "400"),
-        ("GET", "POST", "400"),
-        ("HTTP/1.1", "SMTP", "400"),
-        ("00000000b4d65521", "+0000000b4d65521", "400"),
-        ("X-Class: read", "X-Class: read\r\nX-Class: submit", "400"),
-        ("X-Tier: p", "X-Tier: p\r\nX-Tier: p", "400"),
-        ("X-Deadline: 20000m", "X-Deadline: 30001m", "400"),
-        ("X-Deadline: 20000m", "X-Deadline: 1e3m", "400"),
-        ("units=1", "units=2", "400"),
-        ("units=1", "units=0", "400"),
-        ("units=1", "units", "400"),
-        ("units=1", "units=1,units=1", "400"),
-        ("spread=1", "spread=3", "400"),
-        ("spread=1", "spread=-1", "400"),
-        ("first=0", "first=2", "400"),
-        // Request smuggling: with a length and an encoding, one of them may hide a request in the other's body.
-        ("X-Tier: p", "X-Tier: p\r\nContent-Length: 4\r\nTransfer-Encoding: chunked", "411"),
-        ("X-Tier: p", "X-Tier: p\r\nTransfer-Encoding: chunked\r\nContent-Length: 4", "411"),
-        ("X-Tier: p", "X-Tier: p\r\nContent-Length: 4\r\nContent-Length: 5", "400"),
-        ("X-Tier: p", "X-Tier: p\r\nContent-Length: -4", "400"),
-        ("X-Tier: p", "X-Tier: p\r\nContent-Length: 4", "400"),
-        ("X-Tier: p", "X-Tier: p\r\nContent-Length: 60000000", "413"),
-    ];
-    for (from, to, status) in cases {
+/// A replacement in the text of a valid request that makes it invalid.
+struct InvalidRequest {
+    original: &'static str,
+    replacement: &'static str,
+    /// The status with which it is answered.
+    status: u16,
+}
+
+impl InvalidRequest {
+    const fn bad_request(original: &'static str, replacement: &'static str) -> InvalidRequest {
+        InvalidRequest { original, replacement, status: 400 }
+    }
+
+    /// Sends the request on a connection of its own, which has to be closed after the answer.
+    fn assert_answered_and_closed(&self, node: &EdgeNode) {
         let mut client = node.client();
-        let answer = client.exchange(&good.replacen(from, to, 1));
-        assert_eq!(answer.status().to_string(), status, "{to}");
+        let answer = client.exchange(&valid_request().replacen(self.original, self.replacement, 1));
+        assert_eq!(answer.status(), self.status, "{}", self.replacement);
         client.assert_closed();
     }
+}
+
+const INVALID_REQUEST_LINES: &[InvalidRequest] = &[
+    InvalidRequest::bad_request("GET", "POST"),
+    InvalidRequest::bad_request("HTTP/1.1", "SMTP"),
+    InvalidRequest::bad_request("/read/", "/pay/"),
+    InvalidRequest::bad_request("00000000b4d65521", "b4d65521"),
+    InvalidRequest::bad_request("00000000b4d65521", "ffffffffffffffff"),
+    InvalidRequest::bad_request("00000000b4d65521", "+0000000b4d65521"),
+];
+
+const INVALID_CLASSES_AND_PLANS: &[InvalidRequest] = &[
+    InvalidRequest::bad_request("X-Class: read", "X-Class: write"),
+    InvalidRequest::bad_request("X-Class: read\r\n", ""),
+    InvalidRequest::bad_request("X-Class: read", "X-Class: read\r\nX-Class: submit"),
+    InvalidRequest::bad_request("X-Tier: p", "X-Tier: q"),
+    InvalidRequest::bad_request("X-Tier: p", "X-Tier: p\r\nX-Tier: p"),
+];
+
+const INVALID_DEADLINES_AND_IDS: &[InvalidRequest] = &[
+    InvalidRequest::bad_request("X-Deadline: 20000m", "X-Deadline: 20"),
+    InvalidRequest::bad_request("X-Deadline: 20000m", "X-Deadline: NaNm"),
+    InvalidRequest::bad_request("X-Deadline: 20000m", "X-Deadline: 30001m"),
+    InvalidRequest::bad_request("X-Deadline: 20000m", "X-Deadline: 1e3m"),
+    InvalidRequest::bad_request("X-Deadline: 20000m\r\n", ""),
+    InvalidRequest::bad_request("X-Request-Id: a\r\n", ""),
+];
+
+const INVALID_CALL_TERMS: &[InvalidRequest] = &[
+    InvalidRequest::bad_request("X-Call-Terms", "X-Terms"),
+    InvalidRequest::bad_request("units=1", "units=-1"),
+    InvalidRequest::bad_request("units=1", "units=2"),
+    InvalidRequest::bad_request("units=1", "units=0"),
+    InvalidRequest::bad_request("units=1", "units"),
+    InvalidRequest::bad_request("units=1", "units=1,units=1"),
+    InvalidRequest::bad_request("spread=1", "spread=3"),
+    InvalidRequest::bad_request("spread=1", "spread=-1"),
+    InvalidRequest::bad_request("first=0", "first=2"),
+];
+
+const INVALID_CONTENT_LENGTHS: &[InvalidRequest] = &[
+    InvalidRequest::bad_request("X-Tier: p", "X-Tier: p\r\nContent-Length: 4\r\nContent-Length: 5"),
+    InvalidRequest::bad_request("X-Tier: p", "X-Tier: p\r\nContent-Length: -4"),
+    InvalidRequest::bad_request("X-Tier: p", "X-Tier: p\r\nContent-Length: 4"),
+    InvalidRequest {
+        original: "X-Tier: p",
+        replacement: "X-Tier: p\r\nContent-Length: 60000000",
+        status: 413,
+    },
+];
+
+/// Request smuggling: with a length and an encoding, one of them may hide a request in the other's body.
+const LENGTHS_WITH_ENCODINGS: &[InvalidRequest] = &[
+    InvalidRequest {
+        original: "X-Tier: p",
+        replacement: "X-Tier: p\r\nContent-Length: 4\r\nTransfer-Encoding: chunked",
+        status: 411,
+    },
+    InvalidRequest {
+        original: "X-Tier: p",
+        replacement: "X-Tier: p\r\nTransfer-Encoding: chunked\r\nContent-Length: 4",
+        status: 411,
+    },
+];
+
+const INVALID_REQUESTS: [&[InvalidRequest]; 6] = [
+    INVALID_REQUEST_LINES,
+    INVALID_CLASSES_AND_PLANS,
+    INVALID_DEADLINES_AND_IDS,
+    INVALID_CALL_TERMS,
+    INVALID_CONTENT_LENGTHS,
+    LENGTHS_WITH_ENCODINGS,
+];
+
+/// The request that the cases change.
+fn valid_request() -> String {
+    request_text("a", "read", "20000m")
+}
+
+/// A request of a class whose requests need an idempotency key.
+fn assert_missing_idempotency_key_is_answered_400(node: &EdgeNode) {
     let keyless = request_text("b", "submit", "20000m").replace("Idempotency-Key", "Some-Key");
     assert_eq!(node.client().exchange(&keyless).status(), 400);
+}
+
+fn assert_too_large_body_is_answered_413(node: &EdgeNode) {
     let large =
         request_text("c", "pay", "20000m").replace("Length: 4\r\n\r\ntime", "Length: 60000000\r\n\r\n");
     let mut client = node.client();
@@ -58,9 +117,19 @@
     // The edge node may answer, and close, before it has read the whole body.
     let _ = client.stream.write_all(&vec![b'x'; 65537]);
     assert_eq!(client.read_response().expect("an answer").status(), 413);
+}
+
+#[test]
+fn invalid_requests_are_answered_4xx_and_affect_no_other() {
+    let (servers, _discovery, mut node) = with_one("bad", &[RESPONDS_OK]);
+    for case in INVALID_REQUESTS.into_iter().flatten() {
+        case.assert_answered_and_closed(&node);
+    }
+    assert_missing_idempotency_key_is_answered_400(&node);
+    assert_too_large_body_is_answered_413(&node);
     assert!(node.is_running());
     servers.assert_no_more_requests();
-    assert_eq!(node.client().exchange(&good).status(), 200);
+    assert_eq!(node.client().exchange(&valid_request()).status(), 200);
 }
 
 /// The connection of a client that sends nothing, or stops within a request, is closed.
--- a/tests/edge/rejections.rs
+++ b/tests/edge/rejections.rs
@@ -9,10 +9,10 @@
     let (servers, _discovery, node) = with_one("twice", &[ServerBehavior::NeverRespond]);
     let mut first = node.client();
     first.send(&request_text("same", "pay", "20000m"));
-    let got = servers.next_request();
+    let received = servers.next_request();
     assert_eq!(node.client().exchange(&request_text("same", "pay", "20000m")).status(), 400);
     drop(first);
-    assert!(is_closed_in_time(&got));
+    assert!(is_closed_in_time(&received));
     servers.assert_no_more_requests();
 }
 
@@ -20,16 +20,17 @@
 fn a_customer_over_its_quota_is_rejected_at_once() {
     let (servers, _discovery, node) = with_one("quota", &[RESPONDS_OK]);
     let mut client = node.client();
-    let tiny = |id: &str| request_text(id, "read", "25000m").replace("X-Tier: p", "X-Tier: tiny");
-    assert_eq!(client.exchange(&tiny("a")).status(), 200);
+    let small_quota_request =
+        |id: &str| request_text(id, "read", "25000m").replace("X-Tier: p", "X-Tier: tiny");
+    assert_eq!(client.exchange(&small_quota_request("a")).status(), 200);
     servers.next_request();
     let begun = Instant::now();
-    let mut refused = client.exchange(&tiny("b"));
+    let mut rejection = client.exchange(&small_quota_request("b"));
     for number in 0..3 {
-        refused = client.exchange(&tiny(&format!("c{number}")));
+        rejection = client.exchange(&small_quota_request(&format!("c{number}")));
     }
-    assert_eq!(refused.status(), 503);
-    let advice: f64 = refused.header("retry-after").parse().expect("seconds");
-    assert!(advice > 0.0 && advice < 60.0, "{advice}");
+    assert_eq!(rejection.status(), 503);
+    let retry_after: f64 = rejection.header("retry-after").parse().expect("seconds");
+    assert!(retry_after > 0.0 && retry_after < 60.0, "{retry_after}");
     assert!(begun.elapsed().as_secs() < 20, "a rejection does not wait for the deadline");
 }
--- a/tests/edge/retries.rs
+++ b/tests/edge/retries.rs
@@ -2,20 +2,21 @@
 
 use super::support::*;
 use super::with_one;
+use std::net::TcpListener;
 use std::time::Instant;
 
-/// An edge node with two servers. The first attempt gets one answer, all others get another.
+/// An edge node with two app servers in these cells. The first attempt meets one behavior, all others meet another.
 fn with_two(
-    tag: &str, blocks: [u32; 2], first: ServerBehavior, then: ServerBehavior,
+    tag: &str, cells: [u32; 2], first: ServerBehavior, others: ServerBehavior,
 ) -> (FakeServers, FakeDiscovery, EdgeNode) {
     let servers = FakeServers::new();
-    let turns = SharedBehaviors::new(vec![first, then].into());
-    let number = |(block, name): (u32, &str)| {
-        endpoint_entry(name, servers.start_sharing(name, &turns), block, "ready")
+    let behaviors = SharedBehaviors::new(vec![first, others].into());
+    let entry = |(cell, name): (u32, &str)| {
+        endpoint_entry(name, servers.start_sharing(name, &behaviors), cell, "ready")
     };
-    let hosts: Vec<_> = blocks.into_iter().zip(["s-1", "s-2"]).map(number).collect();
-    let discovery = FakeDiscovery::start(&hosts);
-    let node = EdgeNode::start(tag, discovery.address, &hosts);
+    let entries: Vec<_> = cells.into_iter().zip(["s-1", "s-2"]).map(entry).collect();
+    let discovery = FakeDiscovery::start(&entries);
+    let node = EdgeNode::start(tag, discovery.address, &entries);
     (servers, discovery, node)
 }
 
@@ -62,12 +63,12 @@
 #[test]
 fn a_refused_connection_proves_that_nothing_was_executed() {
     let servers = FakeServers::new();
-    let gone = std::net::TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
-    let dead = gone.expect("an address");
-    let dial = servers.start("s-2", &[RESPONDS_OK]);
-    let hosts = [endpoint_entry("s-1", dead, 1, "ready"), endpoint_entry("s-2", dial, 2, "ready")];
-    let discovery = FakeDiscovery::start(&hosts);
-    let node = EdgeNode::start("refused", discovery.address, &hosts);
+    let refusing = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    let refusing = refusing.expect("an address");
+    let accepting = servers.start("s-2", &[RESPONDS_OK]);
+    let entries = [endpoint_entry("s-1", refusing, 1, "ready"), endpoint_entry("s-2", accepting, 2, "ready")];
+    let discovery = FakeDiscovery::start(&entries);
+    let node = EdgeNode::start("refused", discovery.address, &entries);
     let mut client = node.client();
     for number in 0..6 {
         assert_eq!(client.exchange(&request_text(&format!("r{number}"), "pay", "20000m")).status(), 200);
--- a/tests/edge/shutdown.rs
+++ b/tests/edge/shutdown.rs
@@ -121,14 +121,14 @@
 #[test]
 fn sigterm_completes_the_requests_that_were_accepted() {
     let (servers, _discovery, mut node) = with_one("term", &[ServerBehavior::NeverRespond, RESPONDS_OK]);
-    let (mut held, mut idle) = (node.client(), node.client());
-    assert_eq!(idle.exchange("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
-    held.send(&request_text("a", "read", "20000m"));
-    let got = servers.next_request();
+    let (mut waiting, mut idle) = (node.client(), node.client());
+    assert_eq!(idle.exchange(READY).status(), 200);
+    waiting.send(&request_text("a", "read", "20000m"));
+    let received = servers.next_request();
     node.terminate();
     // New connections are still accepted for a while, and closed after their answer.
     let late = loop {
-        let answer = node.client().exchange("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n");
+        let answer = node.client().exchange(READY);
         if answer.status() != 200 {
             break answer;
         }
@@ -137,11 +137,11 @@
     let answer = idle.exchange(&request_text("b", "read", "20000m"));
     assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
     idle.assert_closed();
-    let mut stream = got.stream;
+    let mut stream = received.stream;
     stream
         .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks")
         .expect("the attempt is still in flight");
-    let answer = held.read_response().expect("an accepted request is answered");
+    let answer = waiting.read_response().expect("an accepted request is answered");
     assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
     assert!(node.wait().success());
 }
