tests: diagnostics of configurations are tables by section

Seen: `each_diagnostic_has_its_line_and_key` had 88 lines, most of them tuples of three texts, and the test of the platform's JSON had the same loop over its own tuples.

Changed: `DiagnosticCase` with named fields and the check that its replacement takes effect; 27 cases in seven tables by section of the file, 12 in the platform's. Both tests assert what they did, the line included.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -43,94 +43,159 @@
     assert!(check("example.conf", &example()).is_valid);
 }
 
-/// Each change of the example causes one diagnostic.
+/// A replacement in a valid configuration that causes one diagnostic.
+struct DiagnosticCase {
+    original: &'static str,
+    replacement: &'static str,
+    /// How the diagnostic begins.
+    diagnostic: &'static str,
+}
+
+impl DiagnosticCase {
+    const fn new(
+        original: &'static str, replacement: &'static str, diagnostic: &'static str,
+    ) -> DiagnosticCase {
+        DiagnosticCase { original, replacement, diagnostic }
+    }
+
+    /// Checks the valid configuration after the replacement, in a file of that name.
+    fn check(&self, file_name: &str, valid: &str) -> Checked {
+        let config = valid.replacen(self.original, self.replacement, 1);
+        assert_ne!(config, valid, "{}", self.original);
+        check(file_name, &config)
+    }
+}
+
+const NAME_AND_ADDRESS_DIAGNOSTICS: &[DiagnosticCase] = &[
+    DiagnosticCase::new("name = \"edge-0\"", "name = 3", "name: has to be a text"),
+    DiagnosticCase::new("name = \"edge-0\"", "name = \"\"", "name: has to be a text that is not empty"),
+    DiagnosticCase::new("127.0.0.1:8443", "127.0.0.1", "listen: has to be an address"),
+    DiagnosticCase::new("127.0.0.1:8500", "localhost:8500", "discovery: has to be an address"),
+];
+
+const LIMIT_DIAGNOSTICS: &[DiagnosticCase] = &[
+    DiagnosticCase::new(
+        "file_descriptors = 1024",
+        "file_descriptors = 63",
+        "limits.file_descriptors: is 63, and has to be from 64",
+    ),
+    DiagnosticCase::new(
+        "file_descriptors = 1024",
+        "file_descriptors = 1e3",
+        "limits.file_descriptors: has to be a whole number",
+    ),
+    DiagnosticCase::new(
+        "memory_mib = 192",
+        "memory_mb = 192",
+        "limits.memory_mb: no such key; the nearest known name is limits.memory_mib",
+    ),
+    DiagnosticCase::new("memory_mib = 192", "memory_mib = -1", "limits.memory_mib: is -1"),
+];
+
+const FLEET_DIAGNOSTICS: &[DiagnosticCase] = &[
+    DiagnosticCase::new("number = 0", "number = 3", "fleet.number: there are only the numbers below 3"),
+    DiagnosticCase::new(
+        "zone = \"block-a\"",
+        "zone = \"block-d\"",
+        "fleet.zone: has to be one of block-a, block-b, block-c",
+    ),
+    DiagnosticCase::new("zones = [", "zones = [1, ", "fleet.zones: has to be a list of texts"),
+];
+
+const PEER_DIAGNOSTICS: &[DiagnosticCase] = &[
+    DiagnosticCase::new("\"127.0.0.3:7946\"", "\"x\"", "peers.addresses: has to be a list of addresses"),
+    DiagnosticCase::new(
+        "\"127.0.0.2:7946\", \"127.0.0.3:7946\"]",
+        "\"127.0.0.2:7946\"]",
+        "peers.addresses: has 2 addresses for 3 edge nodes",
+    ),
+    DiagnosticCase::new("messages_per_s = 40", "messages_per_s = nan", "peers.messages_per_s: is NaN"),
+    DiagnosticCase::new(
+        "messages_per_s = 40",
+        "messages_per_s = 1979-05-27",
+        "peers.messages_per_s: has to be a number",
+    ),
+    DiagnosticCase::new(
+        "messages_per_s = 40",
+        "messages = 40",
+        "peers.messages: no such key; the nearest known name is peers.messages_per_s",
+    ),
+];
+
+const REQUEST_AND_SERVER_DIAGNOSTICS: &[DiagnosticCase] = &[
+    DiagnosticCase::new(
+        "max_attempts = 5",
+        "max_attempts = 0",
+        "requests.max_attempts: is 0, and has to be from 1 to 100",
+    ),
+    DiagnosticCase::new(
+        "cold_start_capacity = 0.27",
+        "cold_start_capacity = 27",
+        "servers.cold_start_capacity: is 27, and has to be from 0 to 1",
+    ),
+    DiagnosticCase::new(
+        "overload_window_ms = 3_000",
+        "overload_window_ms = 3_600_001",
+        "servers.overload_window_ms: is 3600001",
+    ),
+];
+
+const CLASS_AND_PLAN_DIAGNOSTICS: &[DiagnosticCase] = &[
+    DiagnosticCase::new(
+        "latency_target_ms = 1_000",
+        "latency_target_ms = true",
+        "classes[0].latency_target_ms: has to be a number",
+    ),
+    DiagnosticCase::new(
+        "repeat = \"never\"",
+        "repeat = \"once\"",
+        "classes[1].repeat: has to be one of safe, idempotency_key, never",
+    ),
+    DiagnosticCase::new(
+        "\"post-payment\"",
+        "\"balance-read\"",
+        "classes[1].name: \"balance-read\" stands twice",
+    ),
+    DiagnosticCase::new("\"premier\"", "\"basic\"", "plans[1].name: \"basic\" stands twice"),
+    DiagnosticCase::new(
+        "units_per_s = 50",
+        "units_per_second = 50\nunits_per_s = 50",
+        "plans[1].units_per_second: no such key; the nearest known name is plans[].units_per_s",
+    ),
+];
+
+const LOG_AND_UNKNOWN_KEY_DIAGNOSTICS: &[DiagnosticCase] = &[
+    DiagnosticCase::new(
+        "[limits]",
+        "log.level = \"loud\"\n[limits]",
+        "log.level: has to be one of off, error, warn, info, debug",
+    ),
+    DiagnosticCase::new(
+        "[requests]",
+        "[reqests]",
+        "reqests: no such key; the nearest known name is requests",
+    ),
+    DiagnosticCase::new("[limits]", "qqq = 1\n[limits]", "qqq: no such key"),
+];
+
+const EXAMPLE_DIAGNOSTICS: [&[DiagnosticCase]; 7] = [
+    NAME_AND_ADDRESS_DIAGNOSTICS,
+    LIMIT_DIAGNOSTICS,
+    FLEET_DIAGNOSTICS,
+    PEER_DIAGNOSTICS,
+    REQUEST_AND_SERVER_DIAGNOSTICS,
+    CLASS_AND_PLAN_DIAGNOSTICS,
+    LOG_AND_UNKNOWN_KEY_DIAGNOSTICS,
+];
+
 #[test]
 fn each_diagnostic_has_its_line_and_key() {
-    let cases = [
-        ("name = \"edge-0\"", "name = 3", "name: has to be a text"),
-        ("name = \"edge-0\"", "name = \"\"", "name: has to be a text that is not empty"),
-        ("127.0.0.1:8443", "127.0.0.1", "listen: has to be an address"),
-        ("127.0.0.1:8500", "localhost:8500", "discovery: has to be an address"),
-        (
-            "file_descriptors = 1024",
-            "file_descriptors = 63",
-            "limits.file_descriptors: is 63, and has to be from 64",
-        ),
-        (
-            "file_descriptors = 1024",
-            "file_descriptors = 1e3",
-            "limits.file_descriptors: has to be a whole number",
-        ),
-        (
-            "memory_mib = 192",
-            "memory_mb = 192",
-            "limits.memory_mb: no such key; the nearest known name is limits.memory_mib",
-        ),
-        ("memory_mib = 192", "memory_mib = -1", "limits.memory_mib: is -1"),
-        ("number = 0", "number = 3", "fleet.number: there are only the numbers below 3"),
-        (
-            "zone = \"block-a\"",
-            "zone = \"block-d\"",
-            "fleet.zone: has to be one of block-a, block-b, block-c",
-        ),
-        ("zones = [", "zones = [1, ", "fleet.zones: has to be a list of texts"),
-        ("\"127.0.0.3:7946\"", "\"x\"", "peers.addresses: has to be a list of addresses"),
-        (
-            "\"127.0.0.2:7946\", \"127.0.0.3:7946\"]",
-            "\"127.0.0.2:7946\"]",
-            "peers.addresses: has 2 addresses for 3 edge nodes",
-        ),
-        ("messages_per_s = 40", "messages_per_s = nan", "peers.messages_per_s: is NaN"),
-        ("messages_per_s = 40", "messages_per_s = 1979-05-27", "peers.messages_per_s: has to be a number"),
-        (
-            "messages_per_s = 40",
-            "messages = 40",
-            "peers.messages: no such key; the nearest known name is peers.messages_per_s",
-        ),
-        ("max_attempts = 5", "max_attempts = 0", "requests.max_attempts: is 0, and has to be from 1 to 100"),
-        (
-            "cold_start_capacity = 0.27",
-            "cold_start_capacity = 27",
-            "servers.cold_start_capacity: is 27, and has to be from 0 to 1",
-        ),
-        (
-            "overload_window_ms = 3_000",
-            "overload_window_ms = 3_600_001",
-            "servers.overload_window_ms: is 3600001",
-        ),
-        (
-            "latency_target_ms = 1_000",
-            "latency_target_ms = true",
-            "classes[0].latency_target_ms: has to be a number",
-        ),
-        (
-            "repeat = \"never\"",
-            "repeat = \"once\"",
-            "classes[1].repeat: has to be one of safe, idempotency_key, never",
-        ),
-        ("\"post-payment\"", "\"balance-read\"", "classes[1].name: \"balance-read\" stands twice"),
-        ("\"premier\"", "\"basic\"", "plans[1].name: \"basic\" stands twice"),
-        (
-            "units_per_s = 50",
-            "units_per_second = 50\nunits_per_s = 50",
-            "plans[1].units_per_second: no such key; the nearest known name is plans[].units_per_s",
-        ),
-        (
-            "[limits]",
-            "log.level = \"loud\"\n[limits]",
-            "log.level: has to be one of off, error, warn, info, debug",
-        ),
-        ("[requests]", "[reqests]", "reqests: no such key; the nearest known name is requests"),
-        ("[limits]", "qqq = 1\n[limits]", "qqq: no such key"),
-    ];
-    for (number, (from, to, expected)) in cases.into_iter().enumerate() {
-        let config = example().replacen(from, to, 1);
-        assert_ne!(config, example(), "{from}");
-        let Checked { is_valid, lines } = check(&format!("diagnostic-{number}.toml"), &config);
-        let before = example().split(from).next().map_or(0, |before| before.matches('\n').count());
-        let expected = format!("{}: {expected}", before + 1);
+    for (number, case) in EXAMPLE_DIAGNOSTICS.into_iter().flatten().enumerate() {
+        let Checked { is_valid, lines } = case.check(&format!("diagnostic-{number}.toml"), &example());
+        let before = example().split(case.original).next().map_or(0, |before| before.matches('\n').count());
+        let expected = format!("{}: {}", before + 1, case.diagnostic);
         let is_reported = lines.iter().any(|line| line.starts_with(&expected));
-        assert!(!is_valid && is_reported && lines.len() == 1, "{to}: {lines:?}");
+        assert!(!is_valid && is_reported && lines.len() == 1, "{}: {lines:?}", case.replacement);
     }
 }
 
@@ -215,37 +280,62 @@
       {"name": "p", "rate": 1.0, "storeSize": 1.0, "price": 1.0}],
     "rules": {"coldFrom": 0.2, "coldUs": 1000000, "fallMultiple": 3.0, "overloadForUs": 1000000}}}"#;
 
+/// Each diagnostic begins with its line.
+const PLATFORM_DIAGNOSTICS: &[DiagnosticCase] = &[
+    DiagnosticCase::new("127.0.0.1:0", "nowhere", "2: listen: has to be an address"),
+    DiagnosticCase::new(
+        "\"sockets\": 1024",
+        "\"sockets\": 63",
+        "3: limits.sockets: is 63, and has to be 64 or more",
+    ),
+    DiagnosticCase::new("127.0.0.1:3", "x", "4: peers: has to be a list of addresses"),
+    DiagnosticCase::new("\"me\": 0", "\"me\": 2", "6: settings.me: there are only the numbers below 2"),
+    DiagnosticCase::new(
+        "\"periodUs\": 2000",
+        "\"periodUs\": 2.5",
+        "6: settings.periodUs: has to be a whole number",
+    ),
+    DiagnosticCase::new("\"zone\": \"a\"", "\"zone\": \"b\"", "6: settings.zone: has to be one of a"),
+    DiagnosticCase::new(
+        "\"automatic\"",
+        "\"never\"",
+        "6: settings.discovery: has to be one of automatic, subscribe",
+    ),
+    DiagnosticCase::new(
+        "\"cancel\": true",
+        "\"cancel\": 1",
+        "7: settings.ceilings.cancel: has to be true or false",
+    ),
+    DiagnosticCase::new(
+        "\"worth\": 3.0, \"repeat\": \"non",
+        "\"repeat\": \"non",
+        "10: settings.classes[1].worth: is missing",
+    ),
+    DiagnosticCase::new(
+        "\"non_idempotent\"",
+        "\"idempotency_key\"",
+        "10: settings.classes[1].group: is missing",
+    ),
+    DiagnosticCase::new(
+        "\"rate\": 1.0",
+        "\"rate\": -1.0",
+        "12: settings.packages[0].rate: is -1, and has to be 0 or more",
+    ),
+    DiagnosticCase::new(
+        "\"name\": \"p\", ",
+        "\"name\": \"p\", \"name\": \"q\", ",
+        "12: settings.packages[0].name: stands twice",
+    ),
+];
+
 #[test]
 fn diagnostics_of_the_platform_s_json_have_its_own_names() {
     assert!(check("valid.json", PLATFORM).is_valid, "unknown keys are ignored there");
     assert!(check("valid.conf", PLATFORM).is_valid, "its content shows its format");
-    let cases = [
-        ("127.0.0.1:0", "nowhere", "2: listen: has to be an address"),
-        ("\"sockets\": 1024", "\"sockets\": 63", "3: limits.sockets: is 63, and has to be 64 or more"),
-        ("127.0.0.1:3", "x", "4: peers: has to be a list of addresses"),
-        ("\"me\": 0", "\"me\": 2", "6: settings.me: there are only the numbers below 2"),
-        ("\"periodUs\": 2000", "\"periodUs\": 2.5", "6: settings.periodUs: has to be a whole number"),
-        ("\"zone\": \"a\"", "\"zone\": \"b\"", "6: settings.zone: has to be one of a"),
-        ("\"automatic\"", "\"never\"", "6: settings.discovery: has to be one of automatic, subscribe"),
-        ("\"cancel\": true", "\"cancel\": 1", "7: settings.ceilings.cancel: has to be true or false"),
-        (
-            "\"worth\": 3.0, \"repeat\": \"non",
-            "\"repeat\": \"non",
-            "10: settings.classes[1].worth: is missing",
-        ),
-        ("\"non_idempotent\"", "\"idempotency_key\"", "10: settings.classes[1].group: is missing"),
-        ("\"rate\": 1.0", "\"rate\": -1.0", "12: settings.packages[0].rate: is -1, and has to be 0 or more"),
-        (
-            "\"name\": \"p\", ",
-            "\"name\": \"p\", \"name\": \"q\", ",
-            "12: settings.packages[0].name: stands twice",
-        ),
-    ];
-    for (number, (from, to, expected)) in cases.into_iter().enumerate() {
-        let config = PLATFORM.replacen(from, to, 1);
-        assert_ne!(config, PLATFORM, "{from}");
-        let Checked { is_valid, lines } = check(&format!("platform-{number}.json"), &config);
-        assert!(!is_valid && lines.len() == 1 && lines[0].starts_with(expected), "{to}: {lines:?}");
+    for (number, case) in PLATFORM_DIAGNOSTICS.iter().enumerate() {
+        let Checked { is_valid, lines } = case.check(&format!("platform-{number}.json"), PLATFORM);
+        let is_reported = lines.len() == 1 && lines[0].starts_with(case.diagnostic);
+        assert!(!is_valid && is_reported, "{}: {lines:?}", case.replacement);
     }
     let several = PLATFORM.replace("\"sendCap\": 4, ", "").replace("\"name\": \"n3\"", "\"name\": []");
     assert_eq!(check("platform-several.json", &several).lines.len(), 2);
