--- a/tests/fixtures.rs
+++ b/tests/fixtures.rs
@@ -247,13 +247,17 @@
     assert_same_restart_values(restart_values, PLATFORM_VALUES);
 }
 
-fn example_settings() -> ResolvedSettings {
+fn example_classes() -> Vec<Class> {
     let class = |priority_weight, idempotency| Class {
         latency_objective: 1_000_000,
         late_weight: 0.2,
         priority_weight,
         idempotency,
     };
+    vec![class(3.0, Idempotency::Idempotent), class(5.0, Idempotency::NonIdempotent)]
+}
+
+fn example_plans() -> Vec<Plan> {
     let basic = Plan {
         rate: 2.5,
         burst: 10.0,
@@ -272,13 +276,17 @@
         over_quota_cost: 0.8,
         hard_limit: Some(HardLimit { rate: 100.0, capacity: 200.0 }),
     };
+    vec![basic, premier]
+}
+
+fn example_settings() -> ResolvedSettings {
     ResolvedSettings {
         settings: Settings {
             gateway_id: GatewayId(0),
             gateway_count: 3,
             zone: ZoneId(0),
-            classes: vec![class(3.0, Idempotency::Idempotent), class(5.0, Idempotency::NonIdempotent)],
-            plans: vec![basic, premier],
+            classes: example_classes(),
+            plans: example_plans(),
             rules: Rules {
                 warm_up_from: 0.27,
                 warm_up_period: 16_000_000,
