--- a/tests/edge/shutdown.rs
+++ b/tests/edge/shutdown.rs
@@ -138,3 +138,31 @@
     assert_eq!(client.read_response().map(|answer| answer.status()), Some(200));
     assert!(node.wait().success());
 }
+
+#[test]
+fn sigterm_completes_the_requests_that_were_accepted() {
+    let (servers, _discovery, mut node) = with_one("term", &[ServerBehavior::NeverRespond, RESPONDS_OK]);
+    let (mut waiting, mut idle) = (node.client(), node.client());
+    assert_eq!(idle.exchange(READY).status(), 200);
+    waiting.send(&request_text("a", "read", "20000m"));
+    let received = servers.next_request();
+    node.terminate();
+    // New connections are still accepted for a while, and closed after their answer.
+    let late = loop {
+        let answer = node.client().exchange(READY);
+        if answer.status() != 200 {
+            break answer;
+        }
+    };
+    assert_eq!((late.status(), late.header("connection")), (503, "close"));
+    let answer = idle.exchange(&request_text("b", "read", "20000m"));
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    idle.assert_closed();
+    let mut stream = received.stream;
+    stream
+        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks")
+        .expect("the attempt is still in flight");
+    let answer = waiting.read_response().expect("an accepted request is answered");
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    assert!(node.wait().success());
+}
