--- a/src/bin/edge-node/upstream/attempt.rs
+++ b/src/bin/edge-node/upstream/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to have a request answered by a server, from the connection to the end.
 
+use super::attempt_result::AttemptResult;
 use super::body_budget::BodyBudget;
 use super::connection::{ConnectError, PooledConnection};
 use super::response::{self, ResponseError, REQUEST_ID};
@@ -48,17 +49,6 @@
     pub(crate) is_open: F,
 }
 
-/// How an attempt ended.
-#[derive(Debug, PartialEq)]
-pub(crate) struct AttemptResult {
-    /// How it ended, in the gateway's terms.
-    pub(crate) outcome: AttemptOutcome,
-    /// The body of a successful response.
-    pub(crate) body: Option<Bytes>,
-    /// Requests in flight at the server, if its response reported them.
-    pub(crate) reported_load: Option<f64>,
-}
-
 impl From<AttemptError> for AttemptResult {
     fn from(error: AttemptError) -> AttemptResult {
         AttemptResult { outcome: error.outcome(), body: None, reported_load: None }
--- a/src/bin/edge-node/upstream/mod.rs
+++ b/src/bin/edge-node/upstream/mod.rs
@@ -5,13 +5,15 @@
 //! and `body_budget` bounds the memory of bodies.
 
 mod attempt;
+mod attempt_result;
 mod body_budget;
 mod connection;
 mod pool;
 mod response;
 mod socket;
 
-pub(crate) use attempt::{Attempt, AttemptResult, UpstreamRequest};
+pub(crate) use attempt::{Attempt, UpstreamRequest};
+pub(crate) use attempt_result::AttemptResult;
 pub(crate) use body_budget::BodyBudget;
 
 use connection::{ConnectError, PooledConnection};
--- a/src/bin/edge-node/upstream/response.rs
+++ b/src/bin/edge-node/upstream/response.rs
@@ -1,6 +1,6 @@
 //! Reads and validates the response to a request.
 
-use super::attempt::AttemptResult;
+use super::attempt_result::AttemptResult;
 use super::body_budget::{BodyBudget, BodyBudgetError};
 use edge_node::{load_report, AttemptOutcome, RequestId};
 use http_body_util::{BodyExt, Limited};
