--- a/src/bin/edge-node/clients/request.rs
+++ b/src/bin/edge-node/clients/request.rs
@@ -60,7 +60,7 @@
     /// For the decision module.
     event: Event,
     /// For the servers, once the decision module sends it.
-    forward: UpstreamRequest,
+    upstream_request: UpstreamRequest,
 }
 
 /// Parses the head, then reads the body to its end.
@@ -105,9 +105,9 @@
         };
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
         let idempotency_key = parts.headers.get(IDEMPOTENCY_KEY).cloned();
-        let forward =
+        let upstream_request =
             UpstreamRequest { id: head.id, method: parts.method, target, idempotency_key, body, deadline };
-        AdmittedRequest { event, forward }
+        AdmittedRequest { event, upstream_request }
     }
 }
 
@@ -115,10 +115,10 @@
 async fn decide(
     node: &Rc<Node>, admitted: AdmittedRequest, stream: &ReadAheadStream,
 ) -> Result<BufferedResponse, ClientDisconnected> {
-    let AdmittedRequest { event, forward } = admitted;
-    let id = forward.id.clone();
-    let last_moment = forward.deadline + ANSWER_GRACE;
-    let Some(answer) = node.accept_request(event, forward) else {
+    let AdmittedRequest { event, upstream_request } = admitted;
+    let id = upstream_request.id.clone();
+    let last_moment = upstream_request.deadline + ANSWER_GRACE;
+    let Some(answer) = node.accept_request(event, upstream_request) else {
         return Ok(response::rejection(RequestError::RequestIdInUse));
     };
     // Held until the response is built, and dropped with this future if the client disconnects first.
