--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,47 +1,60 @@
-//! Case 2: clients that write long requests slowly, in small pieces, make the edge node exceed its
-//! memory limit, and the platform kills it.
+//! Case 2: a hold with an idempotency key is sent again after its window, over a connection that
+//! came up late, and runs twice.
 
 #[path = "../common.rs"]
 mod common;
+#[path = "../late.rs"]
+mod late;
 
 use common::*;
+use late::LateListener;
+use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::mpsc::{self, Sender};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// How long the case runs, unless the edge node is killed.
-const LENGTH: Duration = Duration::from_secs(30);
-/// When the clients with long requests come.
-const LONG_AT: Duration = Duration::from_secs(3);
-/// The limits of the edge node.
-const MEMORY_MB: u32 = 32;
-const SOCKETS: u32 = 256;
-/// Clients that send long requests: the body has the greatest length that the protocol allows.
-const LONG_CLIENTS: u64 = 20;
-const BODY: usize = 64 * 1024;
-/// The pieces in which a slow client writes such a body, and the time that it takes for all.
-const PIECE: usize = 128;
-const WRITE_TIME: Duration = Duration::from_millis(500);
-/// Clients that send short requests.
-const SHORT_CLIENTS: u64 = 60;
-const PAUSE: Duration = Duration::from_millis(400);
-const DEADLINE_MS: u64 = 4000;
+/// In every second round, the connection of the new loan server comes up late.
+const ROUNDS: u64 = 16;
+/// Requests between two rounds.
+const USUAL_REQUESTS: u64 = 6;
+/// How long loan servers remember a key, from the first attempt that may have run.
+const WINDOW_MS: u64 = 450;
+/// The slack of every time limit on sockets, and the time for which an edge node may be held up
+/// between reading its clock and writing.
+const SLACK_MS: u64 = 50 + 150;
+/// The connect timeout of the site, and how late the connection of a new loan server comes up.
+const CONNECT_TIMEOUT_MS: u64 = 400;
+const LATE_MS: u64 = 350;
+/// When, after it has begun to run a marked request, a loan server resets its connection.
+const RESET_MS: u64 = 410;
+/// How long before the reset the new loan server joins the list.
+const JOIN_BEFORE_MS: u64 = 20;
 /// Work of a loan server on one request.
-const WORK_MS: (f64, f64) = (88.0, 150.0);
+const WORK_MS: (f64, f64) = (70.0, 120.0);
+const DEADLINE_MS: u64 = 3000;
 
+/// What the loan servers together know: they all recognise the keys of each other's requests.
 #[derive(Default)]
-struct Totals {
-    answered: AtomicU64,
-    unanswered: AtomicU64,
-    long_sent: AtomicU64,
-    long_answered: AtomicU64,
-    stop: AtomicBool,
+struct Fleet {
+    /// When each key was first seen.
+    keys: BTreeMap<String, Instant>,
+    /// Arrivals of each request that is marked to be reset: the loan server and the time since the
+    /// first arrival in milliseconds.
+    arrivals: BTreeMap<String, Vec<(String, u64)>>,
+    runs: BTreeMap<String, u32>,
+    /// Connections that came up late, and all.
+    late_connections: u32,
+    connections: u32,
+    /// Informed when a marked request begins to run for the first time.
+    marked: Option<Sender<()>>,
 }
 
+type SharedFleet = Arc<Mutex<Fleet>>;
+
 fn main() {
     let folder = PathBuf::from(std::env::args().nth(1).expect("folder of the case"));
     let record = Record::create(&folder);
@@ -49,193 +62,202 @@
     std::process::exit(status);
 }
 
+fn settings() -> Settings {
+    let class = |name, aim_ms: u64, deadline_ms: u64, repeat, worth: f64, late: f64, window_ms: u64| {
+        format!(
+            r#"{{"aimUs":{},"deadlineUs":{},"group":"all","lateValue":{late},"name":"{name}","repeat":"{repeat}","streamed":false,"windowUs":{},"worth":{worth}}}"#,
+            aim_ms * 1000,
+            deadline_ms * 1000,
+            window_ms * 1000
+        )
+    };
+    let mut settings = Settings::of_brief(DEADLINE_MS);
+    settings.classes = [
+        class("seat-quote", 600, 2500, "read_like", 1.0, 0.4, 6000),
+        class("seat-hold", 900, DEADLINE_MS, "idempotency_key", 4.0, 0.0, WINDOW_MS),
+        class("fare-charge", 1500, 5000, "non_idempotent", 7.0, 0.1, 6000),
+    ]
+    .join(",");
+    settings.connect_timeout_us = CONNECT_TIMEOUT_MS * 1000;
+    settings
+}
+
 fn run(record: &Record) -> i32 {
     let temp = TempFolder::create();
-    let entries = (0..3).map(|number| {
-        let record = record.clone();
-        let address = listen(move |stream| {
-            let _ = serve(stream, number, &record);
-        });
-        Entry::ready(&format!("s-{number:08x}"), address)
+    let fleet = SharedFleet::default();
+    let entries = (0..2).map(|number| {
+        let name = format!("s-{number:08x}");
+        let serve = server(&name, &fleet, record, false);
+        Entry::ready(&name, listen(serve))
     });
     let discovery = Discovery::start(entries.collect());
-    let mut settings = Settings::of_brief(DEADLINE_MS);
-    settings.memory_mb = MEMORY_MB;
-    settings.sockets = SOCKETS;
-    let mut node = EdgeNode::start(&temp, &settings, &discovery);
-    let started = Instant::now();
-
-    let totals = Arc::new(Totals::default());
-    for number in 0..SHORT_CLIENTS {
-        let (record, totals, address) = (record.clone(), Arc::clone(&totals), node.address);
-        thread::spawn(move || short_client(number, address, &totals, &record));
-    }
-    let mut has_long = false;
-    let mut most = 0;
-    let mut said = Instant::now();
-    let killed = loop {
-        thread::sleep(Duration::from_millis(10));
-        if !has_long && started.elapsed() > LONG_AT {
-            has_long = true;
-            record.line("the clients with long requests come");
-            for number in 0..LONG_CLIENTS {
-                let (record, totals, address) = (record.clone(), Arc::clone(&totals), node.address);
-                thread::spawn(move || long_client(number, address, &totals, &record));
+    let node = EdgeNode::start(&temp, &settings(), &discovery);
+    let mut usual = 0;
+    for round in 0..ROUNDS {
+        for _ in 0..USUAL_REQUESTS {
+            usual += 1;
+            let id = format!("{usual:016x}");
+            if exchange(node.address, &id) != Some(200) {
+                record.say(&format!("the usual request {id} was not served"));
+                return NOT_RUN;
             }
         }
-        if let Some(status) = node.ended() {
-            record.say(&format!("the edge node has ended by itself: {status}"));
-            break true;
-        }
-        // The platform: over the limit, the edge node is killed.
-        let memory = node.resident_kib();
-        most = memory.max(most);
-        if said.elapsed() > Duration::from_millis(500) {
-            said = Instant::now();
-            record.line(&format!("memory of the edge node: {memory} KiB"));
-        }
-        if memory > u64::from(MEMORY_MB) * 1024 {
-            record.line(&format!("memory of the edge node: {memory} KiB, over the limit"));
-            node.signal("-KILL");
-            record.say(&format!(
-                "the platform kills the edge node {:.1} s after the long requests began",
-                (started.elapsed() - LONG_AT).as_secs_f64()
-            ));
-            break true;
-        }
-        if started.elapsed() > LENGTH {
-            break false;
-        }
-    };
-    thread::sleep(Duration::from_millis(200));
-    totals.stop.store(true, Ordering::Relaxed);
-    let answered = totals.answered.load(Ordering::Relaxed);
-    record.say(&format!(
-        "most memory: {most} KiB of {} KiB; short requests: {answered} answered, {} without an \
-         answer; long requests: {} written whole, {} answered",
-        u64::from(MEMORY_MB) * 1024,
-        totals.unanswered.load(Ordering::Relaxed),
-        totals.long_sent.load(Ordering::Relaxed),
-        totals.long_answered.load(Ordering::Relaxed),
-    ));
-    if answered < 100 || (!killed && totals.long_answered.load(Ordering::Relaxed) < 100) {
-        record.say("too few requests were answered");
-        return NOT_RUN;
+        thread::sleep(Duration::from_millis(20));
+        play_round(round, node.address, &discovery, &fleet, record);
     }
-    if killed { BROKEN } else { HELD }
+    drop(node);
+    let fleet = fleet.lock().expect("fleet");
+    judge(&fleet, record)
 }
 
-fn request(client: u64, number: u64) -> ClientRequest {
-    ClientRequest {
-        id: format!("{client:08x}{number:08x}"),
-        class: "post-payment".to_owned(),
-        customer: client + 1,
-        plan: "standard".to_owned(),
-        deadline_ms: DEADLINE_MS,
-        key: None,
-        is_read: false,
+/// Sends one hold, whose first attempt is reset after it has begun to run. Shortly before the
+/// reset, a loan server joins the list.
+fn play_round(
+    round: u64,
+    node: SocketAddr,
+    discovery: &Discovery,
+    fleet: &SharedFleet,
+    record: &Record,
+) {
+    let (sender, has_begun) = mpsc::channel();
+    fleet.lock().expect("fleet").marked = Some(sender);
+    let id = marked_id(round);
+    record.line(&format!("round {round}: client sends {id}"));
+    let client = {
+        let id = id.clone();
+        thread::spawn(move || exchange(node, &id))
+    };
+    if has_begun.recv_timeout(Duration::from_secs(2)).is_ok() {
+        let name = format!("s-new{round:05x}");
+        let is_late = has_trouble() && round % 2 == 0;
+        let serve = server(&name, fleet, record, is_late);
+        let address = if is_late {
+            let Some(listener) = LateListener::open() else {
+                cannot_run("no late listener");
+            };
+            let address = listener.address;
+            listener.open_late(Duration::from_secs(2), Duration::from_millis(LATE_MS), serve);
+            address
+        } else {
+            listen(serve)
+        };
+        thread::sleep(Duration::from_millis(RESET_MS - JOIN_BEFORE_MS));
+        discovery.change(Entry::ready(&name, address));
+        record.line(&format!("round {round}: loan server {name} joins"));
+        let status = client.join().ok().flatten();
+        record.line(&format!("round {round}: client has {status:?}"));
+        let mut gone = Entry::ready(&name, address);
+        gone.health = "gone";
+        discovery.change(gone);
+        thread::sleep(Duration::from_millis(50));
     }
 }
 
-/// Sends small payments, one after another.
-fn short_client(client: u64, address: SocketAddr, totals: &Totals, record: &Record) {
-    let mut connection: Option<Client> = None;
-    for number in 0.. {
-        thread::sleep(PAUSE);
-        if totals.stop.load(Ordering::Relaxed) {
-            return;
-        }
-        let request = request(client, number);
-        let mut answer = exchange(&mut connection, address, &request);
-        if answer.is_none() {
-            // The edge node may have closed the connection between requests.
-            answer = exchange(&mut connection, address, &request);
-        }
-        match answer {
-            Some(answer) => {
-                totals.answered.fetch_add(1, Ordering::Relaxed);
-                record.line(&format!("client {client}: {}: {}", request.id, answer.start));
-            }
-            None if !totals.stop.load(Ordering::Relaxed) => {
-                totals.unanswered.fetch_add(1, Ordering::Relaxed);
-                record.line(&format!("client {client}: {}: no answer", request.id));
-            }
-            None => return,
-        }
-    }
+fn marked_id(round: u64) -> String {
+    format!("feed{round:012x}")
 }
 
-fn exchange(
-    connection: &mut Option<Client>,
-    address: SocketAddr,
-    request: &ClientRequest,
-) -> Option<Message> {
-    let mut client = match connection.take() {
-        Some(client) => client,
-        None => Client::connect(address).ok()?,
+fn is_marked(id: &str) -> bool {
+    id.starts_with("feed")
+}
+
+/// Sends a hold on a new connection; returns the status of its answer.
+fn exchange(node: SocketAddr, id: &str) -> Option<u16> {
+    let request = ClientRequest {
+        id: id.to_owned(),
+        class: "seat-hold".to_owned(),
+        customer: 1 + id.bytes().map(u64::from).sum::<u64>(),
+        plan: "standard".to_owned(),
+        deadline_ms: DEADLINE_MS,
+        key: Some(format!("key-{id}")),
+        is_read: false,
     };
+    let mut client = Client::connect(node).ok()?;
     client.send(&request.text()).ok()?;
     let answer = client.receive(Duration::from_millis(DEADLINE_MS + 550)).ok()??;
-    if answer.header("connection") != "close" {
-        *connection = Some(client);
-    }
-    Some(answer)
-}
-
-/// Sends long payments, one after another: slowly and in pieces, or, without the trouble, at once.
-fn long_client(client: u64, address: SocketAddr, totals: &Totals, record: &Record) {
-    let mut random = Random::new(client);
-    for number in 0.. {
-        thread::sleep(Duration::from_secs_f64(random.between(0.0, 0.2)));
-        if totals.stop.load(Ordering::Relaxed) {
-            return;
-        }
-        let request = request(0x1_0000 + client, number);
-        let text = request.text();
-        let head = text.split("Content-Length").next().unwrap_or_default();
-        let head = format!("{head}Content-Length: {BODY}\r\n\r\n");
-        let Ok(mut connection) = Client::connect(address) else {
-            continue;
-        };
-        if connection.send(&head).is_err() || !write_body(&mut connection) {
-            record.line(&format!("long client {client}: {}: cannot write it whole", request.id));
-            continue;
-        }
-        totals.long_sent.fetch_add(1, Ordering::Relaxed);
-        match connection.receive(Duration::from_millis(DEADLINE_MS + 550)) {
-            Ok(Some(answer)) => {
-                totals.long_answered.fetch_add(1, Ordering::Relaxed);
-                record.line(&format!("long client {client}: {}: {}", request.id, answer.start));
-            }
-            _ => record.line(&format!("long client {client}: {}: no answer", request.id)),
-        }
-    }
+    Some(answer.status())
 }
 
-/// Writes a body; returns whether all of it was written.
-fn write_body(connection: &mut Client) -> bool {
-    let body = "p".repeat(BODY);
-    if !has_trouble() {
-        return connection.send(&body).is_ok();
+/// Returns what a loan server does with a connection.
+fn server(
+    name: &str,
+    fleet: &SharedFleet,
+    record: &Record,
+    is_late: bool,
+) -> impl Fn(TcpStream) + Send + Sync + Clone + 'static {
+    let (name, fleet, record) = (name.to_owned(), Arc::clone(fleet), record.clone());
+    move |stream| {
+        let _ = stream.set_nodelay(true);
+        let mut state = fleet.lock().expect("fleet");
+        state.connections += 1;
+        state.late_connections += u32::from(is_late);
+        drop(state);
+        let _ = serve(stream, &name, &fleet, &record);
     }
-    let started = Instant::now();
-    let pieces = BODY / PIECE;
-    (0..pieces).all(|piece| {
-        wait_until(started + WRITE_TIME.mul_f64(piece as f64 / pieces as f64));
-        connection.send(&body[..PIECE]).is_ok()
-    })
 }
 
-/// A sound loan server.
-fn serve(stream: std::net::TcpStream, number: usize, record: &Record) -> std::io::Result<()> {
+fn serve(stream: TcpStream, name: &str, fleet: &SharedFleet, record: &Record) -> std::io::Result<()> {
     let mut random = Random::new(stream.peer_addr()?.port().into());
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_message(&mut reader)? {
         let id = request.header("x-request-id").to_owned();
-        thread::sleep(Duration::from_secs_f64(random.between(WORK_MS.0, WORK_MS.1) / 1e3));
-        writer.write_all(served(&format!("done: {id}")).as_bytes())?;
-        record.line(&format!("server {number} has run {id}"));
+        let key = request.header("idempotency-key").to_owned();
+        let now = Instant::now();
+        let (is_first, is_known) = {
+            let mut fleet = fleet.lock().expect("fleet");
+            let is_first = !fleet.keys.contains_key(&key);
+            let first = *fleet.keys.entry(key).or_insert(now);
+            let since = (now - first).as_millis() as u64;
+            let is_known = !is_first && since <= WINDOW_MS + SLACK_MS;
+            let what = if is_known { "recognises" } else { "runs" };
+            record.line(&format!("{name} {what} {id}, {since} ms after its first arrival"));
+            if !is_known {
+                *fleet.runs.entry(id.clone()).or_default() += 1;
+            }
+            if is_marked(&id) {
+                let arrivals = fleet.arrivals.entry(id.clone()).or_default();
+                arrivals.push((name.to_owned(), since));
+                if let Some(sender) = fleet.marked.take() {
+                    let _ = sender.send(());
+                }
+            }
+            (is_first, is_known)
+        };
+        if is_first && is_marked(&id) {
+            thread::sleep((now + Duration::from_millis(RESET_MS)).saturating_duration_since(Instant::now()));
+            record.line(&format!("{name} has run {id}, and the connection breaks"));
+            return Ok(());
+        }
+        if !is_known {
+            thread::sleep(Duration::from_secs_f64(random.between(WORK_MS.0, WORK_MS.1) / 1e3));
+        }
+        writer.write_all(served(&format!("held: {id}")).as_bytes())?;
     }
     Ok(())
 }
+
+fn judge(fleet: &Fleet, record: &Record) -> i32 {
+    let late = |arrivals: &&Vec<(String, u64)>| {
+        arrivals.iter().any(|(_, since)| *since > WINDOW_MS + SLACK_MS)
+    };
+    for (id, arrivals) in &fleet.arrivals {
+        record.line(&format!("{id}: {arrivals:?}"));
+    }
+    let repeated = fleet.arrivals.values().filter(|arrivals| arrivals.len() > 1).count();
+    let outside = fleet.arrivals.values().filter(late).count();
+    let twice = fleet.runs.values().filter(|count| **count > 1).count();
+    record.say(&format!(
+        "{} holds whose first attempt was reset; {repeated} were sent again, {outside} of them more than \
+         {WINDOW_MS} + {SLACK_MS} ms after their first arrival; {twice} ran twice; {} of {} connections \
+         came up late",
+        fleet.arrivals.len(),
+        fleet.late_connections,
+        fleet.connections
+    ));
+    if repeated < 3 {
+        record.say("too few requests were sent again");
+        return NOT_RUN;
+    }
+    if outside > 0 { BROKEN } else { HELD }
+}
