--- a/review/common.rs
+++ b/review/common.rs
@@ -10,6 +10,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -29,9 +30,16 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
-/// Ends the process with status 2 and a reason.
+/// Process id of the edge node that runs, 0 if none does.
+static RUNNING_NODE: AtomicU32 = AtomicU32::new(0);
+
+/// Ends the edge node, if one runs, and then this process with status 2 and a reason.
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
+    let node = RUNNING_NODE.load(Ordering::Relaxed);
+    if node != 0 {
+        let _ = Command::new("kill").args(["-KILL", &node.to_string()]).status();
+    }
     std::process::exit(NOT_RUN);
 }
 
@@ -565,6 +573,7 @@
             .stderr(log_file)
             .spawn();
         let process = process.unwrap_or_else(|error| cannot_run(&format!("edge node: {error}")));
+        RUNNING_NODE.store(process.id(), Ordering::Relaxed);
         let mut node = EdgeNode {
             process,
             address,
@@ -623,5 +632,6 @@
     fn drop(&mut self) {
         let _ = self.process.kill();
         let _ = self.process.wait();
+        RUNNING_NODE.store(0, Ordering::Relaxed);
     }
 }
