Log at level debug when an attempt has its connection

The log had the decision (attempt_started) and the end (attempt_finished) of an attempt, but not the time between: whether the decision was late, the connection came up late, or the write on a ready connection was late could not be told apart.

attempt_connected is logged once an attempt has an idle or a new connection, before the request is written; the field reused tells which. The expected order of events in tests/log.rs names the new event.

--- a/crates/edge-node/src/node/attempts.rs
+++ b/crates/edge-node/src/node/attempts.rs
@@ -94,6 +94,7 @@
             let is_open = || node.requests.contains(&id);
             let attempt = Attempt {
                 request: &request,
+                number,
                 server,
                 deadline,
                 cancelled,
--- a/crates/edge-node/src/upstream/attempt.rs
+++ b/crates/edge-node/src/upstream/attempt.rs
@@ -8,13 +8,14 @@
 use super::response::{self, ResponseError, REQUEST_ID};
 use super::Upstream;
 use bytes::Bytes;
-use gateway_core::{AttemptOutcome, RequestId, ServerId};
+use gateway_core::{AttemptNumber, AttemptOutcome, RequestId, ServerId};
 use http_body_util::Full;
 use hyper::header::{HeaderValue, HOST};
 use hyper::{Method, Request};
 use thiserror::Error;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tracing::debug;
 
 /// Header with the time that remains for the server's response, in milliseconds.
 const DEADLINE: &str = "x-deadline";
@@ -39,6 +40,8 @@
 /// An attempt to make, and the conditions that end it early.
 pub(crate) struct Attempt<'a, F> {
     pub(crate) request: &'a UpstreamRequest,
+    /// Number of the attempt within the request, from 0.
+    pub(crate) number: AttemptNumber,
     /// Server to send the request to.
     pub(crate) server: ServerId,
     /// Time at which the attempt is given up; never later than the request's deadline.
@@ -175,9 +178,29 @@
         &self,
         attempt: &mut Attempt<'_, impl Fn() -> bool>,
     ) -> Result<PooledConnection, ConnectError> {
-        if let Some(connection) = self.take_idle(attempt.server) {
-            return Ok(connection);
-        }
+        let idle = self.take_idle(attempt.server);
+        let is_reused = idle.is_some();
+        let connection = match idle {
+            Some(connection) => connection,
+            None => self.connect_for(attempt).await?,
+        };
+        debug!(
+            event = "attempt_connected",
+            id = %attempt.request.id.0,
+            attempt = attempt.number.0,
+            reused = is_reused,
+            "request {}: attempt {} has a connection",
+            attempt.request.id.0,
+            attempt.number.0
+        );
+        Ok(connection)
+    }
+
+    /// Opens a connection for an attempt, unless the attempt ends before.
+    async fn connect_for(
+        &self,
+        attempt: &mut Attempt<'_, impl Fn() -> bool>,
+    ) -> Result<PooledConnection, ConnectError> {
         // `select!` drops the branches that do not complete, which closes a connection that is
         // still being established.
         tokio::select! {
--- a/crates/edge-node/tests/log.rs
+++ b/crates/edge-node/tests/log.rs
@@ -142,6 +142,7 @@
         [
             "request_received",
             "attempt_started",
+            "attempt_connected",
             "attempt_finished",
             "request_answered"
         ]
--- a/crates/edge-node/tests/unit/upstream.rs
+++ b/crates/edge-node/tests/unit/upstream.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use bytes::Bytes;
-use gateway_core::{AttemptOutcome, RequestId};
+use gateway_core::{AttemptNumber, AttemptOutcome, RequestId};
 use hyper::Method;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
@@ -46,6 +46,7 @@
     let is_open = || change(&upstream, address);
     let attempt = Attempt {
         request: &request,
+        number: AttemptNumber(0),
         server: SERVER,
         deadline: request.deadline,
         cancelled,
--- a/crates/edge-node/tests/unit/upstream_attempt.rs
+++ b/crates/edge-node/tests/unit/upstream_attempt.rs
@@ -63,6 +63,7 @@
     upstream
         .attempt(Attempt {
             request: &request,
+            number: AttemptNumber(0),
             server,
             deadline,
             cancelled,
@@ -252,6 +253,7 @@
         drop(cancel);
         let cancelled_before_start = Attempt {
             request: &request,
+            number: AttemptNumber(0),
             server: FIRST,
             deadline,
             cancelled,
@@ -264,6 +266,7 @@
         let (cancel, cancelled) = oneshot::channel();
         let cancelled_after_write = Attempt {
             request: &request,
+            number: AttemptNumber(0),
             server: FIRST,
             deadline,
             cancelled,
