Lab: connections that are established late

The lab could not show the fault of the late retry: its connections were always established, so that an attempt was written in the moment of the decision, where its checker looked. That is also how the fault stayed unseen.

With the fault "late", a third of the attempts wait up to 1.5 s for a connection, for 12 s of the simulation. The connect timeout and the write deadline of an attempt end the wait, and the checker looks again when the attempt is written: whether the idempotency of its class still permits a further execution.

--- a/crates/fleet-lab/src/simulate/engine/attempts.rs
+++ b/crates/fleet-lab/src/simulate/engine/attempts.rs
@@ -1,4 +1,5 @@
-//! Attempts: transmission from a gateway to a server, and transmission of the result back.
+//! Attempts: transmission from a gateway to a server, over a connection that may be established
+//! late, and transmission of the result back.
 
 use super::queue::{AttemptKey, AttemptResult, SimulationEvent};
 use super::Engine;
@@ -11,6 +12,7 @@
 use gateway_core::{
     AttemptOutcome, Endpoint, EndpointState, Event, GatewayId, RequestId, ServerId, Timestamp,
 };
+use rand::Rng as _;
 use std::ops::Range;
 use std::time::Duration;
 
@@ -19,6 +21,9 @@
 /// One-way delay between a gateway and a server in another zone.
 const CROSS_ZONE_DELAY: Range<Duration> =
     Duration::from_micros(1_400)..Duration::from_micros(2_600);
+/// Time until a late connection is established, if the connect timeout does not end it before.
+const LATE_CONNECTION_DELAY: Range<Duration> =
+    Duration::from_millis(20)..Duration::from_millis(1_500);
 
 impl Engine<'_> {
     fn is_same_zone(&self, gateway: GatewayId, server: usize) -> bool {
@@ -53,6 +58,7 @@
         id: &RequestId,
         to: ServerId,
         timeout: Option<Duration>,
+        write_deadline: Option<Timestamp>,
     ) {
         let request = RequestNumber::parse(id).unwrap_or(RequestNumber::UNKNOWN);
         let Some(server) = self.known_server_index(gateway, to) else {
@@ -74,17 +80,61 @@
             is_start_known: self.discovery.knows_latest_start(gateway, to),
         };
         self.schedule_result(expires_at, AttemptKey::of(&job), AttemptOutcome::TimedOut);
-        self.transmit_attempt(server, job);
+        self.connect(server, job, write_deadline);
     }
 
-    /// Schedules the arrival of an attempt at its server. If a partition separates the gateway from
-    /// the server, schedules the failure of the attempt after the connect timeout instead.
-    fn transmit_attempt(&mut self, server: usize, job: Job) {
+    /// Writes an attempt once its connection is established: immediately, or later if the
+    /// connection is late. The attempt fails if the connect timeout passes before, or for as long
+    /// as a partition separates the gateway from the server, and ends unsent if its write deadline
+    /// does.
+    fn connect(&mut self, server: usize, job: Job, write_deadline: Option<Timestamp>) {
+        let attempt = AttemptKey::of(&job);
+        let timeout = self.experiment.resolved.connect_timeout;
         if self.is_partitioned(job.gateway, server) {
-            let at = self.now + self.experiment.resolved.connect_timeout;
-            self.schedule_result(at, AttemptKey::of(&job), AttemptOutcome::Unreachable);
+            self.schedule_result(self.now + timeout, attempt, AttemptOutcome::Unreachable);
             return;
         }
+        let Some(delay) = self.draw_connection_delay() else {
+            self.write(server, job);
+            return;
+        };
+        let established_at = self.now + delay;
+        let timed_out_at = self.now + timeout;
+        if let Some(deadline) = write_deadline.filter(|deadline| *deadline < established_at) {
+            self.schedule_result(deadline, attempt, AttemptOutcome::NotSent);
+        }
+        if timed_out_at < established_at {
+            self.schedule_result(timed_out_at, attempt, AttemptOutcome::Unreachable);
+        }
+        self.schedule(
+            established_at,
+            SimulationEvent::ConnectionEstablished { server, job },
+        );
+    }
+
+    /// Draws the time until the connection of an attempt is established; `None` if the gateway has
+    /// a connection.
+    fn draw_connection_delay(&mut self) -> Option<Duration> {
+        let now = self.now;
+        let late = self.experiment.faults.late_connections;
+        let late = late.filter(|late| late.span.contains(now))?;
+        let is_late = self.rng.random_bool(late.value);
+        is_late.then(|| draw_duration(&mut self.rng, &LATE_CONNECTION_DELAY))
+    }
+
+    /// Writes an attempt whose late connection is established, unless the attempt has ended.
+    pub(super) fn write_if_in_flight(&mut self, server: usize, job: Job) {
+        let open = self.open_requests.get(&job.request);
+        if open.is_some_and(|open| open.is_in_flight(job.attempt)) {
+            self.write(server, job);
+        }
+    }
+
+    /// Writes an attempt to its connection: the invariant checker checks it, and it arrives at its
+    /// server.
+    fn write(&mut self, server: usize, job: Job) {
+        self.checker
+            .attempt_written(self.now, job.request, job.attempt);
         let delay = self.draw_server_delay(job.gateway, server);
         self.schedule(
             self.now + delay,
--- a/crates/fleet-lab/src/simulate/engine/gateways.rs
+++ b/crates/fleet-lab/src/simulate/engine/gateways.rs
@@ -59,13 +59,12 @@
     fn execute_action(&mut self, gateway: GatewayId, action: Action) {
         let now = self.now;
         match action {
-            // Simulated connections are always established, so an attempt is written at once.
             Action::SendAttempt {
                 id,
                 server,
                 timeout,
-                write_deadline: _,
-            } => self.send_attempt(gateway, &id, server, timeout),
+                write_deadline,
+            } => self.send_attempt(gateway, &id, server, timeout, write_deadline),
             Action::Reject { id, retry_after } => self.reject(&id, retry_after),
             Action::Fail { id } => self.answer(&id, FinalAnswer::Failed, ClientError::Failed),
             Action::CancelAttempt { id, attempt } => self.cancel_attempt(gateway, &id, attempt),
--- a/crates/fleet-lab/src/simulate/engine/mod.rs
+++ b/crates/fleet-lab/src/simulate/engine/mod.rs
@@ -143,6 +143,9 @@
             SimulationEvent::Retry(request) => self.submit(*request),
             SimulationEvent::TimerFired { run, token } => self.on_timer(run, token),
             SimulationEvent::Datagram { from, to, bytes } => self.on_datagram(from, to, bytes),
+            SimulationEvent::ConnectionEstablished { server, job } => {
+                self.write_if_in_flight(server, job);
+            }
             SimulationEvent::AttemptArrives { server, job } => {
                 self.with_server(server, |server, now, events| {
                     server.arrive(now, job, events);
--- a/crates/fleet-lab/src/simulate/engine/queue.rs
+++ b/crates/fleet-lab/src/simulate/engine/queue.rs
@@ -66,6 +66,8 @@
         to: GatewayId,
         bytes: Vec<u8>,
     },
+    /// The late connection of an attempt is established.
+    ConnectionEstablished { server: usize, job: Job },
     /// An attempt arrives at a server.
     AttemptArrives { server: usize, job: Job },
     /// The execution of a request is due to complete at a server.
--- a/crates/fleet-lab/src/simulate/engine/state.rs
+++ b/crates/fleet-lab/src/simulate/engine/state.rs
@@ -92,6 +92,12 @@
         })
     }
 
+    /// Returns whether the gateway still waits for the result of an attempt.
+    pub(super) fn is_in_flight(&self, number: AttemptNumber) -> bool {
+        let attempt = self.attempts.get(number.0 as usize);
+        attempt.is_some_and(|attempt| attempt.is_in_flight)
+    }
+
     /// Returns whether the request has ended and has no attempt in flight.
     pub(super) fn is_finished(&self) -> bool {
         self.is_answered && !self.attempts.iter().any(|attempt| attempt.is_in_flight)
--- a/crates/fleet-lab/src/simulate/fault.rs
+++ b/crates/fleet-lab/src/simulate/fault.rs
@@ -24,10 +24,13 @@
     ColdStart,
     /// One in eight servers stops and restarts cold.
     ServerRestart,
+    /// A third of the connections to servers are established late, or not within the connect
+    /// timeout.
+    LateConnections,
 }
 
 /// Names of the faults on the command line.
-const FAULT_NAMES: [(&str, Fault); 10] = [
+const FAULT_NAMES: [(&str, Fault); 11] = [
     ("calm", Fault::Calm),
     ("burst", Fault::Burst),
     ("hang", Fault::Hang),
@@ -38,6 +41,7 @@
     ("silent", Fault::DiscoveryOutage),
     ("cold", Fault::ColdStart),
     ("restart", Fault::ServerRestart),
+    ("late", Fault::LateConnections),
 ];
 
 impl Fault {
--- a/crates/fleet-lab/src/simulate/fault_schedule.rs
+++ b/crates/fleet-lab/src/simulate/fault_schedule.rs
@@ -59,4 +59,6 @@
     pub flood: Option<TemporaryValue>,
     /// Span in which a fraction of all messages is lost.
     pub message_loss: Option<TemporaryValue>,
+    /// Span in which a fraction of all connections to servers is established late.
+    pub late_connections: Option<TemporaryValue>,
 }
--- a/crates/fleet-lab/src/simulate/fault_scheduler.rs
+++ b/crates/fleet-lab/src/simulate/fault_scheduler.rs
@@ -7,8 +7,9 @@
 use super::fault_timing::{
     FaultWindow, COLD_START_FRACTION, DISCOVERY_OUTAGE, DRAIN_TO_STOP, FIRST_REPLACEMENT_FRACTION,
     FLOOD, FLOOD_FRACTION, GATEWAY_DOWN_SECONDS, HANG, KILL_FRACTION, LAST_REPLACEMENT_FRACTION,
-    LATEST_END_FRACTION, OUTAGE_TO_DRAIN, PARTITION, PARTITION_LOSS_FRACTION, SERVER_DOWN_SECONDS,
-    SERVER_STOP_FRACTION, SLOWNESS, SURGE, SURGE_RATIO,
+    LATEST_END_FRACTION, LATE_CONNECTIONS, LATE_CONNECTION_FRACTION, OUTAGE_TO_DRAIN, PARTITION,
+    PARTITION_LOSS_FRACTION, SERVER_DOWN_SECONDS, SERVER_STOP_FRACTION, SLOWNESS, SURGE,
+    SURGE_RATIO,
 };
 use crate::time::draw_timestamp;
 use crate::time::duration_from_seconds;
@@ -86,6 +87,7 @@
                 Fault::DiscoveryOutage => self.schedule_discovery_outage(),
                 Fault::ColdStart => self.schedule_cold_start(),
                 Fault::ServerRestart => self.schedule_server_restarts(),
+                Fault::LateConnections => self.schedule_late_connections(),
             }
         }
         self.schedule
@@ -194,6 +196,13 @@
         }
     }
 
+    fn schedule_late_connections(&mut self) {
+        self.schedule.late_connections = Some(TemporaryValue {
+            span: self.fault_span(LATE_CONNECTIONS),
+            value: LATE_CONNECTION_FRACTION,
+        });
+    }
+
     /// Returns the time at which a fraction of the simulation has passed.
     fn time_at(&self, fraction: f64) -> Timestamp {
         START + Duration::from_micros_f64(self.duration.as_micros_f64() * fraction)
--- a/crates/fleet-lab/src/simulate/fault_timing.rs
+++ b/crates/fleet-lab/src/simulate/fault_timing.rs
@@ -56,6 +56,10 @@
 /// Time from a server's drain to the end of its process. Without an outage of discovery, all
 /// gateways learn of the drain long before the process ends.
 pub(super) const DRAIN_TO_STOP: Duration = Duration::from_secs(8);
+/// Span in which connections are established late.
+pub(super) const LATE_CONNECTIONS: FaultWindow = FaultWindow::new(0.25, 12);
+/// Fraction of the attempts whose connections are established late.
+pub(super) const LATE_CONNECTION_FRACTION: f64 = 1.0 / 3.0;
 /// Fraction of the simulation after which a cold server is added.
 pub(super) const COLD_START_FRACTION: f64 = 0.2;
 /// Fraction of the simulation after which servers stop.
--- a/crates/fleet-lab/src/simulate/mod.rs
+++ b/crates/fleet-lab/src/simulate/mod.rs
@@ -43,7 +43,7 @@
     #[arg(long, default_value_t = 0.5)]
     load: f64,
     /// Fault to inject; repeat the option for several: calm, burst, hang, slow, drain, kill, cut,
-    /// silent, cold, restart.
+    /// silent, cold, restart, late.
     #[arg(long = "fault", visible_alias = "trouble")]
     faults: Vec<String>,
     /// File of settings in the simulator's JSON; its number of gateways is replaced.
--- a/crates/fleet-lab/src/world/invariant_checker/attempts.rs
+++ b/crates/fleet-lab/src/world/invariant_checker/attempts.rs
@@ -37,6 +37,25 @@
         true
     }
 
+    /// Checks an attempt that is written to its connection. That may be long after the attempt was
+    /// sent, if the connection had to be established first.
+    pub fn attempt_written(
+        &mut self,
+        now: Timestamp,
+        number: RequestNumber,
+        attempt: AttemptNumber,
+    ) {
+        let record = &self.requests[number.0 as usize];
+        if record.may_be_written(now, attempt, self.idempotency(&record.request)) {
+            return;
+        }
+        let problem = format!(
+            "attempt {} of request {} was written when it might run twice",
+            attempt.0, number.0
+        );
+        self.record_violation(now, Invariant::Idempotency, problem);
+    }
+
     /// Records a violation: a gateway sent an attempt to a server that discovery never listed to
     /// the gateway.
     pub fn sent_to_unlisted_server(
--- a/crates/fleet-lab/src/world/request_record.rs
+++ b/crates/fleet-lab/src/world/request_record.rs
@@ -2,7 +2,7 @@
 //! also whether the idempotency of the class permits a further attempt or a rejection.
 
 use super::client_request::ClientRequest;
-use gateway_core::{DeduplicationScope, Endpoint, Idempotency, Timestamp};
+use gateway_core::{AttemptNumber, DeduplicationScope, Endpoint, Idempotency, Timestamp};
 
 /// The record of one request. The types of the request and its attempts depend on what their
 /// observer can see.
@@ -97,9 +97,26 @@
 impl SimulatedRequestRecord {
     /// Returns the first attempt that may have run; `None` if no attempt can have run.
     fn possibly_executed(&self) -> Option<&AttemptRecord> {
-        self.attempts
-            .iter()
-            .find(|attempt| !attempt.is_proved_unexecuted)
+        first_possibly_executed(&self.attempts)
+    }
+
+    /// Returns whether the idempotency of the request permits that an attempt is written now, after
+    /// the earlier attempts. The scope was checked when the attempt was sent.
+    pub(super) fn may_be_written(
+        &self,
+        now: Timestamp,
+        number: AttemptNumber,
+        idempotency: Idempotency,
+    ) -> bool {
+        let earlier = self.attempts.get(..number.0 as usize).unwrap_or_default();
+        let Some(executed) = first_possibly_executed(earlier) else {
+            return true;
+        };
+        match idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::NonIdempotent => false,
+            Idempotency::Keyed { window, .. } => now <= executed.sent_at + window,
+        }
     }
 
     /// Returns whether the idempotency of the request permits an attempt at a server after the
@@ -142,3 +159,9 @@
         }
     }
 }
+
+fn first_possibly_executed(attempts: &[AttemptRecord]) -> Option<&AttemptRecord> {
+    attempts
+        .iter()
+        .find(|attempt| !attempt.is_proved_unexecuted)
+}
--- a/crates/fleet-lab/tests/simulate.rs
+++ b/crates/fleet-lab/tests/simulate.rs
@@ -157,6 +157,32 @@
     );
 }
 
+/// Guards against requests that run twice because a connection is established after the window of
+/// their idempotency key: a retry is decided within the window, and written after it.
+#[test]
+fn late_connections_violate_no_invariant_only_with_write_deadlines() {
+    let settings = include_str!("../src/simulate/settings.json")
+        .replace(
+            r#""repeat": "read_like""#,
+            r#""group": "all", "repeat": "idempotency_key", "windowUs": 900000"#,
+        )
+        .replace(
+            r#""cancel": true,"#,
+            r#""cancel": true, "connectTimeoutUs": 1500000,"#,
+        );
+    let config = ExperimentConfig {
+        settings: Some(settings),
+        ..config(&["hang", "late"])
+    };
+    let sound = run_simulation(&config, Defect::None);
+    assert!(sound.violations.is_empty(), "{sound}");
+    let defective = run_simulation(&config, Defect::WriteLate);
+    assert!(
+        violation_count(&defective, Invariant::Idempotency) > 0,
+        "{defective}"
+    );
+}
+
 // ---- Arguments ----
 
 #[test]
--- a/crates/fleet-lab/tests/simulate/defective_module.rs
+++ b/crates/fleet-lab/tests/simulate/defective_module.rs
@@ -27,6 +27,8 @@
     NeverAnswer,
     /// Sends an attempt after the rejection.
     SendLate,
+    /// Sends attempts without their write deadlines.
+    WriteLate,
 }
 
 /// An endpoint, and the time at which the gateway received it.
@@ -142,6 +144,20 @@
                 actions_out.push(attempt);
                 actions_out.extend(second);
             }
+            (
+                Defect::WriteLate,
+                Action::SendAttempt {
+                    id,
+                    server,
+                    timeout,
+                    write_deadline: _,
+                },
+            ) => actions_out.push(Action::SendAttempt {
+                id,
+                server,
+                timeout,
+                write_deadline: None,
+            }),
             (Defect::NeverAnswer, Action::Reject { .. } | Action::Fail { .. }) => {}
             (Defect::SendLate, reject @ Action::Reject { .. }) => {
                 let attempt = self.attempt_after(&reject);
