--- a/crates/edge-node/tests/unit/upstream.rs
+++ b/crates/edge-node/tests/unit/upstream.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use gateway_core::{AttemptNumber, AttemptOutcome, RequestId};
 use hyper::Method;
+use std::future::Future;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
@@ -11,6 +12,14 @@
 
 const SERVER: ServerId = ServerId(1);
 
+fn block_on(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("failed to build a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
 fn endpoint(address: Option<SocketAddr>) -> impl Iterator<Item = ServerAddress> {
     std::iter::once(ServerAddress {
         server: SERVER,
@@ -105,11 +114,7 @@
 /// time the connection is established.
 #[test]
 fn writes_nothing_if_write_deadline_passes_while_connecting() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("failed to build a runtime");
-    let test = async {
+    block_on(async {
         let write_deadline = Instant::now() + Duration::from_secs(1);
         // The deadline passes between the end of the connection attempt and the first write.
         let wait_past_deadline = |_: &Upstream, _| {
@@ -121,15 +126,10 @@
             attempt_with_change_before_write(Some(write_deadline), wait_past_deadline).await,
             (AttemptOutcome::NotSent, Vec::new())
         );
-    };
-    tokio::task::LocalSet::new().block_on(&runtime, test);
+    });
 }
 
 #[test]
 fn writes_nothing_if_request_is_answered_or_server_drains_or_moves_while_connecting() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("failed to build a runtime");
-    tokio::task::LocalSet::new().block_on(&runtime, assert_changes_end_attempt_unsent());
+    block_on(assert_changes_end_attempt_unsent());
 }
--- a/crates/edge-node/tests/unit/upstream_attempt.rs
+++ b/crates/edge-node/tests/unit/upstream_attempt.rs
@@ -57,42 +57,47 @@
     }
 }
 
+/// Returns an attempt of a request at the first server that has one minute and may be written until
+/// then.
+fn attempt_of(
+    request: &UpstreamRequest,
+    cancelled: oneshot::Receiver<()>,
+) -> Attempt<'_, fn() -> bool> {
+    Attempt {
+        request,
+        number: AttemptNumber(0),
+        server: FIRST,
+        deadline: in_one_minute(),
+        write_deadline: None,
+        cancelled,
+        is_open: || true,
+    }
+}
+
 /// Makes an attempt that is not cancelled.
 async fn make_attempt(upstream: &Upstream, server: ServerId, deadline: Instant) -> AttemptResult {
     let request = request();
     let (_cancel, cancelled) = oneshot::channel();
-    upstream
-        .attempt(Attempt {
-            request: &request,
-            number: AttemptNumber(0),
-            server,
-            deadline,
-            write_deadline: None,
-            cancelled,
-            is_open: || true,
-        })
-        .await
+    let attempt = Attempt {
+        server,
+        deadline,
+        ..attempt_of(&request, cancelled)
+    };
+    upstream.attempt(attempt).await
 }
 
-/// Makes an attempt of a request at the first server that is not cancelled and may be written until
-/// `write_deadline`.
+/// Makes an attempt that is not cancelled and may be written until `write_deadline`.
 async fn make_attempt_until(
     upstream: &Upstream,
     request: &UpstreamRequest,
     write_deadline: Instant,
 ) -> AttemptResult {
     let (_cancel, cancelled) = oneshot::channel();
-    upstream
-        .attempt(Attempt {
-            request,
-            number: AttemptNumber(0),
-            server: FIRST,
-            deadline: in_one_minute(),
-            write_deadline: Some(write_deadline),
-            cancelled,
-            is_open: || true,
-        })
-        .await
+    let attempt = Attempt {
+        write_deadline: Some(write_deadline),
+        ..attempt_of(request, cancelled)
+    };
+    upstream.attempt(attempt).await
 }
 
 fn in_one_minute() -> Instant {
@@ -272,32 +277,15 @@
         let (listener, address) = listen().await;
         let upstream = upstream_with_servers(8, &[(FIRST, address)]);
         let request = request();
-        let deadline = in_one_minute();
         let (cancel, cancelled) = oneshot::channel();
         drop(cancel);
-        let cancelled_before_start = Attempt {
-            request: &request,
-            number: AttemptNumber(0),
-            server: FIRST,
-            deadline,
-            write_deadline: None,
-            cancelled,
-            is_open: || true,
-        };
+        let cancelled_before_start = attempt_of(&request, cancelled);
         assert_eq!(
             upstream.attempt(cancelled_before_start).await,
             result_without_response(AttemptOutcome::NotSent)
         );
         let (cancel, cancelled) = oneshot::channel();
-        let cancelled_after_write = Attempt {
-            request: &request,
-            number: AttemptNumber(0),
-            server: FIRST,
-            deadline,
-            write_deadline: None,
-            cancelled,
-            is_open: || true,
-        };
+        let cancelled_after_write = attempt_of(&request, cancelled);
         let cancel_once_received = async {
             let (mut stream, _) = listener
                 .accept()
