Log at level debug why an attempt failed

attempt_finished has the outcome only, and outcomes such as not sent have several causes: a cancellation, the write deadline, a lack of sockets, a server that is no longer ready. The errors of an attempt had texts and sources that were shown nowhere. attempt_failed states them; ErrorChain, which the diagnostics of configurations now use too, prints an error with its sources. Tests of edge-node passed, with debug_level_logs_why_an_attempt_failed.

--- a/crates/edge-node/src/config/error.rs
+++ b/crates/edge-node/src/config/error.rs
@@ -1,5 +1,6 @@
 //! The errors of reading a configuration.
 
+use crate::log::ErrorChain;
 use std::error::Error;
 use std::fmt;
 use std::io;
@@ -83,12 +84,10 @@
     /// Returns a diagnostic without a line or key, with the messages of an error and of its
     /// sources, from the error to its root cause.
     pub(super) fn from_error(error: &(dyn Error + 'static)) -> Diagnostic {
-        let chain = std::iter::successors(Some(error), |error| (*error).source());
-        let messages: Vec<String> = chain.map(ToString::to_string).collect();
         Diagnostic {
             line: None,
             path: String::new(),
-            message: messages.join(": "),
+            message: ErrorChain(error).to_string(),
         }
     }
 }
--- a/crates/edge-node/src/log/mod.rs
+++ b/crates/edge-node/src/log/mod.rs
@@ -1,10 +1,13 @@
 //! The log on standard error: one line for each event that an operator may act on. The format is
 //! text for people, or JSON with the same message and the event's cause and ids as separate fields.
 
+mod error_chain;
 mod rate_limit_layer;
 pub mod rate_limiter;
 mod text_format;
 
+pub(crate) use error_chain::ErrorChain;
+
 use rate_limit_layer::RateLimitLayer;
 use serde::Deserialize;
 use std::fmt;
--- a/crates/edge-node/src/upstream/attempt.rs
+++ b/crates/edge-node/src/upstream/attempt.rs
@@ -8,6 +8,7 @@
 use super::response::{self, ResponseError, REQUEST_ID};
 use super::socket::is_past;
 use super::Upstream;
+use crate::log::ErrorChain;
 use bytes::Bytes;
 use gateway_core::{AttemptNumber, AttemptOutcome, RequestId, ServerId};
 use http_body_util::Full;
@@ -163,8 +164,12 @@
     /// If the future is dropped instead, the connection is dropped with it: hyper closes the socket
     /// in a later turn of the runtime, and the connection does not return to the pool.
     pub(crate) async fn attempt(&self, attempt: Attempt<'_, impl Fn() -> bool>) -> AttemptResult {
+        let (request, number) = (attempt.request, attempt.number);
         let result = self.try_attempt(attempt).await;
-        result.unwrap_or_else(AttemptResult::from)
+        result.unwrap_or_else(|error| {
+            log_failure(&request.id, number, &error);
+            AttemptResult::from(error)
+        })
     }
 
     async fn try_attempt(
@@ -258,6 +263,19 @@
     }
 }
 
+fn log_failure(id: &RequestId, attempt: AttemptNumber, error: &AttemptError) {
+    let cause = ErrorChain(error);
+    debug!(
+        event = "attempt_failed",
+        id = %id.0,
+        attempt = attempt.0,
+        %cause,
+        "request {}: attempt {} failed: {cause}",
+        id.0,
+        attempt.0
+    );
+}
+
 /// Writes the request and reads its complete response. If the future is dropped, the connection has
 /// to be closed.
 async fn exchange(
--- a/crates/edge-node/tests/log.rs
+++ b/crates/edge-node/tests/log.rs
@@ -160,6 +160,25 @@
     assert_eq!(reloaded.fields["level"], "INFO");
 }
 
+#[test]
+fn debug_level_logs_why_an_attempt_failed() {
+    let servers = FakeServers::new();
+    let reset = ServerBehavior::RespondAndClose("");
+    let hosts = [servers.start_returning_entry("s-1", &[reset, RESPONDS_OK])];
+    let discovery = FakeDiscovery::start(&hosts);
+    let keys = "format = \"json\"\nlevel = \"debug\"";
+    let node = EdgeNode::start_with_toml("failed", &config(&discovery, keys));
+    assert_eq!(node.client().exchange(&read_request("reset")).status(), 200);
+    let failure = LogEvent::parse(&node.wait_for_log("attempt_failed"));
+    assert_eq!(
+        (&failure.fields["id"], &failure.fields["attempt"]),
+        (&Value::from("reset"), &Value::from(0))
+    );
+    let cause = failure.fields["cause"].as_str().expect("a cause");
+    let expected = "the exchange with the server failed: the connection was lost: ";
+    assert!(cause.starts_with(expected), "{cause}");
+}
+
 /// Text from outside must not be able to forge a line of the log.
 #[test]
 fn control_characters_in_messages_are_escaped() {
