--- a/crates/gateway-core/src/policy/deadlines.rs
+++ b/crates/gateway-core/src/policy/deadlines.rs
@@ -50,7 +50,7 @@
 /// a server by its half time, so that the client can still try another gateway; if it is queued and
 /// may never be sent again; or if late answers have no value and an answer would come too late.
 pub(crate) fn expiry(context: Context<'_>, request: &Request) -> Option<Expiry> {
-    if is_final_answer_due(context, request) || waits_in_vain(context, request) {
+    if is_final_answer_due(context, request) || can_no_longer_be_sent(context, request) {
         return Some(Expiry::FinalAnswer(timeout_reason(context, request)));
     }
     if context.deployment.has_value_when_late(request) {
@@ -74,8 +74,8 @@
     context.now + FINAL_ANSWER_MARGIN >= answer_deadline
 }
 
-/// Returns whether a request without an attempt in flight may never be sent again.
-fn waits_in_vain(context: Context<'_>, request: &Request) -> bool {
+/// Returns whether a request has no attempt in flight and may never be sent again.
+fn can_no_longer_be_sent(context: Context<'_>, request: &Request) -> bool {
     !request.is_in_flight() && may_never_be_sent_again(context, request)
 }
 
