--- a/crates/edge-node/tests/unit/upstream.rs
+++ b/crates/edge-node/tests/unit/upstream.rs
@@ -12,7 +12,8 @@
 
 const SERVER: ServerId = ServerId(1);
 
-fn block_on(test: impl Future<Output = ()>) {
+/// Runs a test on a runtime of its own.
+pub(super) fn block_on(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/edge-node/tests/unit/upstream_attempt.rs
+++ b/crates/edge-node/tests/unit/upstream_attempt.rs
@@ -1,10 +1,10 @@
 //! Tests each outcome of an attempt, and the bytes on the wire.
 
+use super::super::tests::block_on;
 use super::super::{BodyBudget, ServerAddress};
 use super::*;
 use gateway_core::EndpointUpdate;
 use socket2::{Domain, Socket, Type};
-use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -14,14 +14,6 @@
 const SECOND: ServerId = ServerId(2);
 const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nranks";
 
-fn block_on(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("failed to build a runtime");
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
-
 async fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
