Lab: one ending for an attempt that waits, one check for sent and written attempts

An attempt that waited for a connection had up to three scheduled events, of which the earliest decided; now the earlier of connect timeout and write deadline is found first, also in a partition, where the write deadline was ignored. The checks of a sent and of a written attempt were two matches on the same question; one function answers both, so that the scope is checked again when an attempt is written, which is stricter.

--- a/crates/fleet-lab/src/simulate/engine/attempts.rs
+++ b/crates/fleet-lab/src/simulate/engine/attempts.rs
@@ -83,43 +83,39 @@
         self.connect(server, job, write_deadline);
     }
 
-    /// Writes an attempt once its connection is established: immediately, or later if the
-    /// connection is late. The attempt fails if the connect timeout passes before, or for as long
-    /// as a partition separates the gateway from the server, and ends unsent if its write deadline
-    /// does.
+    /// Writes an attempt once its connection is established. If that takes longer than the connect
+    /// timeout or than until the write deadline, the attempt ends unsent at the earlier of the two.
     fn connect(&mut self, server: usize, job: Job, write_deadline: Option<Timestamp>) {
-        let attempt = AttemptKey::of(&job);
-        let timeout = self.experiment.resolved.connect_timeout;
-        if self.is_partitioned(job.gateway, server) {
-            self.schedule_result(self.now + timeout, attempt, AttemptOutcome::Unreachable);
-            return;
-        }
-        let Some(delay) = self.draw_connection_delay() else {
-            self.write(server, job);
-            return;
+        let timed_out_at = self.now + self.experiment.resolved.connect_timeout;
+        let (given_up_at, outcome) = match write_deadline {
+            Some(deadline) if deadline < timed_out_at => (deadline, AttemptOutcome::NotSent),
+            Some(_) | None => (timed_out_at, AttemptOutcome::Unreachable),
         };
-        let established_at = self.now + delay;
-        let timed_out_at = self.now + timeout;
-        if let Some(deadline) = write_deadline.filter(|deadline| *deadline < established_at) {
-            self.schedule_result(deadline, attempt, AttemptOutcome::NotSent);
-        }
-        if timed_out_at < established_at {
-            self.schedule_result(timed_out_at, attempt, AttemptOutcome::Unreachable);
+        let delay = self.draw_connection_delay(job.gateway, server);
+        match delay.map(|delay| self.now + delay) {
+            Some(established_at) if established_at == self.now => self.write(server, job),
+            Some(established_at) if established_at <= given_up_at => self.schedule(
+                established_at,
+                SimulationEvent::ConnectionEstablished { server, job },
+            ),
+            Some(_) | None => self.schedule_result(given_up_at, AttemptKey::of(&job), outcome),
         }
-        self.schedule(
-            established_at,
-            SimulationEvent::ConnectionEstablished { server, job },
-        );
     }
 
-    /// Draws the time until the connection of an attempt is established; `None` if the gateway has
-    /// a connection.
-    fn draw_connection_delay(&mut self) -> Option<Duration> {
+    /// Draws the time until a connection to a server is established, zero unless connections are
+    /// late; `None` if a partition separates the gateway from the server.
+    fn draw_connection_delay(&mut self, gateway: GatewayId, server: usize) -> Option<Duration> {
+        if self.is_partitioned(gateway, server) {
+            return None;
+        }
         let now = self.now;
         let late = self.experiment.faults.late_connections;
-        let late = late.filter(|late| late.span.contains(now))?;
-        let is_late = self.rng.random_bool(late.value);
-        is_late.then(|| draw_duration(&mut self.rng, &LATE_CONNECTION_DELAY))
+        let late = late.filter(|late| late.span.contains(now));
+        if late.is_some_and(|late| self.rng.random_bool(late.value)) {
+            Some(draw_duration(&mut self.rng, &LATE_CONNECTION_DELAY))
+        } else {
+            Some(Duration::ZERO)
+        }
     }
 
     /// Writes an attempt whose late connection is established, unless the attempt has ended.
--- a/crates/fleet-lab/src/world/request_record.rs
+++ b/crates/fleet-lab/src/world/request_record.rs
@@ -95,59 +95,33 @@
 pub(super) type SimulatedRequestRecord = RequestRecord<ClientRequest, AttemptRecord>;
 
 impl SimulatedRequestRecord {
-    /// Returns the first attempt that may have run; `None` if no attempt can have run.
-    fn possibly_executed(&self) -> Option<&AttemptRecord> {
-        first_possibly_executed(&self.attempts)
-    }
-
-    /// Returns whether the idempotency of the request permits that an attempt is written now, after
-    /// the earlier attempts. The scope was checked when the attempt was sent.
-    pub(super) fn may_be_written(
+    /// Returns whether the idempotency of the request permits that an attempt is sent to a server
+    /// after the earlier attempts.
+    pub(super) fn may_be_sent(
         &self,
         now: Timestamp,
-        number: AttemptNumber,
+        to: &Endpoint,
         idempotency: Idempotency,
     ) -> bool {
-        let earlier = self.attempts.get(..number.0 as usize).unwrap_or_default();
-        let Some(executed) = first_possibly_executed(earlier) else {
-            return true;
-        };
-        match idempotency {
-            Idempotency::Idempotent => true,
-            Idempotency::NonIdempotent => false,
-            Idempotency::Keyed { window, .. } => now <= executed.sent_at + window,
-        }
+        may_execute_after(&self.attempts, now, to, idempotency)
     }
 
-    /// Returns whether the idempotency of the request permits an attempt at a server after the
-    /// earlier attempts.
-    pub(super) fn may_be_sent(
+    /// Returns whether the idempotency of the request permits that an attempt, which was sent
+    /// before, is written to its server now.
+    pub(super) fn may_be_written(
         &self,
         now: Timestamp,
-        to: &Endpoint,
+        number: AttemptNumber,
         idempotency: Idempotency,
     ) -> bool {
-        let Some(executed) = self.possibly_executed() else {
-            return true;
-        };
-        match idempotency {
-            Idempotency::Idempotent => true,
-            Idempotency::NonIdempotent => false,
-            Idempotency::Keyed { scope, window } => {
-                let is_in_scope = match scope {
-                    DeduplicationScope::AllServers => true,
-                    DeduplicationScope::Zone => to.zone == executed.server.zone,
-                    DeduplicationScope::Cell => to.cell == executed.server.cell,
-                };
-                is_in_scope && now <= executed.sent_at + window
-            }
-        }
+        let (earlier, this_and_later) = self.attempts.split_at(number.0 as usize);
+        may_execute_after(earlier, now, &this_and_later[0].server, idempotency)
     }
 
     /// Returns whether the idempotency of the request permits a rejection after the earlier
     /// attempts. A rejection invites the client to send the request again.
     pub(super) fn may_be_rejected(&self, now: Timestamp, idempotency: Idempotency) -> bool {
-        let Some(executed) = self.possibly_executed() else {
+        let Some(executed) = first_possibly_executed(&self.attempts) else {
             return true;
         };
         match idempotency {
@@ -160,6 +134,31 @@
     }
 }
 
+/// Returns whether idempotency permits an execution at a server at `now`, after earlier attempts.
+fn may_execute_after(
+    earlier: &[AttemptRecord],
+    now: Timestamp,
+    at: &Endpoint,
+    idempotency: Idempotency,
+) -> bool {
+    let Some(executed) = first_possibly_executed(earlier) else {
+        return true;
+    };
+    match idempotency {
+        Idempotency::Idempotent => true,
+        Idempotency::NonIdempotent => false,
+        Idempotency::Keyed { scope, window } => {
+            let is_in_scope = match scope {
+                DeduplicationScope::AllServers => true,
+                DeduplicationScope::Zone => at.zone == executed.server.zone,
+                DeduplicationScope::Cell => at.cell == executed.server.cell,
+            };
+            is_in_scope && now <= executed.sent_at + window
+        }
+    }
+}
+
+/// Returns the first attempt that may have run; `None` if no attempt can have run.
 fn first_possibly_executed(attempts: &[AttemptRecord]) -> Option<&AttemptRecord> {
     attempts
         .iter()
