Report the resident memory of the process on the admin listener

edge_node_resident_memory_bytes and a field of /debug/state report it, so that the hypotheses on the case can be told apart by memory per body, per piece and per connection. node/process.rs now has both values that are read from /proc.

Checked: unit, admin and documentation tests of the edge node pass.

--- a/crates/edge-node/src/admin.rs
+++ b/crates/edge-node/src/admin.rs
@@ -157,6 +157,7 @@
             "oldest_requests": self.oldest_requests(),
             "connections": {"clients": status.client_connections, "servers": status.server_connections},
             "open_descriptors": status.open_descriptors,
+            "resident_memory_bytes": status.resident_memory_bytes,
             "datagrams": {"sent": status.datagrams_sent, "received": status.datagrams_received},
             "list": {
                 "sequence": status.list_sequence,
--- a/crates/edge-node/src/metrics/gauges.rs
+++ b/crates/edge-node/src/metrics/gauges.rs
@@ -19,6 +19,8 @@
     pub(crate) server_connections: usize,
     /// Number of file descriptors that the process has open.
     pub(crate) open_descriptors: usize,
+    /// Memory of the process that is resident, in bytes.
+    pub(crate) resident_memory_bytes: usize,
     /// Number of servers that are ready according to the endpoint list.
     pub(crate) servers_ready: usize,
     /// Number of servers and customers for which the decision library keeps state.
@@ -39,6 +41,7 @@
     client_connections: Gauge,
     server_connections: Gauge,
     open_descriptors: Gauge,
+    resident_memory_bytes: Gauge,
     servers_ready: Gauge,
     tracked_entries: Gauge,
     list_age: GaugeF64,
@@ -53,6 +56,11 @@
             client_connections: register(registry, "client_connections", "Connections of clients"),
             server_connections: register(registry, "server_connections", "Connections to servers"),
             open_descriptors: register(registry, "open_descriptors", "File descriptors held"),
+            resident_memory_bytes: register(
+                registry,
+                "resident_memory_bytes",
+                "Memory of the process that is resident",
+            ),
             servers_ready: register(
                 registry,
                 "servers_ready",
@@ -85,6 +93,8 @@
             .set(gauge_value(status.server_connections));
         self.open_descriptors
             .set(gauge_value(status.open_descriptors));
+        self.resident_memory_bytes
+            .set(gauge_value(status.resident_memory_bytes));
         self.servers_ready.set(gauge_value(status.servers_ready));
         self.tracked_entries
             .set(gauge_value(status.tracked_entries));
--- a/crates/edge-node/src/node/mod.rs
+++ b/crates/edge-node/src/node/mod.rs
@@ -10,6 +10,7 @@
 mod endpoints;
 mod peer_messages;
 mod pending_requests;
+mod process;
 mod requests;
 mod status;
 
--- a/crates/edge-node/src/node/status.rs
+++ b/crates/edge-node/src/node/status.rs
@@ -1,15 +1,12 @@
 //! The status that the admin listener reports, and the count of client connections.
 
 use super::pending_requests::PendingRequestStatus;
-use super::Node;
+use super::{process, Node};
 use crate::metrics::StatusSnapshot;
 use crate::peers::Peers;
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// The directory with one entry per open file descriptor of this process.
-const DESCRIPTOR_DIRECTORY: &str = "/proc/self/fd";
-
 /// Counts one client connection until the guard is dropped. The count is correct even if the task
 /// of the connection is dropped before its end.
 pub(crate) struct ClientConnectionGuard {
@@ -50,7 +47,8 @@
             open_requests: self.open_requests(),
             client_connections: self.client_connections.get(),
             server_connections: self.upstream.open_sockets(),
-            open_descriptors: open_descriptors(),
+            open_descriptors: process::open_descriptors(),
+            resident_memory_bytes: process::resident_memory_bytes(),
             servers_ready: self.upstream.ready_servers(),
             tracked_entries: self.gateway.borrow().tracked_entries(),
             list_age: last_list.map(|list| list.applied_at.elapsed()),
@@ -72,12 +70,6 @@
     }
 }
 
-/// Returns the number of open file descriptors of this process; 0 if it can't be determined.
-fn open_descriptors() -> usize {
-    // The descriptor of the directory being read is not counted.
-    std::fs::read_dir(DESCRIPTOR_DIRECTORY).map_or(0, |entries| entries.count().saturating_sub(1))
-}
-
 #[cfg(test)]
 #[path = "../../tests/unit/status.rs"]
 mod tests;
