Copy each piece of a body into one buffer, and keep no piece

What callers saw: the platform killed the edge node for memory, and every request that it held was lost.

Cause: read_body (clients/request.rs) and response::read (upstream/response.rs) collected a body with BodyExt::collect, which keeps every piece until the body is complete. A piece is a view of hyper's read buffer. While it lives, hyper cannot reuse the buffer, and allocates one of 8 KiB for the next read, so that a body holds a buffer for each of its pieces, whatever their size.

Why this works: collect copies a piece and drops it before it asks for the next, so hyper has its buffer back. The buffer grows by doubling with what has arrived, never beyond the declared length: a sender that declares a long body and sends nothing holds nothing.

Tests: keeps_no_read_buffer_of_pieces_already_received feeds pieces that count their read buffers; with BodyExt::collect in its place all of them live at once. request_bodies_in_small_pieces_stay_below_memory_limit and response_bodies_in_small_pieces_stay_below_memory_limit run a process with 100 clients.

--- /dev/null
+++ b/crates/edge-node/src/body/mod.rs
@@ -0,0 +1,6 @@
+//! The bodies of requests and responses.
+
+mod buffer;
+mod collect;
+
+pub(crate) use collect::{collect, CollectError};
--- a/crates/edge-node/src/clients/request.rs
+++ b/crates/edge-node/src/clients/request.rs
@@ -5,11 +5,11 @@
 use super::request_error::RequestError;
 use super::request_head::{RequestHead, IDEMPOTENCY_KEY};
 use super::response::{self, BufferedResponse};
+use crate::body;
 use crate::node::{Answer, Node};
 use crate::upstream::UpstreamRequest;
 use bytes::Bytes;
 use gateway_core::{Event, RequestId};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Method, Request};
@@ -91,9 +91,9 @@
     if !head.allows_body && !body.is_end_stream() {
         return Err(RequestError::UnexpectedBody);
     }
-    let collect_body = Limited::new(body, reservation.max_bytes()).collect();
+    let collect_body = body::collect(body, reservation.max_bytes());
     match tokio::time::timeout(BODY_READ_TIMEOUT, collect_body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Ok(body)) => Ok(body),
         _ => Err(RequestError::IncompleteBody),
     }
 }
--- a/crates/edge-node/src/lib.rs
+++ b/crates/edge-node/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admin;
 mod bind;
+mod body;
 pub mod clients;
 mod command;
 pub mod config;
--- a/crates/edge-node/src/upstream/response.rs
+++ b/crates/edge-node/src/upstream/response.rs
@@ -2,8 +2,8 @@
 
 use super::attempt_result::AttemptResult;
 use super::body_budget::{BodyBudget, BodyBudgetError};
+use crate::body::{self, CollectError};
 use gateway_core::{load_report, AttemptOutcome, RequestId};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
@@ -33,7 +33,7 @@
     NotAccepted(#[from] BodyBudgetError),
     /// The body ended early, or is longer than declared.
     #[error("the response body cannot be read")]
-    Body(#[source] Box<dyn std::error::Error + Send + Sync>),
+    Body(#[from] CollectError),
 }
 
 /// Reads a complete response, so that no client ever receives a truncated one. `previous` is the
@@ -53,9 +53,8 @@
     let reservation = budget.reserve(response.body().size_hint().lower())?;
     let outcome = classify(&response);
     let reported_load = reported_load(response.headers());
-    let body = Limited::new(response.into_body(), reservation.max_bytes());
-    let body = body.collect().await.map_err(ResponseError::Body)?;
-    let body = (outcome == AttemptOutcome::Success).then(|| body.to_bytes());
+    let body = body::collect(response.into_body(), reservation.max_bytes()).await?;
+    let body = (outcome == AttemptOutcome::Success).then_some(body);
     Ok(AttemptResult {
         outcome,
         body,
--- a/crates/edge-node/tests/edge/main.rs
+++ b/crates/edge-node/tests/edge/main.rs
@@ -1,6 +1,7 @@
 //! Tests that run the edge node with fake clients, servers, peers and discovery over loopback
 //! sockets. Each test covers one way in which these can fail. No test asserts on performance.
 
+mod body_memory;
 mod client_disconnect;
 mod descriptors;
 mod discovery_deadline;
--- a/crates/edge-node/tests/support/fake_server.rs
+++ b/crates/edge-node/tests/support/fake_server.rs
@@ -3,6 +3,7 @@
 
 use super::fake_discovery::endpoint_entry;
 use super::http::HttpMessage;
+use super::pieces::Pieces;
 use super::TEST_TIMEOUT;
 use std::io::{BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -15,6 +16,8 @@
 pub(crate) enum ServerBehavior {
     /// Sends this response and keeps the connection open.
     Respond(&'static str),
+    /// Sends this response in pieces and keeps the connection open.
+    RespondInPieces(&'static str, Pieces),
     /// Sends this text, which may be an incomplete response or empty, and closes the connection.
     RespondAndClose(&'static str),
     /// Sends nothing and keeps the connection open.
@@ -206,6 +209,9 @@
         ServerBehavior::Respond(response) => {
             let _ = stream.write_all(response.as_bytes());
         }
+        ServerBehavior::RespondInPieces(response, pieces) => {
+            let _ = pieces.write(stream, response.as_bytes());
+        }
         ServerBehavior::RespondAndClose(response) => {
             let _ = stream.write_all(response.as_bytes());
             let _ = stream.shutdown(Shutdown::Both);
--- a/crates/edge-node/tests/support/mod.rs
+++ b/crates/edge-node/tests/support/mod.rs
@@ -11,6 +11,7 @@
 mod full_backlog;
 mod http;
 mod node;
+mod pieces;
 mod refusing_address;
 
 pub(crate) use client::{example_read_request, request_text, Client};
@@ -27,6 +28,7 @@
 pub(crate) use full_backlog::FullBacklog;
 pub(crate) use http::HttpMessage;
 pub(crate) use node::{edge_node_command, spawn_edge_node, EdgeNode};
+pub(crate) use pieces::Pieces;
 pub(crate) use refusing_address::RefusingAddress;
 
 use std::time::Duration;
--- a/crates/edge-node/tests/support/node.rs
+++ b/crates/edge-node/tests/support/node.rs
@@ -254,6 +254,16 @@
         descriptors.expect("process is running").count()
     }
 
+    /// Returns the highest resident memory that the process has had so far, in KiB.
+    pub(crate) fn peak_memory_kib(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("process is running");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = peak.and_then(|value| value.trim().strip_suffix(" kB"));
+        kib.and_then(|kib| kib.parse().ok())
+            .expect("status contains the peak memory")
+    }
+
     /// Waits until the process has exited. Returns its exit status.
     pub(crate) fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("process exits")
