Copy the idempotency key of a request out of the read buffer

What callers saw: nothing by itself; it adds to the memory over which the platform kills the process. A pending request of a keyed class held hyper's read buffer, of 8 KiB or more, for a key of a few bytes.

Cause: ValidRequest::new (clients/request.rs) cloned the header's value. The value of a received header is a view of the read buffer, like a piece of a body, and its clone keeps the buffer allocated until the request is answered. The other parts of the head (id, target, customer) were copied already.

Test: pending_request_does_not_keep_read_buffer_of_its_key counts references to the read buffer; with a clone of the value it fails (2 instead of 1).

All unit tests of the edge node and clippy pass.

--- a/crates/edge-node/src/clients/request.rs
+++ b/crates/edge-node/src/clients/request.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use gateway_core::{Event, RequestId};
 use hyper::body::{Body, Incoming};
+use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::{Method, Request};
 use std::rc::Rc;
@@ -118,7 +119,7 @@
             .path_and_query()
             .map_or("/", |target| target.as_str())
             .to_owned();
-        let idempotency_key = parts.headers.get(IDEMPOTENCY_KEY).cloned();
+        let idempotency_key = parts.headers.get(IDEMPOTENCY_KEY).and_then(copy_value);
         let upstream_request = UpstreamRequest {
             id: head.id,
             method: parts.method,
@@ -134,6 +135,14 @@
     }
 }
 
+/// Copies the value of a header into memory of its own.
+///
+/// The value of a received header is a view of hyper's read buffer, and its clone keeps that buffer,
+/// with the complete head, allocated. The value is valid already, so the result is never `None`.
+fn copy_value(value: &HeaderValue) -> Option<HeaderValue> {
+    HeaderValue::from_bytes(value.as_bytes()).ok()
+}
+
 /// Submits a request to the node, waits for its final answer and builds the response.
 async fn submit_to_node(
     node: &Rc<Node>,
@@ -191,3 +200,7 @@
         self.node.abandon_request(&self.id);
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/client_request.rs"]
+mod tests;
