Keep the read buffers of connections at their initial size

What callers saw: nothing by itself; the memory of connections adds to that for which the platform kills the process. Since bodies are copied out of hyper's read buffer, the buffer stays with its connection, and a body that arrives at full speed makes hyper double it up to 32 KiB. Bytes that were read ahead were released, but the capacity of their buffer was kept, too.

Change: sockets of clients and servers are read at most 4 KiB at a time (bounded_read), which never fills hyper's buffer of 8 KiB, so that it does not grow. The read-ahead buffer is released when hyper has read it.

Tests: reads_are_shorter_than_read_buffer_of_hyper and bytes_read_ahead_are_released_when_hyper_has_read_them; both fail without the change.

--- a/crates/edge-node/src/clients/read_ahead.rs
+++ b/crates/edge-node/src/clients/read_ahead.rs
@@ -1,6 +1,7 @@
 //! A client connection that is read ahead of the HTTP server, so that the end of the stream is
 //! detected even behind data that the server has not read yet.
 
+use crate::bounded_read::{poll_bounded_read, MAX_READ_BYTES};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
@@ -123,13 +124,18 @@
     ) -> Poll<io::Result<()>> {
         let inner = &mut *self.0.borrow_mut();
         if inner.buffered.is_empty() && !inner.ended {
-            return Pin::new(&mut inner.stream).poll_read(context, buffer);
+            return poll_bounded_read(&mut inner.stream, context, buffer);
         }
         // At the end of the stream, once the buffer is empty, this puts no bytes into `buffer`,
         // which signals the end to the HTTP server.
-        let length = inner.buffered.len().min(buffer.remaining());
+        let max_length = buffer.remaining().min(MAX_READ_BYTES);
+        let length = inner.buffered.len().min(max_length);
         buffer.put_slice(&inner.buffered[..length]);
         inner.buffered.drain(..length);
+        if inner.buffered.is_empty() {
+            // Releases the memory, which the connection would otherwise keep as long as it lives.
+            inner.buffered = Vec::new();
+        }
         Poll::Ready(Ok(()))
     }
 }
@@ -167,3 +173,7 @@
         Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(context)
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/read_ahead.rs"]
+mod tests;
--- a/crates/edge-node/src/lib.rs
+++ b/crates/edge-node/src/lib.rs
@@ -7,6 +7,7 @@
 mod admin;
 mod bind;
 mod body;
+mod bounded_read;
 pub mod clients;
 mod command;
 pub mod config;
--- a/crates/edge-node/src/upstream/socket.rs
+++ b/crates/edge-node/src/upstream/socket.rs
@@ -1,6 +1,7 @@
 //! Sockets to servers, which are counted while they are open, record whether anything was written
 //! to them, and refuse to write after a deadline.
 
+use crate::bounded_read::poll_bounded_read;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
@@ -135,7 +136,7 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer)
+        poll_bounded_read(&mut self.stream.borrow_mut(), context, buffer)
     }
 }
 
