Count every body against a budget until its last reference is dropped

What callers saw: with a limit of 32 MiB, requests that wait for hung servers took the edge node over its limit, and the platform kills it then.

Cause: BodyBudget::reserve (upstream/body_budget.rs) counted no body up to 64 KiB, and read_body (clients/request.rs) dropped the reservation of a larger one when it had been read, although the pending request kept the body for up to its deadline; response::read did the same with an answer that is still to be written. What was counted was not what was held.

Change: a body counts with the capacity of its buffer from its first piece until the last reference to its bytes is dropped (Bytes::from_owner), also in hyper's write queue. Requests and responses have a budget each: an equal share of what the program and the possible connections leave of the limit, an eighth to a quarter of it. That holds a body of 64 KiB for every client at 32 MiB and 256 descriptors, and at 192 MiB and 1,024, so that nothing is rejected there. Large bodies may use half of a budget, as before, and reserve their length at once. A request without memory for its small body is read to its end, discarded, and answered with 503 (never forwarded), so that its answer is not lost to a reset. Gauges and the event body_memory_exhausted show it.

Tests of attempts get a budget instead of none.

--- a/crates/edge-node/src/clients/request.rs
+++ b/crates/edge-node/src/clients/request.rs
@@ -5,7 +5,7 @@
 use super::request_error::RequestError;
 use super::request_head::{RequestHead, IDEMPOTENCY_KEY};
 use super::response::{self, BufferedResponse};
-use crate::body;
+use crate::body::{self, BodyBuffer, BodyError};
 use crate::node::{Answer, Node};
 use crate::upstream::UpstreamRequest;
 use bytes::Bytes;
@@ -18,6 +18,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tracing::warn;
 
 /// Path of the readiness probe, which any client may send.
 const READINESS_PATH: &str = "/-/ready";
@@ -80,22 +81,35 @@
     Ok(ValidRequest::new(head, parts, body))
 }
 
-/// Reads the complete body, within the limits of size and time.
+/// Reads the complete body, within the limits of size, memory and time.
 ///
-/// Reads nothing of a body that is too large or that the class does not allow. Memory for a large
-/// body is reserved while it is read; the reservation is released when the function returns or its
-/// future is dropped.
-async fn read_body(node: &Node, head: &RequestHead, body: Incoming) -> Result<Bytes, RequestError> {
-    let declared_bytes = body.size_hint().lower();
-    let reservation = node.upstream.body_budget.reserve(declared_bytes);
-    let reservation = reservation.map_err(|_| RequestError::BodyTooLarge)?;
+/// Reads nothing of a body that is too large or that the class does not allow.
+async fn read_body(
+    node: &Node,
+    head: &RequestHead,
+    mut body: Incoming,
+) -> Result<Bytes, RequestError> {
+    let buffer = BodyBuffer::new(&body, &node.request_bodies);
+    let buffer = buffer.map_err(|_| RequestError::BodyTooLarge)?;
     if !head.allows_body && !body.is_end_stream() {
         return Err(RequestError::UnexpectedBody);
     }
-    let collect_body = body::collect(body, reservation.max_bytes());
-    match tokio::time::timeout(BODY_READ_TIMEOUT, collect_body).await {
-        Ok(Ok(body)) => Ok(body),
-        _ => Err(RequestError::IncompleteBody),
+    let read = tokio::time::timeout(BODY_READ_TIMEOUT, read_or_discard(&mut body, buffer)).await;
+    read.unwrap_or(Err(RequestError::IncompleteBody))
+}
+
+/// Reads a body. A body for which there is no memory is read to its end as well, and discarded:
+/// otherwise the connection would be closed over unread data, which resets it, and the client might
+/// not receive the response.
+async fn read_or_discard(body: &mut Incoming, buffer: BodyBuffer) -> Result<Bytes, RequestError> {
+    match body::read(body, buffer).await {
+        Ok(bytes) => Ok(bytes),
+        Err(error @ BodyError::Exhausted { .. }) => {
+            warn!(event = "body_memory_exhausted", cause = %error, "a request is rejected: {error}");
+            body::discard(body).await;
+            Err(RequestError::BodyMemoryExhausted)
+        }
+        Err(_) => Err(RequestError::IncompleteBody),
     }
 }
 
--- a/crates/edge-node/src/clients/request_error.rs
+++ b/crates/edge-node/src/clients/request_error.rs
@@ -46,9 +46,14 @@
     /// The class requires another method.
     #[error("this class takes another method")]
     WrongMethod,
-    /// The body is larger than the maximum size, or than memory allows at this moment.
+    /// The body is larger than the maximum size, or is large and exceeds the memory for large bodies
+    /// at the moment.
     #[error("the body is too large")]
     BodyTooLarge,
+    /// The bodies of other requests use up the memory for bodies at the moment. The request was not
+    /// forwarded, so its client may safely retry.
+    #[error("no memory for the body at this moment")]
+    BodyMemoryExhausted,
     /// The class allows no body, and the request has one.
     #[error("this class takes no body")]
     UnexpectedBody,
@@ -63,6 +68,7 @@
         match self {
             RequestError::TransferEncoding => StatusCode::LENGTH_REQUIRED,
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            RequestError::BodyMemoryExhausted => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_REQUEST,
         }
     }
--- a/crates/edge-node/src/config/schema/keys/node.rs
+++ b/crates/edge-node/src/config/schema/keys/node.rs
@@ -84,7 +84,7 @@
         default: DefaultValue::Integer(32),
         in_platform_json: PlatformPresence::Optional,
         on_reload: OnReload::RequiresRestart,
-        description: "Memory that the process may use, in MiB; an eighth of it is for large bodies.",
+        description: "Memory that the process may use, in MiB; at most a quarter of it is for bodies of requests, and as much for bodies of responses.",
     },
     KeySpec {
         toml_path: "log.level",
--- a/crates/edge-node/src/metrics/gauges.rs
+++ b/crates/edge-node/src/metrics/gauges.rs
@@ -21,6 +21,10 @@
     pub(crate) open_descriptors: usize,
     /// Memory of the process that is resident, in bytes.
     pub(crate) resident_memory_bytes: usize,
+    /// Memory that the bodies of requests hold, in bytes.
+    pub(crate) request_body_bytes: usize,
+    /// Memory that the bodies of responses hold, in bytes.
+    pub(crate) response_body_bytes: usize,
     /// Number of servers that are ready according to the endpoint list.
     pub(crate) servers_ready: usize,
     /// Number of servers and customers for which the decision library keeps state.
@@ -42,6 +46,8 @@
     server_connections: Gauge,
     open_descriptors: Gauge,
     resident_memory_bytes: Gauge,
+    request_body_bytes: Gauge,
+    response_body_bytes: Gauge,
     servers_ready: Gauge,
     tracked_entries: Gauge,
     list_age: GaugeF64,
@@ -61,6 +67,16 @@
                 "resident_memory_bytes",
                 "Memory of the process that is resident",
             ),
+            request_body_bytes: register(
+                registry,
+                "request_body_bytes",
+                "Memory that bodies of requests hold",
+            ),
+            response_body_bytes: register(
+                registry,
+                "response_body_bytes",
+                "Memory that bodies of responses hold",
+            ),
             servers_ready: register(
                 registry,
                 "servers_ready",
@@ -95,6 +111,10 @@
             .set(gauge_value(status.open_descriptors));
         self.resident_memory_bytes
             .set(gauge_value(status.resident_memory_bytes));
+        self.request_body_bytes
+            .set(gauge_value(status.request_body_bytes));
+        self.response_body_bytes
+            .set(gauge_value(status.response_body_bytes));
         self.servers_ready.set(gauge_value(status.servers_ready));
         self.tracked_entries
             .set(gauge_value(status.tracked_entries));
--- a/crates/edge-node/src/node/mod.rs
+++ b/crates/edge-node/src/node/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) use peer_messages::receive_peer_messages;
 pub(crate) use pending_requests::Answer;
 
+use crate::body::BodyBudget;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::upstream::Upstream;
@@ -37,6 +38,8 @@
     pub(crate) seed: u64,
     /// The settings, with the names of classes, plans and zones.
     pub(crate) settings: ResolvedSettings,
+    /// Memory for the bodies of requests.
+    pub(crate) request_bodies: BodyBudget,
     /// Connections to servers.
     pub(crate) upstream: Upstream,
     /// Socket for messages to and from other edge nodes; `None` if no peers are configured.
@@ -50,6 +53,8 @@
 pub(crate) struct Node {
     /// The settings, with the names of classes, plans and zones.
     pub(crate) settings: ResolvedSettings,
+    /// Memory for the bodies of requests.
+    pub(crate) request_bodies: BodyBudget,
     /// Connections to servers.
     pub(crate) upstream: Upstream,
     peers: Option<Peers>,
@@ -72,6 +77,7 @@
         let gateway = Gateway::new(parts.seed, parts.settings.settings.clone(), clock.now())?;
         Ok(Rc::new(Node {
             settings: parts.settings,
+            request_bodies: parts.request_bodies,
             upstream: parts.upstream,
             peers: parts.peers,
             metrics: parts.metrics,
--- a/crates/edge-node/src/node/status.rs
+++ b/crates/edge-node/src/node/status.rs
@@ -49,6 +49,8 @@
             server_connections: self.upstream.open_sockets(),
             open_descriptors: process::open_descriptors(),
             resident_memory_bytes: process::resident_memory_bytes(),
+            request_body_bytes: self.request_bodies.reserved_bytes(),
+            response_body_bytes: self.upstream.response_body_bytes(),
             servers_ready: self.upstream.ready_servers(),
             tracked_entries: self.gateway.borrow().tracked_entries(),
             list_age: last_list.map(|list| list.applied_at.elapsed()),
--- a/crates/edge-node/src/startup/mod.rs
+++ b/crates/edge-node/src/startup/mod.rs
@@ -55,6 +55,7 @@
     let metrics = has_admin.then(|| Rc::new(Metrics::new(&config.settings)));
     let node = Node::new(NodeParts {
         seed: config.seed,
+        request_bodies: limits.request_bodies(),
         upstream: limits.upstream(&config.settings),
         settings: config.settings,
         peers: sockets.peers,
--- a/crates/edge-node/src/startup/resource_limits.rs
+++ b/crates/edge-node/src/startup/resource_limits.rs
@@ -1,8 +1,9 @@
 //! Division of the process's file descriptors and memory among client connections, connections to
-//! servers and large bodies.
+//! servers and bodies.
 
+use crate::body::BodyBudget;
 use crate::config::Config;
-use crate::upstream::{BodyBudget, Upstream};
+use crate::upstream::Upstream;
 use gateway_core::settings::ResolvedSettings;
 use std::time::Duration;
 
@@ -11,16 +12,23 @@
 const RESERVED_DESCRIPTORS: usize = 32;
 /// Number of sides, clients and servers, that share the unreserved descriptors equally.
 const CONNECTION_SIDES: usize = 2;
-/// Divisor of the memory limit, which yields the budget for all large bodies together. The divisor
-/// is high because a body is briefly in memory twice, and a third time while it is written.
-const LARGE_BODY_MEMORY_DIVISOR: usize = 8;
+/// Memory reserved for the program itself and for the state of its decisions, in bytes.
+const RESERVED_MEMORY_BYTES: usize = 6 * 1024 * 1024;
+/// Memory reserved for each connection that may be open, in bytes: read buffer, task and request.
+const CONNECTION_MEMORY_BYTES: usize = 14 * 1024;
+/// Number of directions, requests and responses, that share the remaining memory equally.
+const BODY_DIRECTIONS: usize = 2;
+/// Divisors of the memory limit, which yield the smallest and the largest budget for the bodies of
+/// one direction. The rest of the memory is left free even if all bodies are in use.
+const MIN_BODY_MEMORY_DIVISOR: usize = 8;
+const MAX_BODY_MEMORY_DIVISOR: usize = 4;
 
 /// Limits on the resources of the process that connections and requests may take.
 pub(super) struct ResourceLimits {
     /// Maximum number of client connections, and also of connections to servers.
     pub(super) connections_per_side: usize,
-    /// Maximum size of all large bodies together, in bytes.
-    large_body_bytes: usize,
+    /// Maximum memory for the bodies of one direction together, in bytes.
+    body_bytes: usize,
     /// Longest deadline of any class.
     pub(super) longest_deadline: Duration,
 }
@@ -28,21 +36,42 @@
 impl ResourceLimits {
     /// Computes the limits from a configuration.
     pub(super) fn of(config: &Config) -> ResourceLimits {
+        let connections = config.max_file_descriptors - RESERVED_DESCRIPTORS;
         ResourceLimits {
-            connections_per_side: (config.max_file_descriptors - RESERVED_DESCRIPTORS)
-                / CONNECTION_SIDES,
-            large_body_bytes: config.max_memory / LARGE_BODY_MEMORY_DIVISOR,
+            connections_per_side: connections / CONNECTION_SIDES,
+            body_bytes: body_bytes(config.max_memory, connections),
             longest_deadline: config.settings.longest_deadline,
         }
     }
 
+    /// Creates the budget for the bodies of requests.
+    pub(super) fn request_bodies(&self) -> BodyBudget {
+        BodyBudget::new(self.body_bytes)
+    }
+
     /// Creates an empty pool of connections to servers under these limits.
     pub(super) fn upstream(&self, settings: &ResolvedSettings) -> Upstream {
         Upstream::new(
-            BodyBudget::new(self.large_body_bytes),
+            BodyBudget::new(self.body_bytes),
             self.connections_per_side,
             settings.connection_idle_timeout,
             settings.connect_timeout,
         )
     }
 }
+
+/// Returns the memory for the bodies of one direction, in bytes: an equal share of what the program
+/// and its connections leave of the memory limit.
+fn body_bytes(max_memory: usize, connections: usize) -> usize {
+    let connection_memory = connections.saturating_mul(CONNECTION_MEMORY_BYTES);
+    let other_memory = RESERVED_MEMORY_BYTES.saturating_add(connection_memory);
+    let share = max_memory.saturating_sub(other_memory) / BODY_DIRECTIONS;
+    share.clamp(
+        max_memory / MIN_BODY_MEMORY_DIVISOR,
+        max_memory / MAX_BODY_MEMORY_DIVISOR,
+    )
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/resource_limits.rs"]
+mod tests;
--- a/crates/edge-node/src/upstream/attempt.rs
+++ b/crates/edge-node/src/upstream/attempt.rs
@@ -2,12 +2,12 @@
 //! the response.
 
 use super::attempt_result::AttemptResult;
-use super::body_budget::BodyBudget;
 use super::connect_error::ConnectError;
 use super::connection::PooledConnection;
 use super::response::{self, ResponseError, REQUEST_ID};
 use super::socket::is_past;
 use super::Upstream;
+use crate::body::BodyBudget;
 use crate::log::ErrorChain;
 use bytes::Bytes;
 use gateway_core::{AttemptNumber, AttemptOutcome, RequestId, ServerId};
@@ -241,7 +241,7 @@
         // node must not count against the server.
         let exchanged = tokio::select! {
             biased;
-            result = exchange(&mut connection, attempt.request, attempt.deadline, &self.body_budget) => result,
+            result = exchange(&mut connection, attempt.request, attempt.deadline, &self.response_bodies) => result,
             _ = &mut attempt.cancelled => Err(ExchangeError::Cancelled),
             () = tokio::time::sleep_until(attempt.deadline) => Err(ExchangeError::DeadlineExceeded),
         };
--- a/crates/edge-node/src/upstream/mod.rs
+++ b/crates/edge-node/src/upstream/mod.rs
@@ -2,12 +2,11 @@
 //!
 //! [`Upstream`] applies updates of the endpoint list and makes attempts. Its modules: `attempt`
 //! makes one attempt, `response` reads and validates a response, `pool` and `connection` keep
-//! connections open between requests, `connect_error` classifies failures to connect, `socket`
-//! counts open sockets, and `body_budget` bounds the memory of bodies.
+//! connections open between requests, `connect_error` classifies failures to connect, and `socket`
+//! counts open sockets.
 
 mod attempt;
 mod attempt_result;
-mod body_budget;
 mod connect_error;
 mod connection;
 mod pool;
@@ -16,8 +15,8 @@
 
 pub(crate) use attempt::{Attempt, UpstreamRequest};
 pub(crate) use attempt_result::AttemptResult;
-pub(crate) use body_budget::BodyBudget;
 
+use crate::body::BodyBudget;
 use connect_error::ConnectError;
 use connection::PooledConnection;
 use gateway_core::{EndpointUpdate, ServerId};
@@ -44,8 +43,8 @@
 
 /// The ready servers and the connections to them.
 pub(crate) struct Upstream {
-    /// Memory for the large bodies of requests and responses.
-    pub(crate) body_budget: BodyBudget,
+    /// Memory for the bodies of responses.
+    response_bodies: BodyBudget,
     pools: RefCell<HashMap<ServerId, ServerPool>>,
     open_sockets: OpenSockets,
     max_sockets: usize,
@@ -59,13 +58,13 @@
     /// Creates an upstream without servers. At most `max_sockets` connections may be open at a
     /// time; `connection_idle_timeout` is the time after which a server closes an idle connection.
     pub(crate) fn new(
-        body_budget: BodyBudget,
+        response_bodies: BodyBudget,
         max_sockets: usize,
         connection_idle_timeout: Duration,
         connect_timeout: Duration,
     ) -> Upstream {
         Upstream {
-            body_budget,
+            response_bodies,
             pools: RefCell::default(),
             open_sockets: OpenSockets::default(),
             max_sockets,
@@ -79,6 +78,11 @@
         self.open_sockets.count()
     }
 
+    /// Returns the memory that the bodies of responses hold, in bytes.
+    pub(crate) fn response_body_bytes(&self) -> usize {
+        self.response_bodies.reserved_bytes()
+    }
+
     pub(crate) fn ready_servers(&self) -> usize {
         self.pools.borrow().len()
     }
--- a/crates/edge-node/src/upstream/response.rs
+++ b/crates/edge-node/src/upstream/response.rs
@@ -1,10 +1,9 @@
 //! Reads and validates the response to a request.
 
 use super::attempt_result::AttemptResult;
-use super::body_budget::{BodyBudget, BodyBudgetError};
-use crate::body::{self, CollectError};
+use crate::body::{self, BodyBudget, BodyBuffer, BodyError};
 use gateway_core::{load_report, AttemptOutcome, RequestId};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
 use thiserror::Error;
@@ -28,12 +27,9 @@
     /// The response has neither a content length nor a transfer encoding.
     #[error("the response has neither a content length nor a transfer encoding")]
     Unframed,
-    /// The body is larger than the maximum size, or than the rest of the body budget.
-    #[error("the response body is not accepted")]
-    NotAccepted(#[from] BodyBudgetError),
-    /// The body ended early, or is longer than declared.
+    /// The body is too large, exceeds the rest of the body budget, or ended early.
     #[error("the response body cannot be read")]
-    Body(#[from] CollectError),
+    Body(#[from] BodyError),
 }
 
 /// Reads a complete response, so that no client ever receives a truncated one. `previous` is the
@@ -50,10 +46,10 @@
     budget: &BodyBudget,
 ) -> Result<AttemptResult, ResponseError> {
     check_head(&response, previous)?;
-    let reservation = budget.reserve(response.body().size_hint().lower())?;
+    let buffer = BodyBuffer::new(response.body(), budget)?;
     let outcome = classify(&response);
     let reported_load = reported_load(response.headers());
-    let body = body::collect(response.into_body(), reservation.max_bytes()).await?;
+    let body = body::read(&mut response.into_body(), buffer).await?;
     let body = (outcome == AttemptOutcome::Success).then_some(body);
     Ok(AttemptResult {
         outcome,
--- a/crates/edge-node/tests/admin.rs
+++ b/crates/edge-node/tests/admin.rs
@@ -215,6 +215,8 @@
 fn assert_process_metrics(text: &str) {
     assert!(metric_value(text, "edge_node_open_descriptors") >= 8.0);
     assert!(metric_value(text, "edge_node_resident_memory_bytes") >= 1_000_000.0);
+    assert_eq!(metric_value(text, "edge_node_request_body_bytes"), 0.0);
+    assert_eq!(metric_value(text, "edge_node_response_body_bytes"), 0.0);
     assert!(metric_value(text, "edge_node_datagrams_sent_total") >= 1.0);
     assert!(metric_value(text, "edge_node_list_age_seconds") < 60.0);
 }
--- a/crates/edge-node/tests/library/request_error.rs
+++ b/crates/edge-node/tests/library/request_error.rs
@@ -51,6 +51,11 @@
             "this class takes another method",
         ),
         (RequestError::BodyTooLarge, 413, "the body is too large"),
+        (
+            RequestError::BodyMemoryExhausted,
+            503,
+            "no memory for the body at this moment",
+        ),
         (
             RequestError::UnexpectedBody,
             400,
--- a/crates/edge-node/tests/unit/body_collect.rs
+++ b/crates/edge-node/tests/unit/body_read.rs
@@ -1,7 +1,8 @@
 //! Tests that a body is read completely, and that none of its pieces is kept.
 
+use super::super::BodyBudget;
 use super::*;
-use hyper::body::{Frame, SizeHint};
+use hyper::body::Frame;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::pin::{pin, Pin};
@@ -31,7 +32,8 @@
     }
 }
 
-/// A body that arrives in pieces, each of which is a view of a read buffer of its own.
+/// A body without a declared length that arrives in pieces, each of which is a view of a read buffer
+/// of its own.
 struct PiecewiseBody {
     pieces: VecDeque<Result<Vec<u8>, &'static str>>,
     live_buffers: Arc<AtomicUsize>,
@@ -74,17 +76,13 @@
         let frame = next.map(|piece| piece.map(|piece| Frame::data(self.read_next(piece))));
         Poll::Ready(frame)
     }
-
-    fn size_hint(&self) -> SizeHint {
-        let lengths = self.pieces.iter().flatten().map(|piece| piece.len() as u64);
-        SizeHint::with_exact(lengths.sum())
-    }
 }
 
-/// Collects a body, which never has to be waited for.
-fn collected(body: PiecewiseBody, max_bytes: usize) -> Result<Bytes, CollectError> {
-    let collecting = pin!(collect(body, max_bytes));
-    match collecting.poll(&mut Context::from_waker(Waker::noop())) {
+/// Reads a body, which never has to be waited for.
+fn read_now(mut body: PiecewiseBody) -> Result<Bytes, BodyError> {
+    let buffer = BodyBuffer::new(&body, &BodyBudget::new(MAX_BYTES))?;
+    let reading = pin!(read(&mut body, buffer));
+    match reading.poll(&mut Context::from_waker(Waker::noop())) {
         Poll::Ready(result) => result,
         Poll::Pending => panic!("the body is always ready"),
     }
@@ -100,7 +98,7 @@
         let body = PiecewiseBody::new(pieces);
         let live_buffers = Arc::clone(&body.live_buffers);
         let max_live_buffers = Arc::clone(&body.max_live_buffers);
-        let bytes = collected(body, MAX_BYTES).expect("the body is complete");
+        let bytes = read_now(body).expect("the body is complete");
         assert_eq!(bytes, expected);
         assert_eq!(
             (
@@ -116,12 +114,12 @@
 #[test]
 fn body_may_have_maximum_length_and_no_more() {
     let whole = || Ok(vec![b'p'; MAX_BYTES]);
-    let bytes = collected(PiecewiseBody::new([whole()]), MAX_BYTES);
+    let bytes = read_now(PiecewiseBody::new([whole()]));
     assert_eq!(bytes.expect("the body is complete").len(), MAX_BYTES);
     let longer = PiecewiseBody::new([whole(), Ok(vec![b'p'])]);
     assert!(matches!(
-        collected(longer, MAX_BYTES),
-        Err(CollectError::TooLong {
+        read_now(longer),
+        Err(BodyError::TooLarge {
             max_bytes: MAX_BYTES
         })
     ));
@@ -130,8 +128,8 @@
 #[test]
 fn body_that_breaks_off_is_incomplete() {
     let body = PiecewiseBody::new([Ok(vec![b'p'; 10]), Err("connection reset")]);
-    match collected(body, MAX_BYTES) {
-        Err(CollectError::Incomplete(source)) => assert_eq!(source.to_string(), "connection reset"),
+    match read_now(body) {
+        Err(BodyError::Incomplete(source)) => assert_eq!(source.to_string(), "connection reset"),
         other => panic!("{other:?}"),
     }
 }
--- a/crates/edge-node/tests/unit/upstream.rs
+++ b/crates/edge-node/tests/unit/upstream.rs
@@ -11,6 +11,8 @@
 use tokio::time::Instant;
 
 const SERVER: ServerId = ServerId(1);
+/// Memory for the bodies of responses.
+const MAX_BODY_BYTES: usize = 64 * 1024;
 
 /// Runs a test on a runtime of its own.
 pub(super) fn block_on(test: impl Future<Output = ()>) {
@@ -39,7 +41,7 @@
         .expect("failed to bind a port");
     let address = listener.local_addr().expect("the listener has no address");
     let upstream = Upstream::new(
-        BodyBudget::new(0),
+        BodyBudget::new(MAX_BODY_BYTES),
         8,
         Duration::from_secs(15),
         Duration::from_secs(60),
--- a/crates/edge-node/tests/unit/upstream_attempt.rs
+++ b/crates/edge-node/tests/unit/upstream_attempt.rs
@@ -1,7 +1,7 @@
 //! Tests each outcome of an attempt, and the bytes on the wire.
 
 use super::super::tests::block_on;
-use super::super::{BodyBudget, ServerAddress};
+use super::super::ServerAddress;
 use super::*;
 use gateway_core::EndpointUpdate;
 use socket2::{Domain, Socket, Type};
@@ -12,6 +12,8 @@
 
 const FIRST: ServerId = ServerId(1);
 const SECOND: ServerId = ServerId(2);
+/// Memory for the bodies of responses.
+const MAX_BODY_BYTES: usize = 64 * 1024;
 const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nranks";
 
 async fn listen() -> (TcpListener, SocketAddr) {
@@ -25,7 +27,7 @@
 /// Creates an upstream with these servers that may open at most `max_sockets` sockets.
 fn upstream_with_servers(max_sockets: usize, servers: &[(ServerId, SocketAddr)]) -> Upstream {
     let upstream = Upstream::new(
-        BodyBudget::new(0),
+        BodyBudget::new(MAX_BODY_BYTES),
         max_sockets,
         Duration::from_secs(15),
         Duration::from_secs(60),
