Log at debug level why connections and watches are closed and requests answered as invalid

The report could not tell why a client connection was closed, how long it had been idle, or what became of each watch after the first failure. New events: watch_opened, watch_closed, client_connection_closed, client_connection_evicted, request_invalid.

--- a/crates/edge-node/src/clients/connection.rs
+++ b/crates/edge-node/src/clients/connection.rs
@@ -5,6 +5,7 @@
 use super::read_ahead::ReadAheadStream;
 use super::request::{self, ClientDisconnected};
 use super::response::{self, BufferedResponse};
+use crate::log::ErrorChain;
 use crate::node::Node;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -14,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
+use tracing::debug;
 
 /// Maximum time for a complete request head to arrive, counted from accept and after each response.
 /// Without a limit, clients that send nothing, or a head that never ends, would hold their
@@ -49,7 +51,7 @@
         node,
         phase: phase.clone(),
         stream: stream.clone(),
-        state,
+        state: Rc::clone(&state),
     };
     let connection = Rc::new(connection);
     let service = service_fn(move |request| {
@@ -58,14 +60,37 @@
     });
     let http_connection = http_server().serve_connection(stream, service);
     tokio::pin!(http_connection);
-    tokio::select! {
+    let ended = tokio::select! {
         biased;
-        _ = &mut http_connection => return,
-        () = wait_for_graceful_shutdown(phase) => http_connection.as_mut().graceful_shutdown(),
-    }
+        result = &mut http_connection => Some(result),
+        () = wait_for_graceful_shutdown(phase) => None,
+    };
+    let result = match ended {
+        Some(result) => result,
+        None => {
+            http_connection.as_mut().graceful_shutdown();
+            http_connection.await
+        }
+    };
     // An error needs no handling: if the client disconnected during a request, the `AbandonGuard`
     // of that request has abandoned it.
-    let _ = http_connection.await;
+    log_closed(&state, result);
+}
+
+fn log_closed(state: &ConnectionState, result: hyper::Result<()>) {
+    let cause = match &result {
+        Ok(()) => "no error".to_owned(),
+        Err(error) => ErrorChain(error).to_string(),
+    };
+    let requests = state.requests();
+    let idle_ms = state.idle_time().as_millis();
+    debug!(
+        event = "client_connection_closed",
+        requests,
+        idle_ms,
+        cause,
+        "client connection closed after {requests} requests, idle for {idle_ms} ms: {cause}"
+    );
 }
 
 fn http_server() -> http1::Builder {
@@ -110,7 +135,7 @@
     /// Data that has arrived on a new connection is read in the runtime turn that accepts the
     /// connection, but a close behind that data is reported only in the next turn.
     async fn yield_before_first_request(&self) {
-        if self.state.take_first_request() {
+        if self.state.record_request() == 1 {
             tokio::task::yield_now().await;
         }
     }
--- a/crates/edge-node/src/clients/connection_state.rs
+++ b/crates/edge-node/src/clients/connection_state.rs
@@ -17,8 +17,8 @@
     idle_since: Cell<Option<Instant>>,
     /// Whether part of a response is still unwritten because the client reads slowly.
     write_blocked: Rc<Cell<bool>>,
-    /// Whether no request has arrived yet.
-    awaits_first_request: Cell<bool>,
+    /// Number of requests whose heads have arrived.
+    requests: Cell<u64>,
 }
 
 impl ConnectionState {
@@ -28,14 +28,27 @@
         ConnectionState {
             idle_since: Cell::new(Some(idle_since)),
             write_blocked: stream.write_blocked(),
-            awaits_first_request: Cell::new(true),
+            requests: Cell::new(0),
         }
     }
 
-    /// Records that a request has arrived. Returns whether it is the first request of the
-    /// connection.
-    pub(super) fn take_first_request(&self) -> bool {
-        self.awaits_first_request.replace(false)
+    /// Records that the head of a request has arrived. Returns the number of requests, this one
+    /// included.
+    pub(super) fn record_request(&self) -> u64 {
+        self.requests.set(self.requests.get() + 1);
+        self.requests.get()
+    }
+
+    /// Returns the number of requests whose heads have arrived.
+    pub(super) fn requests(&self) -> u64 {
+        self.requests.get()
+    }
+
+    /// Returns how long the connection has been idle; zero while a request is in flight.
+    pub(super) fn idle_time(&self) -> Duration {
+        self.idle_since
+            .get()
+            .map_or(Duration::ZERO, |since| since.elapsed())
     }
 
     /// Returns the position of the connection in the order of eviction, or `None` while a request
--- a/crates/edge-node/src/clients/connection_table.rs
+++ b/crates/edge-node/src/clients/connection_table.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
+use tracing::debug;
 
 /// Number of entries of finished connections that may stay in the table. Beyond this number, all of
 /// them are removed at once.
@@ -114,6 +115,13 @@
             .iter()
             .filter(|entry| entry.state.eviction_order().is_some());
         if let Some(entry) = idle.min_by_key(|entry| entry.state.eviction_order()) {
+            debug!(
+                event = "client_connection_evicted",
+                requests = entry.state.requests(),
+                idle_ms = entry.state.idle_time().as_millis(),
+                "client connection evicted: the limit of {} connections is reached",
+                self.max_connections
+            );
             entry.task.abort();
         }
     }
--- a/crates/edge-node/src/clients/request.rs
+++ b/crates/edge-node/src/clients/request.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use tracing::warn;
+use tracing::{debug, warn};
 
 /// Path of the readiness probe, which any client may send.
 const READINESS_PATH: &str = "/-/ready";
@@ -54,7 +54,10 @@
     }
     match read_request(node, request).await {
         Ok(valid_request) => submit_to_node(node, valid_request, stream).await,
-        Err(error) => Ok(response::for_invalid_request(error)),
+        Err(error) => {
+            debug!(event = "request_invalid", cause = %error, "request answered with {}: {error}", error.status());
+            Ok(response::for_invalid_request(error))
+        }
     }
 }
 
--- a/crates/edge-node/src/discovery/mod.rs
+++ b/crates/edge-node/src/discovery/mod.rs
@@ -10,6 +10,7 @@
 mod watch;
 
 use crate::endpoint_list::{EndpointEntry, EndpointList};
+use crate::log::ErrorChain;
 use crate::node::Node;
 use bytes::Bytes;
 use gateway_core::reconnect::{ReconnectPolicy, WatchEvent};
@@ -21,6 +22,7 @@
 use std::time::Duration;
 use tokio::sync::{oneshot, watch as watch_channel};
 use tokio::time::{sleep_until, timeout_at, Instant};
+use tracing::debug;
 use watch::{Watch, WatchError};
 
 /// Keeps the node's endpoints up to date until the process ends, and switches to another discovery
@@ -85,7 +87,9 @@
         let mut has_failed = false;
         loop {
             self.policy.attempt_started(self.elapsed());
+            debug!(event = "watch_opened", %address, "discovery: opening a watch at {address}");
             let Err(error) = self.watch_once(address).await;
+            debug!(event = "watch_closed", %address, cause = %ErrorChain(&error), "discovery: watch closed: {}", ErrorChain(&error));
             self.node.watch_ended();
             let now = self.elapsed();
             let failure = error.failure();
--- a/crates/edge-node/tests/unit/connection_state.rs
+++ b/crates/edge-node/tests/unit/connection_state.rs
@@ -6,7 +6,7 @@
     ConnectionState {
         idle_since: Cell::new(idle_since),
         write_blocked: Rc::new(Cell::new(write_blocked)),
-        awaits_first_request: Cell::new(true),
+        requests: Cell::new(0),
     }
 }
 
@@ -34,10 +34,11 @@
 }
 
 #[test]
-fn take_first_request_returns_true_only_once() {
+fn record_request_returns_one_only_for_first_request() {
     let state = connection_state(None, false);
-    assert!(state.take_first_request());
-    assert!(!state.take_first_request());
+    assert_eq!(state.record_request(), 1);
+    assert_eq!(state.record_request(), 2);
+    assert_eq!(state.requests(), 2);
 }
 
 #[test]
