--- a/crates/edge-node/tests/edge/main.rs
+++ b/crates/edge-node/tests/edge/main.rs
@@ -11,8 +11,11 @@
 mod peers;
 mod rejections;
 mod request_sequence;
+mod resting_clients;
 mod retries;
+mod short_transfers;
 mod shutdown;
+mod slow_discovery;
 mod start;
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/edge-node/tests/support/fake_discovery.rs
+++ b/crates/edge-node/tests/support/fake_discovery.rs
@@ -1,6 +1,7 @@
 //! A fake discovery agent, and endpoint lists in the JSON format of discovery.
 
 use super::http::HttpMessage;
+use super::pieces::Pieces;
 use super::refusing_address::RefusingAddress;
 use super::TEST_TIMEOUT;
 use std::io::{BufReader, Write};
@@ -8,6 +9,7 @@
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 /// The head of the response to a watch.
 pub(crate) const WATCH_RESPONSE_HEAD: &str =
@@ -19,6 +21,32 @@
 /// The list that each new watch is sent first; `None` if the test writes the whole response.
 type InitialList = Arc<Mutex<Option<String>>>;
 
+/// How slowly an agent sends the initial list on each watch.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum ListPace {
+    /// The list is sent at once.
+    Immediate,
+    /// The head of the response and the list are sent after this time.
+    Late(Duration),
+    /// The head of the response and the list are sent in pieces.
+    InPieces(Pieces),
+}
+
+impl ListPace {
+    /// Sends the response to a watch up to the end of its initial list. Ignores errors, because the
+    /// edge node may have closed the connection.
+    fn send(self, stream: &mut TcpStream, response: &[u8]) {
+        let _ = match self {
+            ListPace::Immediate => stream.write_all(response),
+            ListPace::Late(delay) => {
+                thread::sleep(delay);
+                stream.write_all(response)
+            }
+            ListPace::InPieces(pieces) => pieces.write(stream, response),
+        };
+    }
+}
+
 /// A fake discovery agent. It hands each opened watch to the test, which writes the rest of the
 /// response.
 pub(crate) struct FakeDiscovery {
@@ -26,6 +54,7 @@
     pub(crate) address: SocketAddr,
     watches: Receiver<OpenedWatch>,
     initial_list: InitialList,
+    pace: Arc<Mutex<ListPace>>,
 }
 
 impl FakeDiscovery {
@@ -56,15 +85,26 @@
         let address = listener.local_addr().expect("local address");
         let (watch_sender, watches) = mpsc::channel();
         let initial_list = Arc::new(Mutex::new(initial_list));
-        let served_list = Arc::clone(&initial_list);
-        thread::spawn(move || accept_watches(&listener, &served_list, &watch_sender));
+        let pace = Arc::new(Mutex::new(ListPace::Immediate));
+        let agent = Agent {
+            initial_list: Arc::clone(&initial_list),
+            pace: Arc::clone(&pace),
+            watch_sender,
+        };
+        thread::spawn(move || agent.accept_watches(&listener));
         FakeDiscovery {
             address,
             watches,
             initial_list,
+            pace,
         }
     }
 
+    /// Sets how slowly the initial list is sent on the watches that are accepted from now on.
+    pub(crate) fn set_pace(&self, pace: ListPace) {
+        *self.pace.lock().expect("mutex is not poisoned") = pace;
+    }
+
     /// Sets the list that each new watch is sent first.
     pub(crate) fn set_list(&self, list: String) {
         *self.initial_list.lock().expect("mutex is not poisoned") = Some(list);
@@ -89,24 +129,46 @@
     }
 }
 
-/// Accepts watches one after another until the process ends.
-fn accept_watches(
-    listener: &TcpListener,
-    initial_list: &InitialList,
-    watch_sender: &Sender<OpenedWatch>,
-) {
-    for mut stream in listener.incoming().flatten() {
-        let mut reader = BufReader::new(stream.try_clone().expect("socket is cloned"));
-        let Some(request) = HttpMessage::read(&mut reader) else {
-            continue;
+/// The side of a fake agent that accepts watches.
+struct Agent {
+    initial_list: InitialList,
+    pace: Arc<Mutex<ListPace>>,
+    watch_sender: Sender<OpenedWatch>,
+}
+
+impl Agent {
+    /// Accepts watches one after another until the process ends.
+    fn accept_watches(&self, listener: &TcpListener) {
+        for stream in listener.incoming().flatten() {
+            let mut reader = BufReader::new(stream.try_clone().expect("socket is cloned"));
+            let Some(request) = HttpMessage::read(&mut reader) else {
+                continue;
+            };
+            self.send_initial_list(&stream);
+            // The receiver no longer exists if the test has ended.
+            let _ = self.watch_sender.send((request.start_line, stream));
+        }
+    }
+
+    /// Sends the initial list, if there is one; in a thread of its own unless it is sent at once.
+    fn send_initial_list(&self, stream: &TcpStream) {
+        let Some(list) = self
+            .initial_list
+            .lock()
+            .expect("mutex is not poisoned")
+            .clone()
+        else {
+            return;
         };
-        if let Some(list) = &*initial_list.lock().expect("mutex is not poisoned") {
-            // The edge node may have closed the connection.
-            let _ =
-                stream.write_all(format!("{WATCH_RESPONSE_HEAD}{}", list_chunk(list)).as_bytes());
+        let pace = *self.pace.lock().expect("mutex is not poisoned");
+        let mut stream = stream.try_clone().expect("socket is cloned");
+        let response = format!("{WATCH_RESPONSE_HEAD}{}", list_chunk(&list));
+        match pace {
+            ListPace::Immediate => pace.send(&mut stream, response.as_bytes()),
+            _ => {
+                thread::spawn(move || pace.send(&mut stream, response.as_bytes()));
+            }
         }
-        // The receiver no longer exists if the test has ended.
-        let _ = watch_sender.send((request.start_line, stream));
     }
 }
 
--- a/crates/edge-node/tests/support/mod.rs
+++ b/crates/edge-node/tests/support/mod.rs
@@ -13,13 +13,15 @@
 mod node;
 mod pieces;
 mod refusing_address;
+mod short_transfers;
 
 pub(crate) use client::{example_read_request, request_text, Client};
 pub(crate) use configuration::{
     example_config, runnable_example_config, write_config_file, EXAMPLE_CONFIG_PATH,
 };
 pub(crate) use fake_discovery::{
-    endpoint_entry, endpoint_list, list_chunk, send_list, FakeDiscovery, WATCH_RESPONSE_HEAD,
+    endpoint_entry, endpoint_list, list_chunk, send_list, FakeDiscovery, ListPace,
+    WATCH_RESPONSE_HEAD,
 };
 pub(crate) use fake_server::{
     is_closed_in_time, FakeServers, ReceivedRequest, ServerBehavior, SharedBehaviors,
@@ -30,6 +32,7 @@
 pub(crate) use node::{edge_node_command, spawn_edge_node, EdgeNode};
 pub(crate) use pieces::Pieces;
 pub(crate) use refusing_address::RefusingAddress;
+pub(crate) use short_transfers::build_short_transfer_library;
 
 use std::time::Duration;
 
--- a/crates/edge-node/tests/support/node.rs
+++ b/crates/edge-node/tests/support/node.rs
@@ -6,10 +6,11 @@
 use super::TEST_TIMEOUT;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{self, Receiver};
 use std::thread;
+use std::time::Instant;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_edge-node");
 /// Environment variables with which the platform names the configuration file and overrides its
@@ -102,6 +103,18 @@
         )
     }
 
+    /// Starts an edge node into which the dynamic linker loads this library first.
+    pub(crate) fn start_with_preloaded_library(
+        tag: &str,
+        discovery: SocketAddr,
+        entries: &[String],
+        library: &Path,
+    ) -> EdgeNode {
+        let mut command = edge_node_command(&[]);
+        command.env("LD_PRELOAD", library);
+        EdgeNode::run(command, tag, discovery, entries, |config| config)
+    }
+
     /// Starts an edge node with the configuration text that `edit` returns. The argument of `edit`
     /// is the text that [`EdgeNode::start`] uses.
     pub(crate) fn start_with_edited_config(
@@ -190,10 +203,11 @@
 
     /// Waits until the edge node logs a line that contains this text. Returns the line.
     pub(crate) fn wait_for_log(&self, text: &str) -> String {
+        let deadline = Instant::now() + TEST_TIMEOUT;
         loop {
             let line = self
                 .log
-                .recv_timeout(TEST_TIMEOUT)
+                .recv_timeout(deadline.saturating_duration_since(Instant::now()))
                 .expect("edge node logs the text");
             if line.contains(text) {
                 return line;
