Keep a socket ready after a short read or write

Callers saw requests without an answer: with a library that shortens recv, send and writev, connections were reset 2.2 s after their previous answer, attempts failed, and lists of discovery were not applied. Cause: tokio's TcpStream takes a short read for an empty socket and a short write for a full one (poll_evented.rs clears the readiness), and with edge-triggered epoll no event follows for data that is already there. SocketIo reads and writes with try_read, try_write and try_write_vectored, which clear the readiness only when the call would block, and repeats interrupted calls. It replaces TokioIo on all TCP sockets: clients, servers, discovery, admin. Price: one read that would block for each message.

--- a/crates/edge-node/src/admin.rs
+++ b/crates/edge-node/src/admin.rs
@@ -4,13 +4,14 @@
 use crate::clients::Phase;
 use crate::metrics::Metrics;
 use crate::node::Node;
+use crate::socket_io::SocketIo;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use serde_json::json;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -78,7 +79,7 @@
     http.header_read_timeout(CONNECTION_TIMEOUT);
     http.max_buf_size(MAX_BUFFERED_BYTES);
     http.keep_alive(false);
-    let connection = http.serve_connection(TokioIo::new(stream), service);
+    let connection = http.serve_connection(SocketIo::new(stream), service);
     // A failed or timed-out connection affects only the operator's client, so it is not logged.
     let _ = tokio::time::timeout(CONNECTION_TIMEOUT, connection).await;
 }
--- a/crates/edge-node/src/clients/read_ahead.rs
+++ b/crates/edge-node/src/clients/read_ahead.rs
@@ -1,9 +1,8 @@
 //! A client connection that is read ahead of the HTTP server, so that the end of the stream is
 //! detected even behind data that the server has not read yet.
 
-use crate::bounded_read::{poll_bounded_read, MAX_READ_BYTES};
+use crate::socket_io::{SocketIo, MAX_READ_BYTES};
 use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::io::{self, IoSlice};
@@ -11,7 +10,7 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
-use tokio::io::{AsyncRead, Interest, ReadBuf, Ready};
+use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
 
 /// Number of buffered bytes at which reading ahead stops, which bounds the memory that clients
@@ -31,7 +30,7 @@
 
 /// The socket, its read-ahead buffer and its state, shared by all clones of the stream.
 struct Inner {
-    stream: TokioIo<TcpStream>,
+    stream: SocketIo,
     /// Bytes read ahead that the HTTP server has not read yet.
     buffered: Vec<u8>,
     /// Whether the stream has ended or failed after the buffered bytes.
@@ -44,7 +43,7 @@
     /// Wraps an accepted connection.
     pub(super) fn new(stream: TcpStream) -> ReadAheadStream {
         ReadAheadStream(Rc::new(RefCell::new(Inner {
-            stream: TokioIo::new(stream),
+            stream: SocketIo::new(stream),
             buffered: Vec::new(),
             ended: false,
             write_blocked: Rc::default(),
@@ -93,10 +92,10 @@
             if self.buffered.len() >= MAX_READ_AHEAD_BYTES {
                 return Poll::Ready(ReadAhead::BufferFull);
             }
-            let mut chunk = ReadBuf::new(&mut chunk);
-            let result = ready!(Pin::new(self.stream.inner_mut()).poll_read(context, &mut chunk));
-            self.ended = result.is_err() || chunk.filled().is_empty();
-            self.buffered.extend_from_slice(chunk.filled());
+            let result = ready!(self.stream.poll_read_slice(context, &mut chunk));
+            let length = result.unwrap_or(0);
+            self.ended = length == 0;
+            self.buffered.extend_from_slice(&chunk[..length]);
         }
         Poll::Ready(ReadAhead::Ended)
     }
@@ -104,7 +103,7 @@
     /// Returns whether the operating system has received the end of the stream, even behind unread
     /// data.
     fn is_read_closed(&self) -> bool {
-        let stream = self.stream.inner();
+        let stream = self.stream.stream();
         // Read readiness would also be reported for unread data. Priority readiness is reported for
         // urgent data, which no client sends, and for the end of the stream. The future is polled
         // once, without waiting.
@@ -124,7 +123,7 @@
     ) -> Poll<io::Result<()>> {
         let inner = &mut *self.0.borrow_mut();
         if inner.buffered.is_empty() && !inner.ended {
-            return poll_bounded_read(&mut inner.stream, context, buffer);
+            return Pin::new(&mut inner.stream).poll_read(context, buffer);
         }
         // At the end of the stream, once the buffer is empty, this puts no bytes into `buffer`,
         // which signals the end to the HTTP server.
--- a/crates/edge-node/src/discovery/watch.rs
+++ b/crates/edge-node/src/discovery/watch.rs
@@ -1,6 +1,7 @@
 //! A watch on discovery: an HTTP request on a connection of its own, whose response body lasts as
 //! long as the watch.
 
+use crate::socket_io::SocketIo;
 use bytes::Bytes;
 use gateway_core::reconnect::WatchFailure;
 use http_body_util::{BodyExt, Empty};
@@ -8,7 +9,6 @@
 use hyper::client::conn::http1;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
 use std::io;
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
@@ -88,7 +88,7 @@
     /// status other than 200.
     pub(super) async fn open(address: SocketAddr) -> Result<Watch, WatchError> {
         let stream = TcpStream::connect(address).await?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let (mut sender, connection) = http1::handshake(SocketIo::new(stream)).await?;
         let connection = ConnectionTask(tokio::task::spawn_local(async move {
             // An error of the connection is also returned by the response or its body.
             let _ = connection.await;
--- a/crates/edge-node/src/lib.rs
+++ b/crates/edge-node/src/lib.rs
@@ -7,7 +7,6 @@
 mod admin;
 mod bind;
 mod body;
-mod bounded_read;
 pub mod clients;
 mod command;
 pub mod config;
@@ -19,6 +18,7 @@
 mod peers;
 mod reload;
 mod shutdown;
+mod socket_io;
 mod startup;
 mod upstream;
 
--- a/crates/edge-node/src/upstream/connection.rs
+++ b/crates/edge-node/src/upstream/connection.rs
@@ -2,13 +2,13 @@
 
 use super::connect_error::ConnectError;
 use super::socket::{ObservedStream, OpenSocketGuard, RequestWrites, SharedStream};
+use crate::socket_io::SocketIo;
 use bytes::Bytes;
 use gateway_core::RequestId;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::RefCell;
 use std::io;
@@ -33,7 +33,7 @@
 pub(super) struct PooledConnection {
     address: SocketAddr,
     /// Weak, so that the socket is closed as soon as the driver ends.
-    stream: Weak<RefCell<TokioIo<TcpStream>>>,
+    stream: Weak<RefCell<SocketIo>>,
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     /// What was written since the last [`begin_request`](Self::begin_request).
@@ -55,7 +55,7 @@
         guard: OpenSocketGuard,
     ) -> Result<PooledConnection, ConnectError> {
         let stream = connect_tcp(address, connect_timeout).await?;
-        let stream = Rc::new(RefCell::new(TokioIo::new(stream)));
+        let stream = Rc::new(RefCell::new(SocketIo::new(stream)));
         PooledConnection::handshake(address, stream, guard).await
     }
 
@@ -125,7 +125,7 @@
             return false;
         };
         let stream = stream.borrow();
-        let peeked = SockRef::from(stream.inner()).peek(&mut [MaybeUninit::uninit()]);
+        let peeked = SockRef::from(stream.stream()).peek(&mut [MaybeUninit::uninit()]);
         peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
--- a/crates/edge-node/src/upstream/socket.rs
+++ b/crates/edge-node/src/upstream/socket.rs
@@ -1,15 +1,13 @@
 //! Sockets to servers, which are counted while they are open, record whether anything was written
 //! to them, and refuse to write after a deadline.
 
-use crate::bounded_read::poll_bounded_read;
+use crate::socket_io::SocketIo;
 use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// Counts the sockets to servers that are open or being opened.
@@ -47,7 +45,7 @@
 
 /// A socket shared by the driver, which reads and writes, and by the connection, which inspects the
 /// socket between requests.
-pub(super) type SharedStream = Rc<RefCell<TokioIo<TcpStream>>>;
+pub(super) type SharedStream = Rc<RefCell<SocketIo>>;
 
 /// What has been written of the current request, and until when it may be written. Shared by the
 /// connection, which begins requests, and by its socket.
@@ -136,7 +134,7 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        poll_bounded_read(&mut self.stream.borrow_mut(), context, buffer)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer)
     }
 }
 
