Close a client connection silently only while no part of a request has arrived on it

Cause: whether a connection is idle was decided by the time of its last response alone. hyper's header timeout counted from there and closed without an answer; eviction took a connection on which a head was arriving for an idle one; hyper's graceful shutdown closed a used connection with a part of a request in its buffer. Now the stream records when a request begins to arrive; connection_limits decides in one place for the idle limit, the eviction and the shutdown. Idle means: nothing read, and nothing unread in the socket. An incomplete request has 2.8 s from its first byte (from accept for the first one) and then gets 400; if its connection is needed, 503. Eviction takes idle connections first, then the incomplete request that has made no progress for longest. edge_node_client_connections_closed counts connections by reason.

--- a/crates/edge-node/src/clients/connection.rs
+++ b/crates/edge-node/src/clients/connection.rs
@@ -1,29 +1,31 @@
 //! Serves one client connection, from accept to close.
 
-use super::connection_state::{ConnectionState, InFlightGuard};
+use super::connection_limits::{self, CloseRequests, Verdict};
+use super::connection_state::{Activity, ConnectionState, InFlightGuard};
+use super::last_response;
 use super::phase::{wait_for_closing, Phase};
 use super::read_ahead::ReadAheadStream;
 use super::request::{self, ClientDisconnected};
+use super::request_error::RequestError;
 use super::response::{self, BufferedResponse};
 use crate::log::ErrorChain;
+use crate::metrics::CloseReason;
 use crate::node::Node;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::Request;
-use hyper_util::rt::TokioTimer;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::time::{sleep_until, Instant};
 use tracing::debug;
 
-/// Maximum time for a complete request head to arrive, counted from accept and after each response.
-/// Without a limit, clients that send nothing, or a head that never ends, would hold their
-/// connections forever.
-const HEAD_READ_TIMEOUT: Duration = Duration::from_millis(2200);
 /// Maximum number of bytes buffered per client, so that all clients together stay far below the
 /// memory limit.
 const MAX_BUFFERED_BYTES: usize = 32 * 1024;
+/// Pause before a connection is checked again that would have been closed but has unread bytes.
+const UNREAD_BYTES_PAUSE: Duration = Duration::from_millis(5);
 
 /// State that the requests of one connection share.
 struct Connection {
@@ -34,11 +36,10 @@
 }
 
 /// Serves one connection until it is closed: by the client, on an error, or because the edge node
-/// is closing and has sent the last response.
+/// closes it.
 ///
 /// Dropping the future closes the socket at once and abandons a request in flight. The connection
-/// table drops the future to evict an idle connection, and drops all futures when it is itself
-/// dropped at the end of the process.
+/// table drops all futures when it is itself dropped at the end of the process.
 pub(super) async fn serve(
     stream: ReadAheadStream,
     node: Rc<Node>,
@@ -47,70 +48,43 @@
 ) {
     // Declared first, hence dropped last: the connection is counted until its socket is closed.
     let _connection_guard = node.client_connected();
-    let connection = Connection {
+    let connection = Rc::new(Connection {
         node,
-        phase: phase.clone(),
+        phase,
         stream: stream.clone(),
-        state: Rc::clone(&state),
-    };
-    let connection = Rc::new(connection);
+        state,
+    });
+    let responder = Rc::clone(&connection);
     let service = service_fn(move |request| {
-        let connection = Rc::clone(&connection);
+        let connection = Rc::clone(&responder);
         async move { connection.respond(request).await }
     });
-    let http_connection = http_server().serve_connection(stream, service);
-    tokio::pin!(http_connection);
-    let ended = tokio::select! {
+    let mut http_connection = http_server().serve_connection(stream, service);
+    // The HTTP server is polled first, so that it reads what has arrived before the connection is
+    // considered idle.
+    let (reason, result) = tokio::select! {
         biased;
-        result = &mut http_connection => Some(result),
-        () = wait_for_graceful_shutdown(phase) => None,
-    };
-    let result = match ended {
-        Some(result) => result,
-        None => {
-            http_connection.as_mut().graceful_shutdown();
-            http_connection.await
-        }
+        result = &mut http_connection => (CloseReason::Ended, result),
+        reason = connection.wait_until_closed_by_node() => (reason, Ok(())),
     };
-    // An error needs no handling: if the client disconnected during a request, the `AbandonGuard`
-    // of that request has abandoned it.
-    log_closed(&state, result);
-}
-
-fn log_closed(state: &ConnectionState, result: hyper::Result<()>) {
-    let cause = match &result {
-        Ok(()) => "no error".to_owned(),
-        Err(error) => ErrorChain(error).to_string(),
-    };
-    let requests = state.requests();
-    let idle_ms = state.idle_time().as_millis();
-    debug!(
-        event = "client_connection_closed",
-        requests,
-        idle_ms,
-        cause,
-        "client connection closed after {requests} requests, idle for {idle_ms} ms: {cause}"
-    );
+    connection.log_closed(reason, result);
+    if reason != CloseReason::Ended {
+        let unparsed = http_connection.into_parts().read_buf;
+        connection
+            .answer_incomplete_request(reason, !unparsed.is_empty())
+            .await;
+    }
 }
 
 fn http_server() -> http1::Builder {
     let mut server = http1::Builder::new();
-    server.timer(TokioTimer::new());
-    server.header_read_timeout(HEAD_READ_TIMEOUT);
+    // `connection_limits` limits the time for a head.
+    server.header_read_timeout(None);
     server.max_buf_size(MAX_BUFFERED_BYTES);
     server.auto_date_header(false);
     server
 }
 
-/// Waits until the connection must be shut down gracefully.
-///
-/// Yields to the runtime once between the phase change and the shutdown, so that a request that has
-/// already arrived is read and answered. An immediate shutdown would drop the request unread.
-async fn wait_for_graceful_shutdown(phase: watch::Receiver<Phase>) {
-    wait_for_closing(phase).await;
-    tokio::task::yield_now().await;
-}
-
 impl Connection {
     /// Responds to one request. The connection counts as busy until the future completes or is
     /// dropped.
@@ -118,7 +92,7 @@
         &self,
         request: Request<Incoming>,
     ) -> Result<BufferedResponse, ClientDisconnected> {
-        let _in_flight = InFlightGuard::new(&self.state);
+        let _in_flight = InFlightGuard::new(&self.state, &self.stream);
         self.yield_before_first_request().await;
         let phase = *self.phase.borrow();
         let mut response = request::respond(&self.node, request, phase, &self.stream).await?;
@@ -139,4 +113,80 @@
             tokio::task::yield_now().await;
         }
     }
+
+    /// Waits until the edge node has to close the connection, and returns why. Must be polled after
+    /// the HTTP server, which reads what has arrived.
+    async fn wait_until_closed_by_node(&self) -> CloseReason {
+        let mut requests = CloseRequests::default();
+        loop {
+            let next_check = match self.check(requests) {
+                Verdict::Close(reason) => return reason,
+                Verdict::CheckAt(time) => time,
+            };
+            // A request to evict holds for one check: the table repeats it if it still needs room.
+            requests.is_evicted = false;
+            tokio::select! {
+                () = sleep_until(next_check) => {}
+                () = self.state.eviction_requested() => requests.is_evicted = true,
+                () = wait_for_closing(self.phase.clone()), if !requests.is_closing => {
+                    requests.is_closing = true;
+                    // Lets the HTTP server read a request that has already arrived.
+                    tokio::task::yield_now().await;
+                }
+            }
+        }
+    }
+
+    fn check(&self, requests: CloseRequests) -> Verdict {
+        let activity = self.state.activity();
+        let now = Instant::now();
+        let has_requests = self.state.requests() > 0;
+        let accepted_at = self.state.accepted_at();
+        let verdict = connection_limits::check(activity, accepted_at, has_requests, requests, now);
+        let is_idle = matches!(activity, Activity::Idle { .. });
+        match verdict {
+            // The unread bytes may be a request, which the HTTP server reads next.
+            Verdict::Close(_) if is_idle && self.stream.has_unread_bytes() => {
+                Verdict::CheckAt(now + UNREAD_BYTES_PAUSE)
+            }
+            verdict => verdict,
+        }
+    }
+
+    /// Answers a request of which a part was read, before the connection is closed.
+    /// `has_unparsed_bytes` tells whether the HTTP server has such a part in its buffer.
+    async fn answer_incomplete_request(&self, reason: CloseReason, has_unparsed_bytes: bool) {
+        let is_unwritten = matches!(self.state.activity(), Activity::WriteBlocked { .. });
+        let has_begun = has_unparsed_bytes || self.stream.has_buffered_bytes();
+        if is_unwritten || !has_begun {
+            return;
+        }
+        let error = match reason {
+            CloseReason::Evicted | CloseReason::Shutdown => RequestError::ConnectionNeeded,
+            _ => RequestError::IncompleteHead,
+        };
+        debug!(event = "request_invalid", cause = %error, "request answered with {}: {error}", error.status());
+        last_response::write(&self.stream, error).await;
+    }
+
+    fn log_closed(&self, reason: CloseReason, result: hyper::Result<()>) {
+        self.node.client_connection_closed(reason);
+        // An error needs no handling: if the client disconnected during a request, the
+        // `AbandonGuard` of that request has abandoned it.
+        let cause = match &result {
+            Ok(()) => "no error".to_owned(),
+            Err(error) => ErrorChain(error).to_string(),
+        };
+        let requests = self.state.requests();
+        let idle_ms = self.state.idle_time().as_millis();
+        let reason = reason.label();
+        debug!(
+            event = "client_connection_closed",
+            reason,
+            requests,
+            idle_ms,
+            cause,
+            "client connection closed ({reason}) after {requests} requests, idle for {idle_ms} ms: {cause}"
+        );
+    }
 }
--- /dev/null
+++ b/crates/edge-node/src/clients/connection_limits.rs
@@ -0,0 +1,94 @@
+//! Decides when a client connection is closed by the edge node.
+//!
+//! A request is lost if its connection is closed after a part of it was read and without a
+//! response. A connection is therefore closed silently only while no part of a request has
+//! arrived; a request that stays incomplete is answered before its connection is closed.
+
+use super::connection_state::Activity;
+use crate::metrics::CloseReason;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time after which an idle connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(2200);
+/// Maximum time from the first byte of a request, or from accept for the first request, until its
+/// head is complete. Together with [`IDLE_TIMEOUT`] it bounds how long a client that stops sending
+/// holds a connection.
+const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_millis(2800);
+/// Interval at which a connection is checked while it cannot be closed yet, although the edge node
+/// is closing.
+const CLOSING_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// What a connection is asked to do beside serving requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct CloseRequests {
+    /// The edge node is closing.
+    pub(super) is_closing: bool,
+    /// The connection table needs room for a new connection.
+    pub(super) is_evicted: bool,
+}
+
+/// Whether a connection is closed now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Verdict {
+    Close(CloseReason),
+    /// The connection stays open, and has to be checked again at this time or when a
+    /// [`CloseRequests`] arrives.
+    CheckAt(Instant),
+}
+
+/// Decides whether to close a connection that was accepted at `accepted_at` and has this activity.
+pub(super) fn check(
+    activity: Activity,
+    accepted_at: Instant,
+    has_requests: bool,
+    requests: CloseRequests,
+    now: Instant,
+) -> Verdict {
+    match activity {
+        Activity::Idle { .. } if requests.is_evicted => Verdict::Close(CloseReason::Evicted),
+        Activity::Idle { .. } if requests.is_closing => Verdict::Close(CloseReason::Shutdown),
+        Activity::Idle { since } => close_at(since + IDLE_TIMEOUT, CloseReason::Idle, now),
+        Activity::Receiving(_) if requests.is_evicted => Verdict::Close(CloseReason::Evicted),
+        Activity::Receiving(span) => {
+            let begin = if has_requests {
+                span.first
+            } else {
+                accepted_at
+            };
+            close_at(
+                begin + REQUEST_HEAD_TIMEOUT,
+                CloseReason::IncompleteRequest,
+                now,
+            )
+        }
+        Activity::InFlight => Verdict::CheckAt(next_check(requests, now)),
+        Activity::WriteBlocked { .. } if requests.is_evicted => {
+            Verdict::Close(CloseReason::Evicted)
+        }
+        // A client that reads nothing for so long would otherwise hold the connection forever.
+        Activity::WriteBlocked { since } => close_at(since + IDLE_TIMEOUT, CloseReason::Idle, now),
+    }
+}
+
+fn close_at(time: Instant, reason: CloseReason, now: Instant) -> Verdict {
+    if now >= time {
+        Verdict::Close(reason)
+    } else {
+        Verdict::CheckAt(time)
+    }
+}
+
+/// Returns when a connection with a request in flight is checked again. It cannot be idle for too
+/// long before then.
+fn next_check(requests: CloseRequests, now: Instant) -> Instant {
+    if requests.is_closing {
+        now + CLOSING_CHECK_INTERVAL
+    } else {
+        now + IDLE_TIMEOUT
+    }
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/connection_limits.rs"]
+mod tests;
--- a/crates/edge-node/src/clients/connection_state.rs
+++ b/crates/edge-node/src/clients/connection_state.rs
@@ -1,37 +1,83 @@
-//! The state of a client connection that decides when the connection is evicted.
+//! The state of a client connection, from which it follows when the connection is closed or
+//! evicted.
 
 use super::read_ahead::ReadAheadStream;
+use super::transfers::{ReceivedSpan, Transfers};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Idle time credited to a new connection, so that it is evicted before a connection that has just
 /// become idle: well-behaved clients send a request as soon as they connect.
 const INITIAL_IDLE_TIME: Duration = Duration::from_secs(1);
 
+/// What happens on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Activity {
+    /// No request has begun to arrive since `since`, when the connection was accepted or the last
+    /// response was written.
+    Idle { since: Instant },
+    /// A part of a request has arrived, but not its complete head.
+    Receiving(ReceivedSpan),
+    /// A request is in flight.
+    InFlight,
+    /// Part of a response is unwritten since `since`, because the client reads slowly.
+    WriteBlocked { since: Instant },
+}
+
 /// State of a connection that the connection table reads. The connection's own task keeps it up to
 /// date.
 pub(super) struct ConnectionState {
-    /// Time at which the connection became idle; `None` while a request is in flight.
-    idle_since: Cell<Option<Instant>>,
-    /// Whether part of a response is still unwritten because the client reads slowly.
-    write_blocked: Rc<Cell<bool>>,
+    accepted_at: Instant,
+    /// Time at which the last response was built; `None` before the first request.
+    answered_at: Cell<Option<Instant>>,
+    is_in_flight: Cell<bool>,
+    transfers: Rc<Transfers>,
     /// Number of requests whose heads have arrived.
     requests: Cell<u64>,
+    eviction: Notify,
 }
 
 impl ConnectionState {
+    /// Creates the state of a connection that has just been accepted.
     pub(super) fn new(stream: &ReadAheadStream) -> ConnectionState {
-        let now = Instant::now();
-        let idle_since = now.checked_sub(INITIAL_IDLE_TIME).unwrap_or(now);
         ConnectionState {
-            idle_since: Cell::new(Some(idle_since)),
-            write_blocked: stream.write_blocked(),
+            accepted_at: Instant::now(),
+            answered_at: Cell::new(None),
+            is_in_flight: Cell::new(false),
+            transfers: stream.transfers(),
             requests: Cell::new(0),
+            eviction: Notify::new(),
         }
     }
 
+    /// Returns when the connection was accepted.
+    pub(super) fn accepted_at(&self) -> Instant {
+        self.accepted_at
+    }
+
+    /// Returns what happens on the connection.
+    pub(super) fn activity(&self) -> Activity {
+        if self.is_in_flight.get() {
+            return Activity::InFlight;
+        }
+        let since = self.idle_since();
+        if self.transfers.is_write_blocked() {
+            return Activity::WriteBlocked { since };
+        }
+        match self.transfers.received() {
+            Some(span) => Activity::Receiving(span),
+            None => Activity::Idle { since },
+        }
+    }
+
+    fn idle_since(&self) -> Instant {
+        let last = self.answered_at.get().max(self.transfers.last_write());
+        last.unwrap_or(self.accepted_at)
+    }
+
     /// Records that the head of a request has arrived. Returns the number of requests, this one
     /// included.
     pub(super) fn record_request(&self) -> u64 {
@@ -44,48 +90,77 @@
         self.requests.get()
     }
 
-    /// Returns how long the connection has been idle; zero while a request is in flight.
+    /// Returns how long no request has been in flight; zero while one is.
     pub(super) fn idle_time(&self) -> Duration {
-        self.idle_since
-            .get()
-            .map_or(Duration::ZERO, |since| since.elapsed())
+        match self.activity() {
+            Activity::InFlight => Duration::ZERO,
+            _ => self.idle_since().elapsed(),
+        }
+    }
+
+    /// Asks the connection's task to close the connection, unless a request is in flight on it.
+    pub(super) fn request_eviction(&self) {
+        self.eviction.notify_one();
+    }
+
+    /// Waits until [`request_eviction`](Self::request_eviction) is called.
+    pub(super) async fn eviction_requested(&self) {
+        self.eviction.notified().await;
     }
 
     /// Returns the position of the connection in the order of eviction, or `None` while a request
     /// is in flight on it.
     pub(super) fn eviction_order(&self) -> Option<EvictionOrder> {
-        let idle_since = self.idle_since.get()?;
-        Some(EvictionOrder {
-            write_blocked: self.write_blocked.get(),
-            idle_since,
-        })
+        match self.activity() {
+            Activity::InFlight => None,
+            Activity::Idle { since } => Some(EvictionOrder::Idle(self.with_initial_credit(since))),
+            Activity::Receiving(span) => Some(EvictionOrder::Receiving(span.last)),
+            Activity::WriteBlocked { since } => Some(EvictionOrder::WriteBlocked(since)),
+        }
+    }
+
+    fn with_initial_credit(&self, since: Instant) -> Instant {
+        if self.requests.get() > 0 {
+            return since;
+        }
+        since.checked_sub(INITIAL_IDLE_TIME).unwrap_or(since)
     }
 }
 
 /// Sort key of the order of eviction; the connection with the lowest key is evicted first. The
-/// longest idle connection comes first, and connections with an unwritten response come after all
-/// others. The derived order compares the fields in the order of their declaration.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct EvictionOrder {
-    write_blocked: bool,
-    idle_since: Instant,
+/// derived order compares the variants in the order of their declaration: the close of an idle
+/// connection costs its client least, and an incomplete request can still be answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum EvictionOrder {
+    /// Idle since this time.
+    Idle(Instant),
+    /// A request is incomplete, and its last part arrived at this time.
+    Receiving(Instant),
+    /// A response is unwritten since this time.
+    WriteBlocked(Instant),
 }
 
 /// Guard that marks a connection as busy until the guard is dropped: after the response is built,
-/// or together with the future that builds the response. From then on, the connection is idle.
-pub(super) struct InFlightGuard<'a>(&'a ConnectionState);
+/// or together with the future that builds the response.
+pub(super) struct InFlightGuard<'a> {
+    state: &'a ConnectionState,
+    stream: &'a ReadAheadStream,
+}
 
 impl<'a> InFlightGuard<'a> {
     /// Marks the connection as busy.
-    pub(super) fn new(state: &'a ConnectionState) -> InFlightGuard<'a> {
-        state.idle_since.set(None);
-        InFlightGuard(state)
+    pub(super) fn new(state: &'a ConnectionState, stream: &'a ReadAheadStream) -> Self {
+        state.is_in_flight.set(true);
+        InFlightGuard { state, stream }
     }
 }
 
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
-        self.0.idle_since.set(Some(Instant::now()));
+        self.state.is_in_flight.set(false);
+        self.state.answered_at.set(Some(Instant::now()));
+        let has_unread_bytes = self.stream.has_buffered_bytes();
+        self.state.transfers.record_answer(has_unread_bytes);
     }
 }
 
--- a/crates/edge-node/src/clients/connection_table.rs
+++ b/crates/edge-node/src/clients/connection_table.rs
@@ -21,7 +21,6 @@
 /// A client connection and the task that serves it.
 struct Entry {
     state: Rc<ConnectionState>,
-    /// Aborting the task closes the connection.
     task: AbortHandle,
 }
 
@@ -94,7 +93,7 @@
             // task read the request.
             tokio::task::yield_now().await;
             self.remove_finished_entries();
-            self.evict_idle_connection();
+            self.evict_connection();
             // A task that has finished, whether evicted or not, has closed its socket. If none
             // finishes before the timeout, the loop tries again, because another connection may
             // have become idle by then.
@@ -107,22 +106,22 @@
         }
     }
 
-    /// Closes the idle connection that is first in the order of eviction. Does nothing if no
-    /// connection is idle.
-    fn evict_idle_connection(&self) {
-        let idle = self
+    /// Asks the connection that is first in the order of eviction to close. Does nothing if a
+    /// request is in flight on every connection.
+    fn evict_connection(&self) {
+        let evictable = self
             .entries
             .iter()
             .filter(|entry| entry.state.eviction_order().is_some());
-        if let Some(entry) = idle.min_by_key(|entry| entry.state.eviction_order()) {
+        if let Some(entry) = evictable.min_by_key(|entry| entry.state.eviction_order()) {
             debug!(
                 event = "client_connection_evicted",
                 requests = entry.state.requests(),
                 idle_ms = entry.state.idle_time().as_millis(),
-                "client connection evicted: the limit of {} connections is reached",
+                "a client connection is to be closed: the limit of {} connections is reached",
                 self.max_connections
             );
-            entry.task.abort();
+            entry.state.request_eviction();
         }
     }
 
--- a/crates/edge-node/src/clients/mod.rs
+++ b/crates/edge-node/src/clients/mod.rs
@@ -5,15 +5,18 @@
 
 pub mod call_terms;
 mod connection;
+mod connection_limits;
 mod connection_state;
 mod connection_table;
 pub mod header_value;
+mod last_response;
 mod phase;
 mod read_ahead;
 mod request;
 pub mod request_error;
 pub mod request_head;
 mod response;
+mod transfers;
 
 pub use phase::Phase;
 
--- a/crates/edge-node/src/clients/read_ahead.rs
+++ b/crates/edge-node/src/clients/read_ahead.rs
@@ -1,11 +1,15 @@
 //! A client connection that is read ahead of the HTTP server, so that the end of the stream is
 //! detected even behind data that the server has not read yet.
 
+use super::transfers::Transfers;
 use crate::socket_io::{SocketIo, MAX_READ_BYTES};
 use hyper::rt::{Read, ReadBufCursor, Write};
-use std::cell::{Cell, RefCell};
+use socket2::SockRef;
+use std::cell::RefCell;
 use std::future::{poll_fn, Future};
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
@@ -35,8 +39,7 @@
     buffered: Vec<u8>,
     /// Whether the stream has ended or failed after the buffered bytes.
     ended: bool,
-    /// Whether the operating system accepted no byte of the last write.
-    write_blocked: Rc<Cell<bool>>,
+    transfers: Rc<Transfers>,
 }
 
 impl ReadAheadStream {
@@ -46,14 +49,61 @@
             stream: SocketIo::new(stream),
             buffered: Vec::new(),
             ended: false,
-            write_blocked: Rc::default(),
+            transfers: Rc::default(),
         })))
     }
 
-    /// Returns a flag that is set while the client reads so slowly that the rest of a response is
-    /// still unwritten. The flag outlives the connection.
-    pub(super) fn write_blocked(&self) -> Rc<Cell<bool>> {
-        Rc::clone(&self.0.borrow().write_blocked)
+    /// Returns the record of what was read and written, which outlives the connection.
+    pub(super) fn transfers(&self) -> Rc<Transfers> {
+        Rc::clone(&self.0.borrow().transfers)
+    }
+
+    /// Returns whether bytes have been read ahead that the HTTP server has not read yet.
+    pub(super) fn has_buffered_bytes(&self) -> bool {
+        !self.0.borrow().buffered.is_empty()
+    }
+
+    /// Returns whether the operating system has bytes of the client that have not been read. Asks
+    /// the system itself, because the runtime may not have been notified yet.
+    pub(super) fn has_unread_bytes(&self) -> bool {
+        let inner = self.0.borrow();
+        let socket = SockRef::from(inner.stream.stream());
+        let peeked = socket.peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_ok_and(|length| length > 0)
+    }
+
+    /// Writes all bytes, without the HTTP server.
+    ///
+    /// # Errors
+    /// Returns an error if the connection is broken.
+    pub(super) async fn write_all(&self, mut bytes: &[u8]) -> io::Result<()> {
+        let mut stream = self.clone();
+        while !bytes.is_empty() {
+            let written =
+                poll_fn(|context| Pin::new(&mut stream).poll_write(context, bytes)).await?;
+            bytes = &bytes[written..];
+        }
+        Ok(())
+    }
+
+    /// Tells the client that nothing more will be written.
+    ///
+    /// # Errors
+    /// Returns an error if the connection is broken.
+    pub(super) fn shutdown_write(&self) -> io::Result<()> {
+        let inner = self.0.borrow();
+        SockRef::from(inner.stream.stream()).shutdown(Shutdown::Write)
+    }
+
+    /// Reads and discards bytes until the stream ends or fails.
+    pub(super) async fn discard_until_end(&self) {
+        loop {
+            let read_ahead = poll_fn(|context| self.0.borrow_mut().poll_read_ahead(context)).await;
+            self.0.borrow_mut().buffered = Vec::new();
+            if read_ahead == ReadAhead::Ended {
+                return;
+            }
+        }
     }
 
     /// Waits until the client closes the connection, or until the connection breaks.
@@ -81,10 +131,23 @@
 
 impl Inner {
     fn record_write<T>(&mut self, written: Poll<T>) -> Poll<T> {
-        self.write_blocked.set(written.is_pending());
+        self.transfers.record_write(written.is_pending());
         written
     }
 
+    /// Reads from the socket into the buffer of the HTTP server.
+    fn poll_read_socket(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let length = ready!(self.stream.poll_read_bounded(context, buffer))?;
+        if length > 0 {
+            self.transfers.record_read();
+        }
+        Poll::Ready(Ok(()))
+    }
+
     /// Reads ahead until the stream ends or the buffer is full.
     fn poll_read_ahead(&mut self, context: &mut Context<'_>) -> Poll<ReadAhead> {
         let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
@@ -95,6 +158,9 @@
             let result = ready!(self.stream.poll_read_slice(context, &mut chunk));
             let length = result.unwrap_or(0);
             self.ended = length == 0;
+            if length > 0 {
+                self.transfers.record_read();
+            }
             self.buffered.extend_from_slice(&chunk[..length]);
         }
         Poll::Ready(ReadAhead::Ended)
@@ -123,7 +189,7 @@
     ) -> Poll<io::Result<()>> {
         let inner = &mut *self.0.borrow_mut();
         if inner.buffered.is_empty() && !inner.ended {
-            return Pin::new(&mut inner.stream).poll_read(context, buffer);
+            return inner.poll_read_socket(context, &mut buffer);
         }
         // At the end of the stream, once the buffer is empty, this puts no bytes into `buffer`,
         // which signals the end to the HTTP server.
--- a/crates/edge-node/src/clients/request_error.rs
+++ b/crates/edge-node/src/clients/request_error.rs
@@ -57,6 +57,14 @@
     /// The class allows no body, and the request has one.
     #[error("this class takes no body")]
     UnexpectedBody,
+    /// The head did not arrive completely in time.
+    #[error("the head did not arrive in time")]
+    IncompleteHead,
+    /// The edge node closes the connection before the request has arrived: it needs the connection
+    /// for another client, or it is shutting down. The request was not forwarded, so its client may
+    /// safely retry.
+    #[error("the connection is needed for another client")]
+    ConnectionNeeded,
     /// The body ended early, took too long, or exceeded its declared length.
     #[error("the body did not come whole")]
     IncompleteBody,
@@ -68,7 +76,9 @@
         match self {
             RequestError::TransferEncoding => StatusCode::LENGTH_REQUIRED,
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            RequestError::BodyMemoryExhausted => StatusCode::SERVICE_UNAVAILABLE,
+            RequestError::BodyMemoryExhausted | RequestError::ConnectionNeeded => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             _ => StatusCode::BAD_REQUEST,
         }
     }
--- a/crates/edge-node/src/metrics/mod.rs
+++ b/crates/edge-node/src/metrics/mod.rs
@@ -5,7 +5,7 @@
 mod outcome;
 
 pub(crate) use gauges::StatusSnapshot;
-pub(crate) use outcome::RequestOutcome;
+pub(crate) use outcome::{CloseReason, RequestOutcome};
 
 use gateway_core::settings::ResolvedSettings;
 use gateway_core::{AttemptOutcome, ClassId, PlanId};
@@ -43,6 +43,8 @@
     request_durations: Vec<Histogram>,
     /// Counters of ended attempts, in the order of [`ATTEMPT_OUTCOMES`].
     attempts: [Counter; ATTEMPT_OUTCOMES.len()],
+    /// Counters of closed client connections, in the order of [`CloseReason::ALL`].
+    closed_connections: [Counter; CloseReason::ALL.len()],
     watch_resets: Counter,
     datagrams_sent: Counter,
     datagrams_received: Counter,
@@ -58,6 +60,7 @@
             requests: register_requests(&mut registry, settings),
             request_durations: register_request_durations(&mut registry, settings),
             attempts: register_attempts(&mut registry),
+            closed_connections: register_closed_connections(&mut registry),
             watch_resets: register(
                 &mut registry,
                 "watch_resets",
@@ -103,6 +106,11 @@
         increment(&self.attempts, &ATTEMPT_OUTCOMES, outcome);
     }
 
+    /// Counts a client connection that is closed, by the reason.
+    pub(crate) fn record_closed_connection(&self, reason: CloseReason) {
+        increment(&self.closed_connections, &CloseReason::ALL, reason);
+    }
+
     /// Records that a watch on discovery has ended.
     pub(crate) fn record_watch_reset(&self) {
         self.watch_resets.inc();
@@ -187,6 +195,15 @@
     })
 }
 
+fn register_closed_connections(registry: &mut Registry) -> [Counter; CloseReason::ALL.len()] {
+    let help = "Client connections that were closed";
+    let family: Family<Labels, Counter> = register(registry, "client_connections_closed", help);
+    CloseReason::ALL.map(|reason| {
+        let labels = vec![("reason", reason.label().to_owned())];
+        family.get_or_create_owned(&labels)
+    })
+}
+
 /// Increments the counter at the position that `outcome` has in `outcomes`.
 fn increment<T: PartialEq>(counters: &[Counter], outcomes: &[T], outcome: T) {
     let index = outcomes.iter().position(|listed| *listed == outcome);
--- a/crates/edge-node/src/metrics/outcome.rs
+++ b/crates/edge-node/src/metrics/outcome.rs
@@ -1,4 +1,4 @@
-//! Outcomes of requests and attempts, and their values of the metric label `outcome`.
+//! Outcomes of requests, attempts and client connections, and their values of metric labels.
 
 use gateway_core::AttemptOutcome;
 
@@ -35,6 +35,43 @@
     }
 }
 
+/// Why a client connection was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseReason {
+    /// The client closed the connection, the connection broke, or its last response was sent.
+    Ended,
+    /// No request arrived for the idle timeout.
+    Idle,
+    /// A request began to arrive, and its head was not complete in time.
+    IncompleteRequest,
+    /// The connection made room for a new one.
+    Evicted,
+    /// The edge node is closing.
+    Shutdown,
+}
+
+impl CloseReason {
+    /// All reasons, in the order of their counters.
+    pub(super) const ALL: [CloseReason; 5] = [
+        CloseReason::Ended,
+        CloseReason::Idle,
+        CloseReason::IncompleteRequest,
+        CloseReason::Evicted,
+        CloseReason::Shutdown,
+    ];
+
+    /// Returns the name of this reason in metric labels and in the log.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            CloseReason::Ended => "ended",
+            CloseReason::Idle => "idle",
+            CloseReason::IncompleteRequest => "incomplete_request",
+            CloseReason::Evicted => "evicted",
+            CloseReason::Shutdown => "shutdown",
+        }
+    }
+}
+
 /// All outcomes of an attempt, in the order of their counters.
 pub(super) const ATTEMPT_OUTCOMES: [AttemptOutcome; 8] = [
     AttemptOutcome::Success,
--- a/crates/edge-node/src/node/status.rs
+++ b/crates/edge-node/src/node/status.rs
@@ -2,7 +2,7 @@
 
 use super::pending_requests::PendingRequestStatus;
 use super::{process, Node};
-use crate::metrics::StatusSnapshot;
+use crate::metrics::{CloseReason, StatusSnapshot};
 use crate::peers::Peers;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -35,6 +35,13 @@
         ClientConnectionGuard::new(&self.client_connections)
     }
 
+    /// Counts a client connection that is closed.
+    pub(crate) fn client_connection_closed(&self, reason: CloseReason) {
+        if let Some(metrics) = &self.metrics {
+            metrics.record_closed_connection(reason);
+        }
+    }
+
     /// Returns a snapshot of the values that `/metrics` and `/debug/state` report.
     pub(crate) fn status(&self) -> StatusSnapshot {
         let datagrams = self
--- a/crates/edge-node/src/socket_io.rs
+++ b/crates/edge-node/src/socket_io.rs
@@ -48,6 +48,19 @@
         }
     }
 
+    /// Reads at most [`MAX_READ_BYTES`]. Returns the number of bytes; zero at the end of the stream.
+    pub(crate) fn poll_read_bounded(
+        &self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBufCursor<'_>,
+    ) -> Poll<io::Result<usize>> {
+        let mut chunk = [0; MAX_READ_BYTES];
+        let max_length = buffer.remaining().min(MAX_READ_BYTES);
+        let length = ready!(self.poll_read_slice(context, &mut chunk[..max_length]))?;
+        buffer.put_slice(&chunk[..length]);
+        Poll::Ready(Ok(length))
+    }
+
     fn poll_write_with(
         &self,
         context: &mut Context<'_>,
@@ -74,17 +87,12 @@
 }
 
 impl Read for SocketIo {
-    /// Reads at most [`MAX_READ_BYTES`].
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut chunk = [0; MAX_READ_BYTES];
-        let max_length = buffer.remaining().min(MAX_READ_BYTES);
-        let length = ready!(self.poll_read_slice(context, &mut chunk[..max_length]))?;
-        buffer.put_slice(&chunk[..length]);
-        Poll::Ready(Ok(()))
+        self.poll_read_bounded(context, &mut buffer).map_ok(drop)
     }
 }
 
--- a/crates/edge-node/tests/edge/shutdown.rs
+++ b/crates/edge-node/tests/edge/shutdown.rs
@@ -158,6 +158,32 @@
     assert_eq!(servers.unseen_requests().len(), part_lengths.len());
 }
 
+/// Guards against a part of a request that is closed without an answer because an earlier request
+/// on its connection was answered, so that the connection counts as idle.
+#[test]
+fn incomplete_request_on_used_connection_is_answered_when_connections_are_closed() {
+    let (_servers, _discovery, mut node) = start_with_one_server("s-used", &[RESPONDS_OK]);
+    let request = request_text("a", "pay", "20000m");
+    let part_lengths = [1, request.len() / 2];
+    let mut clients: Vec<_> = part_lengths.iter().map(|_| node.client()).collect();
+    for client in &mut clients {
+        assert_eq!(client.exchange(READINESS_REQUEST).status(), 200);
+    }
+    node.suspend();
+    node.terminate();
+    for (client, length) in clients.iter_mut().zip(part_lengths) {
+        client.send(&request[..length]);
+    }
+    node.resume();
+    std::thread::sleep(LONGER_THAN_DRAIN_PERIOD);
+    for (number, (client, length)) in clients.iter_mut().zip(part_lengths).enumerate() {
+        client.send(&request[length..].replace("Id: a", &format!("Id: a{number}")));
+        let status = client.read_response().map(|answer| answer.status());
+        assert!(matches!(status, Some(200 | 503)), "{number}: {status:?}");
+    }
+    assert!(node.wait().success());
+}
+
 /// After the drain period, the edge node waits until its open requests are answered, at most for
 /// the longest deadline of any class.
 #[test]
