Keep watches on discovery open until one of them is answered

Cause: a watch was closed when it had no answer after a quarter of the drain grace (125 ms), and the next one began from nothing. With an agent that answers later, or sends its list in pieces, no watch was ever answered. A reload closed the watch in the same way, also when the address was the same. Now watches are opened at the same pace, and one that misses its deadline stays open beside the next ones: at most 12, for at most 5 s, spread over the past with gaps of a third of their age (reconnect/late_watches.rs), so that some watch has waited for about as long as discovery takes, also if the watches from an outage are never answered. The first one that delivers a list is used, and the others are closed. After a reload the earlier watches stay open until then. The unit test of incomplete lists now also checks that the rest of the list can still be read; nothing is discarded any more.

--- a/crates/edge-node/src/discovery/list_reader.rs
+++ b/crates/edge-node/src/discovery/list_reader.rs
@@ -9,7 +9,7 @@
 use crate::endpoint_list::{EndpointEntry, EndpointList};
 
 /// Maximum length of a list in bytes, which bounds the memory that a list without an end can use.
-const MAX_LIST_BYTES: usize = 4 << 20;
+pub(super) const MAX_LIST_BYTES: usize = 4 << 20;
 
 /// A message that was read from a watch.
 #[derive(Debug, PartialEq)]
@@ -43,9 +43,14 @@
 }
 
 impl ListReader {
-    /// Returns whether a message has begun and its end has not arrived.
-    pub(super) fn has_partial_message(&self) -> bool {
-        !self.buffer.is_empty()
+    /// Returns the length of a message that has begun and whose end has not arrived, in bytes.
+    pub(super) fn partial_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Returns the readable entries within such a message.
+    pub(super) fn partial_entries(&self) -> Vec<EndpointEntry> {
+        readable_entries(&self.buffer)
     }
 
     /// Parses the next bytes of the watch. Returns the messages that they complete, in order.
@@ -60,14 +65,10 @@
         messages
     }
 
-    /// Discards an incomplete message. Returns the readable entries within it.
-    pub(super) fn discard_partial(&mut self) -> Vec<EndpointEntry> {
-        let reader = std::mem::take(self);
-        readable_entries(&reader.buffer)
-    }
-
+    /// Discards an incomplete message, and returns the readable entries within it.
     fn discard_malformed(&mut self) -> WatchMessage {
-        WatchMessage::Malformed(self.discard_partial())
+        let reader = std::mem::take(self);
+        WatchMessage::Malformed(reader.partial_entries())
     }
 
     fn read_byte(&mut self, byte: u8) -> Option<WatchMessage> {
@@ -89,7 +90,7 @@
             b'\n' if self.buffer.is_empty() => Some(WatchMessage::Heartbeat),
             b'\n' => Some(self.discard_malformed()),
             b'{' => {
-                let malformed = self.has_partial_message().then(|| self.discard_malformed());
+                let malformed = (!self.buffer.is_empty()).then(|| self.discard_malformed());
                 self.depth = 1;
                 self.buffer.push(byte);
                 malformed
--- a/crates/edge-node/tests/unit/list_reader.rs
+++ b/crates/edge-node/tests/unit/list_reader.rs
@@ -53,7 +53,7 @@
                 "chunks of {size} bytes"
             );
             assert_eq!(messages[1..], heartbeats, "chunks of {size} bytes");
-            assert!(!reader.has_partial_message());
+            assert_eq!(reader.partial_bytes(), 0);
         }
     }
 }
@@ -92,9 +92,12 @@
     let text = list_text(&[ENTRY, ENTRY]);
     let mut reader = ListReader::default();
     assert_eq!(reader.read(&text.as_bytes()[..text.len() - 10]), []);
-    assert!(reader.has_partial_message());
-    assert_eq!(reader.discard_partial(), vec![entry()]);
-    assert!(!reader.has_partial_message());
+    assert!(reader.partial_bytes() > 0);
+    assert_eq!(reader.partial_entries(), vec![entry()]);
+    // The rest may still arrive.
+    let rest = &text.as_bytes()[text.len() - 10..];
+    assert_eq!(reader.read(rest), [snapshot(vec![entry(), entry()], false)]);
+    assert_eq!(reader.partial_bytes(), 0);
     // A line of unreadable text, then a valid list.
     let noise_and_list = format!("\u{1}noise]]}}\"\n{text}\n");
     let messages = ListReader::default().read(noise_and_list.as_bytes());
--- a/crates/gateway-core/src/reconnect.rs
+++ b/crates/gateway-core/src/reconnect/mod.rs
@@ -1,10 +1,11 @@
-//! Reconnect policy: when a watch on discovery is given up, and when the next watch is opened. The
-//! policy has no sockets and no clock. Its inputs are the events on the open watch and their times;
-//! its outputs are the deadline of that watch and the time of the next attempt to open one.
+//! Reconnect policy: when a watch on discovery counts as lost, and when the next watch is opened.
+//! The policy has no sockets and no clock. Its inputs are the events on the newest watch and their
+//! times; its outputs are the deadline of that watch and the time of the next attempt to open one.
 //!
-//! 1. A watch is given up if it brings no answer within the answer timeout, no first list within
-//!    the silence timeout, or nothing at all for the silence timeout
-//!    ([`ReconnectPolicy::deadline`]).
+//! 1. A watch is lost if it brings no answer within the answer timeout, no first list within the
+//!    silence timeout, or nothing at all for the silence timeout ([`ReconnectPolicy::deadline`]).
+//!    It stays open beside the next watches for as long as discovery may still answer it
+//!    ([`late_watches`]).
 //! 2. The next watch is opened after an exponential backoff with jitter. The backoff grows longer
 //!    after rejections than after lost connections ([`ReconnectPolicy::attempt_failed`]).
 //! 3. The backoff is reset after a stable watch ([`ReconnectPolicy::was_stable`]), and when the
@@ -15,31 +16,26 @@
 //! backoffs are therefore fractions of the drain grace, and each has an upper bound for deployments
 //! with a long drain grace.
 
+mod backoff;
+pub mod late_watches;
+
+use backoff::Backoff;
 use std::time::Duration;
 
-/// Longest silence on a watch before it is given up. Discovery sends a heartbeat every 2 s. This
+/// Longest silence on a watch before it counts as lost. Discovery sends a heartbeat every 2 s. This
 /// timeout bounds the wait for the first list too, because drains stay unknown on a watch that
 /// receives only heartbeats.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Upper bound of the answer timeout, for settings with a long drain grace.
 const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Upper bound of every backoff, reached after rejections: an overloaded discovery rejects watches
-/// for as long as they are opened faster than it can serve them.
-const MAX_BACKOFF: Duration = Duration::from_secs(1);
-/// Upper bound of the first backoff.
-const MAX_INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// A watch that lasted longer than this was stable: its end is a new failure, and not the previous
 /// failure repeated.
-const STABLE_AFTER: Duration = MAX_BACKOFF;
+const STABLE_AFTER: Duration = backoff::MAX_BACKOFF;
 /// Upper bound of the wait for the first list, because a restarted edge node must be ready soon.
 const MAX_FIRST_LIST_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Drain grace divided by the answer timeout.
 const ANSWER_TIMEOUTS_PER_GRACE: u32 = 4;
-/// Drain grace divided by the initial backoff.
-const INITIAL_BACKOFFS_PER_GRACE: u32 = 40;
-/// Drain grace divided by the longest backoff after a lost connection.
-const LONGEST_BACKOFFS_PER_GRACE: u32 = 16;
 /// Drain grace divided by the first-list timeout.
 const FIRST_LIST_TIMEOUTS_PER_GRACE: u32 = 2;
 
@@ -74,45 +70,7 @@
     Rejected,
 }
 
-/// State of an exponential backoff, before jitter.
-#[derive(Clone, Debug)]
-struct Backoff {
-    /// Backoff after the first failure.
-    initial: Duration,
-    /// Longest backoff after a lost connection.
-    longest_after_loss: Duration,
-    /// Backoff after the next failure, unless the longest backoff for that failure is shorter.
-    next: Duration,
-}
-
-impl Backoff {
-    fn new(drain_grace: Duration) -> Backoff {
-        let initial = (drain_grace / INITIAL_BACKOFFS_PER_GRACE).min(MAX_INITIAL_BACKOFF);
-        Backoff {
-            initial,
-            longest_after_loss: (drain_grace / LONGEST_BACKOFFS_PER_GRACE).min(MAX_BACKOFF),
-            next: initial,
-        }
-    }
-
-    fn reset(&mut self) {
-        self.next = self.initial;
-    }
-
-    /// Returns the backoff after a failure, and doubles the next backoff up to the longest backoff
-    /// for this failure.
-    fn advance(&mut self, failure: WatchFailure) -> Duration {
-        let longest = match failure {
-            WatchFailure::ConnectionLost => self.longest_after_loss,
-            WatchFailure::Rejected => MAX_BACKOFF,
-        };
-        let backoff = self.next.min(longest);
-        self.next = (self.next * 2).min(longest);
-        backoff
-    }
-}
-
-/// Decides when the open watch is given up and when the next watch is opened. Times are durations
+/// Decides when the newest watch is lost and when the next watch is opened. Times are durations
 /// on a monotonic clock since a fixed instant that the caller chooses.
 #[derive(Clone, Debug)]
 pub struct ReconnectPolicy {
@@ -126,7 +84,7 @@
     has_received_list: bool,
     /// Whether a part of a list, but not its end, has arrived on the open watch.
     has_partial_list: bool,
-    /// When the open watch is given up.
+    /// When the newest watch is lost.
     deadline: Duration,
 }
 
@@ -194,7 +152,7 @@
         };
     }
 
-    /// Returns when the open watch is given up if nothing more arrives.
+    /// Returns when the newest watch is lost if nothing more arrives.
     #[must_use]
     pub fn deadline(&self) -> Duration {
         self.deadline
