Go on accepting the backlog at shutdown after an accept has failed

Callers see connections reset without an answer at a restart: the machine has accepted them, and their requests count as taken. Cause: accept_backlog ended at the first error of accept, for example ECONNABORTED, and the listener was closed over the rest. It now repeats accept up to 25 times.

--- a/crates/edge-node/src/clients/mod.rs
+++ b/crates/edge-node/src/clients/mod.rs
@@ -23,6 +23,7 @@
 use crate::node::Node;
 use connection_table::ConnectionTable;
 use phase::wait_for_closing;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -31,6 +32,8 @@
 
 /// Pause after a failed accept, usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Number of failed accepts after which the rest of the backlog is given up at the shutdown.
+const MAX_BACKLOG_ACCEPT_FAILURES: u32 = 25;
 
 /// Accepts client connections until the edge node is closing, then returns once every connection
 /// has sent its last response and is closed. At most `max_connections` are open at a time.
@@ -61,8 +64,7 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => connections.insert(stream).await,
                 Err(error) => {
-                    // The connection stays in the backlog until a file descriptor is free.
-                    warn!(event = "accept_failed", cause = %error, "failed to accept a client connection: {error}");
+                    log_accept_failure(&error);
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
@@ -73,9 +75,26 @@
 }
 
 /// Accepts the connections that are already in the listener's backlog. Closing the listener would
-/// reset them although their clients consider them established.
+/// reset them although their clients consider them established. An accept may fail for a moment
+/// while further connections wait.
 async fn accept_backlog(listener: &TcpListener, connections: &mut ConnectionTable) {
-    while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
-        connections.insert(stream).await;
+    let mut failures = 0;
+    while let Ok(accepted) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
+        match accepted {
+            Ok((stream, _)) => connections.insert(stream).await,
+            Err(error) => {
+                failures += 1;
+                if failures > MAX_BACKLOG_ACCEPT_FAILURES {
+                    return;
+                }
+                log_accept_failure(&error);
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
     }
 }
+
+fn log_accept_failure(error: &io::Error) {
+    // The connection stays in the backlog.
+    warn!(event = "accept_failed", cause = %error, "failed to accept a client connection: {error}");
+}
--- a/crates/edge-node/tests/edge/short_transfers.rs
+++ b/crates/edge-node/tests/edge/short_transfers.rs
@@ -7,7 +7,7 @@
 /// because a short read is mistaken for all that has arrived, or a short write for a full buffer.
 #[test]
 fn requests_are_answered_if_reads_and_writes_are_short() {
-    let library = build_short_transfer_library("edge");
+    let library = PreloadedLibrary::short_transfers();
     let servers = FakeServers::new();
     let entries: Vec<_> = (0..2)
         .map(|number| servers.start_returning_entry(&format!("s-{number}"), &[RESPONDS_OK]))
@@ -17,7 +17,7 @@
         "short-transfers",
         discovery.address,
         &entries[..1],
-        &library,
+        library.path(),
     );
     node.wait_for_log("endpoint list 1 applied: snapshot, 2 entries");
     let mut client = node.client();
@@ -26,5 +26,4 @@
         let request = request_text(&format!("r{number}"), class, "20000m");
         assert_eq!(client.exchange(&request).status(), 200, "{number}");
     }
-    std::fs::remove_file(library).expect("library is removed");
 }
--- a/crates/edge-node/tests/edge/shutdown.rs
+++ b/crates/edge-node/tests/edge/shutdown.rs
@@ -80,6 +80,35 @@
     assert_eq!(servers.unseen_requests().len(), clients.len());
 }
 
+/// Guards against connections in the backlog that are reset without an answer because one accept
+/// has failed for a moment.
+#[test]
+fn requests_in_backlog_are_answered_during_shutdown_if_accepts_fail() {
+    let servers = FakeServers::new();
+    let entries = [servers.start_returning_entry("s-1", &[RESPONDS_OK])];
+    let discovery = FakeDiscovery::start(&entries);
+    let library = PreloadedLibrary::failing_accept();
+    let mut node = EdgeNode::start_with_preloaded_library(
+        "s-accept",
+        discovery.address,
+        &entries,
+        library.path(),
+    );
+    start_shutdown(&node);
+    node.suspend();
+    let mut clients: Vec<_> = (0..10).map(|_| node.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.send(&request_text(&format!("new-{number}"), "pay", "20000m"));
+    }
+    std::thread::sleep(LONGER_THAN_DRAIN_PERIOD);
+    node.resume();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let status = client.read_response().map(|answer| answer.status());
+        assert_eq!(status, Some(200), "{number}");
+    }
+    assert!(node.wait().success());
+}
+
 /// A client has an open request and pipelines two further requests: one during the drain period and
 /// one after idle connections are closed. The open request is answered, and neither of the others
 /// is forwarded.
--- a/crates/edge-node/tests/support/mod.rs
+++ b/crates/edge-node/tests/support/mod.rs
@@ -12,8 +12,8 @@
 mod http;
 mod node;
 mod pieces;
+mod preloaded_library;
 mod refusing_address;
-mod short_transfers;
 
 pub(crate) use client::{example_read_request, request_text, Client};
 pub(crate) use configuration::{
@@ -31,8 +31,8 @@
 pub(crate) use http::HttpMessage;
 pub(crate) use node::{edge_node_command, spawn_edge_node, EdgeNode};
 pub(crate) use pieces::Pieces;
+pub(crate) use preloaded_library::PreloadedLibrary;
 pub(crate) use refusing_address::RefusingAddress;
-pub(crate) use short_transfers::build_short_transfer_library;
 
 use std::time::Duration;
 
