Answer every request that arrives during a shutdown before the process may be killed

From SIGTERM on it caps the deadline of each request that arrives, the time for its body and the time for its head; a head that is incomplete then gets 503.

--- a/crates/edge-node/src/clients/connection.rs
+++ b/crates/edge-node/src/clients/connection.rs
@@ -130,6 +130,7 @@
                 () = self.state.eviction_requested() => requests.is_evicted = true,
                 () = wait_for_closing(self.phase.clone()), if !requests.is_closing => {
                     requests.is_closing = true;
+                    requests.answer_limit = self.node.answer_limit();
                     // Lets the HTTP server read a request that has already arrived.
                     tokio::task::yield_now().await;
                 }
--- a/crates/edge-node/src/clients/connection_limits.rs
+++ b/crates/edge-node/src/clients/connection_limits.rs
@@ -26,6 +26,8 @@
     pub(super) is_closing: bool,
     /// The connection table needs room for a new connection.
     pub(super) is_evicted: bool,
+    /// Time by which every request has to be answered; `None` without such a limit.
+    pub(super) answer_limit: Option<Instant>,
 }
 
 /// Whether a connection is closed now.
@@ -56,11 +58,11 @@
             } else {
                 accepted_at
             };
-            close_at(
-                begin + REQUEST_HEAD_TIMEOUT,
-                CloseReason::IncompleteRequest,
-                now,
-            )
+            let timeout = begin + REQUEST_HEAD_TIMEOUT;
+            match requests.answer_limit.filter(|limit| *limit < timeout) {
+                Some(limit) => close_at(limit, CloseReason::Shutdown, now),
+                None => close_at(timeout, CloseReason::IncompleteRequest, now),
+            }
         }
         Activity::InFlight => Verdict::CheckAt(next_check(requests, now)),
         Activity::WriteBlocked { .. } if requests.is_evicted => {
--- a/crates/edge-node/src/clients/request.rs
+++ b/crates/edge-node/src/clients/request.rs
@@ -81,7 +81,7 @@
     let (parts, body) = request.into_parts();
     let head = RequestHead::parse(&node.settings, &parts)?;
     let body = read_body(node, &head, body).await?;
-    Ok(ValidRequest::new(head, parts, body))
+    Ok(ValidRequest::new(head, parts, body, node.answer_limit()))
 }
 
 /// Reads the complete body, within the limits of size, memory and time.
@@ -97,7 +97,11 @@
     if !head.allows_body && !body.is_end_stream() {
         return Err(RequestError::UnexpectedBody);
     }
-    let read = tokio::time::timeout(BODY_READ_TIMEOUT, read_or_discard(&mut body, buffer)).await;
+    let timeout = Instant::now() + BODY_READ_TIMEOUT;
+    let deadline = node
+        .answer_limit()
+        .map_or(timeout, |limit| limit.min(timeout));
+    let read = tokio::time::timeout_at(deadline, read_or_discard(&mut body, buffer)).await;
     read.unwrap_or(Err(RequestError::IncompleteBody))
 }
 
@@ -118,10 +122,19 @@
 
 impl ValidRequest {
     /// Builds both forms of the request. The client's timeout begins now, as the request is
-    /// complete.
-    fn new(head: RequestHead, parts: Parts, body: Bytes) -> ValidRequest {
-        let client_timeout = head.client_timeout.saturating_sub(RESPONSE_DELIVERY_TIME);
-        let deadline = Instant::now() + client_timeout;
+    /// complete; it ends at `answer_limit` at the latest.
+    fn new(
+        head: RequestHead,
+        parts: Parts,
+        body: Bytes,
+        answer_limit: Option<Instant>,
+    ) -> ValidRequest {
+        let now = Instant::now();
+        let delivered_in_time = head.client_timeout.saturating_sub(RESPONSE_DELIVERY_TIME);
+        let client_timeout = answer_limit.map_or(delivered_in_time, |limit| {
+            delivered_in_time.min(limit.saturating_duration_since(now))
+        });
+        let deadline = now + client_timeout;
         let event = Event::RequestReceived {
             id: head.id.clone(),
             class: head.class,
--- a/crates/edge-node/src/node/mod.rs
+++ b/crates/edge-node/src/node/mod.rs
@@ -30,6 +30,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 use tracing::warn;
 
 /// The arguments of [`Node::new`].
@@ -65,6 +66,7 @@
     attempts: InFlightAttempts,
     watch: WatchStatus,
     client_connections: Rc<Cell<usize>>,
+    answer_limit: Cell<Option<Instant>>,
 }
 
 impl Node {
@@ -87,6 +89,7 @@
             attempts: InFlightAttempts::default(),
             watch: WatchStatus::default(),
             client_connections: Rc::default(),
+            answer_limit: Cell::default(),
         }))
     }
 
--- a/crates/edge-node/src/node/requests.rs
+++ b/crates/edge-node/src/node/requests.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 use tracing::debug;
 
 impl Node {
@@ -16,6 +17,18 @@
         self.requests.len()
     }
 
+    /// Sets the time by which requests that arrive from now on must be answered, because the process
+    /// is killed soon after.
+    pub(crate) fn set_answer_limit(&self, limit: Instant) {
+        self.answer_limit.set(Some(limit));
+    }
+
+    /// Returns the time by which a request that arrives now must be answered, whatever its own
+    /// deadline is; `None` while the process is not shutting down.
+    pub(crate) fn answer_limit(&self) -> Option<Instant> {
+        self.answer_limit.get()
+    }
+
     /// Adds a request to the table and passes it to the decision library. Returns the receiver of
     /// the final answer.
     ///
--- a/crates/edge-node/tests/edge/shutdown.rs
+++ b/crates/edge-node/tests/edge/shutdown.rs
@@ -213,6 +213,38 @@
     assert!(node.wait().success());
 }
 
+/// Time after SIGTERM by which such a request must have its answer. The platform may kill the
+/// process after 3.7 s, and the request's own deadline is 20 s; a slow machine stays below this.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(10);
+
+/// Guards against requests that arrive slowly after SIGTERM, are forwarded with their full
+/// deadline, and are still open when the process is killed.
+#[test]
+fn request_that_arrives_late_in_shutdown_is_answered_before_the_kill() {
+    let (_servers, _discovery, node) =
+        start_with_one_server("s-kill", &[ServerBehavior::NeverRespond]);
+    let request = request_text("a", "pay", "20000m");
+    let mut clients = [node.client(), node.client()];
+    node.terminate();
+    let terminated_at = std::time::Instant::now();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let id = format!("Id: a{number}");
+        client.send(&request.replace("Id: a", &id)[..request.len() / 2]);
+    }
+    std::thread::sleep(LONGER_THAN_DRAIN_PERIOD);
+    // One client completes its request, the other one never does.
+    let rest = &request.replace("Id: a", "Id: a0")[request.len() / 2..];
+    clients[0].send(rest);
+    for (number, client) in clients.iter_mut().enumerate() {
+        let status = client.read_response().map(|answer| answer.status());
+        assert!(
+            matches!(status, Some(400 | 502 | 503)),
+            "{number}: {status:?}"
+        );
+        assert!(terminated_at.elapsed() < ANSWERED_WITHIN, "{number}");
+    }
+}
+
 /// After the drain period, the edge node waits until its open requests are answered, at most for
 /// the longest deadline of any class.
 #[test]
--- a/crates/edge-node/tests/unit/connection_limits.rs
+++ b/crates/edge-node/tests/unit/connection_limits.rs
@@ -6,14 +6,17 @@
 const NO_REQUESTS: CloseRequests = CloseRequests {
     is_closing: false,
     is_evicted: false,
+    answer_limit: None,
 };
 const CLOSING: CloseRequests = CloseRequests {
     is_closing: true,
     is_evicted: false,
+    answer_limit: None,
 };
 const EVICTED: CloseRequests = CloseRequests {
     is_closing: false,
     is_evicted: true,
+    answer_limit: None,
 };
 
 fn after(start: Instant, milliseconds: u64) -> Instant {
@@ -65,6 +68,19 @@
     }
     let expired = check(receiving, start, true, NO_REQUESTS, after(begin, 2800));
     assert_eq!(expired, Verdict::Close(CloseReason::IncompleteRequest));
+    let limited = CloseRequests {
+        answer_limit: Some(after(start, 2500)),
+        ..CLOSING
+    };
+    for (now, expected) in [
+        (2499, Verdict::CheckAt(after(start, 2500))),
+        (2500, Verdict::Close(CloseReason::Shutdown)),
+    ] {
+        assert_eq!(
+            check(receiving, start, true, limited, after(start, now)),
+            expected
+        );
+    }
 }
 
 #[test]
