--- a/crates/fleet-lab/src/lib.rs
+++ b/crates/fleet-lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod hybrid;
 pub mod scaling;
 pub mod simulate;
+pub mod soak;
 pub mod time;
 pub mod world;
 
--- a/crates/fleet-lab/src/main.rs
+++ b/crates/fleet-lab/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
-use fleet_lab::{hybrid, scaling, simulate, Failure};
+use fleet_lab::{hybrid, scaling, simulate, soak, Failure};
 use stats_alloc::{StatsAlloc, INSTRUMENTED_SYSTEM};
 use std::alloc::System;
 use std::process::ExitCode;
@@ -31,6 +31,8 @@
     Simulate(simulate::Args),
     /// Runs real processes on loopback together with hollow nodes.
     Hybrid(hybrid::Args),
+    /// Runs a real process among stand-ins with disruptions drawn from seeds.
+    Soak(soak::Args),
 }
 
 fn main() -> ExitCode {
@@ -49,6 +51,7 @@
         Command::Scaling(args) => scaling::run(&args),
         Command::Simulate(args) => simulate::run(&args),
         Command::Hybrid(args) => hybrid::run(&args),
+        Command::Soak(args) => soak::run(&args),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
