Read start times of servers so that a step of the wall clock changes no age

Callers would see a cold server overloaded, or a new server nearly unused for an hour: discovery reports start times on the wall clock, and the node compared them with the wall clock of its own start plus monotonic time. After a step of an hour back, a server that had just started counted as warm; after a step forward, as starting for an hour. Now the node compares the clocks with each list and keeps the offsets. A start time is converted once for each start that discovery reports, with the reading that makes the server youngest. Without a step the values are unchanged. All tests of edge-node passed.

--- a/crates/edge-node/src/node/clock.rs
+++ b/crates/edge-node/src/node/clock.rs
@@ -8,22 +8,18 @@
 /// A monotonic clock that shows Unix time in microseconds: the wall clock is read once, and the
 /// time elapsed since then is added.
 ///
-/// Discovery reports the start times of servers as Unix time, too, so only their unit must be
-/// converted.
+/// Discovery reports the start times of servers on the wall clock, which `start_times` converts.
 pub(super) struct Clock {
     started: Instant,
     unix_at_start: Timestamp,
 }
 
 impl Clock {
-    /// Reads the wall clock once. A time before 1970 is taken as the start of 1970.
+    /// Reads the wall clock once.
     pub(super) fn start() -> Clock {
-        let unix = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
         Clock {
             started: Instant::now(),
-            unix_at_start: Timestamp::EPOCH + unix,
+            unix_at_start: wall_clock_time(),
         }
     }
 
@@ -40,6 +36,15 @@
     }
 }
 
+/// Returns the time of the wall clock, which may be stepped. A time before 1970 is taken as the
+/// start of 1970.
+pub(super) fn wall_clock_time() -> Timestamp {
+    let unix = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Timestamp::EPOCH + unix
+}
+
 #[cfg(test)]
 #[path = "../../tests/unit/clock.rs"]
 mod tests;
--- a/crates/edge-node/src/node/endpoints.rs
+++ b/crates/edge-node/src/node/endpoints.rs
@@ -1,6 +1,7 @@
 //! Endpoint lists from discovery: passes them on to the connection pools and the decision library,
 //! and records the status of the watch on discovery.
 
+use super::clock::wall_clock_time;
 use super::Node;
 use crate::endpoint_list::{EndpointEntry, EndpointHealth, EndpointList};
 use crate::upstream::ServerAddress;
@@ -64,7 +65,8 @@
         entries: &[EndpointEntry],
     ) {
         let zones = &self.settings.zone_names;
-        let endpoints = entries.iter().map(|entry| endpoint(entry, zones)).collect();
+        let mut endpoints: Vec<_> = entries.iter().map(|entry| endpoint(entry, zones)).collect();
+        self.convert_start_times(kind, &mut endpoints);
         let addresses = entries.iter().map(|entry| ServerAddress {
             server: server_id(&entry.name),
             address: connect_address(entry),
@@ -73,6 +75,21 @@
         self.handle_event(Event::EndpointsUpdated { kind, endpoints });
     }
 
+    /// Converts the start times of endpoints from the wall clock to the node's clock.
+    fn convert_start_times(&self, kind: EndpointUpdate, endpoints: &mut [Endpoint]) {
+        let now = self.clock.now();
+        self.start_times.observe_wall_clock(wall_clock_time(), now);
+        for endpoint in endpoints.iter_mut() {
+            let server = endpoint.server;
+            let convert = |reported| self.start_times.convert(server, reported, now);
+            endpoint.started_at = endpoint.started_at.map(convert);
+        }
+        if kind == EndpointUpdate::Snapshot {
+            let listed = endpoints.iter().map(|endpoint| endpoint.server).collect();
+            self.start_times.retain_listed(&listed);
+        }
+    }
+
     /// Records and logs that a list from discovery has been applied.
     pub(crate) fn endpoint_list_applied(&self, list: &EndpointList) {
         let sequence = list.sequence;
--- a/crates/edge-node/src/node/mod.rs
+++ b/crates/edge-node/src/node/mod.rs
@@ -12,6 +12,7 @@
 mod pending_requests;
 mod process;
 mod requests;
+mod start_times;
 mod status;
 
 pub(crate) use peer_messages::receive_peer_messages;
@@ -27,6 +28,7 @@
 use gateway_core::settings::{ResolvedSettings, SettingsError};
 use gateway_core::{Action, Event, Gateway};
 use pending_requests::PendingRequests;
+use start_times::StartTimes;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -65,6 +67,7 @@
     requests: PendingRequests,
     attempts: InFlightAttempts,
     watch: WatchStatus,
+    start_times: StartTimes,
     client_connections: Rc<Cell<usize>>,
     answer_limit: Cell<Option<Instant>>,
 }
@@ -88,6 +91,7 @@
             requests: PendingRequests::default(),
             attempts: InFlightAttempts::default(),
             watch: WatchStatus::default(),
+            start_times: StartTimes::default(),
             client_connections: Rc::default(),
             answer_limit: Cell::default(),
         }))
