Soak: a change that a silent watch missed is known 6 s after the watch fell silent

The check uses these 6 s only while the silence cannot have been noticed, that is for removals within 3 s of the start of the outage; all others stay as they were.

--- a/crates/fleet-lab/src/soak/records.rs
+++ b/crates/fleet-lab/src/soak/records.rs
@@ -1,6 +1,6 @@
 //! What clients and servers have seen of each request, and the rules that are checked on it.
 
-use super::schedule::Schedule;
+use super::schedule::{OutageKind, Schedule};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -22,6 +22,11 @@
 /// Time that is added to every rule for this machine, on which the clients, the servers and the
 /// process share the processors.
 const MACHINE_TOLERANCE: Duration = Duration::from_millis(100);
+/// Time after which the edge node must have noticed that a watch is silent: heartbeats come every
+/// 2 s.
+const SILENCE_NOTICED_AFTER: Duration = Duration::from_secs(3);
+/// Time after a watch fell silent at which the changes that it missed count as known.
+const MISSED_CHANGE_KNOWN_AFTER: Duration = Duration::from_secs(6);
 /// Time that the edge node may need to open the next watch.
 const WATCH_PACE: Duration = Duration::from_millis(200);
 
@@ -157,6 +162,19 @@
     }
 }
 
+/// Returns the time by which a change must be known that an open watch has missed because it fell
+/// silent at the start of the outage; zero if no watch can still be open.
+fn missed_change_known_at(schedule: &Schedule) -> Duration {
+    let outage = schedule.outage;
+    let falls_silent = schedule.outage_kind != OutageKind::Closing;
+    let is_unnoticed = schedule.removal < outage.from + SILENCE_NOTICED_AFTER;
+    if falls_silent && is_unnoticed {
+        outage.from + MISSED_CHANGE_KNOWN_AFTER
+    } else {
+        Duration::ZERO
+    }
+}
+
 impl Request {
     fn check_ending(&self, killed_at: Option<Instant>) -> Option<&'static str> {
         let last_byte_at = self.last_byte_at?;
@@ -208,7 +226,8 @@
     fn check_drain(&self, schedule: &Schedule, started_at: Instant) -> Option<&'static str> {
         // A watch may be opened up to a third of the latency late, if earlier ones are unanswered.
         let answer = (schedule.latency + schedule.list_duration).mul_f64(1.7);
-        let known_at = started_at + schedule.removal + WATCH_PACE + answer;
+        let pushed_at = schedule.removal + WATCH_PACE + answer;
+        let known_at = started_at + pushed_at.max(missed_change_known_at(schedule));
         let limit = known_at + DRAIN_GRACE + MACHINE_TOLERANCE;
         let is_late = |attempt: &Attempt| {
             attempt.server < super::schedule::SERVER_COUNT / 2 && attempt.at > limit
