Lab: find, start and read the address of an edge node in one place

hybrid and soak, and their tests, each had their own copy. A few comments say must instead of has to be.

--- a/crates/edge-node/src/clients/connection_limits.rs
+++ b/crates/edge-node/src/clients/connection_limits.rs
@@ -26,7 +26,7 @@
     pub(super) is_closing: bool,
     /// The connection table needs room for a new connection.
     pub(super) is_evicted: bool,
-    /// Time by which every request has to be answered; `None` without such a limit.
+    /// Time by which every request must be answered; `None` without such a limit.
     pub(super) answer_limit: Option<Instant>,
 }
 
@@ -34,7 +34,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Verdict {
     Close(CloseReason),
-    /// The connection stays open, and has to be checked again at this time or when a
+    /// The connection stays open, and must be checked again at this time or when a
     /// [`CloseRequests`] arrives.
     CheckAt(Instant),
 }
@@ -68,7 +68,7 @@
         Activity::WriteBlocked { .. } if requests.is_evicted => {
             Verdict::Close(CloseReason::Evicted)
         }
-        // A client that reads nothing for so long would otherwise hold the connection forever.
+        // Otherwise, a client that never reads would hold the connection forever.
         Activity::WriteBlocked { since } => close_at(since + IDLE_TIMEOUT, CloseReason::Idle, now),
     }
 }
--- a/crates/edge-node/src/discovery/late_watches.rs
+++ b/crates/edge-node/src/discovery/late_watches.rs
@@ -7,7 +7,7 @@
 use gateway_core::reconnect::late_watches;
 use std::time::Duration;
 
-/// The late watches.
+/// The late watches of the discovery client.
 #[derive(Default)]
 pub(super) struct LateWatches {
     /// Watches without a list, in the order in which they were opened.
@@ -17,7 +17,7 @@
 }
 
 impl LateWatches {
-    /// Adds a watch. Returns the watches that are given up instead, which have to be closed.
+    /// Adds a watch. Returns the watches that are given up instead, which the caller must close.
     pub(super) fn insert(&mut self, watch: OpenWatch, now: Duration) -> Vec<OpenWatch> {
         if watch.has_list() {
             return self.previous.replace(watch).into_iter().collect();
@@ -65,7 +65,7 @@
     }
 
     /// Returns the id of the watch with the longest incomplete message if all incomplete messages
-    /// together are longer than a list may be. That watch has to be given up.
+    /// together are longer than a list may be. That watch must be given up.
     pub(super) fn over_memory_limit(&self) -> Option<WatchId> {
         let watches = || self.waiting.iter().chain(&self.previous);
         let total: usize = watches().map(OpenWatch::partial_bytes).sum();
--- a/crates/edge-node/src/discovery/mod.rs
+++ b/crates/edge-node/src/discovery/mod.rs
@@ -112,7 +112,7 @@
         self.epoch.elapsed()
     }
 
-    /// Returns when [`handle_timeout`](Self::handle_timeout) has to be called.
+    /// Returns when [`handle_timeout`](Self::handle_timeout) must be called.
     fn wake_time(&self) -> Instant {
         let time = match self.newest {
             Some(_) => self.policy.deadline(),
--- a/crates/edge-node/tests/edge/slow_discovery.rs
+++ b/crates/edge-node/tests/edge/slow_discovery.rs
@@ -91,7 +91,7 @@
         node.reload(|text| text);
     }
     node.wait_for_log("endpoint list 2 applied");
-    // The list was applied while the reloads went on.
+    // The list was applied between two reloads.
     node.wait_for_log("configuration reloaded");
 }
 
--- a/crates/fleet-lab/src/hybrid/args.rs
+++ b/crates/fleet-lab/src/hybrid/args.rs
@@ -3,6 +3,7 @@
 use super::load::LoadConfig;
 use super::scenario::{Scenario, ScenarioSize};
 use super::server_faults::FaultProfile;
+use crate::edge_node_process;
 use std::path::PathBuf;
 
 /// Maximum number of requests per second over all nodes. Clients, servers and hollow nodes share
@@ -114,19 +115,7 @@
 
     /// Returns the path of the edge node's program, or an error message if there is no such file.
     pub(super) fn program(&self) -> Result<PathBuf, String> {
-        let in_own_folder = || Some(std::env::current_exe().ok()?.parent()?.join("edge-node"));
-        let program = self
-            .program
-            .clone()
-            .or_else(in_own_folder)
-            .unwrap_or_default();
-        if !program.is_file() {
-            return Err(format!(
-                "edge node program {} does not exist; build it with `cargo build --release`",
-                program.display()
-            ));
-        }
-        Ok(program)
+        edge_node_process::find_program(self.program.as_deref())
     }
 
     pub(super) fn load(&self) -> LoadConfig {
--- a/crates/fleet-lab/src/hybrid/real_node.rs
+++ b/crates/fleet-lab/src/hybrid/real_node.rs
@@ -5,6 +5,7 @@
 use super::environment::Environment;
 use super::observed_request::ReceivedAnswer;
 use super::scenario::CLIENT_TIMEOUT;
+use crate::edge_node_process;
 use crate::world::final_answer::FinalAnswer;
 use anyhow::{bail, Context, Result};
 use bytes::Bytes;
@@ -18,10 +19,8 @@
 use serde_json::json;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, BufReader};
-use tokio::process::{Child, ChildStderr, Command};
+use tokio::process::Child;
 
 /// Maximum time from the start of a node until it is ready.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
@@ -29,8 +28,6 @@
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(4);
 /// Idle time after which a client's connection is not used again, because the node closes it soon.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Environment variables that would override the configuration file.
-const CONFIG_VARIABLES: [&str; 3] = ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"];
 /// Index of the user time among the fields of `/proc/PID/stat` that follow the program's name; the
 /// next field is the system time.
 const USER_TIME_FIELD: usize = 11;
@@ -82,8 +79,8 @@
         config: RealNodeConfig,
     ) -> Result<RealNode> {
         let path = config.write(environment, folder)?;
-        let process =
-            spawn(program, &path).with_context(|| format!("cannot start {}", program.display()))?;
+        let process = edge_node_process::command(program, &path).spawn();
+        let process = process.with_context(|| format!("cannot start {}", program.display()))?;
         let node = tokio::time::timeout(
             STARTUP_TIMEOUT,
             RealNode::wait_until_ready(config.id, process),
@@ -102,7 +99,7 @@
             .stderr
             .take()
             .context("the process has no standard error stream")?;
-        let address = read_address(log).await?;
+        let address = edge_node_process::read_address(log).await?;
         let node = RealNode {
             id,
             process,
@@ -242,37 +239,6 @@
     format!("n{}", id.0)
 }
 
-fn spawn(program: &Path, config: &Path) -> std::io::Result<Child> {
-    let mut command = Command::new(program);
-    for variable in CONFIG_VARIABLES {
-        command.env_remove(variable);
-    }
-    command.env("LB_CONFIG", config);
-    command
-        .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped());
-    command.kill_on_drop(true).spawn()
-}
-
-/// Reads the address at which a node listens from the first line of its log, and discards the rest
-/// of the log.
-async fn read_address(log: ChildStderr) -> Result<SocketAddr> {
-    let mut log = BufReader::new(log);
-    let mut line = String::new();
-    log.read_line(&mut line).await?;
-    let address = line
-        .trim_end()
-        .rsplit(' ')
-        .next()
-        .and_then(|word| word.parse().ok());
-    let address =
-        address.with_context(|| format!("the node does not listen: {}", line.trim_end()))?;
-    // The log is read to its end, because a full pipe would block the node.
-    tokio::task::spawn_local(async move { log.read_to_end(&mut Vec::new()).await });
-    Ok(address)
-}
-
 fn new_client() -> Client<HttpConnector, Full<Bytes>> {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
--- a/crates/fleet-lab/src/lib.rs
+++ b/crates/fleet-lab/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs, unreachable_pub)]
 
+mod edge_node_process;
 pub mod hybrid;
 pub mod scaling;
 pub mod simulate;
--- a/crates/fleet-lab/src/soak/mod.rs
+++ b/crates/fleet-lab/src/soak/mod.rs
@@ -10,6 +10,7 @@
 mod schedule;
 mod servers;
 
+use crate::edge_node_process;
 use crate::Failure;
 use anyhow::{anyhow, Context, Result};
 use clients::Client;
@@ -61,18 +62,6 @@
     preload: Option<PathBuf>,
 }
 
-impl Args {
-    fn program(&self) -> Result<PathBuf, Failure> {
-        let in_own_folder = || Some(std::env::current_exe().ok()?.parent()?.join("edge-node"));
-        let program = self.program.clone().or_else(in_own_folder);
-        program.filter(|path| path.is_file()).ok_or_else(|| {
-            let problem =
-                "the edge node program does not exist; build it with `cargo build --release`";
-            Failure::InvalidArguments(problem.to_owned())
-        })
-    }
-}
-
 /// What a run has shown.
 struct RunReport {
     /// Number of requests by their ending.
@@ -89,7 +78,8 @@
         let problem = format!("--parallel must be from 1 to {MAX_PARALLEL}, and --runs at least 1");
         return Err(Failure::InvalidArguments(problem));
     }
-    let program = args.program()?;
+    let program = edge_node_process::find_program(args.program.as_deref());
+    let program = program.map_err(Failure::InvalidArguments)?;
     let next_seed = AtomicU64::new(args.seed);
     let failed_seeds = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
--- a/crates/fleet-lab/src/soak/node.rs
+++ b/crates/fleet-lab/src/soak/node.rs
@@ -1,19 +1,16 @@
 //! The edge node under test: a process, its configuration and its signals.
 
 use super::records::{DEADLINE, DRAIN_GRACE};
+use crate::edge_node_process;
 use anyhow::{Context, Result};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::json;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::Stdio;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, BufReader};
-use tokio::process::{Child, Command};
+use tokio::process::Child;
 use tokio::time::{sleep, timeout};
 
-/// Environment variables that would override the configuration file.
-const CONFIG_VARIABLES: [&str; 3] = ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"];
 /// Time for which the process is stopped at a time.
 const STOP_TIME: Duration = Duration::from_millis(150);
 
@@ -37,29 +34,18 @@
     ) -> Result<Node> {
         let path = folder.join("node.json");
         std::fs::write(&path, config(discovery, known_list)?)?;
-        let mut command = Command::new(program);
-        for variable in CONFIG_VARIABLES {
-            command.env_remove(variable);
-        }
+        let mut command = edge_node_process::command(program, &path);
         if let Some(library) = preload {
             command.env("LD_PRELOAD", library);
         }
-        command.env("LB_CONFIG", &path).stdin(Stdio::null());
-        command.stdout(Stdio::null()).stderr(Stdio::piped());
-        let mut process = command.kill_on_drop(true).spawn()?;
+        let mut process = command.spawn()?;
         let pid = process.id().and_then(|id| Pid::from_raw(id as i32));
         let log = process.stderr.take().context("no standard error stream")?;
-        let mut log = BufReader::new(log);
-        let mut line = String::new();
-        log.read_line(&mut line).await?;
-        // The log is read to its end, because a full pipe would block the process.
-        tokio::task::spawn_local(async move { log.read_to_end(&mut Vec::new()).await });
-        let address = line.trim_end().rsplit(' ').next();
-        let address = address.and_then(|word| word.parse().ok());
+        let address = edge_node_process::read_address(log).await?;
         Ok(Node {
             process,
             pid: pid.context("the process has ended")?,
-            address: address.with_context(|| format!("no address in {line:?}"))?,
+            address,
         })
     }
 
--- a/crates/fleet-lab/src/soak/servers.rs
+++ b/crates/fleet-lab/src/soak/servers.rs
@@ -13,7 +13,7 @@
 /// Time that a server works on a request.
 const WORK_TIME: Duration = Duration::from_millis(15);
 
-/// One stand-in. A removed server goes on answering, so that requests to it are seen.
+/// One stand-in. A removed server still answers, so that requests to it are seen.
 pub(super) struct Server {
     pub(super) index: usize,
     pub(super) schedule: Schedule,
--- a/crates/fleet-lab/tests/hybrid.rs
+++ b/crates/fleet-lab/tests/hybrid.rs
@@ -7,3 +7,4 @@
 mod report;
 #[path = "hybrid/runs.rs"]
 mod runs;
+mod support;
--- a/crates/fleet-lab/tests/hybrid/runs.rs
+++ b/crates/fleet-lab/tests/hybrid/runs.rs
@@ -1,24 +1,8 @@
 //! Tests of short runs with the edge node's real program.
 
-use std::path::PathBuf;
+use crate::support::edge_node_program;
 use std::process::{Command, Output};
 
-/// Returns the path of the edge node's program from the last release build.
-fn edge_node_program() -> PathBuf {
-    let test = std::env::current_exe().expect("path of this test should be known");
-    let target = test
-        .ancestors()
-        .nth(3)
-        .expect("test should be in a target folder");
-    let program = target.join("release/edge-node");
-    assert!(
-        program.is_file(),
-        "{} is missing; build it with `cargo build --release`",
-        program.display()
-    );
-    program
-}
-
 fn run_hybrid(arguments: &[&str]) -> Output {
     let program = edge_node_program();
     let program = program.to_str().expect("path should be UTF-8");
--- a/crates/fleet-lab/tests/soak.rs
+++ b/crates/fleet-lab/tests/soak.rs
@@ -1,23 +1,9 @@
 //! Short seeded runs of `fleet-lab soak` with the edge node's real program.
 
-use std::path::PathBuf;
-use std::process::{Command, Output};
+mod support;
 
-/// Returns the path of the edge node's program from the last release build.
-fn edge_node_program() -> PathBuf {
-    let test = std::env::current_exe().expect("path of this test should be known");
-    let target = test
-        .ancestors()
-        .nth(3)
-        .expect("test should be in a target folder");
-    let program = target.join("release/edge-node");
-    assert!(
-        program.is_file(),
-        "{} is missing; build it with `cargo build --release`",
-        program.display()
-    );
-    program
-}
+use std::process::{Command, Output};
+use support::edge_node_program;
 
 fn run_soak(arguments: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_fleet-lab"));
--- a/crates/gateway-core/src/reconnect/late_watches.rs
+++ b/crates/gateway-core/src/reconnect/late_watches.rs
@@ -2,7 +2,7 @@
 //! opened, because discovery may still answer them. This module decides which of them to keep.
 //!
 //! Watches are opened at a pace that suits a discovery that answers immediately. If it answers
-//! later than that, only a watch that is kept for long enough is ever answered; if it has dropped
+//! later than that, only a watch that is kept until then is ever answered; if it has dropped
 //! the earlier watches, only a new one is. The times at which the kept watches were opened are
 //! therefore spread over the past, with gaps in proportion to their age: whatever the latency of
 //! discovery is, some watch has waited for about that long.
--- a/crates/gateway-core/tests/late_watches.rs
+++ b/crates/gateway-core/tests/late_watches.rs
@@ -121,8 +121,8 @@
     });
 }
 
-/// Guards against watches that are never answered and keep later ones from being kept for long
-/// enough.
+/// Guards against watches that are never answered and keep later ones from being kept until
+/// their answer.
 #[test]
 fn answer_is_received_in_time_after_watches_without_answer() {
     for recovery_ms in [500, 2100, 8000, 8300] {
