--- a/crates/edge-node/src/clients/connection.rs
+++ b/crates/edge-node/src/clients/connection.rs
@@ -95,7 +95,8 @@
         let _in_flight = InFlightGuard::new(&self.state, &self.stream);
         self.yield_before_first_request().await;
         let phase = *self.phase.borrow();
-        let mut response = request::respond(&self.node, request, phase, &self.stream).await?;
+        let mut response =
+            request::respond(&self.node, request, phase, &self.stream, &self.state).await?;
         // The phase may have advanced while the request was in flight.
         if *self.phase.borrow() > Phase::Serving {
             response::close_connection(&mut response);
--- a/crates/edge-node/src/clients/connection_limits.rs
+++ b/crates/edge-node/src/clients/connection_limits.rs
@@ -64,7 +64,10 @@
                 None => close_at(timeout, CloseReason::IncompleteRequest, now),
             }
         }
-        Activity::InFlight => Verdict::CheckAt(next_check(requests, now)),
+        // The body of a request has a time limit of its own, and its task ends it on eviction.
+        Activity::InFlight | Activity::ReceivingBody(_) => {
+            Verdict::CheckAt(next_check(requests, now))
+        }
         Activity::WriteBlocked { .. } if requests.is_evicted => {
             Verdict::Close(CloseReason::Evicted)
         }
--- a/crates/edge-node/src/clients/connection_state.rs
+++ b/crates/edge-node/src/clients/connection_state.rs
@@ -3,7 +3,7 @@
 
 use super::read_ahead::ReadAheadStream;
 use super::transfers::{ReceivedSpan, Transfers};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -21,6 +21,8 @@
     Idle { since: Instant },
     /// A part of a request has arrived, but not its complete head.
     Receiving(ReceivedSpan),
+    /// The head of a request has arrived, and a part of its body is missing.
+    ReceivingBody(ReceivedSpan),
     /// A request is in flight.
     InFlight,
     /// Part of a response is unwritten since `since`, because the client reads slowly.
@@ -38,6 +40,8 @@
     /// Number of requests whose heads have arrived.
     requests: Cell<u64>,
     eviction: Notify,
+    /// Ends the wait for the body of a request; `None` while no body is being received.
+    body_eviction: RefCell<Option<Rc<Notify>>>,
 }
 
 impl ConnectionState {
@@ -50,6 +54,7 @@
             transfers: stream.transfers(),
             requests: Cell::new(0),
             eviction: Notify::new(),
+            body_eviction: RefCell::default(),
         }
     }
 
@@ -61,7 +66,9 @@
     /// Returns what happens on the connection.
     pub(super) fn activity(&self) -> Activity {
         if self.is_in_flight.get() {
-            return Activity::InFlight;
+            let is_receiving_body = self.body_eviction.borrow().is_some();
+            let span = self.transfers.received().filter(|_| is_receiving_body);
+            return span.map_or(Activity::InFlight, Activity::ReceivingBody);
         }
         let since = self.idle_since();
         if self.transfers.is_write_blocked() {
@@ -93,14 +100,28 @@
     /// Returns how long no request has been in flight; zero while one is.
     pub(super) fn idle_time(&self) -> Duration {
         match self.activity() {
-            Activity::InFlight => Duration::ZERO,
+            Activity::InFlight | Activity::ReceivingBody(_) => Duration::ZERO,
             _ => self.idle_since().elapsed(),
         }
     }
 
-    /// Asks the connection's task to close the connection, unless a request is in flight on it.
+    /// Asks the connection's task to close the connection, unless a complete request is in flight
+    /// on it.
     pub(super) fn request_eviction(&self) {
-        self.eviction.notify_one();
+        match &*self.body_eviction.borrow() {
+            Some(body_eviction) => body_eviction.notify_one(),
+            None => self.eviction.notify_one(),
+        }
+    }
+
+    /// Marks the connection as waiting for a body until the guard is dropped.
+    pub(super) fn receive_body(&self) -> BodyGuard<'_> {
+        let evicted = Rc::<Notify>::default();
+        *self.body_eviction.borrow_mut() = Some(Rc::clone(&evicted));
+        BodyGuard {
+            state: self,
+            evicted,
+        }
     }
 
     /// Waits until [`request_eviction`](Self::request_eviction) is called.
@@ -108,13 +129,15 @@
         self.eviction.notified().await;
     }
 
-    /// Returns the position of the connection in the order of eviction, or `None` while a request
-    /// is in flight on it.
+    /// Returns the position of the connection in the order of eviction, or `None` while a complete
+    /// request is in flight on it.
     pub(super) fn eviction_order(&self) -> Option<EvictionOrder> {
         match self.activity() {
             Activity::InFlight => None,
             Activity::Idle { since } => Some(EvictionOrder::Idle(self.with_initial_credit(since))),
-            Activity::Receiving(span) => Some(EvictionOrder::Receiving(span.last)),
+            Activity::Receiving(span) | Activity::ReceivingBody(span) => {
+                Some(EvictionOrder::Receiving(span.last))
+            }
             Activity::WriteBlocked { since } => Some(EvictionOrder::WriteBlocked(since)),
         }
     }
@@ -164,6 +187,25 @@
     }
 }
 
+/// Guard that marks a connection as waiting for a body.
+pub(super) struct BodyGuard<'a> {
+    state: &'a ConnectionState,
+    evicted: Rc<Notify>,
+}
+
+impl BodyGuard<'_> {
+    /// Waits until the connection is needed for another client.
+    pub(super) async fn evicted(&self) {
+        self.evicted.notified().await;
+    }
+}
+
+impl Drop for BodyGuard<'_> {
+    fn drop(&mut self) {
+        *self.state.body_eviction.borrow_mut() = None;
+    }
+}
+
 #[cfg(test)]
 #[path = "../../tests/unit/connection_state.rs"]
 mod tests;
--- a/crates/edge-node/src/clients/request.rs
+++ b/crates/edge-node/src/clients/request.rs
@@ -1,5 +1,6 @@
 //! Serves one client request, from its head to its response.
 
+use super::connection_state::ConnectionState;
 use super::phase::Phase;
 use super::read_ahead::ReadAheadStream;
 use super::request_error::RequestError;
@@ -48,11 +49,12 @@
     request: Request<Incoming>,
     phase: Phase,
     stream: &ReadAheadStream,
+    state: &ConnectionState,
 ) -> Result<BufferedResponse, ClientDisconnected> {
     if is_readiness_probe(&request) {
         return Ok(response::readiness(phase));
     }
-    match read_request(node, request).await {
+    match read_request(node, request, state).await {
         Ok(valid_request) => submit_to_node(node, valid_request, stream).await,
         Err(error) => {
             debug!(event = "request_invalid", cause = %error, "request answered with {}: {error}", error.status());
@@ -77,10 +79,11 @@
 async fn read_request(
     node: &Node,
     request: Request<Incoming>,
+    state: &ConnectionState,
 ) -> Result<ValidRequest, RequestError> {
     let (parts, body) = request.into_parts();
     let head = RequestHead::parse(&node.settings, &parts)?;
-    let body = read_body(node, &head, body).await?;
+    let body = read_body(node, &head, body, state).await?;
     Ok(ValidRequest::new(head, parts, body, node.answer_limit()))
 }
 
@@ -91,6 +94,7 @@
     node: &Node,
     head: &RequestHead,
     mut body: Incoming,
+    state: &ConnectionState,
 ) -> Result<Bytes, RequestError> {
     let buffer = BodyBuffer::new(&body, &node.request_bodies);
     let buffer = buffer.map_err(|_| RequestError::BodyTooLarge)?;
@@ -101,8 +105,15 @@
     let deadline = node
         .answer_limit()
         .map_or(timeout, |limit| limit.min(timeout));
-    let read = tokio::time::timeout_at(deadline, read_or_discard(&mut body, buffer)).await;
-    read.unwrap_or(Err(RequestError::IncompleteBody))
+    let receiving = state.receive_body();
+    tokio::select! {
+        biased;
+        read = tokio::time::timeout_at(deadline, read_or_discard(&mut body, buffer)) => {
+            read.unwrap_or(Err(RequestError::IncompleteBody))
+        }
+        // The clients that make no progress give way to new ones.
+        () = receiving.evicted() => Err(RequestError::ConnectionNeeded),
+    }
 }
 
 /// Reads a body. A body for which there is no memory is read to its end as well, and discarded:
--- a/crates/edge-node/tests/edge/resting_clients.rs
+++ b/crates/edge-node/tests/edge/resting_clients.rs
@@ -118,3 +118,33 @@
     }
     servers.assert_no_more_requests();
 }
+
+/// Guards against an accept loop that stands still while clients that stop in the middle of a body
+/// hold all connections.
+#[test]
+fn clients_that_stop_in_a_body_give_way_to_new_ones() {
+    let (servers, _discovery, node) = start_with_few_descriptors("body-needed");
+    let mut stalled: Vec<_> = (0..FEW_DESCRIPTORS)
+        .map(|number| {
+            let mut client = node.client();
+            let request = request_text(&format!("stalled-{number}"), "pay", "20000m");
+            client.send(&request[..request.len() - 2]);
+            client
+        })
+        .collect();
+    let sound = request_text("sound", "pay", "20000m");
+    assert_eq!(node.client().exchange(&sound).status(), 200);
+    let statuses: Vec<_> = stalled
+        .iter_mut()
+        .map(|client| client.read_response().map(|answer| answer.status()))
+        .collect();
+    let is_answered = |status: &Option<u16>| matches!(status, Some(400 | 503));
+    assert!(statuses.iter().all(is_answered), "{statuses:?}");
+    // Without eviction, all of them would wait for the time limit of their bodies.
+    assert!(statuses.contains(&Some(503)), "{statuses:?}");
+    assert_eq!(
+        servers.next_request().message.header("x-request-id"),
+        "sound"
+    );
+    servers.assert_no_more_requests();
+}
