--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -9,21 +9,21 @@
 use std::time::Duration;
 
 /// The longest time between an answer and its second copy, in ms.
-const LATEST_COPY_MS: u64 = 15;
+const LATEST_COPY_MS: u64 = 12;
 
 fn main() {
     let mut env = Env::from_args();
     let random = Mutex::new(Random::new(env.random.next()));
     let record = env.record.clone();
     let trouble = env.trouble;
-    // One answer in twenty, of any loan server alike.
+    // One answer in ten, of any loan server alike.
     let write_answer = move |received: &Received, stream: &mut std::net::TcpStream| {
         if !write_sound_answer(received, stream) {
             return false;
         }
         let late_ms = {
             let mut random = random.lock().unwrap();
-            random.chance(0.05).then(|| random.range(1, LATEST_COPY_MS + 1))
+            random.chance(0.1).then(|| random.range(1, LATEST_COPY_MS + 1))
         };
         let Some(late_ms) = late_ms.filter(|_| trouble) else { return true };
         std::thread::sleep(Duration::from_millis(late_ms));
@@ -37,7 +37,7 @@
         record.line(&format!("{}: second copy of the answer to {}, {late_ms} ms late", received.server, received.id));
         write_sound_answer(received, stream)
     };
-    let servers = start_servers(&mut env, 10, Arc::new(write_answer));
+    let servers = start_servers(&mut env, 14, Arc::new(write_answer));
     let mut hosts = servers.hosts.clone();
     for host in &mut hosts {
         // One way between two buildings: 1.4 to 2.6 ms.
@@ -48,9 +48,9 @@
     let settings = Settings { nodes: 3, ..Settings::default() };
     let nodes = start_nodes(&env, &settings, &discovery);
     let load = Load {
-        clients_per_node: 12,
+        clients_per_node: 24,
         pause_ms: (20, 150),
-        duration: Duration::from_secs(30),
+        duration: Duration::from_secs(60),
         deadline_ms: (2000, 4000),
     };
     let outcomes = play_load(&mut env, &nodes, &load);
