--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -38,18 +38,30 @@
     for round in 1..=ROUNDS {
         unanswered += play_round(&mut env, round, &hangs, &forwarded);
     }
-    env.record.say(&format!("payments that were forwarded and got no final answer: {unanswered}"));
+    env.record.say(&format!(
+        "payments that were forwarded and got no final answer: {unanswered}"
+    ));
     std::process::exit(if unanswered > 0 { BROKEN } else { HELD });
 }
 
 /// Plays one planned restart, and returns how many forwarded payments got no answer.
-fn play_round(env: &mut Env, round: usize, hangs: &Arc<AtomicBool>, forwarded: &Arc<Mutex<HashSet<String>>>) -> usize {
+fn play_round(
+    env: &mut Env,
+    round: usize,
+    hangs: &Arc<AtomicBool>,
+    forwarded: &Arc<Mutex<HashSet<String>>>,
+) -> usize {
     hangs.store(false, Ordering::SeqCst);
     let hanging = Arc::new(Mutex::new(HashSet::new()));
-    let (is_hanging, all_forwarded, hangs_now) = (Arc::clone(&hanging), Arc::clone(forwarded), Arc::clone(hangs));
+    let (is_hanging, all_forwarded, hangs_now) = (
+        Arc::clone(&hanging),
+        Arc::clone(forwarded),
+        Arc::clone(hangs),
+    );
     let write_answer = move |received: &Received, stream: &mut TcpStream| {
         all_forwarded.lock().unwrap().insert(received.id.clone());
-        if hangs_now.load(Ordering::SeqCst) && is_hanging.lock().unwrap().contains(&received.server) {
+        if hangs_now.load(Ordering::SeqCst) && is_hanging.lock().unwrap().contains(&received.server)
+        {
             // Takes requests and answers none, through the whole shutdown.
             thread::sleep(Duration::from_secs(6));
             return false;
@@ -57,9 +69,18 @@
         write_sound_answer(received, stream)
     };
     let servers = start_servers(env, 10, Arc::new(write_answer));
-    hanging.lock().unwrap().extend(servers.hosts.iter().step_by(2).map(|host| host.name.clone()));
+    hanging.lock().unwrap().extend(
+        servers
+            .hosts
+            .iter()
+            .step_by(2)
+            .map(|host| host.name.clone()),
+    );
     let discovery = Discovery::new(&env.record, servers.hosts.clone());
-    let settings = Settings { deadline_ms: 2000, ..Settings::default() };
+    let settings = Settings {
+        deadline_ms: 2000,
+        ..Settings::default()
+    };
     let mut nodes = start_nodes(env, &settings, &discovery);
     let listen = nodes[0].listen;
     // SIGTERM comes 1.2 s after the clients have begun; each has a resting connection by then.
@@ -84,13 +105,18 @@
         thread::sleep(millis(1));
     }
     let ended_after = term_at.elapsed().as_millis();
-    let payments: Vec<Payment> = clients.into_iter().filter_map(|client| client.join().unwrap_or(None)).collect();
+    let payments: Vec<Payment> = clients
+        .into_iter()
+        .filter_map(|client| client.join().unwrap_or(None))
+        .collect();
     drop(nodes);
     let forwarded = forwarded.lock().unwrap();
     let mut unanswered = 0;
     for payment in &payments {
         let was_forwarded = forwarded.contains(&payment.id);
-        let Err(error) = &payment.answer else { continue };
+        let Err(error) = &payment.answer else {
+            continue;
+        };
         if was_forwarded {
             unanswered += 1;
             env.record.line(&format!(
@@ -100,7 +126,10 @@
             ));
         }
     }
-    let answered = payments.iter().filter(|payment| payment.answer.is_ok()).count();
+    let answered = payments
+        .iter()
+        .filter(|payment| payment.answer.is_ok())
+        .count();
     env.record.say(&format!(
         "round {round}: the edge node ended {ended_after} ms after SIGTERM; {} payments sent, {answered} answered, {unanswered} forwarded and without an answer",
         payments.len()
@@ -110,7 +139,12 @@
 
 /// Plays a client: one payment before SIGTERM, and one on the same connection 0.48 to 0.58 s after
 /// it, if the connection has stayed open.
-fn play_client(listen: SocketAddr, mut random: Random, term_at: Instant, record: &Record) -> Option<Payment> {
+fn play_client(
+    listen: SocketAddr,
+    mut random: Random,
+    term_at: Instant,
+    record: &Record,
+) -> Option<Payment> {
     thread::sleep(millis(random.range(0, 500)));
     let mut stream = TcpStream::connect(listen).ok()?;
     let _ = stream.set_nodelay(true);
@@ -119,7 +153,9 @@
     let customer = random.range(1, 40);
     let deadline_ms = DEADLINE.as_millis() as u64;
     let first = format!("{:016x}", random.next());
-    stream.write_all(request_text(&first, "post-payment", customer, 1, deadline_ms).as_bytes()).ok()?;
+    stream
+        .write_all(request_text(&first, "post-payment", customer, 1, deadline_ms).as_bytes())
+        .ok()?;
     let response = reader.response().ok()?;
     if response.headers.contains_key("connection") {
         return None;
@@ -127,9 +163,18 @@
     let sends_at = term_at + millis(random.range(480, 581));
     thread::sleep(sends_at.saturating_duration_since(Instant::now()));
     let id = format!("{:016x}", random.next());
-    stream.write_all(request_text(&id, "post-payment", customer, 1, deadline_ms).as_bytes()).ok()?;
+    stream
+        .write_all(request_text(&id, "post-payment", customer, 1, deadline_ms).as_bytes())
+        .ok()?;
     let sent_after = term_at.elapsed();
     let answer = reader.response().map(|response| response.status);
-    record.line(&format!("client: payment {id}, sent {} ms after SIGTERM: {answer:?}", sent_after.as_millis()));
-    Some(Payment { id, sent_after, answer })
+    record.line(&format!(
+        "client: payment {id}, sent {} ms after SIGTERM: {answer:?}",
+        sent_after.as_millis()
+    ));
+    Some(Payment {
+        id,
+        sent_after,
+        answer,
+    })
 }
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -20,7 +20,12 @@
             return write_sound_answer(received, stream);
         }
         let stated = received.made.len() / 2;
-        record.line(&format!("{}: spoilt answer to {}: length {stated} in place of {}", received.server, received.id, received.made.len()));
+        record.line(&format!(
+            "{}: spoilt answer to {}: length {stated} in place of {}",
+            received.server,
+            received.id,
+            received.made.len()
+        ));
         let answer = format!(
             "HTTP/1.1 200 OK\r\nContent-Length: {stated}\r\nX-Load: inflight={}\r\n\r\n{}",
             received.inflight, received.made
@@ -32,7 +37,10 @@
     };
     let servers = start_servers(&mut env, 10, Arc::new(write_answer));
     let discovery = Discovery::new(&env.record, servers.hosts.clone());
-    let settings = Settings { nodes: 3, ..Settings::default() };
+    let settings = Settings {
+        nodes: 3,
+        ..Settings::default()
+    };
     let nodes = start_nodes(&env, &settings, &discovery);
     let load = Load {
         clients_per_node: 8,
@@ -46,9 +54,15 @@
     let executions = servers.executions.lock().unwrap();
     let mut wrong = 0;
     for outcome in &outcomes {
-        let Ok(response) = &outcome.response else { continue };
+        let Ok(response) = &outcome.response else {
+            continue;
+        };
         let runs = executions.get(&outcome.id).map_or(&[][..], Vec::as_slice);
-        if response.status == 200 && !runs.iter().any(|(_, made)| made.as_bytes() == response.body) {
+        if response.status == 200
+            && !runs
+                .iter()
+                .any(|(_, made)| made.as_bytes() == response.body)
+        {
             wrong += 1;
             if wrong <= 5 {
                 env.record.say(&format!(
@@ -61,6 +75,8 @@
             }
         }
     }
-    env.record.say(&format!("served with something other than the answer made for the request: {wrong}"));
+    env.record.say(&format!(
+        "served with something other than the answer made for the request: {wrong}"
+    ));
     std::process::exit(if wrong > 0 { BROKEN } else { HELD });
 }
--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -95,7 +95,10 @@
         let root = std::env::current_dir().unwrap_or_else(|e| fail(&e.to_string()));
         let file = File::create(&args[2]).unwrap_or_else(|e| fail(&e.to_string()));
         end_after_110_seconds(PathBuf::from(&args[1]));
-        let seed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64;
+        let seed = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_nanos() as u64;
         Env {
             root,
             work: PathBuf::from(&args[1]),
@@ -124,7 +127,11 @@
     /// Notes a process, so that run.sh can end it if this program is ended.
     fn note_process(&self, pid: u32) {
         let path = self.work.join("pids");
-        let mut file = std::fs::OpenOptions::new().create(true).append(true).open(path).unwrap();
+        let mut file = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(path)
+            .unwrap();
         let _ = writeln!(file, "{pid}");
     }
 }
@@ -133,8 +140,13 @@
 fn end_after_110_seconds(work: PathBuf) {
     thread::spawn(move || {
         thread::sleep(Duration::from_secs(110));
-        for pid in std::fs::read_to_string(work.join("pids")).unwrap_or_default().lines() {
-            let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {pid}")]).status();
+        for pid in std::fs::read_to_string(work.join("pids"))
+            .unwrap_or_default()
+            .lines()
+        {
+            let _ = Command::new("/bin/sh")
+                .args(["-c", &format!("kill -KILL {pid}")])
+                .status();
         }
         fail("the run took too long");
     });
@@ -142,12 +154,16 @@
 
 /// Returns a loopback address with a free TCP port.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap_or_else(|e| fail(&e.to_string()))
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .unwrap_or_else(|e| fail(&e.to_string()))
 }
 
 /// Returns a loopback address with a free UDP port.
 pub fn free_udp_address() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap_or_else(|e| fail(&e.to_string()))
+    UdpSocket::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .unwrap_or_else(|e| fail(&e.to_string()))
 }
 
 // ---------------------------------------------------------------- settings
@@ -269,7 +285,8 @@
         let host = host.clone();
         list.hosts.retain(|host| host.health != "gone");
         list.changes.push((seq, host));
-        self.record.line(&format!("discovery: {name} is {health}, version {seq}"));
+        self.record
+            .line(&format!("discovery: {name} is {health}, version {seq}"));
         self.list.1.notify_all();
     }
 
@@ -303,14 +320,24 @@
         let mut reader = Reader::new(stream.try_clone().unwrap());
         let Some(head) = reader.head() else { return };
         let delay = self.answer_delay_ms.load(Ordering::SeqCst);
-        self.record.line(&format!("{node}: call to discovery: {}, answered after {delay} ms", head.first_line));
+        self.record.line(&format!(
+            "{node}: call to discovery: {}, answered after {delay} ms",
+            head.first_line
+        ));
         thread::sleep(millis(delay));
         if !head.first_line.contains("watch=1") {
             let body = self.snapshot();
-            let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            let _ = write!(
+                stream,
+                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
             return;
         }
-        if stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").is_err() {
+        if stream
+            .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            .is_err()
+        {
             return;
         }
         let (lock, changed) = &*self.list;
@@ -337,10 +364,17 @@
             text = if list.seq == told {
                 "\n".to_owned()
             } else {
-                let hosts: Vec<String> =
-                    list.changes.iter().filter(|(seq, _)| *seq > told).map(|(_, host)| host.json()).collect();
+                let hosts: Vec<String> = list
+                    .changes
+                    .iter()
+                    .filter(|(seq, _)| *seq > told)
+                    .map(|(_, host)| host.json())
+                    .collect();
                 told = list.seq;
-                format!("{{\"seq\":{told},\"whole\":false,\"hosts\":[{}]}}\n", hosts.join(","))
+                format!(
+                    "{{\"seq\":{told},\"whole\":false,\"hosts\":[{}]}}\n",
+                    hosts.join(",")
+                )
             };
         }
     }
@@ -348,7 +382,11 @@
 
 fn whole_list(list: &List) -> String {
     let hosts: Vec<String> = list.hosts.iter().map(Host::json).collect();
-    format!("{{\"seq\":{},\"whole\":true,\"hosts\":[{}]}}", list.seq, hosts.join(","))
+    format!(
+        "{{\"seq\":{},\"whole\":true,\"hosts\":[{}]}}",
+        list.seq,
+        hosts.join(",")
+    )
 }
 
 // ---------------------------------------------------------------- edge nodes
@@ -396,7 +434,11 @@
         let _ = self.child.wait();
         let own = self.child.id().to_string();
         let pids = std::fs::read_to_string(&self.pids).unwrap_or_default();
-        let others: String = pids.lines().filter(|pid| *pid != own).map(|pid| format!("{pid}\n")).collect();
+        let others: String = pids
+            .lines()
+            .filter(|pid| *pid != own)
+            .map(|pid| format!("{pid}\n"))
+            .collect();
         let _ = std::fs::write(&self.pids, others);
     }
 }
@@ -415,7 +457,13 @@
     nodes
 }
 
-fn start_node(env: &Env, settings: &Settings, discovery: &Discovery, peers: &[SocketAddr], me: usize) -> Node {
+fn start_node(
+    env: &Env,
+    settings: &Settings,
+    discovery: &Discovery,
+    peers: &[SocketAddr],
+    me: usize,
+) -> Node {
     let name = format!("n{me}");
     let listen = free_address();
     let agent = discovery.start_agent(&name);
@@ -450,7 +498,12 @@
         .unwrap_or_else(|e| fail(&e.to_string()));
     env.note_process(child.id());
     let pids = env.work.join("pids");
-    Node { name, listen, child, pids }
+    Node {
+        name,
+        listen,
+        child,
+        pids,
+    }
 }
 
 fn wait_until_ready(env: &Env, node: &mut Node) {
@@ -461,8 +514,12 @@
         }
         if let Ok(mut stream) = TcpStream::connect(node.listen) {
             let _ = stream.set_read_timeout(Some(millis(1000)));
-            let _ = stream.write_all(b"GET /-/ready HTTP/1.1\r\nHost: front\r\nConnection: close\r\n\r\n");
-            if Reader::new(stream).response().is_ok_and(|response| response.status == 200) {
+            let _ = stream
+                .write_all(b"GET /-/ready HTTP/1.1\r\nHost: front\r\nConnection: close\r\n\r\n");
+            if Reader::new(stream)
+                .response()
+                .is_ok_and(|response| response.status == 200)
+            {
                 env.record.line(&format!("{}: ready", node.name));
                 return;
             }
@@ -527,7 +584,11 @@
 
     fn read_head(&mut self) -> Result<Head, String> {
         let end = loop {
-            if let Some(end) = self.buffer.windows(4).position(|window| window == b"\r\n\r\n") {
+            if let Some(end) = self
+                .buffer
+                .windows(4)
+                .position(|window| window == b"\r\n\r\n")
+            {
                 break end;
             }
             self.fill()?;
@@ -540,7 +601,10 @@
             .filter_map(|line| line.split_once(':'))
             .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
             .collect();
-        Ok(Head { first_line, headers })
+        Ok(Head {
+            first_line,
+            headers,
+        })
     }
 
     pub fn head(&mut self) -> Option<Head> {
@@ -557,7 +621,11 @@
     /// Reads a response; a body without a length lasts until the end of the connection.
     pub fn response(&mut self) -> Result<Response, String> {
         let head = self.read_head()?;
-        let status = head.first_line.split(' ').nth(1).and_then(|text| text.parse().ok());
+        let status = head
+            .first_line
+            .split(' ')
+            .nth(1)
+            .and_then(|text| text.parse().ok());
         let status = status.ok_or_else(|| format!("no status: {}", head.first_line))?;
         let body = if let Some(length) = head.headers.get("content-length") {
             let length = length.parse().map_err(|_| "a bad length".to_owned())?;
@@ -592,7 +660,8 @@
             };
             let text = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
             self.buffer.drain(..end + 2);
-            let length = usize::from_str_radix(text.trim(), 16).map_err(|_| "a bad chunk".to_owned())?;
+            let length =
+                usize::from_str_radix(text.trim(), 16).map_err(|_| "a bad chunk".to_owned())?;
             let data = self.body(length + 2)?;
             if length == 0 {
                 return Ok(body);
@@ -711,9 +780,15 @@
             self.name,
             balance % 100_000
         );
-        self.record.line(&format!("{}: ran {id} ({})", self.name, head.first_line));
+        self.record
+            .line(&format!("{}: ran {id} ({})", self.name, head.first_line));
         let run = (self.name.clone(), made.clone());
-        self.executions.lock().unwrap().entry(id.clone()).or_default().push(run);
+        self.executions
+            .lock()
+            .unwrap()
+            .entry(id.clone())
+            .or_default()
+            .push(run);
         let class = head.first_line.split('/').nth(1).unwrap_or("").to_owned();
         Received {
             id,
@@ -759,13 +834,23 @@
 }
 
 /// Returns the text of a request of a customer of the plan `premier`.
-pub fn request_text(id: &str, class: &str, customer: u64, nodes: usize, deadline_ms: u64) -> String {
+pub fn request_text(
+    id: &str,
+    class: &str,
+    customer: u64,
+    nodes: usize,
+    deadline_ms: u64,
+) -> String {
     let (method, length) = if class == "balance-read" {
         ("GET", "")
     } else {
         ("POST", "Content-Length: 16\r\n")
     };
-    let body = if length.is_empty() { "" } else { "amount=125.00TTD" };
+    let body = if length.is_empty() {
+        ""
+    } else {
+        "amount=125.00TTD"
+    };
     format!(
         "{method} /{class}/{customer:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {id}\r\nX-Class: {class}\r\nX-Tier: premier\r\nX-Deadline: {deadline_ms}m\r\n{length}X-Call-Terms: units=1,spread={nodes},first=0\r\n\r\n{body}"
     )
@@ -817,22 +902,38 @@
         let mut connection: Option<Reader> = None;
         while Instant::now() < until {
             thread::sleep(millis(self.random.range(self.pause_ms.0, self.pause_ms.1)));
-            let class = if self.random.chance(0.64) { "balance-read" } else { "post-payment" };
+            let class = if self.random.chance(0.64) {
+                "balance-read"
+            } else {
+                "post-payment"
+            };
             let id = format!("{:016x}", self.random.next());
             let customer = self.random.range(1, 40);
-            let deadline_ms = self.random.range(self.deadline_ms.0, self.deadline_ms.1 + 1);
+            let deadline_ms = self
+                .random
+                .range(self.deadline_ms.0, self.deadline_ms.1 + 1);
             let text = request_text(&id, class, customer, self.nodes, deadline_ms);
             let deadline = millis(deadline_ms);
             let (sent, response) = self.exchange(&mut connection, &text, deadline);
             let answered = Instant::now();
             let word = match &response {
-                Ok(response) => format!("{} {}", response.status, String::from_utf8_lossy(&response.body)),
+                Ok(response) => format!(
+                    "{} {}",
+                    response.status,
+                    String::from_utf8_lossy(&response.body)
+                ),
                 Err(error) => format!("no answer: {error}"),
             };
             let waited = answered.duration_since(sent).as_millis();
-            self.record.line(&format!("client of {}: {class} {id}, waits {deadline_ms} ms, after {waited} ms: {word}", self.node));
+            self.record.line(&format!(
+                "client of {}: {class} {id}, waits {deadline_ms} ms, after {waited} ms: {word}",
+                self.node
+            ));
             let closes = response.as_ref().map_or(true, |response| {
-                response.headers.get("connection").is_some_and(|value| value == "close")
+                response
+                    .headers
+                    .get("connection")
+                    .is_some_and(|value| value == "close")
             });
             if closes {
                 connection = None;
@@ -872,7 +973,9 @@
             let _ = reader.stream.set_read_timeout(Some(deadline + millis(550)));
             let written = reader.stream.write_all(text.as_bytes());
             let sent = Instant::now();
-            let response = written.map_err(|error| error.to_string()).and_then(|()| reader.response());
+            let response = written
+                .map_err(|error| error.to_string())
+                .and_then(|()| reader.response());
             let has_ended = response.as_ref().is_err_and(|error| error != UNANSWERED);
             if was_kept && has_ended && sent.elapsed() < deadline {
                 *connection = None;
@@ -897,7 +1000,9 @@
         }
     }
     counts.sort();
-    let words: Vec<String> = counts.iter().map(|(word, count)| format!("{word}: {count}")).collect();
+    let words: Vec<String> = counts
+        .iter()
+        .map(|(word, count)| format!("{word}: {count}"))
+        .collect();
     format!("{} requests; {}", outcomes.len(), words.join(", "))
 }
-
