Compute no index from an empty list of late watches

Trace: `attempt to subtract with overflow` in late_watches::surplus, which computed `len() - 1` eagerly for an empty list. Release builds wrap and never used the value, so no caller saw it; the default profile checks arithmetic and lost the task that watches discovery.

The new unit test fails without the change in a debug build and passes with it.

--- a/crates/gateway-core/src/reconnect/late_watches.rs
+++ b/crates/gateway-core/src/reconnect/late_watches.rs
@@ -33,5 +33,5 @@
     };
     let too_close = (1..opened_at.len()).find(is_too_close);
     let has_too_many = opened_at.len() > MAX_LATE_WATCHES;
-    too_close.or(has_too_many.then_some(opened_at.len() - 1))
+    too_close.or_else(|| has_too_many.then(|| opened_at.len() - 1))
 }
--- a/crates/gateway-core/tests/late_watches.rs
+++ b/crates/gateway-core/tests/late_watches.rs
@@ -149,3 +149,10 @@
         Some(0)
     );
 }
+
+/// Guards against an index that is computed from an empty list, which ends the process where
+/// arithmetic is checked.
+#[test]
+fn no_late_watch_is_surplus_if_there_is_none() {
+    assert_eq!(surplus(&[], Duration::from_secs(10)), None);
+}
