--- a/crates/edge-node/src/body/budget.rs
+++ b/crates/edge-node/src/body/budget.rs
@@ -2,8 +2,7 @@
 //! together.
 
 use super::BodyError;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use crate::memory::{MemoryBudget, MemoryReservation};
 
 /// Maximum length of a small body, which is the maximum of the protocol.
 pub(super) const MAX_SMALL_BODY_BYTES: usize = 64 * 1024;
@@ -16,25 +15,17 @@
 
 /// Memory budget for all bodies of one direction. A body counts with the memory that its buffer
 /// takes, from its first piece until the last reference to it is dropped.
-pub(crate) struct BodyBudget {
-    max_bytes: usize,
-    /// Bytes that are reserved. Shared with the reservations, which return their bytes when they
-    /// are dropped.
-    reserved_bytes: Arc<AtomicUsize>,
-}
+pub(crate) struct BodyBudget(MemoryBudget);
 
 impl BodyBudget {
     /// Creates a budget of `max_bytes`.
     pub(crate) fn new(max_bytes: usize) -> BodyBudget {
-        BodyBudget {
-            max_bytes,
-            reserved_bytes: Arc::default(),
-        }
+        BodyBudget(MemoryBudget::new(max_bytes))
     }
 
     /// Returns the number of bytes that are reserved at the moment.
     pub(crate) fn reserved_bytes(&self) -> usize {
-        self.reserved_bytes.load(Ordering::Relaxed)
+        self.0.reserved_bytes()
     }
 
     /// Admits a body whose `Content-Length` is `declared_bytes`; 0 for a body without this header,
@@ -57,10 +48,8 @@
         let is_large = declared_bytes > MAX_SMALL_BODY_BYTES;
         let divisor = if is_large { LARGE_BODY_DIVISOR } else { 1 };
         let mut reservation = BodyReservation {
-            limit: self.max_bytes / divisor,
+            memory: self.0.reservation_in_part(divisor),
             max_length: declared_bytes.max(MAX_SMALL_BODY_BYTES),
-            reserved: 0,
-            total: Arc::clone(&self.reserved_bytes),
         };
         if is_large {
             reservation.grow_to(declared_bytes)?;
@@ -72,13 +61,8 @@
 /// The memory that one body takes from a budget. Dropping it returns the memory.
 #[derive(Debug)]
 pub(super) struct BodyReservation {
-    /// Number of bytes that this body may reserve together with all others.
-    limit: usize,
+    memory: MemoryReservation,
     max_length: usize,
-    /// Bytes that this body has reserved.
-    reserved: usize,
-    /// Bytes that all bodies have reserved.
-    total: Arc<AtomicUsize>,
 }
 
 impl BodyReservation {
@@ -94,27 +78,12 @@
     /// Returns [`BodyError::Exhausted`] if the budget does not have them; the reservation remains as
     /// it was.
     pub(super) fn grow_to(&mut self, bytes: usize) -> Result<(), BodyError> {
-        let needed_bytes = bytes.saturating_sub(self.reserved);
-        let total_bytes = self.total.load(Ordering::Relaxed) + needed_bytes;
-        if needed_bytes > 0 && total_bytes > self.limit {
-            return Err(BodyError::Exhausted { needed_bytes });
-        }
-        self.total.store(total_bytes, Ordering::Relaxed);
-        self.reserved += needed_bytes;
-        Ok(())
+        Ok(self.memory.grow_to(bytes)?)
     }
 
     /// Returns all reserved bytes but `bytes` to the budget.
     pub(super) fn shrink_to(&mut self, bytes: usize) {
-        let surplus_bytes = self.reserved.saturating_sub(bytes);
-        self.total.fetch_sub(surplus_bytes, Ordering::Relaxed);
-        self.reserved -= surplus_bytes;
-    }
-}
-
-impl Drop for BodyReservation {
-    fn drop(&mut self) {
-        self.shrink_to(0);
+        self.memory.shrink_to(bytes);
     }
 }
 
--- a/crates/edge-node/src/body/error.rs
+++ b/crates/edge-node/src/body/error.rs
@@ -1,5 +1,6 @@
 //! Reasons why a body is not accepted or not read to its end.
 
+use crate::memory::MemoryExhausted;
 use std::error::Error;
 use thiserror::Error;
 
@@ -13,11 +14,8 @@
         max_bytes: usize,
     },
     /// Other bodies hold too much of the budget at the moment.
-    #[error("{needed_bytes} more bytes exceed the remaining body budget")]
-    Exhausted {
-        /// Number of bytes for which there was no memory.
-        needed_bytes: usize,
-    },
+    #[error(transparent)]
+    Exhausted(#[from] MemoryExhausted),
     /// The body ended early, or its framing is invalid.
     #[error("the body is incomplete")]
     Incomplete(#[source] Box<dyn Error + Send + Sync>),
--- a/crates/edge-node/src/clients/connection.rs
+++ b/crates/edge-node/src/clients/connection.rs
@@ -4,11 +4,12 @@
 use super::connection_state::{Activity, ConnectionState, InFlightGuard};
 use super::last_response;
 use super::phase::{wait_for_closing, Phase};
-use super::read_ahead::ReadAheadStream;
+use super::read_ahead::{ReadAheadStream, ReadRefusal};
 use super::request::{self, ClientDisconnected};
 use super::request_error::RequestError;
 use super::response::{self, BufferedResponse};
 use crate::log::ErrorChain;
+use crate::memory::MAX_HEAD_BYTES;
 use crate::metrics::CloseReason;
 use crate::node::Node;
 use hyper::body::Incoming;
@@ -21,9 +22,6 @@
 use tokio::time::{sleep_until, Instant};
 use tracing::debug;
 
-/// Maximum number of bytes buffered per client, so that all clients together stay far below the
-/// memory limit.
-const MAX_BUFFERED_BYTES: usize = 32 * 1024;
 /// Pause before a connection is checked again that would have been closed but has unread bytes.
 const UNREAD_BYTES_PAUSE: Duration = Duration::from_millis(5);
 
@@ -80,11 +78,18 @@
     let mut server = http1::Builder::new();
     // `connection_limits` limits the time for a head.
     server.header_read_timeout(None);
-    server.max_buf_size(MAX_BUFFERED_BYTES);
+    server.max_buf_size(MAX_HEAD_BYTES);
     server.auto_date_header(false);
     server
 }
 
+fn close_reason(refusal: ReadRefusal) -> CloseReason {
+    match refusal {
+        ReadRefusal::HeadMemory => CloseReason::HeadMemory,
+        ReadRefusal::Discarded => CloseReason::Discarded,
+    }
+}
+
 impl Connection {
     /// Responds to one request. The connection counts as busy until the future completes or is
     /// dropped.
@@ -129,6 +134,7 @@
             tokio::select! {
                 () = sleep_until(next_check) => {}
                 () = self.state.eviction_requested() => requests.is_evicted = true,
+                refusal = self.stream.read_refused() => return close_reason(refusal),
                 () = wait_for_closing(self.phase.clone()), if !requests.is_closing => {
                     requests.is_closing = true;
                     requests.answer_limit = self.node.answer_limit();
@@ -165,6 +171,8 @@
         }
         let error = match reason {
             CloseReason::Evicted | CloseReason::Shutdown => RequestError::ConnectionNeeded,
+            CloseReason::HeadMemory => RequestError::HeadMemoryExhausted,
+            CloseReason::Discarded => RequestError::TooManyPipelined,
             _ => RequestError::IncompleteHead,
         };
         debug!(event = "request_invalid", cause = %error, "request answered with {}: {error}", error.status());
--- a/crates/edge-node/src/clients/connection_state.rs
+++ b/crates/edge-node/src/clients/connection_state.rs
@@ -182,6 +182,7 @@
     fn drop(&mut self) {
         self.state.is_in_flight.set(false);
         self.state.answered_at.set(Some(Instant::now()));
+        self.stream.end_request();
         let has_unread_bytes = self.stream.has_buffered_bytes();
         self.state.transfers.record_answer(has_unread_bytes);
     }
--- a/crates/edge-node/src/clients/connection_table.rs
+++ b/crates/edge-node/src/clients/connection_table.rs
@@ -72,7 +72,7 @@
     fn spawn(&mut self, stream: TcpStream) {
         // An error means that the connection is broken, which its task detects.
         let _ = stream.set_nodelay(true);
-        let stream = ReadAheadStream::new(stream);
+        let stream = ReadAheadStream::new(stream, &self.node.head_memory);
         let state = Rc::new(ConnectionState::new(&stream));
         let serve = connection::serve(
             stream,
--- a/crates/edge-node/src/clients/read_ahead.rs
+++ b/crates/edge-node/src/clients/read_ahead.rs
@@ -2,6 +2,7 @@
 //! detected even behind data that the server has not read yet.
 
 use super::transfers::Transfers;
+use crate::memory::{MemoryBudget, MemoryExhausted, MemoryReservation, ReadBufferMemory};
 use crate::socket_io::{SocketIo, MAX_READ_BYTES};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
@@ -15,15 +16,19 @@
 use std::time::Duration;
 use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
-/// Number of buffered bytes at which reading ahead stops, which bounds the memory that clients
-/// sending at full speed can use. The buffer may exceed it by up to one chunk.
-const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+/// Maximum number of bytes that are read ahead and kept. Clients send one request at a time, so that
+/// more is sent only by a client that misuses the connection: further bytes are discarded.
+const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
 /// Number of bytes read ahead at a time.
 const READ_AHEAD_CHUNK_BYTES: usize = 1024;
-/// Interval at which the operating system is asked, while the read-ahead buffer is full, whether it
-/// has received the end of the stream. This is sufficient: if a client has sent more than the
-/// operating system buffers, the end of its stream has not arrived yet.
+/// Maximum number of bytes that are discarded before other tasks run.
+const MAX_DISCARDED_BYTES: usize = 128 * 1024;
+/// Pause between two turns of discarding.
+const DISCARD_INTERVAL: Duration = Duration::from_millis(1);
+/// Interval at which the operating system is asked whether it has received the end of the stream,
+/// while there is no memory for reading ahead.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A client connection shared by the HTTP server, which reads and writes, and by request handlers,
@@ -31,23 +36,46 @@
 #[derive(Clone)]
 pub(super) struct ReadAheadStream(Rc<RefCell<Inner>>);
 
+/// Why the HTTP server may read nothing more from a connection, which must be closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReadRefusal {
+    /// The memory for heads is exhausted.
+    HeadMemory,
+    /// The client has sent so much behind an open request that the rest was discarded.
+    Discarded,
+}
+
 /// The socket, its read-ahead buffer and its state, shared by all clones of the stream.
 struct Inner {
     stream: SocketIo,
     /// Bytes read ahead that the HTTP server has not read yet.
     buffered: Vec<u8>,
+    /// Memory of `buffered`.
+    buffer_memory: MemoryReservation,
+    /// Whether bytes behind the buffered ones have been discarded, as all further bytes are.
+    is_discarding: bool,
     /// Whether the stream has ended or failed after the buffered bytes.
     ended: bool,
+    /// The buffer of the HTTP server.
+    read_buffer: ReadBufferMemory,
+    refusal: Option<ReadRefusal>,
+    refused: Rc<Notify>,
     transfers: Rc<Transfers>,
 }
 
 impl ReadAheadStream {
-    /// Wraps an accepted connection.
-    pub(super) fn new(stream: TcpStream) -> ReadAheadStream {
+    /// Wraps an accepted connection. What is buffered of incomplete heads and of later requests
+    /// counts against `head_memory`.
+    pub(super) fn new(stream: TcpStream, head_memory: &MemoryBudget) -> ReadAheadStream {
         ReadAheadStream(Rc::new(RefCell::new(Inner {
             stream: SocketIo::new(stream),
             buffered: Vec::new(),
+            buffer_memory: head_memory.reservation(),
+            is_discarding: false,
             ended: false,
+            read_buffer: ReadBufferMemory::new(head_memory),
+            refusal: None,
+            refused: Rc::default(),
             transfers: Rc::default(),
         })))
     }
@@ -57,9 +85,27 @@
         Rc::clone(&self.0.borrow().transfers)
     }
 
-    /// Returns whether bytes have been read ahead that the HTTP server has not read yet.
+    /// Returns whether bytes have been read ahead that the HTTP server has not read yet, including
+    /// discarded ones.
     pub(super) fn has_buffered_bytes(&self) -> bool {
-        !self.0.borrow().buffered.is_empty()
+        let inner = self.0.borrow();
+        !inner.buffered.is_empty() || inner.is_discarding
+    }
+
+    /// Records that a request has been answered, so that the next bytes begin another one.
+    pub(super) fn end_request(&self) {
+        self.0.borrow_mut().read_buffer.begin_message();
+    }
+
+    /// Waits until the HTTP server is refused to read. Returns the reason.
+    pub(super) async fn read_refused(&self) -> ReadRefusal {
+        let refused = Rc::clone(&self.0.borrow().refused);
+        loop {
+            if let Some(refusal) = self.0.borrow().refusal {
+                return refusal;
+            }
+            refused.notified().await;
+        }
     }
 
     /// Returns whether the operating system has bytes of the client that have not been read.
@@ -92,13 +138,8 @@
 
     /// Reads and discards bytes until the stream ends or fails.
     pub(super) async fn discard_until_end(&self) {
-        loop {
-            let read_ahead = poll_fn(|context| self.0.borrow_mut().poll_read_ahead(context)).await;
-            self.0.borrow_mut().buffered = Vec::new();
-            if read_ahead == ReadAhead::Ended {
-                return;
-            }
-        }
+        self.0.borrow_mut().discard_all();
+        self.wait_for_client_close().await;
     }
 
     /// Waits until the client closes the connection, or until the connection breaks.
@@ -107,10 +148,13 @@
     pub(super) async fn wait_for_client_close(&self) {
         loop {
             let read_ahead = poll_fn(|context| self.0.borrow_mut().poll_read_ahead(context)).await;
-            if read_ahead == ReadAhead::Ended || self.0.borrow().is_read_closed() {
-                return;
-            }
-            tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
+            let pause = match read_ahead {
+                ReadAhead::Ended => return,
+                ReadAhead::OutOfMemory if self.0.borrow().is_read_closed() => return,
+                ReadAhead::OutOfMemory => CLOSE_POLL_INTERVAL,
+                ReadAhead::Discarded => DISCARD_INTERVAL,
+            };
+            tokio::time::sleep(pause).await;
         }
     }
 }
@@ -120,8 +164,10 @@
 enum ReadAhead {
     /// The stream has ended or failed.
     Ended,
-    /// The buffer holds [`MAX_READ_AHEAD_BYTES`] or more.
-    BufferFull,
+    /// There is no memory for more bytes.
+    OutOfMemory,
+    /// [`MAX_DISCARDED_BYTES`] have been discarded.
+    Discarded,
 }
 
 impl Inner {
@@ -136,31 +182,102 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let length = ready!(self.stream.poll_read_bounded(context, buffer))?;
+        let read_buffer = &mut self.read_buffer;
+        let observe = |bytes: &[u8]| read_buffer.record_read(bytes);
+        let length = ready!(self.stream.poll_read_bounded(context, buffer, observe))?;
         if length > 0 {
             self.transfers.record_read();
         }
         Poll::Ready(Ok(()))
     }
 
-    /// Reads ahead until the stream ends or the buffer is full.
+    /// Returns why the HTTP server may not read; `None` if it may.
+    fn check_read(&mut self) -> Option<ReadRefusal> {
+        let has_lost_bytes = self.is_discarding && self.buffered.is_empty() && !self.ended;
+        if has_lost_bytes {
+            return Some(ReadRefusal::Discarded);
+        }
+        let reserved = self.read_buffer.reserve_read();
+        reserved.is_err().then_some(ReadRefusal::HeadMemory)
+    }
+
+    /// Reads ahead until the stream ends, or until there is no memory for more. Discards what exceeds
+    /// [`MAX_READ_AHEAD_BYTES`], so that the end of the stream is found behind it.
     fn poll_read_ahead(&mut self, context: &mut Context<'_>) -> Poll<ReadAhead> {
         let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
+        let mut discarded_bytes = 0;
         while !self.ended {
-            if self.buffered.len() >= MAX_READ_AHEAD_BYTES {
-                return Poll::Ready(ReadAhead::BufferFull);
+            if discarded_bytes >= MAX_DISCARDED_BYTES {
+                return Poll::Ready(ReadAhead::Discarded);
+            }
+            if self.reserve_buffer().is_err() {
+                return Poll::Ready(ReadAhead::OutOfMemory);
             }
             let result = ready!(self.stream.poll_read_slice(context, &mut chunk));
             let length = result.unwrap_or(0);
             self.ended = length == 0;
-            if length > 0 {
-                self.transfers.record_read();
-            }
-            self.buffered.extend_from_slice(&chunk[..length]);
+            discarded_bytes += self.buffer_or_discard(&chunk[..length]);
         }
         Poll::Ready(ReadAhead::Ended)
     }
 
+    /// Makes room in the buffer for the next chunk, unless it would be discarded.
+    ///
+    /// # Errors
+    /// Returns an error if there is no memory for it.
+    fn reserve_buffer(&mut self) -> Result<(), MemoryExhausted> {
+        let needed_bytes = self.buffered.len() + READ_AHEAD_CHUNK_BYTES;
+        if self.is_discarding || needed_bytes <= self.buffered.capacity() {
+            return Ok(());
+        }
+        let capacity = needed_bytes
+            .next_power_of_two()
+            .min(MAX_READ_AHEAD_BYTES + READ_AHEAD_CHUNK_BYTES);
+        self.buffer_memory.grow_to(capacity)?;
+        self.buffered.reserve_exact(capacity - self.buffered.len());
+        Ok(())
+    }
+
+    /// Adds bytes to the buffer. Returns the number of bytes that were discarded instead.
+    fn buffer_or_discard(&mut self, bytes: &[u8]) -> usize {
+        if bytes.is_empty() {
+            return 0;
+        }
+        self.is_discarding |= self.buffered.len() >= MAX_READ_AHEAD_BYTES;
+        if self.is_discarding {
+            return bytes.len();
+        }
+        self.transfers.record_read();
+        self.buffered.extend_from_slice(bytes);
+        0
+    }
+
+    /// Discards the buffered bytes and all that follow.
+    fn discard_all(&mut self) {
+        self.is_discarding = true;
+        self.release_buffer();
+    }
+
+    /// Releases the memory of the buffer, which the connection would otherwise keep as long as it
+    /// lives.
+    fn release_buffer(&mut self) {
+        self.buffered = Vec::new();
+        self.buffer_memory.shrink_to(0);
+    }
+
+    /// Moves bytes that were read ahead into the buffer of the HTTP server. At the end of the stream,
+    /// once no such bytes are left, this moves nothing, which signals the end.
+    fn read_buffered(&mut self, buffer: &mut ReadBufCursor<'_>) {
+        let max_length = buffer.remaining().min(MAX_READ_BYTES);
+        let length = self.buffered.len().min(max_length);
+        self.read_buffer.record_read(&self.buffered[..length]);
+        buffer.put_slice(&self.buffered[..length]);
+        self.buffered.drain(..length);
+        if self.buffered.is_empty() {
+            self.release_buffer();
+        }
+    }
+
     /// Returns whether the operating system has received the end of the stream, even behind unread
     /// data.
     fn is_read_closed(&self) -> bool {
@@ -183,19 +300,16 @@
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let inner = &mut *self.0.borrow_mut();
+        if let Some(refusal) = inner.check_read() {
+            // The task of the connection closes it.
+            inner.refusal = Some(refusal);
+            inner.refused.notify_one();
+            return Poll::Pending;
+        }
         if inner.buffered.is_empty() && !inner.ended {
             return inner.poll_read_socket(context, &mut buffer);
         }
-        // At the end of the stream, once the buffer is empty, this puts no bytes into `buffer`,
-        // which signals the end to the HTTP server.
-        let max_length = buffer.remaining().min(MAX_READ_BYTES);
-        let length = inner.buffered.len().min(max_length);
-        buffer.put_slice(&inner.buffered[..length]);
-        inner.buffered.drain(..length);
-        if inner.buffered.is_empty() {
-            // Releases the memory, which the connection would otherwise keep as long as it lives.
-            inner.buffered = Vec::new();
-        }
+        inner.read_buffered(&mut buffer);
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/edge-node/src/clients/request.rs
+++ b/crates/edge-node/src/clients/request.rs
@@ -7,6 +7,7 @@
 use super::request_head::{RequestHead, IDEMPOTENCY_KEY};
 use super::response::{self, BufferedResponse};
 use crate::body::{self, BodyBuffer, BodyError};
+use crate::memory::{MemoryBudget, MemoryReservation};
 use crate::node::{Answer, Node};
 use crate::upstream::UpstreamRequest;
 use bytes::Bytes;
@@ -28,6 +29,9 @@
 /// Time after a request's deadline at which the edge node fails the request if the decision library
 /// has not ended it.
 const ANSWER_GRACE: Duration = Duration::from_millis(2);
+/// Length of the forwarded part of a head that does not count, because it is part of what is
+/// reserved for every connection.
+const UNCOUNTED_HEAD_BYTES: usize = 1024;
 /// Maximum time from the head of a request to the end of its body. Without a limit, clients that
 /// never complete a body would hold memory and connections.
 const BODY_READ_TIMEOUT: Duration = Duration::from_millis(600);
@@ -83,8 +87,44 @@
 ) -> Result<ValidRequest, RequestError> {
     let (parts, body) = request.into_parts();
     let head = RequestHead::parse(&node.settings, &parts)?;
+    let forwarded = ForwardedHead::copy_of(parts, &node.head_memory)?;
     let body = read_body(node, &head, body, state).await?;
-    Ok(ValidRequest::new(head, parts, body, node.answer_limit()))
+    let answer_limit = node.answer_limit();
+    Ok(ValidRequest::new(head, forwarded, body, answer_limit))
+}
+
+/// The part of a head that is forwarded to servers, in memory of its own. The received head is a
+/// view of hyper's read buffer, and would keep that buffer allocated until the request has its
+/// answer.
+struct ForwardedHead {
+    method: Method,
+    target: String,
+    idempotency_key: Option<HeaderValue>,
+    memory: MemoryReservation,
+}
+
+impl ForwardedHead {
+    /// Copies the forwarded part of a head, and releases the rest. What is longer than
+    /// [`UNCOUNTED_HEAD_BYTES`] counts against `head_memory`.
+    ///
+    /// # Errors
+    /// Returns an error if there is no memory for the copy.
+    fn copy_of(parts: Parts, head_memory: &MemoryBudget) -> Result<ForwardedHead, RequestError> {
+        let target = parts.uri.path_and_query();
+        let target = target.map_or("/", |target| target.as_str());
+        let idempotency_key = parts.headers.get(IDEMPOTENCY_KEY);
+        let key_bytes = idempotency_key.map_or(0, HeaderValue::len);
+        let mut memory = head_memory.reservation();
+        memory
+            .grow_to((target.len() + key_bytes).saturating_sub(UNCOUNTED_HEAD_BYTES))
+            .map_err(|_| RequestError::HeadMemoryExhausted)?;
+        Ok(ForwardedHead {
+            target: target.to_owned(),
+            idempotency_key: idempotency_key.and_then(copy_value),
+            memory,
+            method: parts.method,
+        })
+    }
 }
 
 /// Reads the complete body, within the limits of size, memory and time.
@@ -122,7 +162,7 @@
 async fn read_or_discard(body: &mut Incoming, buffer: BodyBuffer) -> Result<Bytes, RequestError> {
     match body::read(body, buffer).await {
         Ok(bytes) => Ok(bytes),
-        Err(error @ BodyError::Exhausted { .. }) => {
+        Err(error @ BodyError::Exhausted(_)) => {
             warn!(event = "body_memory_exhausted", cause = %error, "a request is rejected: {error}");
             body::discard(body).await;
             Err(RequestError::BodyMemoryExhausted)
@@ -136,7 +176,7 @@
     /// complete; it ends at `answer_limit` at the latest.
     fn new(
         head: RequestHead,
-        parts: Parts,
+        forwarded: ForwardedHead,
         body: Bytes,
         answer_limit: Option<Instant>,
     ) -> ValidRequest {
@@ -155,17 +195,12 @@
             gateways: head.terms.gateways,
             client_timeout,
         };
-        let target = parts
-            .uri
-            .path_and_query()
-            .map_or("/", |target| target.as_str())
-            .to_owned();
-        let idempotency_key = parts.headers.get(IDEMPOTENCY_KEY).and_then(copy_value);
         let upstream_request = UpstreamRequest {
             id: head.id,
-            method: parts.method,
-            target,
-            idempotency_key,
+            method: forwarded.method,
+            target: forwarded.target,
+            idempotency_key: forwarded.idempotency_key,
+            _head_memory: forwarded.memory,
             body,
             deadline,
         };
@@ -176,10 +211,8 @@
     }
 }
 
-/// Copies the value of a header into memory of its own.
-///
-/// The value of a received header is a view of hyper's read buffer, and its clone keeps that buffer,
-/// with the complete head, allocated. The value is valid already, so the result is never `None`.
+/// Copies the value of a header into memory of its own. The value is valid already, so the result is
+/// never `None`.
 fn copy_value(value: &HeaderValue) -> Option<HeaderValue> {
     HeaderValue::from_bytes(value.as_bytes()).ok()
 }
--- a/crates/edge-node/src/clients/request_error.rs
+++ b/crates/edge-node/src/clients/request_error.rs
@@ -54,6 +54,14 @@
     /// forwarded, so its client may safely retry.
     #[error("no memory for the body at this moment")]
     BodyMemoryExhausted,
+    /// The heads of other requests use up the memory for heads at the moment. The request was not
+    /// forwarded, so its client may safely retry.
+    #[error("no memory for the head at this moment")]
+    HeadMemoryExhausted,
+    /// The client sent more behind an open request than is kept. The requests that were discarded
+    /// were not forwarded, so the client may safely retry them.
+    #[error("too many requests behind an open one")]
+    TooManyPipelined,
     /// The class allows no body, and the request has one.
     #[error("this class takes no body")]
     UnexpectedBody,
@@ -76,9 +84,10 @@
         match self {
             RequestError::TransferEncoding => StatusCode::LENGTH_REQUIRED,
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            RequestError::BodyMemoryExhausted | RequestError::ConnectionNeeded => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            RequestError::BodyMemoryExhausted
+            | RequestError::HeadMemoryExhausted
+            | RequestError::TooManyPipelined
+            | RequestError::ConnectionNeeded => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_REQUEST,
         }
     }
--- a/crates/edge-node/src/lib.rs
+++ b/crates/edge-node/src/lib.rs
@@ -13,6 +13,7 @@
 mod discovery;
 pub mod endpoint_list;
 pub mod log;
+mod memory;
 mod metrics;
 mod node;
 mod peers;
--- a/crates/edge-node/src/metrics/outcome.rs
+++ b/crates/edge-node/src/metrics/outcome.rs
@@ -46,17 +46,23 @@
     IncompleteRequest,
     /// The connection made room for a new one.
     Evicted,
+    /// There was no memory for the head of a request.
+    HeadMemory,
+    /// The client sent too much behind an open request, so that a part was discarded.
+    Discarded,
     /// The edge node is closing.
     Shutdown,
 }
 
 impl CloseReason {
     /// All reasons, in the order of their counters.
-    pub(super) const ALL: [CloseReason; 5] = [
+    pub(super) const ALL: [CloseReason; 7] = [
         CloseReason::Ended,
         CloseReason::Idle,
         CloseReason::IncompleteRequest,
         CloseReason::Evicted,
+        CloseReason::HeadMemory,
+        CloseReason::Discarded,
         CloseReason::Shutdown,
     ];
 
@@ -67,6 +73,8 @@
             CloseReason::Idle => "idle",
             CloseReason::IncompleteRequest => "incomplete_request",
             CloseReason::Evicted => "evicted",
+            CloseReason::HeadMemory => "head_memory",
+            CloseReason::Discarded => "discarded",
             CloseReason::Shutdown => "shutdown",
         }
     }
--- a/crates/edge-node/src/node/mod.rs
+++ b/crates/edge-node/src/node/mod.rs
@@ -19,6 +19,7 @@
 pub(crate) use pending_requests::Answer;
 
 use crate::body::BodyBudget;
+use crate::memory::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::upstream::Upstream;
@@ -43,6 +44,8 @@
     pub(crate) settings: ResolvedSettings,
     /// Memory for the bodies of requests.
     pub(crate) request_bodies: BodyBudget,
+    /// Memory for long heads of requests, and for what is read ahead of requests in flight.
+    pub(crate) head_memory: MemoryBudget,
     /// Connections to servers.
     pub(crate) upstream: Upstream,
     /// Socket for messages to and from other edge nodes; `None` if no peers are configured.
@@ -58,6 +61,8 @@
     pub(crate) settings: ResolvedSettings,
     /// Memory for the bodies of requests.
     pub(crate) request_bodies: BodyBudget,
+    /// Memory for long heads of requests, and for what is read ahead of requests in flight.
+    pub(crate) head_memory: MemoryBudget,
     /// Connections to servers.
     pub(crate) upstream: Upstream,
     peers: Option<Peers>,
@@ -83,6 +88,7 @@
         Ok(Rc::new(Node {
             settings: parts.settings,
             request_bodies: parts.request_bodies,
+            head_memory: parts.head_memory,
             upstream: parts.upstream,
             peers: parts.peers,
             metrics: parts.metrics,
--- a/crates/edge-node/src/socket_io.rs
+++ b/crates/edge-node/src/socket_io.rs
@@ -70,15 +70,18 @@
         }
     }
 
-    /// Reads at most [`MAX_READ_BYTES`]. Returns the number of bytes; zero at the end of the stream.
+    /// Reads at most [`MAX_READ_BYTES`], and passes them to `observe` first. Returns the number of
+    /// bytes; zero at the end of the stream.
     pub(crate) fn poll_read_bounded(
         &self,
         context: &mut Context<'_>,
         buffer: &mut ReadBufCursor<'_>,
+        observe: impl FnOnce(&[u8]),
     ) -> Poll<io::Result<usize>> {
         let mut chunk = [0; MAX_READ_BYTES];
         let max_length = buffer.remaining().min(MAX_READ_BYTES);
         let length = ready!(self.poll_read_slice(context, &mut chunk[..max_length]))?;
+        observe(&chunk[..length]);
         buffer.put_slice(&chunk[..length]);
         Poll::Ready(Ok(length))
     }
@@ -114,7 +117,8 @@
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        self.poll_read_bounded(context, &mut buffer).map_ok(drop)
+        self.poll_read_bounded(context, &mut buffer, |_| ())
+            .map_ok(drop)
     }
 }
 
--- a/crates/edge-node/src/startup/mod.rs
+++ b/crates/edge-node/src/startup/mod.rs
@@ -56,6 +56,7 @@
     let node = Node::new(NodeParts {
         seed: config.seed,
         request_bodies: limits.request_bodies(),
+        head_memory: limits.head_memory(),
         upstream: limits.upstream(&config.settings),
         settings: config.settings,
         peers: sockets.peers,
--- a/crates/edge-node/src/startup/resource_limits.rs
+++ b/crates/edge-node/src/startup/resource_limits.rs
@@ -3,6 +3,7 @@
 
 use crate::body::BodyBudget;
 use crate::config::Config;
+use crate::memory::MemoryBudget;
 use crate::upstream::Upstream;
 use gateway_core::settings::ResolvedSettings;
 use std::time::Duration;
@@ -16,6 +17,9 @@
 const RESERVED_MEMORY_BYTES: usize = 6 * 1024 * 1024;
 /// Memory reserved for each connection that may be open, in bytes: read buffer, task and request.
 const CONNECTION_MEMORY_BYTES: usize = 14 * 1024;
+/// Divisor of the memory limit, which yields the memory for long heads, and for what is read ahead,
+/// of all connections of one side.
+const HEAD_MEMORY_DIVISOR: usize = 32;
 /// Number of directions, requests and responses, that share the remaining memory equally.
 const BODY_DIRECTIONS: usize = 2;
 /// Divisors of the memory limit, which yield the smallest and the largest budget for the bodies of
@@ -29,6 +33,8 @@
     pub(super) connections_per_side: usize,
     /// Maximum memory for the bodies of one direction together, in bytes.
     body_bytes: usize,
+    /// Maximum memory for the heads of one side together, in bytes.
+    head_bytes: usize,
     /// Longest deadline of any class.
     pub(super) longest_deadline: Duration,
 }
@@ -40,6 +46,7 @@
         ResourceLimits {
             connections_per_side: connections / CONNECTION_SIDES,
             body_bytes: body_bytes(config.max_memory, connections),
+            head_bytes: config.max_memory / HEAD_MEMORY_DIVISOR,
             longest_deadline: config.settings.longest_deadline,
         }
     }
@@ -49,10 +56,16 @@
         BodyBudget::new(self.body_bytes)
     }
 
+    /// Creates the budget for the heads of requests.
+    pub(super) fn head_memory(&self) -> MemoryBudget {
+        MemoryBudget::new(self.head_bytes)
+    }
+
     /// Creates an empty pool of connections to servers under these limits.
     pub(super) fn upstream(&self, settings: &ResolvedSettings) -> Upstream {
         Upstream::new(
             BodyBudget::new(self.body_bytes),
+            self.head_memory(),
             self.connections_per_side,
             settings.connection_idle_timeout,
             settings.connect_timeout,
@@ -64,7 +77,10 @@
 /// and its connections leave of the memory limit.
 fn body_bytes(max_memory: usize, connections: usize) -> usize {
     let connection_memory = connections.saturating_mul(CONNECTION_MEMORY_BYTES);
-    let other_memory = RESERVED_MEMORY_BYTES.saturating_add(connection_memory);
+    let head_memory = CONNECTION_SIDES * (max_memory / HEAD_MEMORY_DIVISOR);
+    let other_memory = RESERVED_MEMORY_BYTES
+        .saturating_add(connection_memory)
+        .saturating_add(head_memory);
     let share = max_memory.saturating_sub(other_memory) / BODY_DIRECTIONS;
     share.clamp(
         max_memory / MIN_BODY_MEMORY_DIVISOR,
--- a/crates/edge-node/src/upstream/attempt.rs
+++ b/crates/edge-node/src/upstream/attempt.rs
@@ -10,6 +10,7 @@
 use super::Upstream;
 use crate::body::BodyBudget;
 use crate::log::ErrorChain;
+use crate::memory::MemoryReservation;
 use bytes::Bytes;
 use gateway_core::{AttemptNumber, AttemptOutcome, RequestId, ServerId};
 use http_body_util::Full;
@@ -34,6 +35,8 @@
     pub(crate) target: String,
     /// Value of the idempotency key header; `None` if the request has no key.
     pub(crate) idempotency_key: Option<HeaderValue>,
+    /// Memory of the target and the key, as far as they are long.
+    pub(crate) _head_memory: MemoryReservation,
     /// Complete body.
     pub(crate) body: Bytes,
     /// Time at which the edge node stops waiting for an answer.
@@ -237,7 +240,12 @@
         attempt: &mut Attempt<'_, impl Fn() -> bool>,
         mut connection: PooledConnection,
     ) -> Result<AttemptResult, AttemptError> {
-        connection.begin_request(attempt.write_deadline);
+        if let Err(error) =
+            connection.begin_request(attempt.write_deadline, head_bytes(attempt.request))
+        {
+            self.release(attempt.server, connection);
+            return Err(ConnectError::from(error).into());
+        }
         // The exchange is polled first: a response that arrived in time but was read late by this
         // node must not count against the server.
         let exchanged = tokio::select! {
@@ -315,6 +323,12 @@
     }
 }
 
+/// Returns the length of the parts of a request's head that its client chose.
+fn head_bytes(request: &UpstreamRequest) -> usize {
+    let key_bytes = request.idempotency_key.as_ref().map_or(0, HeaderValue::len);
+    request.target.len() + key_bytes
+}
+
 fn build_request(
     connection: &PooledConnection,
     request: &UpstreamRequest,
--- a/crates/edge-node/src/upstream/connect_error.rs
+++ b/crates/edge-node/src/upstream/connect_error.rs
@@ -1,6 +1,7 @@
 //! Errors in connecting to a server, classified by whether the cause may lie with the server or
 //! lies with this machine.
 
+use crate::memory::MemoryExhausted;
 use gateway_core::AttemptOutcome;
 use std::io;
 use thiserror::Error;
@@ -35,6 +36,9 @@
     /// All sockets that this process may open are in use, and no connection is idle.
     #[error("the socket limit is reached and no connection is idle")]
     SocketLimit,
+    /// There is no memory to write the head of the request.
+    #[error("no memory for the head of the request")]
+    HeadMemory(#[from] MemoryExhausted),
     /// This process or its machine lacks a resource that a connection needs.
     #[error("insufficient local resources for a connection")]
     LocalResources(#[source] io::Error),
@@ -59,6 +63,7 @@
             | ConnectError::WriteDeadlineExceeded
             | ConnectError::UnknownServer
             | ConnectError::SocketLimit
+            | ConnectError::HeadMemory(_)
             | ConnectError::LocalResources(_) => AttemptOutcome::NotSent,
             ConnectError::DeadlineExceeded
             | ConnectError::Failed(_)
--- a/crates/edge-node/src/upstream/connection.rs
+++ b/crates/edge-node/src/upstream/connection.rs
@@ -1,8 +1,13 @@
 //! One HTTP/1.1 connection to a server.
 
 use super::connect_error::ConnectError;
-use super::socket::{ObservedStream, OpenSocketGuard, RequestWrites, SharedStream};
+use super::socket::{
+    ObservedStream, OpenSocketGuard, RequestWrites, SharedReadBuffer, SharedStream,
+};
 use super::surplus::{Surplus, CLASSIFIED_BYTES};
+use crate::memory::{
+    MemoryBudget, MemoryExhausted, MemoryReservation, ReadBufferMemory, MAX_HEAD_BYTES,
+};
 use crate::socket_io::SocketIo;
 use bytes::Bytes;
 use gateway_core::RequestId;
@@ -19,9 +24,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-/// Maximum number of bytes of a response head that are buffered. An endless head could otherwise
-/// use up the memory limit of the process.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Length of the head of a request that does not count, because it is part of what is reserved for
+/// every connection.
+const UNCOUNTED_HEAD_BYTES: usize = 1024;
 
 /// A connection that carries one request at a time and stays in a pool between requests.
 ///
@@ -38,6 +43,9 @@
     driver: JoinHandle<Surplus>,
     /// What was written since the last [`begin_request`](Self::begin_request).
     writes: Rc<RequestWrites>,
+    read_buffer: SharedReadBuffer,
+    /// Memory of the buffer in which hyper writes heads.
+    write_buffer: MemoryReservation,
     idle_since: Instant,
     /// Whether bytes were received that belong to no response.
     has_surplus: bool,
@@ -46,7 +54,7 @@
 }
 
 impl PooledConnection {
-    /// Connects to a server. Dropping the future closes the socket, then releases its guard.
+    /// Connects to a server. Heads of responses count against `head_memory`. Dropping the future closes the socket, then releases its guard.
     ///
     /// # Errors
     /// Returns an error if the connection is refused, is not established within `connect_timeout`,
@@ -54,21 +62,24 @@
     pub(super) async fn open(
         address: SocketAddr,
         connect_timeout: Duration,
+        head_memory: &MemoryBudget,
         guard: OpenSocketGuard,
     ) -> Result<PooledConnection, ConnectError> {
         let stream = connect_tcp(address, connect_timeout).await?;
         let stream = Rc::new(RefCell::new(SocketIo::new(stream)));
-        PooledConnection::handshake(address, stream, guard).await
+        PooledConnection::handshake(address, stream, head_memory, guard).await
     }
 
     async fn handshake(
         address: SocketAddr,
         stream: SharedStream,
+        head_memory: &MemoryBudget,
         guard: OpenSocketGuard,
     ) -> Result<PooledConnection, ConnectError> {
         let writes = Rc::<RequestWrites>::default();
+        let read_buffer = Rc::new(RefCell::new(ReadBufferMemory::new(head_memory)));
         let weak_stream = Rc::downgrade(&stream);
-        let io = ObservedStream::new(stream, Rc::clone(&writes), guard);
+        let io = ObservedStream::new(stream, Rc::clone(&writes), Rc::clone(&read_buffer), guard);
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(io)
@@ -81,6 +92,8 @@
             sender,
             driver,
             writes,
+            read_buffer,
+            write_buffer: head_memory.reservation(),
             idle_since: Instant::now(),
             has_surplus: false,
             last_answered: None,
@@ -162,9 +175,21 @@
     }
 
     /// Clears the record of written bytes before the next request. No byte of that request is
-    /// written after `write_deadline`; [`send`](Self::send) then fails.
-    pub(super) fn begin_request(&self, write_deadline: Option<Instant>) {
+    /// written after `write_deadline`; [`send`](Self::send) then fails. `head_bytes` is the length of
+    /// the parts of its head that may be long: hyper keeps the memory to write the longest head.
+    ///
+    /// # Errors
+    /// Returns an error if there is no memory to write the head.
+    pub(super) fn begin_request(
+        &mut self,
+        write_deadline: Option<Instant>,
+        head_bytes: usize,
+    ) -> Result<(), MemoryExhausted> {
+        let counted_bytes = head_bytes.saturating_sub(UNCOUNTED_HEAD_BYTES);
+        self.write_buffer.grow_to(counted_bytes)?;
         self.writes.begin_request(write_deadline);
+        self.read_buffer.borrow_mut().begin_message();
+        Ok(())
     }
 
     /// Returns whether any byte was written since the last [`begin_request`](Self::begin_request).
--- a/crates/edge-node/src/upstream/mod.rs
+++ b/crates/edge-node/src/upstream/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) use attempt_result::AttemptResult;
 
 use crate::body::BodyBudget;
+use crate::memory::MemoryBudget;
 use connect_error::ConnectError;
 use connection::PooledConnection;
 use gateway_core::{EndpointUpdate, ServerId};
@@ -46,6 +47,8 @@
 pub(crate) struct Upstream {
     /// Memory for the bodies of responses.
     response_bodies: BodyBudget,
+    /// Memory for long heads of responses, and for what is written of long heads of requests.
+    head_memory: MemoryBudget,
     pools: RefCell<HashMap<ServerId, ServerPool>>,
     open_sockets: OpenSockets,
     max_sockets: usize,
@@ -60,12 +63,14 @@
     /// time; `connection_idle_timeout` is the time after which a server closes an idle connection.
     pub(crate) fn new(
         response_bodies: BodyBudget,
+        head_memory: MemoryBudget,
         max_sockets: usize,
         connection_idle_timeout: Duration,
         connect_timeout: Duration,
     ) -> Upstream {
         Upstream {
             response_bodies,
+            head_memory,
             pools: RefCell::default(),
             open_sockets: OpenSockets::default(),
             max_sockets,
@@ -160,7 +165,7 @@
             self.close_oldest_idle().await?;
         }
         let guard = self.open_sockets.add();
-        PooledConnection::open(address, self.connect_timeout, guard).await
+        PooledConnection::open(address, self.connect_timeout, &self.head_memory, guard).await
     }
 
     /// Closes the connection that has been idle for the longest time, and returns once it is
--- a/crates/edge-node/src/upstream/socket.rs
+++ b/crates/edge-node/src/upstream/socket.rs
@@ -1,6 +1,7 @@
 //! Sockets to servers, which are counted while they are open, record whether anything was written
 //! to them, and refuse to write after a deadline.
 
+use crate::memory::ReadBufferMemory;
 use crate::socket_io::SocketIo;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::{Cell, Ref, RefCell};
@@ -47,6 +48,10 @@
 /// socket between requests.
 pub(super) type SharedStream = Rc<RefCell<SocketIo>>;
 
+/// The read buffer of a connection, shared by the connection, which begins requests, and by its
+/// socket.
+pub(super) type SharedReadBuffer = Rc<RefCell<ReadBufferMemory>>;
+
 /// What has been written of the current request, and until when it may be written. Shared by the
 /// connection, which begins requests, and by its socket.
 #[derive(Default)]
@@ -109,20 +114,24 @@
 pub(super) struct ObservedStream {
     stream: SharedStream,
     writes: Rc<RequestWrites>,
+    read_buffer: SharedReadBuffer,
     /// Declared after the stream, so that the socket is closed before it stops being counted.
     _guard: OpenSocketGuard,
 }
 
 impl ObservedStream {
-    /// Wraps `stream`, whose writes are checked against and recorded in `writes`.
+    /// Wraps `stream`, whose writes are checked against and recorded in `writes`, and whose reads are
+    /// counted in `read_buffer`.
     pub(super) fn new(
         stream: SharedStream,
         writes: Rc<RequestWrites>,
+        read_buffer: SharedReadBuffer,
         guard: OpenSocketGuard,
     ) -> Self {
         ObservedStream {
             stream,
             writes,
+            read_buffer,
             _guard: guard,
         }
     }
@@ -137,9 +146,17 @@
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer)
+        let mut read_buffer = self.read_buffer.borrow_mut();
+        // A server that sends a head without end must not take memory from the other connections.
+        read_buffer
+            .reserve_read()
+            .map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))?;
+        self.stream
+            .borrow()
+            .poll_read_bounded(context, &mut buffer, |bytes| read_buffer.record_read(bytes))
+            .map_ok(drop)
     }
 }
 
--- a/crates/edge-node/tests/edge/body_memory.rs
+++ b/crates/edge-node/tests/edge/body_memory.rs
@@ -10,7 +10,7 @@
 const MEMORY_LIMIT_MIB: usize = 32;
 /// The numbers of file descriptors on these days lie between these.
 const FEW_DESCRIPTORS: usize = 256;
-const MANY_DESCRIPTORS: usize = 1024;
+pub(super) const MANY_DESCRIPTORS: usize = 1024;
 const KIB_PER_MIB: usize = 1024;
 /// Maximum length of a body in the protocol.
 const BODY_BYTES: usize = 64 * 1024;
@@ -23,7 +23,7 @@
 /// Time over which a body is written. It leaves the edge node half of the time that it allows.
 const WRITE_TIME: Duration = Duration::from_millis(300);
 
-const READINESS_REQUEST: &str = "GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n";
+pub(super) const READINESS_REQUEST: &str = "GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n";
 
 /// Returns how a body is written in pieces of this length.
 fn in_pieces(piece_bytes: usize) -> Pieces {
@@ -34,7 +34,7 @@
 }
 
 /// Starts an edge node with [`MEMORY_LIMIT_MIB`] and this number of file descriptors.
-fn start_with_descriptors(
+pub(super) fn start_with_descriptors(
     tag: &str,
     discovery: &FakeDiscovery,
     entries: &[String],
@@ -51,7 +51,7 @@
     EdgeNode::start_with_edited_config(tag, discovery.address, entries, limits)
 }
 
-fn assert_below_memory_limit(node: &EdgeNode, what: &str) {
+pub(super) fn assert_below_memory_limit(node: &EdgeNode, what: &str) {
     let peak_kib = node.peak_memory_kib();
     assert!(
         peak_kib < MEMORY_LIMIT_MIB * KIB_PER_MIB,
--- a/crates/edge-node/tests/edge/client_disconnect.rs
+++ b/crates/edge-node/tests/edge/client_disconnect.rs
@@ -9,9 +9,12 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
-/// Numbers of requests pipelined behind the first one: none, a few, and more than the edge node
-/// reads ahead.
-const PIPELINED_COUNTS: [usize; 3] = [0, 20, 200];
+/// Numbers of requests pipelined behind the first one: none, a few, many, and more than the edge node
+/// keeps and than its operating system buffers, so that the end of the stream comes late.
+const PIPELINED_COUNTS: [usize; 4] = [0, 20, 200, 4000];
+/// Of these numbers, those of requests that the operating system receives together with the close
+/// behind them.
+const BUFFERED_COUNTS: [usize; 3] = [0, 20, 200];
 
 fn pipelined_requests(count: usize) -> String {
     (0..count)
@@ -436,14 +439,14 @@
 #[test]
 fn request_that_arrives_with_close_starts_no_attempt() {
     let (servers, _discovery, node) = start_with_one_server("together", &[RESPONDS_OK]);
-    let open: Vec<_> = PIPELINED_COUNTS.iter().map(|_| node.client()).collect();
+    let open: Vec<_> = BUFFERED_COUNTS.iter().map(|_| node.client()).collect();
     wait_until_read(&node);
     node.suspend();
-    let new: Vec<_> = PIPELINED_COUNTS.iter().map(|_| node.client()).collect();
+    let new: Vec<_> = BUFFERED_COUNTS.iter().map(|_| node.client()).collect();
     for (number, mut client) in open.into_iter().chain(new).enumerate() {
         client.send(&request_text(&format!("a{number}"), "pay", "20000m"));
         client.send(
-            &pipelined_requests(PIPELINED_COUNTS[number % PIPELINED_COUNTS.len()])
+            &pipelined_requests(BUFFERED_COUNTS[number % BUFFERED_COUNTS.len()])
                 .replace("Id: b", &format!("Id: b{number}-")),
         );
         client.close();
--- a/crates/edge-node/tests/edge/main.rs
+++ b/crates/edge-node/tests/edge/main.rs
@@ -7,6 +7,7 @@
 mod discovery_deadline;
 mod endpoints;
 mod forwarding;
+mod head_memory;
 mod invalid_requests;
 mod peers;
 mod rejections;
--- a/crates/edge-node/tests/unit/body_budget.rs
+++ b/crates/edge-node/tests/unit/body_budget.rs
@@ -6,7 +6,7 @@
 const LARGE: usize = MAX_SMALL_BODY_BYTES + 1;
 
 fn is_exhausted<T>(result: &Result<T, BodyError>) -> bool {
-    matches!(result, Err(BodyError::Exhausted { .. }))
+    matches!(result, Err(BodyError::Exhausted(_)))
 }
 
 /// Guards against small bodies that do not count: hundreds of them took the process over its memory
--- a/crates/edge-node/tests/unit/body_buffer.rs
+++ b/crates/edge-node/tests/unit/body_buffer.rs
@@ -1,6 +1,7 @@
 //! Tests how much memory the buffer of a body takes.
 
 use super::*;
+use crate::memory::MemoryExhausted;
 
 const PIECE: [u8; 128] = [b'p'; 128];
 const BODY_BYTES: usize = 64 * 1024;
@@ -84,7 +85,7 @@
     let mut second = buffer_of(&budget, BODY_BYTES);
     assert!(matches!(
         second.append(&PIECE),
-        Err(BodyError::Exhausted { needed_bytes: 128 })
+        Err(BodyError::Exhausted(MemoryExhausted { needed_bytes: 128 }))
     ));
     drop(first);
     assert!(second.append(&PIECE).is_ok());
--- a/crates/edge-node/tests/unit/connection_state.rs
+++ b/crates/edge-node/tests/unit/connection_state.rs
@@ -2,8 +2,12 @@
 //! activity on a connection.
 
 use super::*;
+use crate::memory::MemoryBudget;
 use std::io::Write;
 
+/// Memory for what is read ahead.
+const HEAD_MEMORY_BYTES: usize = 1024 * 1024;
+
 /// A connection accepted by a listener on loopback, with the client's side.
 struct Accepted {
     state: ConnectionState,
@@ -18,7 +22,7 @@
     let address = listener.local_addr().expect("the listener has no address");
     let client = std::net::TcpStream::connect(address).expect("failed to connect");
     let (accepted, _) = listener.accept().await.expect("failed to accept");
-    let stream = ReadAheadStream::new(accepted);
+    let stream = ReadAheadStream::new(accepted, &MemoryBudget::new(HEAD_MEMORY_BYTES));
     Accepted {
         state: ConnectionState::new(&stream),
         stream,
--- a/crates/edge-node/tests/unit/pending_requests.rs
+++ b/crates/edge-node/tests/unit/pending_requests.rs
@@ -1,6 +1,7 @@
 //! Tests the table of requests without a final answer.
 
 use super::*;
+use crate::memory::MemoryBudget;
 use hyper::Method;
 
 fn request_id(name: &str) -> RequestId {
@@ -13,6 +14,7 @@
         method: Method::GET,
         target: "/".to_owned(),
         idempotency_key: None,
+        _head_memory: MemoryBudget::new(0).reservation(),
         body: Bytes::new(),
         deadline: Instant::now(),
     };
--- a/crates/edge-node/tests/unit/read_ahead.rs
+++ b/crates/edge-node/tests/unit/read_ahead.rs
@@ -5,6 +5,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
+/// Memory for what is read ahead.
+const HEAD_MEMORY_BYTES: usize = 1024 * 1024;
 /// Number of bytes that the client sends at once, which fit into the system's buffers.
 const SENT_BYTES: usize = 16 * 1024;
 
@@ -30,7 +32,10 @@
         .await
         .expect("failed to send");
     let (accepted, _) = listener.accept().await.expect("failed to accept");
-    (ReadAheadStream::new(accepted), client)
+    (
+        ReadAheadStream::new(accepted, &MemoryBudget::new(HEAD_MEMORY_BYTES)),
+        client,
+    )
 }
 
 /// Reads as hyper does, with a buffer that has room for everything. Returns the number of bytes.
--- a/crates/edge-node/tests/unit/resource_limits.rs
+++ b/crates/edge-node/tests/unit/resource_limits.rs
@@ -15,10 +15,14 @@
     assert_eq!(body_mib(192, 1024), 48);
 }
 
-/// Guards against bodies and connections that exceed the memory limit together.
+/// Guards against bodies, connections and heads that exceed the memory limit together.
 #[test]
-fn bodies_get_what_many_connections_leave() {
-    assert_eq!(body_mib(32, 1024), 6);
+fn bodies_get_what_many_connections_and_heads_leave() {
+    assert_eq!(body_mib(32, 1024), 5);
+    let connections = (1024 - RESERVED_DESCRIPTORS) * CONNECTION_MEMORY_BYTES;
+    let heads = CONNECTION_SIDES * (32 * MIB / HEAD_MEMORY_DIVISOR);
+    let bodies = BODY_DIRECTIONS * body_bytes(32 * MIB, 1024 - RESERVED_DESCRIPTORS);
+    assert!(RESERVED_MEMORY_BYTES + connections + heads + bodies <= 32 * MIB);
 }
 
 #[test]
--- a/crates/edge-node/tests/unit/upstream.rs
+++ b/crates/edge-node/tests/unit/upstream.rs
@@ -42,6 +42,7 @@
     let address = listener.local_addr().expect("the listener has no address");
     let upstream = Upstream::new(
         BodyBudget::new(MAX_BODY_BYTES),
+        MemoryBudget::new(MAX_BODY_BYTES),
         8,
         Duration::from_secs(15),
         Duration::from_secs(60),
@@ -52,6 +53,7 @@
         method: Method::GET,
         target: "/read/0".to_owned(),
         idempotency_key: None,
+        _head_memory: MemoryBudget::new(0).reservation(),
         body: Bytes::new(),
         deadline: Instant::now() + Duration::from_secs(60),
     };
--- a/crates/edge-node/tests/unit/upstream_attempt.rs
+++ b/crates/edge-node/tests/unit/upstream_attempt.rs
@@ -3,6 +3,7 @@
 use super::super::tests::block_on;
 use super::super::ServerAddress;
 use super::*;
+use crate::memory::MemoryBudget;
 use gateway_core::EndpointUpdate;
 use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
@@ -28,6 +29,7 @@
 fn upstream_with_servers(max_sockets: usize, servers: &[(ServerId, SocketAddr)]) -> Upstream {
     let upstream = Upstream::new(
         BodyBudget::new(MAX_BODY_BYTES),
+        MemoryBudget::new(MAX_BODY_BYTES),
         max_sockets,
         Duration::from_secs(15),
         Duration::from_secs(60),
@@ -46,6 +48,7 @@
         method: Method::POST,
         target: "/submit/7?game=7".to_owned(),
         idempotency_key: Some(HeaderValue::from_static("5c0f")),
+        _head_memory: MemoryBudget::new(0).reservation(),
         body: Bytes::from_static(b"time"),
         deadline: Instant::now() + Duration::from_secs(60),
     }
