Let connections with many waiting requests take turns with the others

Cause: hyper wakes its own task after 16 requests, and the runtime polls a task that is ready again some hundred times before it asks for events of other connections.

Change: a request that was read together with an earlier one yields first. yield_now wakes the task only after the runtime has looked for events.

The new test holds the process, so that 200 requests and a new client wait at the same time, and reads the order from the log. Old code: all 200 are served first.

--- a/crates/edge-node/src/clients/connection.rs
+++ b/crates/edge-node/src/clients/connection.rs
@@ -98,7 +98,7 @@
         request: Request<Incoming>,
     ) -> Result<BufferedResponse, ClientDisconnected> {
         let _in_flight = InFlightGuard::new(&self.state, &self.stream);
-        self.yield_before_first_request().await;
+        self.yield_to_other_connections().await;
         let phase = *self.phase.borrow();
         let mut response =
             request::respond(&self.node, request, phase, &self.stream, &self.state).await?;
@@ -109,13 +109,18 @@
         Ok(response)
     }
 
-    /// Yields to the runtime once before the first request, so that a client that has already
-    /// closed the connection is detected before any work is done for it.
+    /// Yields to the runtime once before the first request, and before each request that was read
+    /// together with an earlier one.
     ///
     /// Data that has arrived on a new connection is read in the runtime turn that accepts the
-    /// connection, but a close behind that data is reported only in the next turn.
-    async fn yield_before_first_request(&self) {
-        if self.state.record_request() == 1 {
+    /// connection, but a close behind that data is reported only in the next turn: a client that has
+    /// already closed the connection must be detected before any work is done for it. hyper serves
+    /// all requests in its buffer in one turn if it can: a client that sends small requests at full
+    /// speed must not hold up all others.
+    async fn yield_to_other_connections(&self) {
+        let is_first = self.state.record_request() == 1;
+        let is_pipelined = self.stream.begin_request();
+        if is_first || is_pipelined {
             tokio::task::yield_now().await;
         }
     }
--- a/crates/edge-node/src/clients/read_ahead.rs
+++ b/crates/edge-node/src/clients/read_ahead.rs
@@ -58,6 +58,8 @@
     ended: bool,
     /// The buffer of the HTTP server.
     read_buffer: ReadBufferMemory,
+    /// Whether the HTTP server has read from the socket since the last request.
+    has_read_socket: bool,
     refusal: Option<ReadRefusal>,
     refused: Rc<Notify>,
     transfers: Rc<Transfers>,
@@ -74,6 +76,7 @@
             is_discarding: false,
             ended: false,
             read_buffer: ReadBufferMemory::new(head_memory),
+            has_read_socket: false,
             refusal: None,
             refused: Rc::default(),
             transfers: Rc::default(),
@@ -92,6 +95,12 @@
         !inner.buffered.is_empty() || inner.is_discarding
     }
 
+    /// Records that the HTTP server has received the head of a request. Returns whether the request
+    /// was read together with an earlier one.
+    pub(super) fn begin_request(&self) -> bool {
+        !std::mem::take(&mut self.0.borrow_mut().has_read_socket)
+    }
+
     /// Records that a request has been answered, so that the next bytes begin another one.
     pub(super) fn end_request(&self) {
         self.0.borrow_mut().read_buffer.begin_message();
@@ -186,6 +195,7 @@
         let observe = |bytes: &[u8]| read_buffer.record_read(bytes);
         let length = ready!(self.stream.poll_read_bounded(context, buffer, observe))?;
         if length > 0 {
+            self.has_read_socket = true;
             self.transfers.record_read();
         }
         Poll::Ready(Ok(()))
--- a/crates/edge-node/tests/edge/main.rs
+++ b/crates/edge-node/tests/edge/main.rs
@@ -6,6 +6,7 @@
 mod descriptors;
 mod discovery_deadline;
 mod endpoints;
+mod fairness;
 mod forwarding;
 mod head_memory;
 mod invalid_requests;
