Limit the customers whose state is kept

Cause: every request creates its customer's account before anything is decided, and accounts and owned parts of quotas are kept for 60 s, in any number.

Change: policy/quota_sharing/customer_limit.rs. At the limit, customers with a full quota and hard limit are forgotten after the longest deadline (3 s at least); if none is left, requests of unknown customers are rejected and lease requests for them are not answered. Others are never forgotten early: they would get their quota again.

--- a/crates/edge-node/src/node/mod.rs
+++ b/crates/edge-node/src/node/mod.rs
@@ -27,7 +27,7 @@
 use clock::Clock;
 use endpoints::WatchStatus;
 use gateway_core::settings::{ResolvedSettings, SettingsError};
-use gateway_core::{Action, Event, Gateway};
+use gateway_core::{Action, CustomerLimit, Event, Gateway};
 use pending_requests::PendingRequests;
 use start_times::StartTimes;
 use std::cell::{Cell, RefCell};
@@ -46,6 +46,8 @@
     pub(crate) request_bodies: BodyBudget,
     /// Memory for long heads of requests, and for what is read ahead of requests in flight.
     pub(crate) head_memory: MemoryBudget,
+    /// Limit on the customers whose state the decision library keeps.
+    pub(crate) customer_limit: CustomerLimit,
     /// Connections to servers.
     pub(crate) upstream: Upstream,
     /// Socket for messages to and from other edge nodes; `None` if no peers are configured.
@@ -84,7 +86,8 @@
     /// Returns an error if the settings contradict each other.
     pub(crate) fn new(parts: NodeParts) -> Result<Rc<Node>, SettingsError> {
         let clock = Clock::start();
-        let gateway = Gateway::new(parts.seed, parts.settings.settings.clone(), clock.now())?;
+        let mut gateway = Gateway::new(parts.seed, parts.settings.settings.clone(), clock.now())?;
+        gateway.set_customer_limit(parts.customer_limit);
         Ok(Rc::new(Node {
             settings: parts.settings,
             request_bodies: parts.request_bodies,
--- a/crates/edge-node/src/startup/mod.rs
+++ b/crates/edge-node/src/startup/mod.rs
@@ -57,6 +57,7 @@
         seed: config.seed,
         request_bodies: limits.request_bodies(),
         head_memory: limits.head_memory(),
+        customer_limit: limits.customer_limit(),
         upstream: limits.upstream(&config.settings),
         settings: config.settings,
         peers: sockets.peers,
--- a/crates/edge-node/src/startup/resource_limits.rs
+++ b/crates/edge-node/src/startup/resource_limits.rs
@@ -6,6 +6,7 @@
 use crate::memory::MemoryBudget;
 use crate::upstream::Upstream;
 use gateway_core::settings::ResolvedSettings;
+use gateway_core::CustomerLimit;
 use std::time::Duration;
 
 /// Number of file descriptors reserved for everything except client and server connections: the
@@ -13,6 +14,11 @@
 const RESERVED_DESCRIPTORS: usize = 32;
 /// Number of sides, clients and servers, that share the unreserved descriptors equally.
 const CONNECTION_SIDES: usize = 2;
+/// Divisor of the memory limit, which yields the memory for the state of customers.
+const CUSTOMER_MEMORY_DIVISOR: usize = 16;
+/// Memory reserved for the state of one customer, its account and the owned part of its quota, in
+/// bytes.
+const CUSTOMER_MEMORY_BYTES: usize = 1024;
 /// Memory reserved for the program itself and for the state of its decisions, in bytes.
 const RESERVED_MEMORY_BYTES: usize = 6 * 1024 * 1024;
 /// Memory reserved for each connection that may be open, in bytes: read buffer, task and request.
@@ -35,6 +41,8 @@
     body_bytes: usize,
     /// Maximum memory for the heads of one side together, in bytes.
     head_bytes: usize,
+    /// Maximum number of customers whose state is kept.
+    customers: usize,
     /// Longest deadline of any class.
     pub(super) longest_deadline: Duration,
 }
@@ -47,6 +55,7 @@
             connections_per_side: connections / CONNECTION_SIDES,
             body_bytes: body_bytes(config.max_memory, connections),
             head_bytes: config.max_memory / HEAD_MEMORY_DIVISOR,
+            customers: config.max_memory / CUSTOMER_MEMORY_DIVISOR / CUSTOMER_MEMORY_BYTES,
             longest_deadline: config.settings.longest_deadline,
         }
     }
@@ -56,6 +65,14 @@
         BodyBudget::new(self.body_bytes)
     }
 
+    /// Returns the limit on the customers whose state is kept.
+    pub(super) fn customer_limit(&self) -> CustomerLimit {
+        CustomerLimit {
+            customers: self.customers,
+            longest_deadline: self.longest_deadline,
+        }
+    }
+
     /// Creates the budget for the heads of requests.
     pub(super) fn head_memory(&self) -> MemoryBudget {
         MemoryBudget::new(self.head_bytes)
--- a/crates/gateway-core/src/gateway/control_tick.rs
+++ b/crates/gateway-core/src/gateway/control_tick.rs
@@ -2,7 +2,7 @@
 //! slow-start credit to servers in warm-up, and evicts idle customers and servers.
 
 use super::Gateway;
-use crate::policy::quota_sharing::account::PARTITION_SILENCE;
+use crate::policy::quota_sharing::customer_limit;
 use crate::time::Timestamp;
 use crate::Action;
 
@@ -30,7 +30,7 @@
     /// server ever seen.
     fn evict_idle(&mut self, now: Timestamp) {
         let plans = &self.deployment.settings.plans;
-        self.quotas.evict_idle(now, plans, &PARTITION_SILENCE);
+        customer_limit::evict_idle(&mut self.quotas, now, plans);
         self.servers.evict_idle(now);
     }
 }
--- a/crates/gateway-core/src/gateway/leases.rs
+++ b/crates/gateway-core/src/gateway/leases.rs
@@ -4,6 +4,7 @@
 
 use super::Gateway;
 use crate::message::{self, LeaseDecision, LeaseRequest, LeaseResponse, Message, PermitRelease};
+use crate::policy::quota_sharing::customer_limit;
 use crate::policy::quota_sharing::lease::{
     self as policy, ResponseDecision, TimeoutDecision, UnsentDecision,
 };
@@ -95,7 +96,8 @@
     }
 
     /// Returns this gateway's response, as the quota owner, to a lease request. Returns `None` if
-    /// the lease request is malformed or does not name this gateway as the owner.
+    /// the lease request is malformed or does not name this gateway as the owner, or if there is no
+    /// memory for the state of another customer.
     fn decide_lease_request(
         &mut self,
         now: Timestamp,
@@ -104,6 +106,14 @@
     ) -> Option<LeaseResponse> {
         let settings = &self.deployment.settings;
         let request = ReceivedLeaseRequest::new(settings, from, request)?;
+        if !customer_limit::has_room_for_owned(
+            &mut self.quotas,
+            now,
+            &settings.plans,
+            request.customer(),
+        ) {
+            return None;
+        }
         let owned = self
             .quotas
             .owned_or_insert(request.customer(), || request.new_part(settings, now));
--- a/crates/gateway-core/src/gateway/mod.rs
+++ b/crates/gateway-core/src/gateway/mod.rs
@@ -33,7 +33,7 @@
 use crate::settings::{EndpointDiscovery, Settings, SettingsError};
 use crate::state::attempt::{AttemptKey, AttemptTable};
 use crate::state::deployment::{Context, Deployment};
-use crate::state::quota::QuotaState;
+use crate::state::quota::{CustomerLimit, QuotaState};
 use crate::state::request::{Request, RequestDetails};
 use crate::state::request_table::RequestTable;
 use crate::time::Timestamp;
@@ -88,6 +88,11 @@
         })
     }
 
+    /// Limits the customers whose state is kept. There is no limit by default.
+    pub fn set_customer_limit(&mut self, limit: CustomerLimit) {
+        self.quotas.set_customer_limit(limit);
+    }
+
     /// Handles one event that happened at `now`, and appends the resulting actions to `actions` in
     /// the order in which the caller has to carry them out. `now` must not be earlier than in the
     /// previous call.
--- a/crates/gateway-core/src/gateway/requests.rs
+++ b/crates/gateway-core/src/gateway/requests.rs
@@ -4,10 +4,11 @@
 use crate::policy::admission::{self, Admission};
 use crate::policy::deadlines::{self, Expiry};
 use crate::policy::quota_sharing::account::account_on_arrival;
+use crate::policy::quota_sharing::customer_limit;
 use crate::state::deployment::Context;
 use crate::state::request::Request;
 use crate::time::Timestamp;
-use crate::types::{AttemptNumber, GatewaySet, RequestId};
+use crate::types::{AttemptNumber, GatewaySet, RejectReason, RequestId};
 use crate::Action;
 
 /// A request that needs a final answer, or the cancellation of its attempt, because of its age.
@@ -27,6 +28,13 @@
         gateways: GatewaySet,
         actions: &mut Vec<Action>,
     ) {
+        let plans = &self.deployment.settings.plans;
+        let customer = request.customer();
+        if !customer_limit::has_room_for_account(&mut self.quotas, now, plans, customer) {
+            self.requests.insert(id.clone(), request);
+            self.reject_or_fail(now, &id, RejectReason::TooManyCustomers, actions);
+            return;
+        }
         let context = Context::new(now, &self.deployment, self.servers.estimates());
         let account = account_on_arrival(&mut self.quotas, context, &request, gateways);
         let admission = admission::decide(
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -31,6 +31,7 @@
     Class, DeduplicationScope, EndpointDiscovery, HardLimit, Idempotency, Permissions, Plan,
     ResolvedSettings, ServerRules, Settings, SettingsError,
 };
+pub use state::quota::CustomerLimit;
 pub use time::{DurationExt, Timestamp};
 pub use types::*;
 pub use units::Units;
--- a/crates/gateway-core/src/policy/quota_sharing/mod.rs
+++ b/crates/gateway-core/src/policy/quota_sharing/mod.rs
@@ -10,8 +10,10 @@
 //!
 //! - [`owner`]: what a quota owner decides about a lease request.
 //! - [`account`]: rules for a customer's account at this gateway that apply to both methods.
+//! - [`customer_limit`]: which customers are forgotten, and when a new one is not accepted.
 
 pub(crate) mod account;
+pub(crate) mod customer_limit;
 pub(crate) mod gossip;
 pub(crate) mod lease;
 pub(crate) mod owner;
--- a/crates/gateway-core/src/state/quota/account.rs
+++ b/crates/gateway-core/src/state/quota/account.rs
@@ -5,7 +5,6 @@
 use super::held_lease::HeldLease;
 use super::peer_usage::PeerUsages;
 use super::token_bucket::TokenBucket;
-use super::MIN_IDLE;
 use crate::message::{usage_count_of, ReturnedLease};
 use crate::settings::Plan;
 use crate::time::{DurationExt, Timestamp};
@@ -332,9 +331,15 @@
     }
 
     /// Returns whether the account may be evicted without gain or loss for its customer: it has
-    /// been unused for [`MIN_IDLE`], a refill up to now fills it, and peers have no recent usage.
-    pub(crate) fn is_idle(&mut self, now: Timestamp, plan: &Plan, silent_gateways: f64) -> bool {
-        if !self.is_unused(now) {
+    /// been unused for `min_idle`, a refill up to now fills it, and peers have no recent usage.
+    pub(crate) fn is_idle(
+        &mut self,
+        now: Timestamp,
+        min_idle: Duration,
+        plan: &Plan,
+        silent_gateways: f64,
+    ) -> bool {
+        if !self.is_unused(now, min_idle) {
             return false;
         }
         self.refill(now, plan, silent_gateways);
@@ -344,9 +349,9 @@
         is_hard_limit_full && is_quota_full && self.peer_units_per_second(now) <= 0.0
     }
 
-    /// Returns whether the account has been unused for [`MIN_IDLE`], with no attempt in flight.
-    pub(super) fn is_unused(&self, now: Timestamp) -> bool {
-        self.attempts_in_flight == 0 && now.duration_since(self.last_used_at) >= MIN_IDLE
+    /// Returns whether the account has been unused for `min_idle`, with no attempt in flight.
+    pub(super) fn is_unused(&self, now: Timestamp, min_idle: Duration) -> bool {
+        self.attempts_in_flight == 0 && now.duration_since(self.last_used_at) >= min_idle
     }
 }
 
--- a/crates/gateway-core/src/state/quota/mod.rs
+++ b/crates/gateway-core/src/state/quota/mod.rs
@@ -30,9 +30,6 @@
 use std::ops::Range;
 use std::time::Duration;
 
-/// Minimum time without a request before an account or an owned quota may be evicted.
-const MIN_IDLE: Duration = Duration::from_secs(60);
-
 /// The most recent consecutive lease requests that a quota owner did not respond to in time.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct OwnerTimeouts {
@@ -42,6 +39,26 @@
     pub(crate) cooldown_until: Timestamp,
 }
 
+/// Limit on the customers whose state a gateway keeps.
+#[derive(Clone, Copy, Debug)]
+pub struct CustomerLimit {
+    /// Maximum number of customers with an account, and also of those of whose quota this gateway
+    /// owns a part.
+    pub customers: usize,
+    /// Longest time for which a request may wait.
+    pub longest_deadline: Duration,
+}
+
+impl Default for CustomerLimit {
+    /// Returns the absence of a limit.
+    fn default() -> CustomerLimit {
+        CustomerLimit {
+            customers: usize::MAX,
+            longest_deadline: Duration::ZERO,
+        }
+    }
+}
+
 /// The state of all quotas at this gateway: accounts, owned quotas and pending lease requests.
 pub(crate) struct QuotaState {
     started_at: Timestamp,
@@ -60,6 +77,9 @@
     /// The timeouts of each owner that did not respond in time to its most recent lease request.
     owner_timeouts: BTreeMap<GatewayId, OwnerTimeouts>,
     liveness: GatewayLiveness,
+    customer_limit: CustomerLimit,
+    /// When idle entries were last evicted because of the limit; the epoch if never.
+    evicted_for_limit_at: Timestamp,
 }
 
 /// A customer's account that is still to be refilled, and the liveness on which the refill depends.
@@ -101,6 +121,8 @@
             last_sequence: 0,
             owner_timeouts: BTreeMap::new(),
             liveness: GatewayLiveness::new(now, this_gateway, gateway_count),
+            customer_limit: CustomerLimit::default(),
+            evicted_for_limit_at: Timestamp::default(),
         }
     }
 
@@ -124,6 +146,36 @@
         self.has_restarted = true;
     }
 
+    /// Limits the accounts, and also the owned quotas.
+    pub(crate) fn set_customer_limit(&mut self, limit: CustomerLimit) {
+        self.customer_limit = limit;
+    }
+
+    /// Returns the limit on accounts and on owned quotas.
+    pub(crate) fn customer_limit(&self) -> CustomerLimit {
+        self.customer_limit
+    }
+
+    /// Returns whether an account of the customer exists or may be added.
+    pub(crate) fn has_room_for_account(&self, customer: CustomerId) -> bool {
+        self.accounts.len() < self.customer_limit.customers || self.accounts.contains_key(&customer)
+    }
+
+    /// Returns whether a part of the customer's quota is owned here or may be added.
+    pub(crate) fn has_room_for_owned(&self, customer: CustomerId) -> bool {
+        self.owned.len() < self.customer_limit.customers || self.owned.contains_key(&customer)
+    }
+
+    /// Returns when idle entries were last evicted because of the limit.
+    pub(crate) fn evicted_for_limit_at(&self) -> Timestamp {
+        self.evicted_for_limit_at
+    }
+
+    /// Records that idle entries are evicted because of the limit.
+    pub(crate) fn record_eviction_for_limit(&mut self, now: Timestamp) {
+        self.evicted_for_limit_at = now;
+    }
+
     /// Returns a customer's account, if there is one.
     pub(crate) fn account(&self, customer: CustomerId) -> Option<&CustomerAccount> {
         self.accounts.get(&customer)
@@ -238,24 +290,25 @@
             .collect()
     }
 
-    /// Evicts idle accounts and owned quotas; otherwise memory would grow with every customer ever
-    /// seen.
+    /// Evicts accounts and owned quotas that have been idle for `min_idle`; otherwise memory would
+    /// grow with every customer ever seen.
     pub(crate) fn evict_idle(
         &mut self,
         now: Timestamp,
+        min_idle: Duration,
         plans: &[Plan],
         partitioned: &Range<Duration>,
     ) {
         let liveness = &self.liveness;
         self.accounts.retain(|_, account| {
-            if !account.is_unused(now) {
+            if !account.is_unused(now, min_idle) {
                 return true;
             }
             let silent = liveness.silent_count(account.gateways(), now, partitioned);
-            !account.is_idle(now, &plans[account.plan().0], silent)
+            !account.is_idle(now, min_idle, &plans[account.plan().0], silent)
         });
         self.owned
-            .retain(|_, owned| !owned.is_idle(now, &plans[owned.plan().0]));
+            .retain(|_, owned| !owned.is_idle(now, min_idle, &plans[owned.plan().0]));
     }
 
     /// Returns the number of accounts and owned quotas in memory.
--- a/crates/gateway-core/src/state/quota/owned.rs
+++ b/crates/gateway-core/src/state/quota/owned.rs
@@ -4,7 +4,6 @@
 use super::ledger::LeaseLedger;
 use super::permits::{ConcurrencyPermits, PermitHolder};
 use super::token_bucket::TokenBucket;
-use super::MIN_IDLE;
 use crate::message::ReturnedLease;
 use crate::settings::Plan;
 use crate::time::Timestamp;
@@ -174,10 +173,10 @@
         self.lease_request_probability = (self.lease_request_probability + gain).min(1.0);
     }
 
-    /// Returns whether the owned quota may be evicted: it has been unused for [`MIN_IDLE`], no
+    /// Returns whether the owned quota may be evicted: it has been unused for `min_idle`, no
     /// permits are in use, and a refill up to now fills the quota and the hard limit.
-    pub(crate) fn is_idle(&mut self, now: Timestamp, plan: &Plan) -> bool {
-        if now.duration_since(self.last_used_at) < MIN_IDLE {
+    pub(crate) fn is_idle(&mut self, now: Timestamp, min_idle: Duration, plan: &Plan) -> bool {
+        if now.duration_since(self.last_used_at) < min_idle {
             return false;
         }
         self.refill(now, plan);
--- a/crates/gateway-core/src/types.rs
+++ b/crates/gateway-core/src/types.rs
@@ -140,6 +140,8 @@
     /// The customer's quota owners did not respond, and the local token bucket did not cover the
     /// request.
     OwnerUnreachable,
+    /// The customer is not known here, and there is no memory for the state of another customer.
+    TooManyCustomers,
     /// The request was shed because the servers are overloaded. Requests are shed at random, with a
     /// higher probability the lower their priority is.
     LoadShed,
--- a/crates/gateway-core/tests/policy.rs
+++ b/crates/gateway-core/tests/policy.rs
@@ -1,6 +1,6 @@
 //! Tests of the policy decisions, grouped by concern. Each module is named after the module of
 //! `src/policy` that it tests, except for `gateway`, which tests all of them together, `quota`,
-//! `lease` and `quota_owner`, which test `quota_sharing`, and `gossip`, which tests the messages
+//! `lease`, `quota_owner` and `customer_limit`, which test `quota_sharing`, and `gossip`, which tests the messages
 //! between gateways.
 
 #[path = "policy/admission.rs"]
@@ -8,6 +8,8 @@
 mod common;
 #[path = "policy/controller_inputs.rs"]
 mod controller_inputs;
+#[path = "policy/customer_limit.rs"]
+mod customer_limit;
 #[path = "policy/deadlines.rs"]
 mod deadlines;
 #[path = "policy/dispatch.rs"]
--- a/crates/gateway-core/tests/unit/customer_account.rs
+++ b/crates/gateway-core/tests/unit/customer_account.rs
@@ -2,6 +2,7 @@
 
 use super::super::test_plan::plan;
 use super::*;
+use crate::policy::quota_sharing::customer_limit::MIN_IDLE;
 
 const SECOND: Duration = Duration::from_secs(1);
 const START: Timestamp = Timestamp::EPOCH;
@@ -71,7 +72,7 @@
 
 #[test]
 fn account_is_idle_when_full_and_unused_for_min_idle() {
-    let is_idle = |account: &mut CustomerAccount, now| account.is_idle(now, &plan(), 0.0);
+    let is_idle = |account: &mut CustomerAccount, now| account.is_idle(now, MIN_IDLE, &plan(), 0.0);
     let mut account = account(1);
     assert!(
         !is_idle(&mut account, START + MIN_IDLE - Duration::from_micros(1)),
--- a/crates/gateway-core/tests/unit/owned_quota.rs
+++ b/crates/gateway-core/tests/unit/owned_quota.rs
@@ -2,6 +2,7 @@
 
 use super::super::test_plan::plan;
 use super::*;
+use crate::policy::quota_sharing::customer_limit::MIN_IDLE;
 
 const START: Timestamp = Timestamp::EPOCH;
 
@@ -45,12 +46,19 @@
 fn owned_quota_is_idle_when_full_and_unused_for_min_idle() {
     let mut owned = owned();
     assert!(
-        !owned.is_idle(START + MIN_IDLE - Duration::from_micros(1), &plan()),
+        !owned.is_idle(
+            START + MIN_IDLE - Duration::from_micros(1),
+            MIN_IDLE,
+            &plan()
+        ),
         "unused for less than MIN_IDLE"
     );
-    assert!(owned.is_idle(START + MIN_IDLE, &plan()));
+    assert!(owned.is_idle(START + MIN_IDLE, MIN_IDLE, &plan()));
     owned.consume(Units::new(1000.0));
-    assert!(!owned.is_idle(START + 2 * MIN_IDLE, &plan()), "not full");
+    assert!(
+        !owned.is_idle(START + 2 * MIN_IDLE, MIN_IDLE, &plan()),
+        "not full"
+    );
 }
 
 #[test]
@@ -61,7 +69,7 @@
         sequence: 5,
     };
     owned.acquire_permit(holder, Timestamp::MAX);
-    assert!(!owned.is_idle(START + MIN_IDLE, &plan()));
+    assert!(!owned.is_idle(START + MIN_IDLE, MIN_IDLE, &plan()));
     owned.release_permit(holder);
-    assert!(owned.is_idle(START + MIN_IDLE, &plan()));
+    assert!(owned.is_idle(START + MIN_IDLE, MIN_IDLE, &plan()));
 }
