Tell a server from its successor at the same address

Cause: pools are kept by name, and addresses of different names were never compared; a pool stayed as long as its address did, whatever the start time.

Change: with each update of the list, servers whose address belongs to another one by now are taken for gone (later start; if equal, announced later). A pool and its connections belong to one process: address and start time. The event server_displaced tells operators.

--- a/crates/edge-node/src/node/endpoints.rs
+++ b/crates/edge-node/src/node/endpoints.rs
@@ -4,12 +4,13 @@
 use super::clock::wall_clock_time;
 use super::Node;
 use crate::endpoint_list::{EndpointEntry, EndpointHealth, EndpointList};
-use crate::upstream::ServerAddress;
+use crate::upstream::{ServerEndpoint, ServerInstance};
 use gateway_core::settings;
 use gateway_core::{
     CellId, Endpoint, EndpointState, EndpointUpdate, Event, ServerId, Timestamp, ZoneId,
 };
 use std::cell::Cell;
+use std::collections::HashSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -66,15 +67,29 @@
     ) {
         let zones = &self.settings.zone_names;
         let mut endpoints: Vec<_> = entries.iter().map(|entry| endpoint(entry, zones)).collect();
+        let mut processes: Vec<_> = entries.iter().map(process).collect();
+        for server in self.displaced_servers(kind, entries) {
+            info!(
+                event = "server_displaced",
+                server = server.0,
+                "server {} is taken for gone: another server has its address",
+                server.0
+            );
+            mark_gone(&mut endpoints, &mut processes, server);
+        }
         self.convert_start_times(kind, &mut endpoints);
-        let addresses = entries.iter().map(|entry| ServerAddress {
-            server: server_id(&entry.name),
-            address: connect_address(entry),
-        });
-        self.upstream.update_endpoints(kind, addresses);
+        self.upstream.update_endpoints(kind, processes.into_iter());
         self.handle_event(Event::EndpointsUpdated { kind, endpoints });
     }
 
+    /// Returns the servers whose address belongs to another server with this update. A draining
+    /// server still has its address.
+    fn displaced_servers(&self, kind: EndpointUpdate, entries: &[EndpointEntry]) -> Vec<ServerId> {
+        let listed: Vec<_> = entries.iter().filter_map(listed_instance).collect();
+        let named: HashSet<_> = entries.iter().map(|entry| server_id(&entry.name)).collect();
+        self.upstream.displaced_servers(kind, &named, &listed)
+    }
+
     /// Converts the start times of endpoints from the wall clock to the node's clock.
     fn convert_start_times(&self, kind: EndpointUpdate, endpoints: &mut [Endpoint]) {
         let now = self.clock.now();
@@ -156,11 +171,55 @@
     }
 }
 
-/// Returns the address for new connections to a server; `None` if the server accepts none.
-fn connect_address(entry: &EndpointEntry) -> Option<SocketAddr> {
-    entry
+/// Returns the process of a server that new connections lead to; none if the server accepts none.
+fn process(entry: &EndpointEntry) -> ServerEndpoint {
+    let is_ready = entry.health == EndpointHealth::Ready;
+    ServerEndpoint {
+        server: server_id(&entry.name),
+        instance: listed_instance(entry)
+            .filter(|_| is_ready)
+            .map(|(_server, instance)| instance),
+    }
+}
+
+/// Returns a server and its process; `None` if the server is gone or has no address.
+fn listed_instance(entry: &EndpointEntry) -> Option<(ServerId, ServerInstance)> {
+    let address = entry
         .address
-        .filter(|_| entry.health == EndpointHealth::Ready)
+        .filter(|_| entry.health != EndpointHealth::Gone)?;
+    let instance = ServerInstance {
+        address,
+        started_at_ms: entry.started_at_ms,
+    };
+    Some((server_id(&entry.name), instance))
+}
+
+/// Changes an update so that it removes a server.
+fn mark_gone(endpoints: &mut Vec<Endpoint>, processes: &mut Vec<ServerEndpoint>, server: ServerId) {
+    let mut is_listed = false;
+    for (endpoint, process) in endpoints.iter_mut().zip(processes.iter_mut()) {
+        if endpoint.server == server {
+            endpoint.state = EndpointState::Gone;
+            process.instance = None;
+            is_listed = true;
+        }
+    }
+    if is_listed {
+        return;
+    }
+    // A server that is known keeps its zone and cell.
+    endpoints.push(Endpoint {
+        server,
+        zone: UNKNOWN_ZONE,
+        cell: CellId(0),
+        state: EndpointState::Gone,
+        weight: 0.0,
+        started_at: None,
+    });
+    processes.push(ServerEndpoint {
+        server,
+        instance: None,
+    });
 }
 
 fn zone_id(name: &str, zone_names: &[String]) -> ZoneId {
--- a/crates/edge-node/src/upstream/attempt.rs
+++ b/crates/edge-node/src/upstream/attempt.rs
@@ -77,7 +77,7 @@
     #[error("no connection to the server")]
     Connect(#[from] ConnectError),
     /// Before anything was sent, the request was answered, the attempt's deadline or its write
-    /// deadline passed, or the server stopped being ready or was given a new address.
+    /// deadline passed, or the server stopped being ready, restarted or was given a new address.
     #[error("the attempt was no longer needed when its connection was established")]
     NoLongerNeeded,
     /// The exchange on the connection failed.
@@ -182,12 +182,12 @@
     ) -> Result<AttemptResult, AttemptError> {
         let connection = self.obtain_connection(&mut attempt).await?;
         // While the connection was being established, the request may have been answered, a
-        // deadline may have passed, or the server may have stopped being ready or been given a new
-        // address. Nothing has been written yet, so the server cannot have executed the request.
+        // deadline may have passed, or the server may have stopped being ready, restarted or been given
+        // a new address. Nothing has been written yet, so the server cannot have executed the request.
         let is_needed = (attempt.is_open)()
             && Instant::now() < attempt.deadline
             && !is_past(attempt.write_deadline);
-        if !is_needed || !self.has_current_address(attempt.server, &connection) {
+        if !is_needed || !self.leads_to_current_process(attempt.server, &connection) {
             self.release(attempt.server, connection);
             return Err(AttemptError::NoLongerNeeded);
         }
--- a/crates/edge-node/src/upstream/connection.rs
+++ b/crates/edge-node/src/upstream/connection.rs
@@ -1,6 +1,7 @@
 //! One HTTP/1.1 connection to a server.
 
 use super::connect_error::ConnectError;
+use super::instance::ServerInstance;
 use super::socket::{
     ObservedStream, OpenSocketGuard, RequestWrites, SharedReadBuffer, SharedStream,
 };
@@ -35,7 +36,7 @@
 /// is dropped instead, for example with the future of an attempt, hyper detects that the sender is
 /// gone and ends the driver, which closes the socket.
 pub(super) struct PooledConnection {
-    address: SocketAddr,
+    instance: ServerInstance,
     /// Weak, so that the socket is closed as soon as the driver ends.
     stream: Weak<RefCell<SocketIo>>,
     sender: SendRequest<Full<Bytes>>,
@@ -60,18 +61,18 @@
     /// Returns an error if the connection is refused, is not established within `connect_timeout`,
     /// or lacks local resources.
     pub(super) async fn open(
-        address: SocketAddr,
+        instance: ServerInstance,
         connect_timeout: Duration,
         head_memory: &MemoryBudget,
         guard: OpenSocketGuard,
     ) -> Result<PooledConnection, ConnectError> {
-        let stream = connect_tcp(address, connect_timeout).await?;
+        let stream = connect_tcp(instance.address, connect_timeout).await?;
         let stream = Rc::new(RefCell::new(SocketIo::new(stream)));
-        PooledConnection::handshake(address, stream, head_memory, guard).await
+        PooledConnection::handshake(instance, stream, head_memory, guard).await
     }
 
     async fn handshake(
-        address: SocketAddr,
+        instance: ServerInstance,
         stream: SharedStream,
         head_memory: &MemoryBudget,
         guard: OpenSocketGuard,
@@ -87,7 +88,7 @@
         let (sender, connection) = handshake.map_err(ConnectError::Handshake)?;
         let driver = tokio::task::spawn_local(drive(connection));
         Ok(PooledConnection {
-            address,
+            instance,
             stream: weak_stream,
             sender,
             driver,
@@ -101,7 +102,12 @@
     }
 
     pub(super) fn address(&self) -> SocketAddr {
-        self.address
+        self.instance.address
+    }
+
+    /// Returns the process to which the connection was opened.
+    pub(super) fn instance(&self) -> ServerInstance {
+        self.instance
     }
 
     /// Closes the socket and returns once it is closed. If the future is dropped, the socket is
--- a/crates/edge-node/src/upstream/mod.rs
+++ b/crates/edge-node/src/upstream/mod.rs
@@ -2,13 +2,15 @@
 //!
 //! [`Upstream`] applies updates of the endpoint list and makes attempts. Its modules: `attempt`
 //! makes one attempt, `response` reads and validates a response, `pool` and `connection` keep
-//! connections open between requests, `connect_error` classifies failures to connect, `socket` counts
+//! connections open between requests, `connect_error` classifies failures to connect, `instance`
+//! tells the processes at one address apart, `socket` counts
 //! open sockets, and `surplus` classifies what a server sends beyond a response.
 
 mod attempt;
 mod attempt_result;
 mod connect_error;
 mod connection;
+mod instance;
 mod pool;
 mod response;
 mod socket;
@@ -16,17 +18,18 @@
 
 pub(crate) use attempt::{Attempt, UpstreamRequest};
 pub(crate) use attempt_result::AttemptResult;
+pub(crate) use instance::{ServerEndpoint, ServerInstance};
 
 use crate::body::BodyBudget;
 use crate::memory::MemoryBudget;
 use connect_error::ConnectError;
 use connection::PooledConnection;
 use gateway_core::{EndpointUpdate, ServerId};
+use instance::displaced_servers;
 use pool::ServerPool;
 use socket::OpenSockets;
 use std::cell::RefCell;
-use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 /// Fraction of the servers' idle timeout after which this node closes an idle connection. The node
@@ -36,13 +39,6 @@
 /// Interval between evictions of idle connections.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A server of the endpoint list and its current address.
-pub(crate) struct ServerAddress {
-    pub(crate) server: ServerId,
-    /// Address to connect to; `None` if nothing may be sent to the server.
-    pub(crate) address: Option<SocketAddr>,
-}
-
 /// The ready servers and the connections to them.
 pub(crate) struct Upstream {
     /// Memory for the bodies of responses.
@@ -94,21 +90,21 @@
     }
 
     /// Applies an update of the endpoint list. The idle connections of a server are closed if the
-    /// server is no longer ready, has a new address, or is missing from a snapshot; its connections
-    /// in use are closed when their attempts end.
+    /// server is no longer ready, has restarted, has a new address, or is missing from a snapshot; its
+    /// connections in use are closed when their attempts end.
     pub(crate) fn update_endpoints(
         &self,
         kind: EndpointUpdate,
-        endpoints: impl Iterator<Item = ServerAddress>,
+        endpoints: impl Iterator<Item = ServerEndpoint>,
     ) {
         let mut pools = self.pools.borrow_mut();
         let mut previous = match kind {
             EndpointUpdate::Snapshot => std::mem::take(&mut *pools),
             EndpointUpdate::Delta => HashMap::new(),
         };
-        for ServerAddress { server, address } in endpoints {
+        for ServerEndpoint { server, instance } in endpoints {
             let existing = previous.remove(&server).or_else(|| pools.remove(&server));
-            if let Some(pool) = updated_pool(existing, address) {
+            if let Some(pool) = updated_pool(existing, instance) {
                 pools.insert(server, pool);
             }
         }
@@ -129,13 +125,31 @@
         }
     }
 
-    /// Returns whether a connection leads to the current address of the server. The endpoint list
-    /// may have given the server a new address, and its previous address to another server.
-    fn has_current_address(&self, server: ServerId, connection: &PooledConnection) -> bool {
+    /// Returns the servers whose address belongs to another server with an update of the endpoint
+    /// list. `named` contains all servers of the update, and `listed` the processes among them.
+    pub(crate) fn displaced_servers(
+        &self,
+        kind: EndpointUpdate,
+        named: &HashSet<ServerId>,
+        listed: &[(ServerId, ServerInstance)],
+    ) -> Vec<ServerId> {
+        let pools = self.pools.borrow();
+        let stays = |server: &ServerId| kind == EndpointUpdate::Delta && !named.contains(server);
+        let known = pools
+            .iter()
+            .filter(|(server, _)| stays(server))
+            .map(|(server, pool)| (*server, pool.instance()));
+        displaced_servers(listed, known)
+    }
+
+    /// Returns whether a connection leads to the current process of the server. The server may have
+    /// restarted, the endpoint list may have given it a new address, and its previous address to
+    /// another server.
+    fn leads_to_current_process(&self, server: ServerId, connection: &PooledConnection) -> bool {
         self.pools
             .borrow()
             .get(&server)
-            .is_some_and(|pool| pool.address() == connection.address())
+            .is_some_and(|pool| pool.instance() == connection.instance())
     }
 
     fn take_idle(&self, server: ServerId) -> Option<PooledConnection> {
@@ -148,7 +162,8 @@
     /// Returns a connection to its pool, or closes it if it is no longer usable for the server.
     fn release(&self, server: ServerId, mut connection: PooledConnection) {
         connection.mark_idle();
-        let is_usable = connection.is_reusable() && self.has_current_address(server, &connection);
+        let is_usable =
+            connection.is_reusable() && self.leads_to_current_process(server, &connection);
         match self.pools.borrow_mut().get_mut(&server) {
             Some(pool) if is_usable => pool.put_idle(connection),
             _ => connection.close_in_background(),
@@ -159,13 +174,13 @@
     /// has been idle for the longest time first. If the future is dropped, the new socket is closed
     /// and no longer counted.
     async fn connect(&self, server: ServerId) -> Result<PooledConnection, ConnectError> {
-        let address = self.pools.borrow().get(&server).map(ServerPool::address);
-        let address = address.ok_or(ConnectError::UnknownServer)?;
+        let instance = self.pools.borrow().get(&server).map(ServerPool::instance);
+        let instance = instance.ok_or(ConnectError::UnknownServer)?;
         if self.open_sockets.count() >= self.max_sockets {
             self.close_oldest_idle().await?;
         }
         let guard = self.open_sockets.add();
-        PooledConnection::open(address, self.connect_timeout, &self.head_memory, guard).await
+        PooledConnection::open(instance, self.connect_timeout, &self.head_memory, guard).await
     }
 
     /// Closes the connection that has been idle for the longest time, and returns once it is
@@ -189,16 +204,19 @@
     }
 }
 
-/// Returns the pool for a server at `address`: the existing pool if the address has not changed, or
-/// else a new one. Returns `None` if there is no address.
-fn updated_pool(existing: Option<ServerPool>, address: Option<SocketAddr>) -> Option<ServerPool> {
+/// Returns the pool for a process of a server: the existing pool if the process has not changed, or
+/// else a new one. Returns `None` if there is no process.
+fn updated_pool(
+    existing: Option<ServerPool>,
+    instance: Option<ServerInstance>,
+) -> Option<ServerPool> {
     if let Some(pool) = existing {
-        if address == Some(pool.address()) {
+        if instance == Some(pool.instance()) {
             return Some(pool);
         }
         pool.close_idle();
     }
-    address.map(ServerPool::new)
+    instance.map(ServerPool::new)
 }
 
 #[cfg(test)]
--- a/crates/edge-node/src/upstream/pool.rs
+++ b/crates/edge-node/src/upstream/pool.rs
@@ -5,7 +5,7 @@
 //! be retried.
 
 use super::connection::PooledConnection;
-use std::net::SocketAddr;
+use super::instance::ServerInstance;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -16,23 +16,23 @@
 /// request.
 const REUSE_DELAY: Duration = Duration::from_millis(10);
 
-/// A ready server: its address and its idle connections, in the order in which they became idle.
+/// A ready server: its process and its idle connections, in the order in which they became idle.
 pub(super) struct ServerPool {
-    address: SocketAddr,
+    instance: ServerInstance,
     idle: Vec<PooledConnection>,
 }
 
 impl ServerPool {
     /// Creates a pool without connections.
-    pub(super) fn new(address: SocketAddr) -> ServerPool {
+    pub(super) fn new(instance: ServerInstance) -> ServerPool {
         ServerPool {
-            address,
+            instance,
             idle: Vec::new(),
         }
     }
 
-    pub(super) fn address(&self) -> SocketAddr {
-        self.address
+    pub(super) fn instance(&self) -> ServerInstance {
+        self.instance
     }
 
     /// Takes the most recently used of the connections that have been idle for [`REUSE_DELAY`] or
--- a/crates/edge-node/tests/edge/main.rs
+++ b/crates/edge-node/tests/edge/main.rs
@@ -16,6 +16,7 @@
 mod request_sequence;
 mod resting_clients;
 mod retries;
+mod reused_addresses;
 mod short_transfers;
 mod shutdown;
 mod slow_discovery;
--- a/crates/edge-node/tests/unit/endpoints.rs
+++ b/crates/edge-node/tests/unit/endpoints.rs
@@ -54,9 +54,21 @@
 #[test]
 fn only_ready_server_has_connect_address() {
     assert_eq!(
-        connect_address(&entry(EndpointHealth::Ready)),
+        process(&entry(EndpointHealth::Ready))
+            .instance
+            .map(|instance| instance.address),
         entry(EndpointHealth::Ready).address
     );
-    assert_eq!(connect_address(&entry(EndpointHealth::Draining)), None);
-    assert_eq!(connect_address(&entry(EndpointHealth::Gone)), None);
+    assert_eq!(
+        process(&entry(EndpointHealth::Draining))
+            .instance
+            .map(|instance| instance.address),
+        None
+    );
+    assert_eq!(
+        process(&entry(EndpointHealth::Gone))
+            .instance
+            .map(|instance| instance.address),
+        None
+    );
 }
--- a/crates/edge-node/tests/unit/upstream.rs
+++ b/crates/edge-node/tests/unit/upstream.rs
@@ -5,6 +5,7 @@
 use gateway_core::{AttemptNumber, AttemptOutcome, RequestId};
 use hyper::Method;
 use std::future::Future;
+use std::net::SocketAddr;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
@@ -23,10 +24,18 @@
     tokio::task::LocalSet::new().block_on(&runtime, test);
 }
 
-fn endpoint(address: Option<SocketAddr>) -> impl Iterator<Item = ServerAddress> {
-    std::iter::once(ServerAddress {
-        server: SERVER,
+/// Returns a process at this address with an unknown start time.
+pub(super) fn instance(address: SocketAddr) -> ServerInstance {
+    ServerInstance {
         address,
+        started_at_ms: 0,
+    }
+}
+
+fn endpoint(address: Option<SocketAddr>) -> impl Iterator<Item = ServerEndpoint> {
+    std::iter::once(ServerEndpoint {
+        server: SERVER,
+        instance: address.map(instance),
     })
 }
 
--- a/crates/edge-node/tests/unit/upstream_attempt.rs
+++ b/crates/edge-node/tests/unit/upstream_attempt.rs
@@ -1,7 +1,7 @@
 //! Tests each outcome of an attempt, and the bytes on the wire.
 
-use super::super::tests::block_on;
-use super::super::ServerAddress;
+use super::super::tests::{block_on, instance};
+use super::super::ServerEndpoint;
 use super::*;
 use crate::memory::MemoryBudget;
 use gateway_core::EndpointUpdate;
@@ -34,9 +34,9 @@
         Duration::from_secs(15),
         Duration::from_secs(60),
     );
-    let endpoints = servers.iter().map(|(server, address)| ServerAddress {
+    let endpoints = servers.iter().map(|(server, address)| ServerEndpoint {
         server: *server,
-        address: Some(*address),
+        instance: Some(instance(*address)),
     });
     upstream.update_endpoints(EndpointUpdate::Snapshot, endpoints);
     upstream
