--- a/crates/edge-node/src/clients/request_error.rs
+++ b/crates/edge-node/src/clients/request_error.rs
@@ -16,7 +16,8 @@
     /// The request id is missing, is not visible ASCII, or has an invalid length.
     #[error("X-Request-Id: missing, or no word of 1 to 64 bytes")]
     InvalidRequestId,
-    /// Another open request has the same id.
+    /// Another open request has the same id, or a request that must not be executed twice had it
+    /// recently.
     #[error("X-Request-Id: in use")]
     RequestIdInUse,
     /// The class header is missing or is not visible ASCII.
--- a/crates/edge-node/src/node/attempts.rs
+++ b/crates/edge-node/src/node/attempts.rs
@@ -3,7 +3,7 @@
 use super::pending_requests::NextAttempt;
 use super::{Answer, Node};
 use crate::upstream::{Attempt, AttemptResult};
-use gateway_core::{AttemptNumber, Event, RequestId, ServerId, Timestamp};
+use gateway_core::{AttemptNumber, ClassId, Event, Idempotency, RequestId, ServerId, Timestamp};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -72,9 +72,15 @@
     ) {
         // Only a request that has been answered or abandoned is missing. The decision library is
         // notified of both, and starts no attempt of such a request.
-        let Some(NextAttempt { request, number }) = self.requests.next_attempt(&id) else {
+        let Some(NextAttempt {
+            request,
+            number,
+            kind,
+        }) = self.requests.next_attempt(&id)
+        else {
             return;
         };
+        let may_repeat = kind.is_some_and(|kind| self.is_idempotent(kind.class));
         debug!(
             event = "attempt_started",
             id = %id.0,
@@ -104,10 +110,20 @@
                 is_open,
             };
             let result = node.upstream.attempt(attempt).await;
+            if !may_repeat && result.outcome.may_have_executed() {
+                node.executed.insert(&id, Instant::now());
+            }
             node.finish_attempt(id, number, result);
         });
     }
 
+    /// Returns whether requests of a class may be executed any number of times.
+    fn is_idempotent(&self, class: ClassId) -> bool {
+        let classes = &self.settings.settings.classes;
+        let class = classes.get(class.0);
+        class.is_some_and(|class| class.idempotency == Idempotency::Idempotent)
+    }
+
     /// Cancels an attempt, unless it has ended.
     pub(super) fn cancel_attempt(&self, id: &RequestId, number: AttemptNumber) {
         self.attempts.cancel(id, number);
--- a/crates/edge-node/src/node/mod.rs
+++ b/crates/edge-node/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod attempts;
 mod clock;
 mod endpoints;
+mod executed_requests;
 mod peer_messages;
 mod pending_requests;
 mod process;
@@ -26,6 +27,7 @@
 use attempts::InFlightAttempts;
 use clock::Clock;
 use endpoints::WatchStatus;
+use executed_requests::ExecutedRequests;
 use gateway_core::settings::{ResolvedSettings, SettingsError};
 use gateway_core::{Action, CustomerLimit, Event, Gateway};
 use pending_requests::PendingRequests;
@@ -73,6 +75,7 @@
     gateway: RefCell<Gateway>,
     requests: PendingRequests,
     attempts: InFlightAttempts,
+    executed: ExecutedRequests,
     watch: WatchStatus,
     start_times: StartTimes,
     client_connections: Rc<Cell<usize>>,
@@ -99,6 +102,7 @@
             gateway: RefCell::new(gateway),
             requests: PendingRequests::default(),
             attempts: InFlightAttempts::default(),
+            executed: ExecutedRequests::default(),
             watch: WatchStatus::default(),
             start_times: StartTimes::default(),
             client_connections: Rc::default(),
--- a/crates/edge-node/src/node/pending_requests.rs
+++ b/crates/edge-node/src/node/pending_requests.rs
@@ -89,6 +89,8 @@
     pub(super) request: Rc<UpstreamRequest>,
     /// Number of the attempt within its request, from 0.
     pub(super) number: AttemptNumber,
+    /// The class and plan of the request; `None` if it is not counted.
+    pub(super) kind: Option<RequestKind>,
 }
 
 /// A pending request as the admin listener reports it.
@@ -128,6 +130,7 @@
         Some(NextAttempt {
             request: Rc::clone(&pending.request),
             number,
+            kind: pending.kind,
         })
     }
 
--- a/crates/edge-node/src/node/requests.rs
+++ b/crates/edge-node/src/node/requests.rs
@@ -34,7 +34,8 @@
     ///
     /// Returns `None` if the id is in use by a pending request, or by an attempt in flight of a
     /// request that has been answered: the answers of two requests with the same id could be
-    /// confused.
+    /// confused. Also returns `None` if a request with the id may have been executed recently, and
+    /// must not be executed again.
     ///
     /// A caller that stops waiting for the answer has to call [`Node::abandon_request`]. Dropping
     /// the receiver leaves the request in the table.
@@ -44,7 +45,8 @@
         request: UpstreamRequest,
     ) -> Option<oneshot::Receiver<Answer>> {
         let id = request.id.clone();
-        if self.requests.contains(&id) || self.attempts.contains(&id) {
+        let is_in_use = self.requests.contains(&id) || self.attempts.contains(&id);
+        if is_in_use || self.executed.contains(&id, Instant::now()) {
             return None;
         }
         debug!(
--- a/crates/edge-node/tests/edge/client_disconnect.rs
+++ b/crates/edge-node/tests/edge/client_disconnect.rs
@@ -496,3 +496,38 @@
         200
     );
 }
+
+/// Guards against a second execution of a request whose client has left and sends it again with the
+/// same id. A request that may be repeated may come again.
+#[test]
+fn request_that_may_have_been_executed_is_not_executed_again_with_same_id() {
+    let (servers, _discovery, node) = start_with_one_server(
+        "again-id",
+        &[
+            ServerBehavior::NeverRespond,
+            RESPONDS_OVERLOADED,
+            RESPONDS_OK,
+        ],
+    );
+    let mut client = node.client();
+    client.send(&request_text("left", "pay", "20000m"));
+    let received = servers.next_request();
+    disconnect(client, 0, &node);
+    assert!(is_closed_in_time(&received));
+    wait_until_read(&node);
+    let status_of = |id: &str, class: &str| {
+        let request = request_text(id, class, "20000m");
+        node.client().exchange(&request).status()
+    };
+    assert_eq!(status_of("left", "pay"), 400);
+    assert_eq!(status_of("full", "pay"), 200, "the second attempt");
+    assert_eq!(status_of("full", "pay"), 400, "executed and answered");
+    assert_eq!(status_of("read", "read"), 200);
+    assert_eq!(status_of("read", "read"), 200);
+    let ids: Vec<_> = servers
+        .unseen_requests()
+        .iter()
+        .map(|request| request.message.header("x-request-id").to_owned())
+        .collect();
+    assert_eq!(ids, ["full", "full", "read", "read"]);
+}
