Close evicted connections without waiting for their clients

Cause, as the claim says: the accept loop waits for an evicted connection, which lingered for 50 ms after its 503 for a client that never closes, and asked the same one again.

The new test fails on the old code (its request takes longer than 2.5 s) and passes.

--- a/crates/edge-node/src/clients/connection.rs
+++ b/crates/edge-node/src/clients/connection.rs
@@ -2,7 +2,7 @@
 
 use super::connection_limits::{self, CloseRequests, Verdict};
 use super::connection_state::{Activity, ConnectionState, InFlightGuard};
-use super::last_response;
+use super::last_response::{self, Linger};
 use super::phase::{wait_for_closing, Phase};
 use super::read_ahead::{ReadAheadStream, ReadRefusal};
 use super::request::{self, ClientDisconnected};
@@ -65,6 +65,7 @@
         result = &mut http_connection => (CloseReason::Ended, result),
         reason = connection.wait_until_closed_by_node() => (reason, Ok(())),
     };
+    connection.state.begin_closing();
     connection.log_closed(reason, result);
     if reason != CloseReason::Ended {
         let unparsed = http_connection.into_parts().read_buf;
@@ -181,7 +182,11 @@
             _ => RequestError::IncompleteHead,
         };
         debug!(event = "request_invalid", cause = %error, "request answered with {}: {error}", error.status());
-        last_response::write(&self.stream, error).await;
+        let linger = match reason {
+            CloseReason::Evicted => Linger::None,
+            _ => Linger::Short,
+        };
+        last_response::write(&self.stream, error, linger).await;
     }
 
     fn log_closed(&self, reason: CloseReason, result: hyper::Result<()>) {
--- a/crates/edge-node/src/clients/connection_state.rs
+++ b/crates/edge-node/src/clients/connection_state.rs
@@ -36,6 +36,8 @@
     /// Time at which the last response was built; `None` before the first request.
     answered_at: Cell<Option<Instant>>,
     is_in_flight: Cell<bool>,
+    /// Whether the connection is being closed, so that it need not be evicted.
+    is_closing: Cell<bool>,
     transfers: Rc<Transfers>,
     /// Number of requests whose heads have arrived.
     requests: Cell<u64>,
@@ -51,6 +53,7 @@
             accepted_at: Instant::now(),
             answered_at: Cell::new(None),
             is_in_flight: Cell::new(false),
+            is_closing: Cell::new(false),
             transfers: stream.transfers(),
             requests: Cell::new(0),
             eviction: Notify::new(),
@@ -129,9 +132,17 @@
         self.eviction.notified().await;
     }
 
+    /// Records that the connection is being closed.
+    pub(super) fn begin_closing(&self) {
+        self.is_closing.set(true);
+    }
+
     /// Returns the position of the connection in the order of eviction, or `None` while a complete
-    /// request is in flight on it.
+    /// request is in flight on it or while it is being closed.
     pub(super) fn eviction_order(&self) -> Option<EvictionOrder> {
+        if self.is_closing.get() {
+            return None;
+        }
         match self.activity() {
             Activity::InFlight => None,
             Activity::Idle { since } => Some(EvictionOrder::Idle(self.with_initial_credit(since))),
--- a/crates/edge-node/tests/edge/descriptors.rs
+++ b/crates/edge-node/tests/edge/descriptors.rs
@@ -6,7 +6,7 @@
 use socket2::{Domain, Socket, Type};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Limit on file descriptors in these tests, the lowest that the program accepts.
 const MAX_DESCRIPTORS: usize = 64;
@@ -249,3 +249,41 @@
     }
     drop(others);
 }
+
+/// Number of clients that stop in the head of a request and stay. They fit into the backlog of the
+/// listener together with one more client, and exceed by far the connections that stay open.
+const STOPPING_CLIENTS: usize = 110;
+/// Time within which a request has its answer: its own time of 2 s, and the half second after which
+/// the platform counts it as lost.
+const ANSWERED_WITHIN: Duration = Duration::from_millis(2500);
+
+/// Guards against an accept loop that waits for each evicted client to close its side, so that the
+/// request of another client stays in the backlog beyond its time.
+#[test]
+fn clients_that_stop_in_a_head_do_not_hold_up_the_backlog() {
+    let servers = FakeServers::new();
+    let entries = [servers.start_returning_entry("s-1", &[RESPONDS_OK])];
+    let discovery = FakeDiscovery::start(&entries);
+    let node = EdgeNode::start_with_descriptor_limit(
+        "stopping",
+        discovery.address,
+        &entries,
+        MAX_DESCRIPTORS,
+    );
+    assert_eq!(node.client().exchange(READINESS_REQUEST).status(), 200);
+    node.suspend();
+    let stop = |_| {
+        let mut client = node.client();
+        client.send("POST /pay/00000000b4d65521 HTTP/1.1\r\nHost: ");
+        client
+    };
+    let stopping: Vec<Client> = (0..STOPPING_CLIENTS).map(stop).collect();
+    let mut client = node.client();
+    client.send(&request_text("waits", "pay", "2000m"));
+    node.resume();
+    let resumed_at = Instant::now();
+    let response = client.read_response().map(|response| response.status());
+    assert_eq!(response, Some(200));
+    assert!(resumed_at.elapsed() < ANSWERED_WITHIN);
+    drop(stopping);
+}
