Count the time of a pipelined request from its arrival

The stream now records when bytes came from the socket, also those that were read ahead, and the client's timeout runs from there.

--- a/crates/edge-node/src/clients/read_ahead.rs
+++ b/crates/edge-node/src/clients/read_ahead.rs
@@ -17,6 +17,7 @@
 use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Maximum number of bytes that are read ahead and kept. Clients send one request at a time, so that
 /// more is sent only by a client that misuses the connection: further bytes are discarded.
@@ -52,6 +53,10 @@
     buffered: Vec<u8>,
     /// Memory of `buffered`.
     buffer_memory: MemoryReservation,
+    /// When the last of the buffered bytes were read from the socket.
+    buffered_at: Instant,
+    /// When the bytes that the HTTP server has read last were read from the socket.
+    received_at: Instant,
     /// Whether bytes behind the buffered ones have been discarded, as all further bytes are.
     is_discarding: bool,
     /// Whether the stream has ended or failed after the buffered bytes.
@@ -73,6 +78,8 @@
             stream: SocketIo::new(stream),
             buffered: Vec::new(),
             buffer_memory: head_memory.reservation(),
+            buffered_at: Instant::now(),
+            received_at: Instant::now(),
             is_discarding: false,
             ended: false,
             read_buffer: ReadBufferMemory::new(head_memory),
@@ -101,6 +108,12 @@
         !std::mem::take(&mut self.0.borrow_mut().has_read_socket)
     }
 
+    /// Returns when the bytes that the HTTP server has read last arrived. Those that were read ahead
+    /// have waited since then.
+    pub(super) fn received_at(&self) -> Instant {
+        self.0.borrow().received_at
+    }
+
     /// Records that a request has been answered, so that the next bytes begin another one.
     pub(super) fn end_request(&self) {
         self.0.borrow_mut().read_buffer.begin_message();
@@ -196,6 +209,7 @@
         let length = ready!(self.stream.poll_read_bounded(context, buffer, observe))?;
         if length > 0 {
             self.has_read_socket = true;
+            self.received_at = Instant::now();
             self.transfers.record_read();
         }
         Poll::Ready(Ok(()))
@@ -258,6 +272,7 @@
             return bytes.len();
         }
         self.transfers.record_read();
+        self.buffered_at = Instant::now();
         self.buffered.extend_from_slice(bytes);
         0
     }
@@ -283,6 +298,9 @@
         self.read_buffer.record_read(&self.buffered[..length]);
         buffer.put_slice(&self.buffered[..length]);
         self.buffered.drain(..length);
+        if length > 0 {
+            self.received_at = self.buffered_at;
+        }
         if self.buffered.is_empty() {
             self.release_buffer();
         }
--- a/crates/edge-node/src/clients/request.rs
+++ b/crates/edge-node/src/clients/request.rs
@@ -58,7 +58,7 @@
     if is_readiness_probe(&request) {
         return Ok(response::readiness(phase));
     }
-    match read_request(node, request, state).await {
+    match read_request(node, request, stream, state).await {
         Ok(valid_request) => submit_to_node(node, valid_request, stream).await,
         Err(error) => {
             debug!(event = "request_invalid", cause = %error, "request answered with {}: {error}", error.status());
@@ -83,14 +83,18 @@
 async fn read_request(
     node: &Node,
     request: Request<Incoming>,
+    stream: &ReadAheadStream,
     state: &ConnectionState,
 ) -> Result<ValidRequest, RequestError> {
     let (parts, body) = request.into_parts();
     let head = RequestHead::parse(&node.settings, &parts)?;
     let forwarded = ForwardedHead::copy_of(parts, &node.head_memory)?;
     let body = read_body(node, &head, body, state).await?;
-    let answer_limit = node.answer_limit();
-    Ok(ValidRequest::new(head, forwarded, body, answer_limit))
+    let times = RequestTimes {
+        received_at: stream.received_at(),
+        answer_limit: node.answer_limit(),
+    };
+    Ok(ValidRequest::new(head, forwarded, body, times))
 }
 
 /// The part of a head that is forwarded to servers, in memory of its own. The received head is a
@@ -171,21 +175,35 @@
     }
 }
 
+/// The times that bound how long a request may take.
+struct RequestTimes {
+    /// When the last byte of the request arrived, from which the client's timeout runs. A request
+    /// that was sent behind an open one may have waited since then.
+    received_at: Instant,
+    /// Time by which every request must be answered; `None` without such a limit.
+    answer_limit: Option<Instant>,
+}
+
+impl RequestTimes {
+    /// Returns the time by which a request with this timeout must have its answer.
+    fn deadline(&self, client_timeout: Duration) -> Instant {
+        let delivered_in_time = client_timeout.saturating_sub(RESPONSE_DELIVERY_TIME);
+        let deadline = self.received_at + delivered_in_time;
+        self.answer_limit
+            .map_or(deadline, |limit| deadline.min(limit))
+    }
+}
+
 impl ValidRequest {
-    /// Builds both forms of the request. The client's timeout begins now, as the request is
-    /// complete; it ends at `answer_limit` at the latest.
+    /// Builds both forms of the request.
     fn new(
         head: RequestHead,
         forwarded: ForwardedHead,
         body: Bytes,
-        answer_limit: Option<Instant>,
+        times: RequestTimes,
     ) -> ValidRequest {
-        let now = Instant::now();
-        let delivered_in_time = head.client_timeout.saturating_sub(RESPONSE_DELIVERY_TIME);
-        let client_timeout = answer_limit.map_or(delivered_in_time, |limit| {
-            delivered_in_time.min(limit.saturating_duration_since(now))
-        });
-        let deadline = now + client_timeout;
+        let deadline = times.deadline(head.client_timeout);
+        let client_timeout = deadline.saturating_duration_since(Instant::now());
         let event = Event::RequestReceived {
             id: head.id.clone(),
             class: head.class,
--- a/crates/edge-node/tests/edge/forwarding.rs
+++ b/crates/edge-node/tests/edge/forwarding.rs
@@ -2,6 +2,7 @@
 
 use super::start_with_one_server;
 use super::support::*;
+use std::io::Write;
 use std::net::Shutdown;
 use std::time::Duration;
 
@@ -156,3 +157,36 @@
         (200, 1)
     );
 }
+
+/// Time for which a server holds the first request in the test below.
+const HOLD_TIME: Duration = Duration::from_millis(1000);
+/// What a deadline told to a server may exceed the time that its client has left.
+const DEADLINE_SLACK_MS: u128 = 150;
+
+/// Guards against a request that was sent behind an open one and whose time begins only when that one
+/// is answered, so that its server is told more time than the client has left.
+#[test]
+fn time_of_request_behind_open_one_runs_from_its_arrival() {
+    let (servers, _discovery, node) =
+        start_with_one_server("behind-time", &[ServerBehavior::NeverRespond, RESPONDS_OK]);
+    let mut client = node.client();
+    client.send(&(request_text("a", "pay", "20000m") + &request_text("b", "pay", "20000m")));
+    let mut held = servers.next_request();
+    std::thread::sleep(HOLD_TIME);
+    held.stream
+        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks")
+        .expect("attempt is in flight");
+    for _ in 0..2 {
+        assert_eq!(
+            client.read_response().map(|answer| answer.status()),
+            Some(200)
+        );
+    }
+    let second = servers.next_request();
+    let told = second.message.header("x-deadline").trim_end_matches('m');
+    let told: u128 = told.parse().expect("deadline in milliseconds");
+    assert!(
+        told <= 20_000 - HOLD_TIME.as_millis() + DEADLINE_SLACK_MS,
+        "{told}"
+    );
+}
--- a/crates/edge-node/tests/unit/client_request.rs
+++ b/crates/edge-node/tests/unit/client_request.rs
@@ -53,7 +53,11 @@
     let forwarded = ForwardedHead::copy_of(parts, &MemoryBudget::new(0));
     let forwarded = forwarded.expect("a short head needs no memory of the budget");
     assert_eq!(Arc::strong_count(&in_use), 1, "released before the body");
-    let request = ValidRequest::new(keyed_head(), forwarded, Bytes::new(), None);
+    let times = RequestTimes {
+        received_at: Instant::now(),
+        answer_limit: None,
+    };
+    let request = ValidRequest::new(keyed_head(), forwarded, Bytes::new(), times);
     let key = request.upstream_request.idempotency_key;
     assert_eq!(key.expect("the key is forwarded"), "5c0f6e1a");
 }
