Count accounts and owned parts of quotas together, and reserve memory for them

A flood of new customers on a release build ended at 912 bytes for each account at the limit of 12,288 (15.4 MB), so that 1 KiB for account and owned part together was too little where a gateway has both. The limit now counts the sum of both, and the division of the memory limit has a share of its own for them (a sixteenth) in place of 2 of the 6 MiB reserved for the program.

--- a/crates/edge-node/src/startup/resource_limits.rs
+++ b/crates/edge-node/src/startup/resource_limits.rs
@@ -16,11 +16,11 @@
 const CONNECTION_SIDES: usize = 2;
 /// Divisor of the memory limit, which yields the memory for the state of customers.
 const CUSTOMER_MEMORY_DIVISOR: usize = 16;
-/// Memory reserved for the state of one customer, its account and the owned part of its quota, in
+/// Memory reserved for the state of one customer, its account or the owned part of its quota, in
 /// bytes.
 const CUSTOMER_MEMORY_BYTES: usize = 1024;
-/// Memory reserved for the program itself and for the state of its decisions, in bytes.
-const RESERVED_MEMORY_BYTES: usize = 6 * 1024 * 1024;
+/// Memory reserved for the program itself, in bytes.
+const RESERVED_MEMORY_BYTES: usize = 4 * 1024 * 1024;
 /// Memory reserved for each connection that may be open, in bytes: read buffer, task and request.
 const CONNECTION_MEMORY_BYTES: usize = 14 * 1024;
 /// Divisor of the memory limit, which yields the memory for long heads, and for what is read ahead,
@@ -41,8 +41,8 @@
     body_bytes: usize,
     /// Maximum memory for the heads of one side together, in bytes.
     head_bytes: usize,
-    /// Maximum number of customers whose state is kept.
-    customers: usize,
+    /// Maximum number of accounts and owned parts of quotas of customers that are kept.
+    customer_entries: usize,
     /// Longest deadline of any class.
     pub(super) longest_deadline: Duration,
 }
@@ -55,7 +55,7 @@
             connections_per_side: connections / CONNECTION_SIDES,
             body_bytes: body_bytes(config.max_memory, connections),
             head_bytes: config.max_memory / HEAD_MEMORY_DIVISOR,
-            customers: config.max_memory / CUSTOMER_MEMORY_DIVISOR / CUSTOMER_MEMORY_BYTES,
+            customer_entries: config.max_memory / CUSTOMER_MEMORY_DIVISOR / CUSTOMER_MEMORY_BYTES,
             longest_deadline: config.settings.longest_deadline,
         }
     }
@@ -68,7 +68,7 @@
     /// Returns the limit on the customers whose state is kept.
     pub(super) fn customer_limit(&self) -> CustomerLimit {
         CustomerLimit {
-            customers: self.customers,
+            entries: self.customer_entries,
             longest_deadline: self.longest_deadline,
         }
     }
@@ -96,6 +96,7 @@
     let connection_memory = connections.saturating_mul(CONNECTION_MEMORY_BYTES);
     let head_memory = CONNECTION_SIDES * (max_memory / HEAD_MEMORY_DIVISOR);
     let other_memory = RESERVED_MEMORY_BYTES
+        .saturating_add(max_memory / CUSTOMER_MEMORY_DIVISOR)
         .saturating_add(connection_memory)
         .saturating_add(head_memory);
     let share = max_memory.saturating_sub(other_memory) / BODY_DIRECTIONS;
--- a/crates/edge-node/tests/unit/resource_limits.rs
+++ b/crates/edge-node/tests/unit/resource_limits.rs
@@ -22,7 +22,8 @@
     let connections = (1024 - RESERVED_DESCRIPTORS) * CONNECTION_MEMORY_BYTES;
     let heads = CONNECTION_SIDES * (32 * MIB / HEAD_MEMORY_DIVISOR);
     let bodies = BODY_DIRECTIONS * body_bytes(32 * MIB, 1024 - RESERVED_DESCRIPTORS);
-    assert!(RESERVED_MEMORY_BYTES + connections + heads + bodies <= 32 * MIB);
+    let customers = 32 * MIB / CUSTOMER_MEMORY_DIVISOR;
+    assert!(RESERVED_MEMORY_BYTES + customers + connections + heads + bodies <= 32 * MIB);
 }
 
 #[test]
--- a/crates/gateway-core/src/state/quota/mod.rs
+++ b/crates/gateway-core/src/state/quota/mod.rs
@@ -42,9 +42,8 @@
 /// Limit on the customers whose state a gateway keeps.
 #[derive(Clone, Copy, Debug)]
 pub struct CustomerLimit {
-    /// Maximum number of customers with an account, and also of those of whose quota this gateway
-    /// owns a part.
-    pub customers: usize,
+    /// Maximum number of accounts and of owned parts of quotas together.
+    pub entries: usize,
     /// Longest time for which a request may wait.
     pub longest_deadline: Duration,
 }
@@ -53,7 +52,7 @@
     /// Returns the absence of a limit.
     fn default() -> CustomerLimit {
         CustomerLimit {
-            customers: usize::MAX,
+            entries: usize::MAX,
             longest_deadline: Duration::ZERO,
         }
     }
@@ -146,24 +145,28 @@
         self.has_restarted = true;
     }
 
-    /// Limits the accounts, and also the owned quotas.
+    /// Limits the accounts and the owned quotas.
     pub(crate) fn set_customer_limit(&mut self, limit: CustomerLimit) {
         self.customer_limit = limit;
     }
 
-    /// Returns the limit on accounts and on owned quotas.
+    /// Returns the limit on accounts and owned quotas.
     pub(crate) fn customer_limit(&self) -> CustomerLimit {
         self.customer_limit
     }
 
     /// Returns whether an account of the customer exists or may be added.
     pub(crate) fn has_room_for_account(&self, customer: CustomerId) -> bool {
-        self.accounts.len() < self.customer_limit.customers || self.accounts.contains_key(&customer)
+        self.has_room() || self.accounts.contains_key(&customer)
     }
 
     /// Returns whether a part of the customer's quota is owned here or may be added.
     pub(crate) fn has_room_for_owned(&self, customer: CustomerId) -> bool {
-        self.owned.len() < self.customer_limit.customers || self.owned.contains_key(&customer)
+        self.has_room() || self.owned.contains_key(&customer)
+    }
+
+    fn has_room(&self) -> bool {
+        self.tracked_entries() < self.customer_limit.entries
     }
 
     /// Returns when idle entries were last evicted because of the limit.
--- a/crates/gateway-core/tests/policy/customer_limit.rs
+++ b/crates/gateway-core/tests/policy/customer_limit.rs
@@ -13,7 +13,7 @@
 fn limited_gateway() -> GatewayHarness {
     let mut harness = GatewayHarness::sole_gateway(0, settings(0, 2), SECOND, 4);
     harness.gateway.set_customer_limit(CustomerLimit {
-        customers: LIMIT,
+        entries: LIMIT,
         longest_deadline: std::time::Duration::from_micros(LONGEST_DEADLINE),
     });
     harness
