--- a/crates/edge-node/src/clients/mod.rs
+++ b/crates/edge-node/src/clients/mod.rs
@@ -12,6 +12,7 @@
 mod last_response;
 mod phase;
 mod read_ahead;
+mod read_ahead_buffer;
 mod request;
 pub mod request_error;
 pub mod request_head;
--- a/crates/edge-node/src/clients/read_ahead.rs
+++ b/crates/edge-node/src/clients/read_ahead.rs
@@ -1,8 +1,9 @@
 //! A client connection that is read ahead of the HTTP server, so that the end of the stream is
 //! detected even behind data that the server has not read yet.
 
+use super::read_ahead_buffer::{ReadAheadBuffer, MAX_APPENDED_BYTES};
 use super::transfers::Transfers;
-use crate::memory::{MemoryBudget, MemoryExhausted, MemoryReservation, ReadBufferMemory};
+use crate::memory::{MemoryBudget, ReadBufferMemory};
 use crate::socket_io::{SocketIo, MAX_READ_BYTES};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
@@ -19,11 +20,6 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Maximum number of bytes that are read ahead and kept. Clients send one request at a time, so that
-/// more is sent only by a client that misuses the connection: further bytes are discarded.
-const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
-/// Number of bytes read ahead at a time.
-const READ_AHEAD_CHUNK_BYTES: usize = 1024;
 /// Maximum number of bytes that are discarded before other tasks run.
 const MAX_DISCARDED_BYTES: usize = 128 * 1024;
 /// Pause between two turns of discarding.
@@ -49,16 +45,10 @@
 /// The socket, its read-ahead buffer and its state, shared by all clones of the stream.
 struct Inner {
     stream: SocketIo,
-    /// Bytes read ahead that the HTTP server has not read yet.
-    buffered: Vec<u8>,
-    /// Memory of `buffered`.
-    buffer_memory: MemoryReservation,
-    /// When the last of the buffered bytes were read from the socket.
-    buffered_at: Instant,
+    /// What has been read ahead and the HTTP server has not read yet.
+    buffer: ReadAheadBuffer,
     /// When the bytes that the HTTP server has read last were read from the socket.
     received_at: Instant,
-    /// Whether bytes behind the buffered ones have been discarded, as all further bytes are.
-    is_discarding: bool,
     /// Whether the stream has ended or failed after the buffered bytes.
     ended: bool,
     /// The buffer of the HTTP server.
@@ -76,11 +66,8 @@
     pub(super) fn new(stream: TcpStream, head_memory: &MemoryBudget) -> ReadAheadStream {
         ReadAheadStream(Rc::new(RefCell::new(Inner {
             stream: SocketIo::new(stream),
-            buffered: Vec::new(),
-            buffer_memory: head_memory.reservation(),
-            buffered_at: Instant::now(),
+            buffer: ReadAheadBuffer::new(head_memory),
             received_at: Instant::now(),
-            is_discarding: false,
             ended: false,
             read_buffer: ReadBufferMemory::new(head_memory),
             has_read_socket: false,
@@ -99,7 +86,7 @@
     /// discarded ones.
     pub(super) fn has_buffered_bytes(&self) -> bool {
         let inner = self.0.borrow();
-        !inner.buffered.is_empty() || inner.is_discarding
+        !inner.buffer.bytes().is_empty() || inner.buffer.is_discarding()
     }
 
     /// Records that the HTTP server has received the head of a request. Returns whether the request
@@ -160,7 +147,7 @@
 
     /// Reads and discards bytes until the stream ends or fails.
     pub(super) async fn discard_until_end(&self) {
-        self.0.borrow_mut().discard_all();
+        self.0.borrow_mut().buffer.discard_all();
         self.wait_for_client_close().await;
     }
 
@@ -217,7 +204,8 @@
 
     /// Returns why the HTTP server may not read; `None` if it may.
     fn check_read(&mut self) -> Option<ReadRefusal> {
-        let has_lost_bytes = self.is_discarding && self.buffered.is_empty() && !self.ended;
+        let has_lost_bytes =
+            self.buffer.is_discarding() && self.buffer.bytes().is_empty() && !self.ended;
         if has_lost_bytes {
             return Some(ReadRefusal::Discarded);
         }
@@ -226,84 +214,41 @@
     }
 
     /// Reads ahead until the stream ends, or until there is no memory for more. Discards what exceeds
-    /// [`MAX_READ_AHEAD_BYTES`], so that the end of the stream is found behind it.
+    /// the maximum length of the buffer, so that the end of the stream is found behind it.
     fn poll_read_ahead(&mut self, context: &mut Context<'_>) -> Poll<ReadAhead> {
-        let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
+        let mut chunk = [0; MAX_APPENDED_BYTES];
         let mut discarded_bytes = 0;
         while !self.ended {
             if discarded_bytes >= MAX_DISCARDED_BYTES {
                 return Poll::Ready(ReadAhead::Discarded);
             }
-            if self.reserve_buffer().is_err() {
+            if self.buffer.reserve().is_err() {
                 return Poll::Ready(ReadAhead::OutOfMemory);
             }
             let result = ready!(self.stream.poll_read_slice(context, &mut chunk));
             let length = result.unwrap_or(0);
             self.ended = length == 0;
-            discarded_bytes += self.buffer_or_discard(&chunk[..length]);
+            if length > 0 && self.buffer.append(&chunk[..length]) {
+                self.transfers.record_read();
+            } else {
+                discarded_bytes += length;
+            }
         }
         Poll::Ready(ReadAhead::Ended)
     }
 
-    /// Makes room in the buffer for the next chunk, unless it would be discarded.
-    ///
-    /// # Errors
-    /// Returns an error if there is no memory for it.
-    fn reserve_buffer(&mut self) -> Result<(), MemoryExhausted> {
-        let needed_bytes = self.buffered.len() + READ_AHEAD_CHUNK_BYTES;
-        if self.is_discarding || needed_bytes <= self.buffered.capacity() {
-            return Ok(());
-        }
-        let capacity = needed_bytes
-            .next_power_of_two()
-            .min(MAX_READ_AHEAD_BYTES + READ_AHEAD_CHUNK_BYTES);
-        self.buffer_memory.grow_to(capacity)?;
-        self.buffered.reserve_exact(capacity - self.buffered.len());
-        Ok(())
-    }
-
-    /// Adds bytes to the buffer. Returns the number of bytes that were discarded instead.
-    fn buffer_or_discard(&mut self, bytes: &[u8]) -> usize {
-        if bytes.is_empty() {
-            return 0;
-        }
-        self.is_discarding |= self.buffered.len() >= MAX_READ_AHEAD_BYTES;
-        if self.is_discarding {
-            return bytes.len();
-        }
-        self.transfers.record_read();
-        self.buffered_at = Instant::now();
-        self.buffered.extend_from_slice(bytes);
-        0
-    }
-
-    /// Discards the buffered bytes and all that follow.
-    fn discard_all(&mut self) {
-        self.is_discarding = true;
-        self.release_buffer();
-    }
-
-    /// Releases the memory of the buffer, which the connection would otherwise keep as long as it
-    /// lives.
-    fn release_buffer(&mut self) {
-        self.buffered = Vec::new();
-        self.buffer_memory.shrink_to(0);
-    }
-
     /// Moves bytes that were read ahead into the buffer of the HTTP server. At the end of the stream,
     /// once no such bytes are left, this moves nothing, which signals the end.
     fn read_buffered(&mut self, buffer: &mut ReadBufCursor<'_>) {
         let max_length = buffer.remaining().min(MAX_READ_BYTES);
-        let length = self.buffered.len().min(max_length);
-        self.read_buffer.record_read(&self.buffered[..length]);
-        buffer.put_slice(&self.buffered[..length]);
-        self.buffered.drain(..length);
+        let length = self.buffer.bytes().len().min(max_length);
+        let bytes = &self.buffer.bytes()[..length];
+        self.read_buffer.record_read(bytes);
+        buffer.put_slice(bytes);
         if length > 0 {
-            self.received_at = self.buffered_at;
-        }
-        if self.buffered.is_empty() {
-            self.release_buffer();
+            self.received_at = self.buffer.appended_at();
         }
+        self.buffer.consume(length);
     }
 
     /// Returns whether the operating system has received the end of the stream, even behind unread
@@ -334,7 +279,7 @@
             inner.refused.notify_one();
             return Poll::Pending;
         }
-        if inner.buffered.is_empty() && !inner.ended {
+        if inner.buffer.bytes().is_empty() && !inner.ended {
             return inner.poll_read_socket(context, &mut buffer);
         }
         inner.read_buffered(&mut buffer);
--- a/crates/edge-node/src/memory/head_end.rs
+++ b/crates/edge-node/src/memory/head_end.rs
@@ -5,7 +5,7 @@
 const STATUS_CLASS_POSITION: usize = b"HTTP/1.1 ".len();
 const INFORMATIONAL_CLASS: u8 = b'1';
 
-/// Where the next byte stands in the head.
+/// Position of the next byte in the head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     /// Before the first line. Empty lines are allowed here.
--- a/crates/edge-node/src/node/attempts.rs
+++ b/crates/edge-node/src/node/attempts.rs
@@ -81,16 +81,7 @@
             return;
         };
         let may_repeat = kind.is_some_and(|kind| self.is_idempotent(kind.class));
-        debug!(
-            event = "attempt_started",
-            id = %id.0,
-            attempt = number.0,
-            server = server.0,
-            "request {}: attempt {} to server {}",
-            id.0,
-            number.0,
-            server.0
-        );
+        log_attempt_started(&id, number, server);
         let deadline = attempt_deadline(timeout, request.deadline);
         let write_deadline = write_deadline.and_then(|time| self.clock.instant_of(time));
         let cancelled = self.attempts.insert(id.clone(), number);
@@ -169,6 +160,19 @@
     }
 }
 
+fn log_attempt_started(id: &RequestId, number: AttemptNumber, server: ServerId) {
+    debug!(
+        event = "attempt_started",
+        id = %id.0,
+        attempt = number.0,
+        server = server.0,
+        "request {}: attempt {} to server {}",
+        id.0,
+        number.0,
+        server.0
+    );
+}
+
 /// Returns the time at which an attempt ends at the latest: `timeout` from now or the request's
 /// deadline, whichever is earlier.
 fn attempt_deadline(timeout: Option<Duration>, request_deadline: Instant) -> Instant {
--- a/crates/edge-node/src/node/mod.rs
+++ b/crates/edge-node/src/node/mod.rs
@@ -46,7 +46,7 @@
     pub(crate) settings: ResolvedSettings,
     /// Memory for the bodies of requests.
     pub(crate) request_bodies: BodyBudget,
-    /// Memory for long heads of requests, and for what is read ahead of requests in flight.
+    /// Memory of the long heads of requests, and of what is read ahead behind open requests.
     pub(crate) head_memory: MemoryBudget,
     /// Limit on the customers whose state the decision library keeps.
     pub(crate) customer_limit: CustomerLimit,
@@ -65,7 +65,7 @@
     pub(crate) settings: ResolvedSettings,
     /// Memory for the bodies of requests.
     pub(crate) request_bodies: BodyBudget,
-    /// Memory for long heads of requests, and for what is read ahead of requests in flight.
+    /// Memory of the long heads of requests, and of what is read ahead behind open requests.
     pub(crate) head_memory: MemoryBudget,
     /// Connections to servers.
     pub(crate) upstream: Upstream,
--- a/crates/edge-node/src/startup/resource_limits.rs
+++ b/crates/edge-node/src/startup/resource_limits.rs
@@ -23,8 +23,8 @@
 const RESERVED_MEMORY_BYTES: usize = 4 * 1024 * 1024;
 /// Memory reserved for each connection that may be open, in bytes: read buffer, task and request.
 const CONNECTION_MEMORY_BYTES: usize = 14 * 1024;
-/// Divisor of the memory limit, which yields the memory for long heads, and for what is read ahead,
-/// of all connections of one side.
+/// Divisor of the memory limit, which yields the memory that long heads, and what is read ahead,
+/// take on all connections of one side.
 const HEAD_MEMORY_DIVISOR: usize = 32;
 /// Number of directions, requests and responses, that share the remaining memory equally.
 const BODY_DIRECTIONS: usize = 2;
--- a/crates/edge-node/src/upstream/mod.rs
+++ b/crates/edge-node/src/upstream/mod.rs
@@ -43,7 +43,7 @@
 pub(crate) struct Upstream {
     /// Memory for the bodies of responses.
     response_bodies: BodyBudget,
-    /// Memory for long heads of responses, and for what is written of long heads of requests.
+    /// Memory of the long heads of responses, and of what is written of the long heads of requests.
     head_memory: MemoryBudget,
     pools: RefCell<HashMap<ServerId, ServerPool>>,
     open_sockets: OpenSockets,
--- a/crates/edge-node/tests/unit/read_ahead.rs
+++ b/crates/edge-node/tests/unit/read_ahead.rs
@@ -1,6 +1,7 @@
 //! Tests how much of the memory of a connection depends on what its client sends.
 
 use super::*;
+use crate::memory::MAX_HEAD_BYTES;
 use hyper::rt::ReadBuf as HyperReadBuf;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -19,7 +20,7 @@
 }
 
 /// Returns a connection on which the client has sent [`SENT_BYTES`], and the client's side.
-async fn connection_with_sent_bytes() -> (ReadAheadStream, TcpStream) {
+async fn connection_with_sent_bytes(head_memory: &MemoryBudget) -> (ReadAheadStream, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
         .expect("failed to bind a port");
@@ -32,10 +33,7 @@
         .await
         .expect("failed to send");
     let (accepted, _) = listener.accept().await.expect("failed to accept");
-    (
-        ReadAheadStream::new(accepted, &MemoryBudget::new(HEAD_MEMORY_BYTES)),
-        client,
-    )
+    (ReadAheadStream::new(accepted, head_memory), client)
 }
 
 /// Reads as hyper does, with a buffer that has room for everything. Returns the number of bytes.
@@ -64,7 +62,8 @@
 #[test]
 fn reads_are_shorter_than_read_buffer_of_hyper() {
     block_on(async {
-        let (mut stream, _client) = connection_with_sent_bytes().await;
+        let (mut stream, _client) =
+            connection_with_sent_bytes(&MemoryBudget::new(HEAD_MEMORY_BYTES)).await;
         assert!(longest_read(&mut stream).await <= MAX_READ_BYTES);
     });
 }
@@ -73,12 +72,15 @@
 #[test]
 fn bytes_read_ahead_are_released_when_hyper_has_read_them() {
     block_on(async {
-        let (mut stream, _client) = connection_with_sent_bytes().await;
-        while stream.0.borrow().buffered.len() < SENT_BYTES {
+        let head_memory = MemoryBudget::new(HEAD_MEMORY_BYTES);
+        let (mut stream, _client) = connection_with_sent_bytes(&head_memory).await;
+        while stream.0.borrow().buffer.bytes().len() < SENT_BYTES {
             let client_close = stream.wait_for_client_close();
             let _ = tokio::time::timeout(Duration::from_millis(1), client_close).await;
         }
         assert!(longest_read(&mut stream).await <= MAX_READ_BYTES);
-        assert_eq!(stream.0.borrow().buffered.capacity(), 0);
+        // What is left is the read buffer of the HTTP server, for a head without end.
+        let http_server_bytes = MAX_HEAD_BYTES - 2 * MAX_READ_BYTES;
+        assert_eq!(head_memory.reserved_bytes(), http_server_bytes);
     });
 }
--- a/crates/gateway-core/src/policy/quota_sharing/customer_limit.rs
+++ b/crates/gateway-core/src/policy/quota_sharing/customer_limit.rs
@@ -16,13 +16,13 @@
 
 /// Time without a request after which a customer may be forgotten.
 pub(crate) const MIN_IDLE: Duration = Duration::from_secs(60);
-/// Least value of the same time at the limit. It is longer than the time for which peers take a usage
+/// Lower bound of the same time at the limit. It is longer than the time for which peers take a usage
 /// count that starts again from zero for a late message.
 const MIN_IDLE_AT_LIMIT: Duration = Duration::from_secs(3);
 /// Interval between evictions at the limit, each of which looks at all customers.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Forgets the customers that have been idle for long.
+/// Forgets the customers that have been idle for [`MIN_IDLE`].
 pub(crate) fn evict_idle(quotas: &mut QuotaState, now: Timestamp, plans: &[Plan]) {
     quotas.evict_idle(now, MIN_IDLE, plans, &PARTITION_SILENCE);
 }
