--- a/crates/edge-node/src/clients/read_ahead.rs
+++ b/crates/edge-node/src/clients/read_ahead.rs
@@ -8,14 +8,13 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 use std::cell::RefCell;
-use std::future::{poll_fn, Future};
+use std::future::poll_fn;
 use std::io::{self, IoSlice};
 use std::net::Shutdown;
-use std::pin::{pin, Pin};
+use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll, Waker};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -24,10 +23,6 @@
 const MAX_DISCARDED_BYTES: usize = 128 * 1024;
 /// Pause between two turns of discarding.
 const DISCARD_INTERVAL: Duration = Duration::from_millis(1);
-/// Interval at which the operating system is asked whether it has received the end of the stream,
-/// while there is no memory for reading ahead.
-const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
-
 /// A client connection shared by the HTTP server, which reads and writes, and by request handlers,
 /// which wait for the client to close it. The socket is closed when the last clone is dropped.
 #[derive(Clone)]
@@ -157,13 +152,10 @@
     pub(super) async fn wait_for_client_close(&self) {
         loop {
             let read_ahead = poll_fn(|context| self.0.borrow_mut().poll_read_ahead(context)).await;
-            let pause = match read_ahead {
-                ReadAhead::Ended => return,
-                ReadAhead::OutOfMemory if self.0.borrow().is_read_closed() => return,
-                ReadAhead::OutOfMemory => CLOSE_POLL_INTERVAL,
-                ReadAhead::Discarded => DISCARD_INTERVAL,
-            };
-            tokio::time::sleep(pause).await;
+            if read_ahead == ReadAhead::Ended {
+                return;
+            }
+            tokio::time::sleep(DISCARD_INTERVAL).await;
         }
     }
 }
@@ -173,8 +165,6 @@
 enum ReadAhead {
     /// The stream has ended or failed.
     Ended,
-    /// There is no memory for more bytes.
-    OutOfMemory,
     /// [`MAX_DISCARDED_BYTES`] have been discarded.
     Discarded,
 }
@@ -213,8 +203,8 @@
         reserved.is_err().then_some(ReadRefusal::HeadMemory)
     }
 
-    /// Reads ahead until the stream ends, or until there is no memory for more. Discards what exceeds
-    /// the maximum length of the buffer, so that the end of the stream is found behind it.
+    /// Reads ahead until the stream ends. Discards what does not fit into the buffer, so that the end of
+    /// the stream is found behind it.
     fn poll_read_ahead(&mut self, context: &mut Context<'_>) -> Poll<ReadAhead> {
         let mut chunk = [0; MAX_APPENDED_BYTES];
         let mut discarded_bytes = 0;
@@ -222,9 +212,6 @@
             if discarded_bytes >= MAX_DISCARDED_BYTES {
                 return Poll::Ready(ReadAhead::Discarded);
             }
-            if self.buffer.reserve().is_err() {
-                return Poll::Ready(ReadAhead::OutOfMemory);
-            }
             let result = ready!(self.stream.poll_read_slice(context, &mut chunk));
             let length = result.unwrap_or(0);
             self.ended = length == 0;
@@ -250,20 +237,6 @@
         }
         self.buffer.consume(length);
     }
-
-    /// Returns whether the operating system has received the end of the stream, even behind unread
-    /// data.
-    fn is_read_closed(&self) -> bool {
-        let stream = self.stream.stream();
-        // Read readiness would also be reported for unread data. Priority readiness is reported for
-        // urgent data, which no client sends, and for the end of the stream. The future is polled
-        // once, without waiting.
-        let readiness = pin!(stream.ready(Interest::PRIORITY));
-        match readiness.poll(&mut Context::from_waker(Waker::noop())) {
-            Poll::Ready(ready) => ready.is_ok_and(Ready::is_read_closed),
-            Poll::Pending => false,
-        }
-    }
 }
 
 impl Read for ReadAheadStream {
--- a/crates/edge-node/src/clients/read_ahead_buffer.rs
+++ b/crates/edge-node/src/clients/read_ahead_buffer.rs
@@ -1,12 +1,15 @@
 //! The bytes that a client has sent behind an open request, which the HTTP server reads later.
+//!
+//! What cannot be kept is discarded instead of being left unread: the end of the stream arrives behind
+//! it, and no attempt may begin for a client that has left.
 
 use crate::memory::{MemoryBudget, MemoryExhausted, MemoryReservation};
 use tokio::time::Instant;
 
 /// Maximum number of bytes that are kept. Clients send one request at a time, so that more is sent
-/// only by a client that misuses the connection: further bytes are discarded.
+/// only by a client that misuses the connection.
 const MAX_KEPT_BYTES: usize = 64 * 1024;
-/// Maximum number of bytes that are appended at a time.
+/// Maximum number of bytes that are appended at a time. It divides [`MAX_KEPT_BYTES`].
 pub(super) const MAX_APPENDED_BYTES: usize = 1024;
 
 /// A buffer of limited length, whose memory is counted.
@@ -45,25 +48,10 @@
         self.appended_at
     }
 
-    /// Makes room for [`MAX_APPENDED_BYTES`], unless they would be discarded.
-    ///
-    /// # Errors
-    /// Returns an error if there is no memory for them.
-    pub(super) fn reserve(&mut self) -> Result<(), MemoryExhausted> {
-        let needed_bytes = self.bytes.len() + MAX_APPENDED_BYTES;
-        if self.is_discarding || needed_bytes <= self.bytes.capacity() {
-            return Ok(());
-        }
-        let max_capacity = MAX_KEPT_BYTES + MAX_APPENDED_BYTES;
-        let capacity = needed_bytes.next_power_of_two().min(max_capacity);
-        self.memory.grow_to(capacity)?;
-        self.bytes.reserve_exact(capacity - self.bytes.len());
-        Ok(())
-    }
-
-    /// Appends bytes for which room was reserved, or discards them. Returns whether they are kept.
+    /// Appends bytes, or discards them if the buffer is full or if there is no memory for them. Returns
+    /// whether they are kept.
     pub(super) fn append(&mut self, bytes: &[u8]) -> bool {
-        self.is_discarding |= self.bytes.len() >= MAX_KEPT_BYTES;
+        self.is_discarding |= self.bytes.len() >= MAX_KEPT_BYTES || self.reserve().is_err();
         if self.is_discarding {
             return false;
         }
@@ -72,6 +60,18 @@
         true
     }
 
+    /// Makes room for [`MAX_APPENDED_BYTES`].
+    fn reserve(&mut self) -> Result<(), MemoryExhausted> {
+        let needed_bytes = self.bytes.len() + MAX_APPENDED_BYTES;
+        if needed_bytes <= self.bytes.capacity() {
+            return Ok(());
+        }
+        let capacity = needed_bytes.next_power_of_two().min(MAX_KEPT_BYTES);
+        self.memory.grow_to(capacity)?;
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        Ok(())
+    }
+
     /// Removes bytes from the front, which have been read.
     pub(super) fn consume(&mut self, length: usize) {
         self.bytes.drain(..length);
--- a/crates/edge-node/tests/unit/read_ahead.rs
+++ b/crates/edge-node/tests/unit/read_ahead.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::memory::MAX_HEAD_BYTES;
 use hyper::rt::ReadBuf as HyperReadBuf;
+use std::future::Future;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
