Limit connections by memory, and reckon what one takes

A connection was reckoned with 14 KiB. Measured on a release build: 13 KiB idle, 16 after a request, 28 to 30 with an incomplete head or a request in flight; hyper's buffers alone begin with 8 KiB each.

Connections are reckoned with 28 KiB and take at most half of the memory limit: 292 a side at 32 MiB and 1,024 descriptors; nothing changes at 256 and 512 descriptors or from 64 MiB on. Bodies get 4 MiB a direction there instead of 5.2.

--- a/crates/edge-node/src/startup/resource_limits.rs
+++ b/crates/edge-node/src/startup/resource_limits.rs
@@ -21,8 +21,13 @@
 const CUSTOMER_MEMORY_BYTES: usize = 1024;
 /// Memory reserved for the program itself, in bytes.
 const RESERVED_MEMORY_BYTES: usize = 4 * 1024 * 1024;
-/// Memory reserved for each connection that may be open, in bytes: read buffer, task and request.
-const CONNECTION_MEMORY_BYTES: usize = 14 * 1024;
+/// Memory reserved for each connection that may be open, in bytes: hyper's buffers for reading and
+/// writing, which have 8 KiB each at first and 16 KiB for a head in two pieces, the task and the
+/// request.
+const CONNECTION_MEMORY_BYTES: usize = 28 * 1024;
+/// Divisor of the memory limit, which yields the memory that connections may take. Fewer connections
+/// than descriptors allow are kept open if they would take more.
+const CONNECTIONS_MEMORY_DIVISOR: usize = 2;
 /// Divisor of the memory limit, which yields the memory that long heads, and what is read ahead,
 /// take on all connections of one side.
 const HEAD_MEMORY_DIVISOR: usize = 32;
@@ -50,7 +55,7 @@
 impl ResourceLimits {
     /// Computes the limits from a configuration.
     pub(super) fn of(config: &Config) -> ResourceLimits {
-        let connections = config.max_file_descriptors - RESERVED_DESCRIPTORS;
+        let connections = connections(config.max_memory, config.max_file_descriptors);
         ResourceLimits {
             connections_per_side: connections / CONNECTION_SIDES,
             body_bytes: body_bytes(config.max_memory, connections),
@@ -90,6 +95,12 @@
     }
 }
 
+/// Returns the number of connections of both sides that descriptors and memory allow.
+fn connections(max_memory: usize, max_file_descriptors: usize) -> usize {
+    let by_memory = max_memory / CONNECTIONS_MEMORY_DIVISOR / CONNECTION_MEMORY_BYTES;
+    (max_file_descriptors - RESERVED_DESCRIPTORS).min(by_memory)
+}
+
 /// Returns the memory for the bodies of one direction, in bytes: an equal share of what the program
 /// and its connections leave of the memory limit.
 fn body_bytes(max_memory: usize, connections: usize) -> usize {
--- a/crates/edge-node/tests/edge/head_memory.rs
+++ b/crates/edge-node/tests/edge/head_memory.rs
@@ -111,6 +111,22 @@
     assert_ne!(servers.unseen_requests().len(), 0);
 }
 
+/// Number of descriptors that the edge node may have open with so little memory: those of the client
+/// connections that half of it allows, and the reserved ones.
+const MAX_OPEN_DESCRIPTORS: usize = 292 + 32;
+
+/// Guards against more connections than the memory limit allows, each of which takes up to 28 KiB
+/// with an incomplete head.
+#[test]
+fn connections_are_limited_by_memory() {
+    let (_servers, _discovery, node) = start("heads-many", RESPONDS_OK);
+    assert_memory_with_clients(&node, "incomplete heads", |_| {
+        "POST /pay/00000000b4d65521 HTTP/1.1\r\nHost".to_owned()
+    });
+    let open = node.open_descriptors();
+    assert!(open <= MAX_OPEN_DESCRIPTORS, "{open} descriptors");
+}
+
 /// Connects clients that stop in long heads, so that no memory for heads is left.
 fn exhaust_head_memory(node: &EdgeNode) -> Vec<Client> {
     let hold = |number: usize| {
