Follow the heads of requests rightly, and take no memory to discard

A request whose tenth byte is "1" (such as "GET /aaa/1") was taken for an informational response, so that its body counted as part of its head and could be refused for lack of memory: the whole start of the status line is compared now. A buffer that discards still reserved and allocated 1 KiB. Both unit tests failed before. The linger time has a name.

--- a/crates/edge-node/src/clients/last_response.rs
+++ b/crates/edge-node/src/clients/last_response.rs
@@ -6,6 +6,8 @@
 
 /// Maximum time for writing the response.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(50);
+/// Maximum time for a client that is still sending to close the connection.
+const SHORT_LINGER: Duration = Duration::from_millis(50);
 
 /// For how long a connection stays open after its last response, unless the client closes it first.
 /// What the client still sends meanwhile is read and discarded: a close over unread bytes resets the
@@ -22,7 +24,7 @@
     fn timeout(self) -> Duration {
         match self {
             Linger::None => Duration::ZERO,
-            Linger::Short => Duration::from_millis(50),
+            Linger::Short => SHORT_LINGER,
         }
     }
 }
--- a/crates/edge-node/src/clients/read_ahead_buffer.rs
+++ b/crates/edge-node/src/clients/read_ahead_buffer.rs
@@ -51,8 +51,9 @@
     /// Appends bytes, or discards them if the buffer is full or if there is no memory for them. Returns
     /// whether they are kept.
     pub(super) fn append(&mut self, bytes: &[u8]) -> bool {
-        self.is_discarding |= self.bytes.len() >= MAX_KEPT_BYTES || self.reserve().is_err();
-        if self.is_discarding {
+        let is_full = self.bytes.len() >= MAX_KEPT_BYTES;
+        if self.is_discarding || is_full || self.reserve().is_err() {
+            self.is_discarding = true;
             return false;
         }
         self.appended_at = Instant::now();
--- a/crates/edge-node/src/memory/head_end.rs
+++ b/crates/edge-node/src/memory/head_end.rs
@@ -1,9 +1,9 @@
 //! Finds the end of the head of an HTTP/1 message in bytes that arrive in pieces of any length.
 
-/// Position of the digit of a status line that tells an informational response (1xx) from a final
-/// one.
-const STATUS_CLASS_POSITION: usize = b"HTTP/1.1 ".len();
-const INFORMATIONAL_CLASS: u8 = b'1';
+/// Start of the status line of an informational response (1xx), with any character in place of
+/// [`ANY_MINOR_VERSION`].
+const INFORMATIONAL_START: &[u8] = b"HTTP/1.x 1";
+const ANY_MINOR_VERSION: u8 = b'x';
 
 /// Position of the next byte in the head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,7 +27,7 @@
     head_bytes: usize,
     /// Number of bytes since the start of the first line.
     position: usize,
-    /// Whether the head is that of an informational response.
+    /// Whether the head is that of an informational response, as far as it has been read.
     is_informational: bool,
 }
 
@@ -38,7 +38,7 @@
             state: State::Start,
             head_bytes: 0,
             position: 0,
-            is_informational: false,
+            is_informational: true,
         }
     }
 
@@ -75,8 +75,8 @@
             (_, b'\n') => State::LineStart,
             _ => State::Line,
         };
-        if self.position == STATUS_CLASS_POSITION {
-            self.is_informational = byte == INFORMATIONAL_CLASS;
+        if let Some(expected) = INFORMATIONAL_START.get(self.position) {
+            self.is_informational &= *expected == ANY_MINOR_VERSION || *expected == byte;
         }
         self.position += 1;
     }
--- a/crates/edge-node/tests/unit/head_end.rs
+++ b/crates/edge-node/tests/unit/head_end.rs
@@ -23,6 +23,8 @@
             (27, true),
         ),
         (b"GET / HTTP/1.1\nHost: a\n\nbody", (24, true)),
+        // A request whose byte at the position of a status has the value of an informational one.
+        (b"GET /aaa/1 HTTP/1.1\r\n\r\nbody", (23, true)),
         (b"\r\n\r\nGET / HTTP/1.1\r\n\r\n", (22, true)),
         (b"GET / HTTP/1.1\r\nHost: a\r\n", (25, false)),
         (b"HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 100 \r\n", (19, true)),
--- a/crates/edge-node/tests/unit/read_ahead_buffer.rs
+++ b/crates/edge-node/tests/unit/read_ahead_buffer.rs
@@ -38,3 +38,13 @@
     assert!(buffer.is_discarding());
     assert_eq!(buffer.bytes().len(), 4 * MAX_APPENDED_BYTES);
 }
+
+/// Guards against a connection that discards bytes and allocates memory for them.
+#[test]
+fn discarding_takes_no_memory() {
+    let budget = MemoryBudget::new(MAX_KEPT_BYTES);
+    let mut buffer = ReadAheadBuffer::new(&budget);
+    buffer.discard_all();
+    assert!(!buffer.append(&CHUNK));
+    assert_eq!((budget.reserved_bytes(), buffer.bytes.capacity()), (0, 0));
+}
