Remove displaced servers from an update in one pass

mark_gone walked the whole update for each displaced server; with half of a large fleet replaced at once that is the product of both. The two checks of the limit on customers share their eviction. No change of behavior. Run in a debug build: unit, edge, documentation and policy tests, clippy of the workspace.

--- a/crates/edge-node/src/node/endpoints.rs
+++ b/crates/edge-node/src/node/endpoints.rs
@@ -10,7 +10,7 @@
     CellId, Endpoint, EndpointState, EndpointUpdate, Event, ServerId, Timestamp, ZoneId,
 };
 use std::cell::Cell;
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -68,14 +68,9 @@
         let zones = &self.settings.zone_names;
         let mut endpoints: Vec<_> = entries.iter().map(|entry| endpoint(entry, zones)).collect();
         let mut processes: Vec<_> = entries.iter().map(process).collect();
-        for server in self.displaced_servers(kind, entries) {
-            info!(
-                event = "server_displaced",
-                server = server.0,
-                "server {} is taken for gone: another server has its address",
-                server.0
-            );
-            mark_gone(&mut endpoints, &mut processes, server);
+        let displaced = self.displaced_servers(kind, entries);
+        if !displaced.is_empty() {
+            mark_gone(&mut endpoints, &mut processes, &displaced);
         }
         self.convert_start_times(kind, &mut endpoints);
         self.upstream.update_endpoints(kind, processes.into_iter());
@@ -194,32 +189,46 @@
     Some((server_id(&entry.name), instance))
 }
 
-/// Changes an update so that it removes a server.
-fn mark_gone(endpoints: &mut Vec<Endpoint>, processes: &mut Vec<ServerEndpoint>, server: ServerId) {
-    let mut is_listed = false;
+/// Changes an update so that it removes these servers.
+fn mark_gone(
+    endpoints: &mut Vec<Endpoint>,
+    processes: &mut Vec<ServerEndpoint>,
+    displaced: &[ServerId],
+) {
+    let mut unlisted: BTreeSet<_> = displaced.iter().copied().collect();
+    let displaced = unlisted.clone();
     for (endpoint, process) in endpoints.iter_mut().zip(processes.iter_mut()) {
-        if endpoint.server == server {
+        if displaced.contains(&endpoint.server) {
             endpoint.state = EndpointState::Gone;
             process.instance = None;
-            is_listed = true;
+            unlisted.remove(&endpoint.server);
         }
     }
-    if is_listed {
-        return;
+    endpoints.extend(unlisted.iter().copied().map(gone_endpoint));
+    processes.extend(unlisted.iter().map(|server| ServerEndpoint {
+        server: *server,
+        instance: None,
+    }));
+    for server in displaced {
+        info!(
+            event = "server_displaced",
+            server = server.0,
+            "server {} is taken for gone: another server has its address",
+            server.0
+        );
     }
-    // A server that is known keeps its zone and cell.
-    endpoints.push(Endpoint {
+}
+
+/// Returns the endpoint of a server that is gone. A server that is known keeps its zone and cell.
+fn gone_endpoint(server: ServerId) -> Endpoint {
+    Endpoint {
         server,
         zone: UNKNOWN_ZONE,
         cell: CellId(0),
         state: EndpointState::Gone,
         weight: 0.0,
         started_at: None,
-    });
-    processes.push(ServerEndpoint {
-        server,
-        instance: None,
-    });
+    }
 }
 
 fn zone_id(name: &str, zone_names: &[String]) -> ZoneId {
--- a/crates/gateway-core/src/policy/quota_sharing/customer_limit.rs
+++ b/crates/gateway-core/src/policy/quota_sharing/customer_limit.rs
@@ -34,10 +34,8 @@
     plans: &[Plan],
     customer: CustomerId,
 ) -> bool {
-    quotas.has_room_for_account(customer) || {
-        evict_at_limit(quotas, now, plans);
-        quotas.has_room_for_account(customer)
-    }
+    let has_room = |quotas: &QuotaState| quotas.has_room_for_account(customer);
+    has_room_after_eviction(quotas, now, plans, has_room)
 }
 
 /// Returns whether this gateway holds a part of the customer's quota or may add one.
@@ -47,10 +45,21 @@
     plans: &[Plan],
     customer: CustomerId,
 ) -> bool {
-    quotas.has_room_for_owned(customer) || {
+    let has_room = |quotas: &QuotaState| quotas.has_room_for_owned(customer);
+    has_room_after_eviction(quotas, now, plans, has_room)
+}
+
+/// Returns whether there is room, if necessary after an eviction.
+fn has_room_after_eviction(
+    quotas: &mut QuotaState,
+    now: Timestamp,
+    plans: &[Plan],
+    has_room: impl Fn(&QuotaState) -> bool,
+) -> bool {
+    if !has_room(quotas) {
         evict_at_limit(quotas, now, plans);
-        quotas.has_room_for_owned(customer)
     }
+    has_room(quotas)
 }
 
 fn evict_at_limit(quotas: &mut QuotaState, now: Timestamp, plans: &[Plan]) {
