Report attempts and times to answers by class in fleet-lab simulate

The report of `fleet-lab simulate` gave counts by class and plan, but attempts and waits only for all classes together, and no time from the arrival of a request to its final answer. What a change of the decisions costs callers could therefore not be read off by class.

The report now has a table by class: attempts, served, late, refused, failed, and the median and the 99th percentile of the time to a server's answer and to a rejection or failure. The JSON has the same figures under `classes`.

--- a/crates/fleet-lab/src/simulate/mod.rs
+++ b/crates/fleet-lab/src/simulate/mod.rs
@@ -15,7 +15,7 @@
 pub use engine::{simulate, DecisionModule, ModuleResult, SimulationResult};
 pub use experiment::{Experiment, ExperimentConfig};
 pub use fault_schedule::{FaultAction, FaultSchedule, ScheduledAction};
-pub use report::{ClassPlanCounts, ColdServer, MessageRates, Report};
+pub use report::{ClassPlanCounts, ClassReport, ColdServer, MessageRates, Report};
 
 use crate::Failure;
 use anyhow::{anyhow, Context};
--- a/crates/fleet-lab/src/simulate/report.rs
+++ b/crates/fleet-lab/src/simulate/report.rs
@@ -13,6 +13,11 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 
+/// Quantile of a median.
+const MEDIAN: f64 = 0.5;
+/// Quantile of a 99th percentile.
+const P99: f64 = 0.99;
+
 /// Counts of the requests of one class and plan.
 #[derive(Clone, Debug, Serialize)]
 pub struct ClassPlanCounts {
@@ -25,6 +30,45 @@
     pub requests: RequestCounts,
 }
 
+/// The attempts of one class, and the times from the arrival of its requests to their answers.
+#[derive(Clone, Debug, Serialize)]
+pub struct ClassReport {
+    /// Name of the class in the settings.
+    pub class: String,
+    /// Counts of the requests of all plans.
+    #[serde(flatten)]
+    pub requests: RequestCounts,
+    /// Number of attempts sent, the first ones and the further ones.
+    pub attempts: u64,
+    /// Median time to a server's answer, in ms.
+    pub served_p50_ms: f64,
+    /// 99th percentile of the time to a server's answer, in ms.
+    pub served_p99_ms: f64,
+    /// Median time to a rejection or failure, in ms.
+    pub unserved_p50_ms: f64,
+    /// 99th percentile of the time to a rejection or failure, in ms.
+    pub unserved_p99_ms: f64,
+}
+
+impl ClassReport {
+    fn new(class: String, index: usize, statistics: &RequestStatistics) -> ClassReport {
+        let mut requests = RequestCounts::default();
+        for counts in &statistics.counts[index] {
+            requests.add(counts);
+        }
+        let times = &statistics.answer_times[index];
+        ClassReport {
+            class,
+            requests,
+            attempts: statistics.attempts[index],
+            served_p50_ms: times.served.quantile_ms(MEDIAN),
+            served_p99_ms: times.served.quantile_ms(P99),
+            unserved_p50_ms: times.unserved.quantile_ms(MEDIAN),
+            unserved_p99_ms: times.unserved.quantile_ms(P99),
+        }
+    }
+}
+
 /// Rates and counts of messages between gateways.
 #[derive(Clone, Debug, Serialize)]
 pub struct MessageRates {
@@ -109,6 +153,9 @@
     /// Counts of requests for each class and plan, including those without requests.
     #[serde(rename = "parts")]
     pub by_class_and_plan: Vec<ClassPlanCounts>,
+    /// Attempts and times to answers of each class.
+    #[serde(rename = "classes")]
+    pub by_class: Vec<ClassReport>,
     /// Units of all requests of which an attempt was sent.
     pub sent_units: f64,
     /// The part of `sent_units` that is beyond quotas.
@@ -151,6 +198,11 @@
         } = checker;
         let simulated_seconds = seconds_since_start(now);
         let by_class_and_plan = by_class_and_plan(experiment, &statistics);
+        let class_names = experiment.resolved.class_names.iter().cloned();
+        let by_class = class_names
+            .enumerate()
+            .map(|(index, class)| ClassReport::new(class, index, &statistics))
+            .collect();
         let mut all = RequestCounts::default();
         for counts in &by_class_and_plan {
             all.add(&counts.requests);
@@ -163,13 +215,14 @@
             simulated_seconds,
             all,
             by_class_and_plan,
+            by_class,
             sent_units: statistics.sent_units(),
             over_quota_units: statistics.over_quota_units(),
-            attempts: statistics.attempts,
+            attempts: statistics.attempts.iter().sum(),
             cross_zone_attempts: statistics.cross_zone_attempts,
             messages: MessageRates::new(traffic, simulated_seconds, experiment.gateway_count()),
-            wait_p50_ms: statistics.wait_ms(0.5),
-            wait_p99_ms: statistics.wait_ms(0.99),
+            wait_p50_ms: statistics.wait_ms(MEDIAN),
+            wait_p99_ms: statistics.wait_ms(P99),
             cold_servers: servers.iter().filter_map(ColdServer::new).collect(),
             violations,
             seconds: statistics.seconds,
--- a/crates/fleet-lab/src/simulate/table.rs
+++ b/crates/fleet-lab/src/simulate/table.rs
@@ -12,6 +12,7 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> Result {
         self.write_title(f)?;
         self.write_requests(f)?;
+        self.write_classes(f)?;
         self.write_attempts(f)?;
         self.write_messages(f)?;
         self.write_cold_servers(f)?;
@@ -58,6 +59,40 @@
         write_counts(f, "all", &self.all)
     }
 
+    fn write_classes(&self, f: &mut Formatter<'_>) -> Result {
+        writeln!(
+            f,
+            "\n{:<24}{:>9}{:>9}{:>8}{:>9}{:>8}{:>12}{:>9}{:>14}{:>9}",
+            "class",
+            "attempts",
+            "served",
+            "late",
+            "refused",
+            "failed",
+            "served p50",
+            "p99 ms",
+            "unserved p50",
+            "p99 ms"
+        )?;
+        for class in &self.by_class {
+            writeln!(
+                f,
+                "{:<24}{:>9}{:>9}{:>8}{:>9}{:>8}{:>12.1}{:>9.1}{:>14.1}{:>9.1}",
+                class.class,
+                class.attempts,
+                class.requests.served,
+                class.requests.late,
+                class.requests.rejected,
+                class.requests.failed,
+                class.served_p50_ms,
+                class.served_p99_ms,
+                class.unserved_p50_ms,
+                class.unserved_p99_ms
+            )?;
+        }
+        Ok(())
+    }
+
     fn write_attempts(&self, f: &mut Formatter<'_>) -> Result {
         writeln!(
             f,
--- a/crates/fleet-lab/src/world/invariant_checker/answers.rs
+++ b/crates/fleet-lab/src/world/invariant_checker/answers.rs
@@ -21,6 +21,8 @@
             return false;
         }
         let request = record.request.clone();
+        let time = now.duration_since(record.arrived_at);
+        self.statistics.answered(request.class, answer, time);
         self.count_answer(now, number, &request, answer);
         true
     }
--- a/crates/fleet-lab/src/world/invariant_checker/attempts.rs
+++ b/crates/fleet-lab/src/world/invariant_checker/attempts.rs
@@ -29,7 +29,7 @@
             is_in_flight: true,
             is_proved_unexecuted: false,
         });
-        self.statistics.attempts += 1;
+        self.statistics.attempt_sent(request.class);
         if is_first {
             self.charge(now, &request, wait);
         }
--- a/crates/fleet-lab/src/world/invariant_checker/mod.rs
+++ b/crates/fleet-lab/src/world/invariant_checker/mod.rs
@@ -63,7 +63,7 @@
     /// `customers`.
     ///
     /// # Errors
-    /// An error if the histogram of waits cannot be created.
+    /// An error if a histogram cannot be created.
     pub fn new(
         settings: Settings,
         drain_grace: Duration,
--- a/crates/fleet-lab/src/world/mod.rs
+++ b/crates/fleet-lab/src/world/mod.rs
@@ -6,6 +6,7 @@
 //! `hybrid` reuses the parts that do not depend on simulated time: the records of requests, limits
 //! and drains, and the checks on them. This module imports neither `hybrid` nor `simulate`.
 
+pub mod answer_times;
 pub mod client_request;
 pub mod clients;
 pub mod cold_start;
--- a/crates/fleet-lab/src/world/request_statistics.rs
+++ b/crates/fleet-lab/src/world/request_statistics.rs
@@ -1,44 +1,43 @@
 //! Statistics of the requests of a simulation.
 
+use super::answer_times::{AnswerTimes, TimeHistogram};
+use super::final_answer::FinalAnswer;
 use super::request_counts::{RequestCounts, SecondCounts};
 use super::START;
-use gateway_core::DurationExt;
 use gateway_core::{ClassId, PlanId, Settings, Timestamp};
-use hdrhistogram::Histogram;
 use std::time::Duration;
 
-/// Longest wait that the histogram holds, in µs.
-const MAX_WAIT_US: u64 = 3_600_000_000;
-/// Significant decimal digits of waits in the histogram.
-const WAIT_DIGITS: u8 = 3;
-
-/// Counts of all requests, and a histogram of their waits.
+/// Counts of all requests, and histograms of their waits and of the times to their answers.
 pub struct RequestStatistics {
     /// Counts of requests, by class and then by plan.
     pub counts: Vec<Vec<RequestCounts>>,
     /// Counts of each second, indexed by whole seconds since the start of the simulation.
     pub seconds: Vec<SecondCounts>,
-    /// Number of attempts sent, the first ones and the further ones of all requests.
-    pub attempts: u64,
+    /// Number of attempts sent, the first ones and the further ones, by class.
+    pub attempts: Vec<u64>,
+    /// Times from arrival to final answer, by class.
+    pub answer_times: Vec<AnswerTimes>,
     /// Number of attempts sent to another zone.
     pub cross_zone_attempts: u64,
-    /// Waits from arrival to first attempt, in µs.
-    waits: Histogram<u64>,
+    /// Waits from arrival to first attempt.
+    waits: TimeHistogram,
 }
 
 impl RequestStatistics {
     /// Creates empty statistics for the classes and plans of the settings.
     ///
     /// # Errors
-    /// An error if the histogram of waits cannot be created.
+    /// An error if a histogram cannot be created.
     pub(super) fn new(settings: &Settings) -> anyhow::Result<RequestStatistics> {
         let by_plan = vec![RequestCounts::default(); settings.plans.len()];
+        let classes = settings.classes.len();
         Ok(RequestStatistics {
-            counts: vec![by_plan; settings.classes.len()],
+            counts: vec![by_plan; classes],
             seconds: Vec::new(),
-            attempts: 0,
+            attempts: vec![0; classes],
+            answer_times: vec![AnswerTimes::new()?; classes],
             cross_zone_attempts: 0,
-            waits: Histogram::new_with_bounds(1, MAX_WAIT_US, WAIT_DIGITS)?,
+            waits: TimeHistogram::new()?,
         })
     }
 
@@ -62,8 +61,7 @@
         units: f64,
         is_within_quota: bool,
     ) {
-        // Deadlines bound the waits far below the histogram's limit, so nothing saturates.
-        self.waits.saturating_record(wait.whole_micros().max(1));
+        self.waits.record(wait);
         let second = self.second(now);
         second.sent_units += units;
         if !is_within_quota {
@@ -86,7 +84,21 @@
 
     /// Returns a quantile of the waits from arrival to first attempt, in ms.
     pub fn wait_ms(&self, quantile: f64) -> f64 {
-        self.waits.value_at_quantile(quantile) as f64 / 1e3
+        self.waits.quantile_ms(quantile)
+    }
+
+    /// Counts an attempt of a request of this class.
+    pub(super) fn attempt_sent(&mut self, class: ClassId) {
+        self.attempts[class.0] += 1;
+    }
+
+    /// Records the time from the arrival of a request of this class to its final answer.
+    pub(super) fn answered(&mut self, class: ClassId, answer: FinalAnswer, time: Duration) {
+        let times = &mut self.answer_times[class.0];
+        match answer {
+            FinalAnswer::Served => times.served.record(time),
+            FinalAnswer::Rejected | FinalAnswer::Failed => times.unserved.record(time),
+        }
     }
 
     fn second(&mut self, now: Timestamp) -> &mut SecondCounts {
