Retry a failed attempt for as long as its client waits

Callers saw: reads with a late weight of 0 whose attempts fail 0.2 s after the latency objective got their answer 2.7 s after their only attempt had ended, with no further attempt, though they had 3 s.

Cause: `retry::decide` compared the time with the latency objective and, for a class whose late answers earn nothing, chose `AwaitDeadline`: no retry, and the refusal held until the deadline. That follows from how answers are priced. A client does not know the late weight; it waits until its deadline.

Change: `AwaitDeadline` is removed. A failed attempt is retried while the client waits and attempts, the retry budget and idempotency permit it; otherwise the client is told at once.

Evidence: `attempt_that_fails_after_its_objective_is_retried_while_its_client_waits` failed before (no attempt after the failure with a late weight of 0, one with 0.2) and passes now.

--- a/crates/gateway-core/src/gateway/attempts.rs
+++ b/crates/gateway-core/src/gateway/attempts.rs
@@ -104,7 +104,6 @@
             RetryDecision::GiveUp => {
                 self.reject_or_fail(now, id, RejectReason::RetriesExhausted, actions);
             }
-            RetryDecision::AwaitDeadline => {}
         }
     }
 }
--- a/crates/gateway-core/src/policy/retry.rs
+++ b/crates/gateway-core/src/policy/retry.rs
@@ -3,8 +3,7 @@
 //!
 //! The rules, in the order in which they apply:
 //! 1. A stalled attempt is cancelled only if its request could be retried ([`may_cancel_stalled`]).
-//! 2. After a failed attempt, the request is retried, gets its final answer, or stays open until
-//!    its deadline ([`decide`]).
+//! 2. After a failed attempt, the request is retried or gets its final answer ([`decide`]).
 //! 3. Every attempt has to pass [`may_send`], so that no request is executed twice unless its
 //!    idempotency allows it; [`required_scope`] restricts the choice of servers accordingly.
 //!    [`write_deadline`] limits the time until the attempt is written, because a connection may
@@ -138,11 +137,12 @@
     Retry,
     /// No retry is possible or allowed: the client gets its final answer.
     GiveUp,
-    /// A retry would no longer have any value, so the request stays open until its deadline.
-    AwaitDeadline,
 }
 
 /// Decides what follows a failed attempt, which ended with `outcome` while its request stays open.
+///
+/// The request is retried as long as its client waits and a retry is possible. Otherwise its client
+/// is told at once, so that it can use the rest of its time.
 pub(crate) fn decide(
     context: Context<'_>,
     request: &Request,
@@ -156,11 +156,7 @@
         || !budget.covers(outcome)
         || may_never_be_sent_again(context, request)
     {
-        return RetryDecision::GiveUp;
-    }
-    let is_late = context.now >= deployment.objective_deadline(request);
-    if is_late && !deployment.has_value_when_late(request) {
-        RetryDecision::AwaitDeadline
+        RetryDecision::GiveUp
     } else {
         RetryDecision::Retry
     }
--- a/crates/gateway-core/tests/common/settings.rs
+++ b/crates/gateway-core/tests/common/settings.rs
@@ -88,6 +88,14 @@
         self
     }
 
+    /// Sets the weight of late answers of all classes.
+    pub(crate) fn late_weight(mut self, late_weight: f64) -> Self {
+        for class in &mut self.0.classes {
+            class.late_weight = late_weight;
+        }
+        self
+    }
+
     pub(crate) fn max_retry_after(mut self, max_retry_after: Option<Duration>) -> Self {
         self.0.permissions.max_retry_after = max_retry_after;
         self
--- a/crates/gateway-core/tests/policy/retry.rs
+++ b/crates/gateway-core/tests/policy/retry.rs
@@ -47,6 +47,21 @@
     }
 }
 
+/// The client of a read waits for 4 s. An attempt that fails 200 ms after the latency objective of
+/// 800 ms leaves 3 s, in which another attempt can be answered, whatever late answers are worth to
+/// the operator.
+#[test]
+fn attempt_that_fails_after_its_objective_is_retried_while_its_client_waits() {
+    for late_weight in [0.0, 0.2] {
+        let settings = SettingsBuilder::new(0, 1).late_weight(late_weight).build();
+        let mut gateway = GatewayHarness::with_servers(3, settings, SECOND, 4);
+        let read = gateway.request(IDEMPOTENT, UNLIMITED, CUSTOMER, 4 * SECOND);
+        gateway.now += SECOND;
+        let actions = gateway.finish(&read, ConnectionLost);
+        assert_eq!(count_sent(&actions), 1, "late weight {late_weight}");
+    }
+}
+
 #[test]
 fn keyed_request_after_its_window_fails_and_is_not_rejected() {
     let mut gateway = GatewayHarness::with_servers(3, settings(0, 1), SECOND, 4);
