Let an attempt in flight go on for as long as its client waits

Callers saw: payments with a late weight of 0 were cancelled and answered 502 at the latency objective of 1.0 s, though their clients had 3 s left: with servers that never answer, and also with sound answers 0.2 s after the objective, when all had been executed or were about to be.

Cause: `deadlines::attempt_past_objective` cancelled every attempt in flight at the objective where late answers earn nothing. A client whose payment is cancelled learns only that it may have been executed.

Change: age cancels no attempt. An attempt ends with its answer, its failure, the detection of a stalled server (only if the request can be retried), or the client's time. `expiry` now has one result, the reason of the final answer.

Evidence: `attempt_stays_in_flight_past_its_objective_while_its_client_waits` failed before with a late weight of 0 and passes now.

--- a/crates/gateway-core/src/gateway/requests.rs
+++ b/crates/gateway-core/src/gateway/requests.rs
@@ -2,19 +2,19 @@
 
 use super::Gateway;
 use crate::policy::admission::{self, Admission};
-use crate::policy::deadlines::{self, Expiry};
+use crate::policy::deadlines;
 use crate::policy::quota_sharing::account::account_on_arrival;
 use crate::policy::quota_sharing::customer_limit;
 use crate::state::deployment::Context;
 use crate::state::request::Request;
 use crate::time::Timestamp;
-use crate::types::{AttemptNumber, GatewaySet, RejectReason, RequestId};
+use crate::types::{GatewaySet, RejectReason, RequestId};
 use crate::Action;
 
-/// A request that needs a final answer, or the cancellation of its attempt, because of its age.
+/// A request that gets its final answer because of its age.
 struct ExpiredRequest {
     id: RequestId,
-    expiry: Expiry,
+    reason: RejectReason,
 }
 
 impl Gateway {
@@ -65,44 +65,22 @@
         }
     }
 
-    /// Cancels attempts whose answers would no longer have any value, and gives expired requests
-    /// their final answer.
+    /// Gives the requests that have expired their final answer.
     pub(super) fn expire_requests(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        let expired = self.expired_requests(now);
-        for ExpiredRequest { id, expiry } in &expired {
-            if let Expiry::CancelAttempt(attempt) = expiry {
-                self.cancel_attempt(id.clone(), *attempt, actions);
-            }
-        }
-        for ExpiredRequest { id, expiry } in expired {
-            if let Expiry::FinalAnswer(reason) = expiry {
-                self.reject_or_fail(now, &id, reason, actions);
-            }
+        for ExpiredRequest { id, reason } in self.expired_requests(now) {
+            self.reject_or_fail(now, &id, reason, actions);
         }
     }
 
     fn expired_requests(&self, now: Timestamp) -> Vec<ExpiredRequest> {
         let context = self.context(now);
         let expired = self.requests.iter().filter_map(|(id, request)| {
-            let expiry = deadlines::expiry(context, request)?;
+            let reason = deadlines::expiry(context, request)?;
             Some(ExpiredRequest {
                 id: id.clone(),
-                expiry,
+                reason,
             })
         });
         expired.collect()
     }
-
-    /// Cancels the attempt in flight of a request. The request stays open.
-    pub(super) fn cancel_attempt(
-        &mut self,
-        id: RequestId,
-        attempt: AttemptNumber,
-        actions: &mut Vec<Action>,
-    ) {
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.record_cancellation();
-        }
-        actions.push(Action::CancelAttempt { id, attempt });
-    }
 }
--- a/crates/gateway-core/src/policy/deadlines.rs
+++ b/crates/gateway-core/src/policy/deadlines.rs
@@ -1,5 +1,5 @@
-//! Deadlines: when an open request gets its final answer because of its age, when an attempt is
-//! cancelled because its answer would come too late, and when a rejected client may retry.
+//! Deadlines: when an open request gets its final answer because of its age, and when a rejected
+//! client may retry.
 //!
 //! The rules, in the order in which they apply to a request at each timer:
 //! 1. The final answer is due shortly before the request's deadline, or shortly before its half
@@ -9,16 +9,14 @@
 //!    since it was queued, gets its final answer immediately.
 //! 3. Where late answers have no value, a queued request that can no longer meet its latency
 //!    objective gets its final answer immediately.
-//! 4. Where late answers have no value, an attempt that is still in flight after the latency
-//!    objective is cancelled.
-//! 5. A rejection carries a `Retry-After`, if the settings allow one ([`retry_after`]).
+//! 4. A rejection carries a `Retry-After`, if the settings allow one ([`retry_after`]).
 
 use super::retry::may_never_be_sent_again;
 use crate::state::deployment::Context;
 use crate::state::quota::CustomerAccount;
 use crate::state::request::Request;
 use crate::time::DurationExt;
-use crate::types::{AttemptNumber, RejectReason};
+use crate::types::RejectReason;
 use std::time::Duration;
 
 /// Interval between timers while requests are open; a small fraction of any latency objective.
@@ -35,31 +33,17 @@
 /// queued request can still meet its latency objective.
 const EXPECTED_ANSWER_LATENCY_FRACTION: f64 = 0.5;
 
-/// Action on an open request because of its age.
-pub(crate) enum Expiry {
-    /// The client gets its final answer for this reason.
-    FinalAnswer(RejectReason),
-    /// The attempt in flight is cancelled; the request stays open.
-    CancelAttempt(AttemptNumber),
-}
-
-/// Decides whether an open request gets its final answer, or its attempt is cancelled, because of
-/// its age. Returns `None` if neither is due.
+/// Returns the reason for which an open request gets its final answer because of its age; `None` if
+/// none is due.
 ///
 /// A request gets its final answer at its deadline, or earlier in three cases: if it has not reached
 /// a server by its half time, so that the client can still try another gateway; if it is queued and
 /// may never be sent again; or if late answers have no value and an answer would come too late.
-pub(crate) fn expiry(context: Context<'_>, request: &Request) -> Option<Expiry> {
-    if is_final_answer_due(context, request) || can_no_longer_be_sent(context, request) {
-        return Some(Expiry::FinalAnswer(timeout_reason(context, request)));
-    }
-    if context.deployment.has_value_when_late(request) {
-        return None;
-    }
-    if will_miss_objective(context, request) {
-        return Some(Expiry::FinalAnswer(timeout_reason(context, request)));
-    }
-    attempt_past_objective(context, request).map(Expiry::CancelAttempt)
+pub(crate) fn expiry(context: Context<'_>, request: &Request) -> Option<RejectReason> {
+    let is_due = is_final_answer_due(context, request)
+        || can_no_longer_be_sent(context, request)
+        || will_miss_objective(context, request);
+    is_due.then(|| timeout_reason(context, request))
 }
 
 /// Returns whether the final answer is due: shortly before the deadline, or shortly before the half
@@ -82,7 +66,7 @@
 /// Returns whether a queued request is about to miss its latency objective: even if an attempt were
 /// sent now, its answer would arrive after the objective.
 fn will_miss_objective(context: Context<'_>, request: &Request) -> bool {
-    if request.is_in_flight() {
+    if request.is_in_flight() || context.deployment.has_value_when_late(request) {
         return false;
     }
     let objective_at = context.deployment.objective_deadline(request);
@@ -91,17 +75,6 @@
     context.now < objective_at && answered_at_us > objective_at.as_micros_f64()
 }
 
-/// Returns the attempt in flight if it must be cancelled because the latency objective has passed:
-/// the attempt would only occupy a server.
-fn attempt_past_objective(context: Context<'_>, request: &Request) -> Option<AttemptNumber> {
-    let deployment = context.deployment;
-    let is_past_objective = context.now > deployment.objective_deadline(request);
-    let may_cancel = deployment.settings.permissions.cancel_attempts;
-    request
-        .cancellable_attempt()
-        .filter(|_| is_past_objective && may_cancel)
-}
-
 /// Returns the reason for a final answer that is due because of the request's age: what the request
 /// was waiting for.
 fn timeout_reason(context: Context<'_>, request: &Request) -> RejectReason {
--- a/crates/gateway-core/tests/policy/deadlines.rs
+++ b/crates/gateway-core/tests/policy/deadlines.rs
@@ -71,6 +71,34 @@
     }
 }
 
+/// Late weights with which the tests below run: what a late answer is worth to the operator does not
+/// change for how long its client waits.
+const LATE_WEIGHTS: [f64; 2] = [0.0, 0.2];
+
+/// Returns the settings of a gateway whose classes have this late weight. Their latency objective is
+/// 800 ms.
+fn settings_with_late_weight(late_weight: f64) -> Settings {
+    SettingsBuilder::new(0, 1).late_weight(late_weight).build()
+}
+
+/// The client of a payment waits for 4 s, and the payment is being executed: a cancellation at the
+/// latency objective would tell the client nothing but that it may have been executed.
+#[test]
+fn attempt_stays_in_flight_past_its_objective_while_its_client_waits() {
+    for late_weight in LATE_WEIGHTS {
+        let settings = settings_with_late_weight(late_weight);
+        let mut gateway = GatewayHarness::with_servers(1, settings, SECOND, 2);
+        let payment = gateway.request(NON_IDEMPOTENT, UNLIMITED, CUSTOMER, 4 * SECOND);
+        gateway.advance(3900 * MILLISECOND);
+        assert_eq!(gateway.rejected_or_failed_count(), 0, "{late_weight}");
+        let is_cancelled = |action: &Action| matches!(action, Action::CancelAttempt { .. });
+        assert!(!gateway.actions.iter().any(is_cancelled), "{late_weight}");
+        gateway.finish(&payment, AttemptOutcome::Success);
+        gateway.advance(SECOND);
+        assert_eq!(gateway.rejected_or_failed_count(), 0, "{late_weight}");
+    }
+}
+
 /// A request that has not been sent by its half time, half of the client's timeout, is rejected
 /// with a `Retry-After`, so that the client can still retry elsewhere.
 #[test]
