Let a queued request wait past its latency objective

Callers saw: where late answers have a late weight of 0, a request that waits for a server, for its customer's hard limit or for a place under the in-flight limit was refused shortly before the latency objective, though its client still had most of its time. After the objective the same rule did not apply.

Cause: `deadlines::will_miss_objective` refused what could not be answered within the objective, because a later answer earns nothing.

Change: the rule is removed, and with it `Deployment::has_value_when_late`. A queued request waits for its client's time, whatever late answers earn.

Evidence: `queued_request_waits_for_a_server_past_its_objective` failed before with a late weight of 0 and passes now.

--- a/crates/gateway-core/src/policy/deadlines.rs
+++ b/crates/gateway-core/src/policy/deadlines.rs
@@ -7,9 +7,7 @@
 //!    ([`expiry`]).
 //! 2. A queued request that may never be sent again, because its idempotency key has been forgotten
 //!    since it was queued, gets its final answer immediately.
-//! 3. Where late answers have no value, a queued request that can no longer meet its latency
-//!    objective gets its final answer immediately.
-//! 4. A rejection carries a `Retry-After`, if the settings allow one ([`retry_after`]).
+//! 3. A rejection carries a `Retry-After`, if the settings allow one ([`retry_after`]).
 
 use super::retry::may_never_be_sent_again;
 use crate::state::deployment::Context;
@@ -29,20 +27,15 @@
 /// Longest `Retry-After`, as a fraction of the shortest latency objective. It is short because all
 /// requests of a customer compete for the units that are refilled.
 const MAX_RETRY_AFTER_OBJECTIVE_FRACTION: f64 = 0.1;
-/// Fraction of the fleet's mean latency that an answer is assumed to take when deciding whether a
-/// queued request can still meet its latency objective.
-const EXPECTED_ANSWER_LATENCY_FRACTION: f64 = 0.5;
 
 /// Returns the reason for which an open request gets its final answer because of its age; `None` if
 /// none is due.
 ///
-/// A request gets its final answer at its deadline, or earlier in three cases: if it has not reached
-/// a server by its half time, so that the client can still try another gateway; if it is queued and
-/// may never be sent again; or if late answers have no value and an answer would come too late.
+/// A request gets its final answer at its deadline, or earlier in two cases: if it has not reached a
+/// server by its half time, so that the client can still try another gateway; or if it is queued and
+/// may never be sent again.
 pub(crate) fn expiry(context: Context<'_>, request: &Request) -> Option<RejectReason> {
-    let is_due = is_final_answer_due(context, request)
-        || can_no_longer_be_sent(context, request)
-        || will_miss_objective(context, request);
+    let is_due = is_final_answer_due(context, request) || can_no_longer_be_sent(context, request);
     is_due.then(|| timeout_reason(context, request))
 }
 
@@ -63,18 +56,6 @@
     !request.is_in_flight() && may_never_be_sent_again(context, request)
 }
 
-/// Returns whether a queued request is about to miss its latency objective: even if an attempt were
-/// sent now, its answer would arrive after the objective.
-fn will_miss_objective(context: Context<'_>, request: &Request) -> bool {
-    if request.is_in_flight() || context.deployment.has_value_when_late(request) {
-        return false;
-    }
-    let objective_at = context.deployment.objective_deadline(request);
-    let answer_latency_us = context.fleet.mean_latency_us() * EXPECTED_ANSWER_LATENCY_FRACTION;
-    let answered_at_us = context.now.as_micros_f64() + answer_latency_us;
-    context.now < objective_at && answered_at_us > objective_at.as_micros_f64()
-}
-
 /// Returns the reason for a final answer that is due because of the request's age: what the request
 /// was waiting for.
 fn timeout_reason(context: Context<'_>, request: &Request) -> RejectReason {
--- a/crates/gateway-core/src/state/deployment.rs
+++ b/crates/gateway-core/src/state/deployment.rs
@@ -74,11 +74,6 @@
         until.micros_since(from) / objective.as_micros_f64().max(1.0)
     }
 
-    /// Returns whether an answer to a request has any value after its latency objective.
-    pub(crate) fn has_value_when_late(&self, request: &Request) -> bool {
-        self.class_of(request).late_weight > 0.0
-    }
-
     /// Returns whether a request needs its units granted by a quota owner before it is first sent.
     pub(crate) fn quota_owners_grant(&self) -> bool {
         self.quota_owners_grant
--- a/crates/gateway-core/src/time.rs
+++ b/crates/gateway-core/src/time.rs
@@ -35,11 +35,6 @@
         self.0
     }
 
-    /// Returns the microseconds since the epoch, for floating-point calculations.
-    pub(crate) fn as_micros_f64(self) -> f64 {
-        self.0 as f64
-    }
-
     /// Returns the time since an earlier instant; zero if that instant is later.
     #[must_use]
     pub const fn duration_since(self, earlier: Timestamp) -> Duration {
--- a/crates/gateway-core/src/types.rs
+++ b/crates/gateway-core/src/types.rs
@@ -146,14 +146,12 @@
     /// higher probability the lower their priority is.
     LoadShed,
     /// The request waited for a quota owner's decision until half of the client's timeout had
-    /// passed or, if late answers have no value, until an answer would have come too late.
+    /// passed.
     QuotaTimeout,
     /// The request waited in the queue, for its customer's limits, the in-flight limit or a server,
-    /// until half of the client's timeout had passed or, if late answers have no value, until an
-    /// answer would have come too late.
+    /// until half of the client's timeout had passed.
     QueueTimeout,
     /// Attempts failed and no further attempt was possible or permitted, or the client's timeout
-    /// ended after an attempt had been sent, or, if late answers have no value, an answer to a
-    /// retry would have come too late.
+    /// ended after an attempt had been sent.
     RetriesExhausted,
 }
--- a/crates/gateway-core/tests/policy/deadlines.rs
+++ b/crates/gateway-core/tests/policy/deadlines.rs
@@ -99,6 +99,20 @@
     }
 }
 
+/// A client that waits for 4 s can still be served if a server becomes available after the latency
+/// objective.
+#[test]
+fn queued_request_waits_for_a_server_past_its_objective() {
+    for late_weight in LATE_WEIGHTS {
+        let settings = settings_with_late_weight(late_weight);
+        let mut gateway = GatewayHarness::new(1, settings, SECOND);
+        let id = gateway.request(NON_IDEMPOTENT, UNLIMITED, CUSTOMER, 4 * SECOND);
+        gateway.advance(1500 * MILLISECOND);
+        gateway.update_endpoints(EndpointUpdate::Snapshot, vec![ready_endpoint(0)]);
+        assert!(gateway.server_of(&id).is_some(), "{late_weight}");
+    }
+}
+
 /// A request that has not been sent by its half time, half of the client's timeout, is rejected
 /// with a `Retry-After`, so that the client can still retry elsewhere.
 #[test]
