Let requests without an attempt wait as long as their time suffices for one

Callers saw: a request that waited for a server, a grant, its hard limit or a place under the in-flight limit was refused at half of its client's timeout, whatever the other half would have sufficed for. A retry, on the other hand, could be sent until the deadline itself, when nobody would see its answer.

Cause: `is_final_answer_due` took half time as the limit of whatever had reached no server. It is no promise to a caller, and it contradicts the design: "Requests over the cap wait, and are refused at their deadline."

Change: without an attempt in flight, a first attempt or a retry, a request waits as long as the time left suffices for an attempt (the mean latency of all servers, at most half of the client's timeout, so that an estimate from an outage stops no request), and then gets its final answer at once. `Request::half_time` and `has_reached_server` are gone.

--- a/crates/gateway-core/src/gateway/attempts.rs
+++ b/crates/gateway-core/src/gateway/attempts.rs
@@ -38,7 +38,7 @@
         let Some(request) = self.requests.get_mut(&key.request) else {
             return;
         };
-        request.record_attempt_finished(result.outcome);
+        request.record_attempt_finished();
         if result.is_request_closed {
             return self.remove_request(&key.request, actions);
         }
--- a/crates/gateway-core/src/policy/deadlines.rs
+++ b/crates/gateway-core/src/policy/deadlines.rs
@@ -2,12 +2,16 @@
 //! client may retry.
 //!
 //! The rules, in the order in which they apply to a request at each timer:
-//! 1. The final answer is due shortly before the request's deadline, or shortly before its half
-//!    time (half of the client's timeout) while no attempt is in flight or has reached a server
-//!    ([`expiry`]).
-//! 2. A queued request that may never be sent again, because its idempotency key has been forgotten
+//! 1. A request with an attempt in flight gets its final answer shortly before its deadline.
+//! 2. Any other request waits as long as the time that its client has left suffices for an attempt
+//!    ([`is_too_late_for_attempt`]), and then gets its final answer. Its client hears so at once: what
+//!    is left of its time would be spent on an attempt without an answer.
+//! 3. A queued request that may never be sent again, because its idempotency key has been forgotten
 //!    since it was queued, gets its final answer immediately.
-//! 3. A rejection carries a `Retry-After`, if the settings allow one ([`retry_after`]).
+//! 4. A rejection carries a `Retry-After`, if the settings allow one ([`retry_after`]).
+//!
+//! The design has requests over the in-flight limit wait: "Requests over the cap wait, and are refused
+//! at their deadline".
 
 use super::retry::may_never_be_sent_again;
 use crate::state::deployment::Context;
@@ -17,11 +21,15 @@
 use crate::types::RejectReason;
 use std::time::Duration;
 
-/// Interval between timers while requests are open; a small fraction of any latency objective.
+/// Interval between timers while requests are open; a small fraction of the time that clients wait.
 pub(crate) const TIMER_PERIOD: Duration = Duration::from_millis(10);
-/// How long before its deadline or half time a request gets its final answer, because the next
-/// timer might fire too late.
+/// How long before its deadline a request gets its final answer, because the next timer might fire
+/// too late.
 pub(super) const FINAL_ANSWER_MARGIN: Duration = TIMER_PERIOD.saturating_mul(2);
+/// Largest fraction of a client's timeout that an attempt is expected to need. The mean latency may
+/// have grown during an outage, and only further attempts correct it, so every request may be sent in
+/// the other part of its time.
+const MAX_ATTEMPT_TIME_FRACTION: f64 = 0.5;
 /// Shortest `Retry-After`, as a fraction of the shortest latency objective.
 const MIN_RETRY_AFTER_OBJECTIVE_FRACTION: f64 = 0.02;
 /// Longest `Retry-After`, as a fraction of the shortest latency objective. It is short because all
@@ -31,29 +39,29 @@
 /// Returns the reason for which an open request gets its final answer because of its age; `None` if
 /// none is due.
 ///
-/// A request gets its final answer at its deadline, or earlier in two cases: if it has not reached a
-/// server by its half time, so that the client can still try another gateway; or if it is queued and
-/// may never be sent again.
+/// A request with an attempt in flight gets its final answer at its deadline, any other as soon as no
+/// attempt could be answered in time or may be sent.
 pub(crate) fn expiry(context: Context<'_>, request: &Request) -> Option<RejectReason> {
-    let is_due = is_final_answer_due(context, request) || can_no_longer_be_sent(context, request);
-    is_due.then(|| timeout_reason(context, request))
-}
-
-/// Returns whether the final answer is due: shortly before the deadline, or shortly before the half
-/// time while no attempt is in flight or has reached a server.
-fn is_final_answer_due(context: Context<'_>, request: &Request) -> bool {
-    let is_unsent = !request.is_in_flight() && !request.has_reached_server();
-    let answer_deadline = if is_unsent {
-        request.half_time()
+    let is_due = if request.is_in_flight() {
+        context.now + FINAL_ANSWER_MARGIN >= request.deadline()
     } else {
-        request.deadline()
+        is_too_late_for_attempt(context, request) || may_never_be_sent_again(context, request)
     };
-    context.now + FINAL_ANSWER_MARGIN >= answer_deadline
+    is_due.then(|| timeout_reason(context, request))
 }
 
-/// Returns whether a request has no attempt in flight and may never be sent again.
-fn can_no_longer_be_sent(context: Context<'_>, request: &Request) -> bool {
-    !request.is_in_flight() && may_never_be_sent_again(context, request)
+/// Returns whether an attempt that is sent now is not expected to be answered while the client of the
+/// request waits.
+///
+/// An attempt is expected to need the mean latency of all servers, but at most
+/// [`MAX_ATTEMPT_TIME_FRACTION`] of the client's timeout. One with less time would most likely end
+/// without an answer: the client of a payment would not know whether it was executed, whereas a
+/// rejection tells it that it may try again.
+pub(super) fn is_too_late_for_attempt(context: Context<'_>, request: &Request) -> bool {
+    let longest_us = request.client_timeout().as_micros_f64() * MAX_ATTEMPT_TIME_FRACTION;
+    let attempt_us = context.fleet.mean_latency_us().min(longest_us);
+    let answered_at = context.now + Duration::from_micros_f64(attempt_us);
+    answered_at + FINAL_ANSWER_MARGIN >= request.deadline()
 }
 
 /// Returns the reason for a final answer that is due because of the request's age: what the request
--- a/crates/gateway-core/src/policy/retry.rs
+++ b/crates/gateway-core/src/policy/retry.rs
@@ -11,6 +11,7 @@
 //! 4. Every rejection has to pass [`may_reject`], because it promises the client that a retry is
 //!    safe.
 
+use super::deadlines::is_too_late_for_attempt;
 use super::retry_budget::RetryBudget;
 use crate::settings::{DeduplicationScope, Idempotency};
 use crate::state::deployment::{Context, Deployment};
@@ -141,8 +142,8 @@
 
 /// Decides what follows a failed attempt, which ended with `outcome` while its request stays open.
 ///
-/// The request is retried as long as its client waits and a retry is possible. Otherwise its client
-/// is told at once, so that it can use the rest of its time.
+/// The request is retried as long as the time that its client has left suffices for an attempt and a
+/// retry is possible. Otherwise its client is told at once, so that it can use the rest of its time.
 pub(crate) fn decide(
     context: Context<'_>,
     request: &Request,
@@ -150,8 +151,7 @@
     budget: &RetryBudget,
 ) -> RetryDecision {
     let deployment = context.deployment;
-    let is_past_deadline = context.now >= request.deadline();
-    if is_past_deadline
+    if is_too_late_for_attempt(context, request)
         || !has_attempt_left(deployment, request)
         || !budget.covers(outcome)
         || may_never_be_sent_again(context, request)
--- a/crates/gateway-core/src/state/request.rs
+++ b/crates/gateway-core/src/state/request.rs
@@ -3,9 +3,7 @@
 use super::attempt::Attempt;
 use super::quota::QuotaProgress;
 use crate::time::Timestamp;
-use crate::types::{
-    AttemptNumber, AttemptOutcome, ClassId, CustomerId, Endpoint, PlanId, ServerId,
-};
+use crate::types::{AttemptNumber, ClassId, CustomerId, Endpoint, PlanId, ServerId};
 use crate::units::Units;
 use std::time::Duration;
 
@@ -53,8 +51,6 @@
     in_flight: Option<InFlightAttempt>,
     /// Whether the request has been counted as a late sample while open.
     is_counted_as_late: bool,
-    /// Whether any attempt has reached a server.
-    has_reached_server: bool,
     possible_execution: Option<PossibleExecution>,
     last_server: Option<ServerId>,
     /// The lease requests sent for this request, and the grant obtained.
@@ -101,9 +97,9 @@
         self.deadline
     }
 
-    /// Returns the time halfway between arrival and deadline.
-    pub(crate) fn half_time(&self) -> Timestamp {
-        self.arrived_at + self.deadline.duration_since(self.arrived_at) / 2
+    /// Returns how long the client waits, from the arrival of the request on.
+    pub(crate) fn client_timeout(&self) -> Duration {
+        self.deadline.duration_since(self.arrived_at)
     }
 
     /// Returns the time from which the request could have been sent, had a server been available.
@@ -143,10 +139,6 @@
             .is_some_and(|attempt| !attempt.is_cancellable)
     }
 
-    pub(crate) fn has_reached_server(&self) -> bool {
-        self.has_reached_server
-    }
-
     /// Returns the first attempt that may have been executed; `None` if none can have been.
     pub(crate) fn possible_execution(&self) -> Option<&PossibleExecution> {
         self.possible_execution.as_ref()
@@ -193,10 +185,9 @@
         }
     }
 
-    /// Records the outcome of the attempt in flight, which has ended.
-    pub(crate) fn record_attempt_finished(&mut self, outcome: AttemptOutcome) {
+    /// Records that the attempt in flight has ended.
+    pub(crate) fn record_attempt_finished(&mut self) {
         self.in_flight = None;
-        self.has_reached_server |= outcome.reached_server();
     }
 
     /// Records an attempt that may have been executed, unless an earlier one was recorded.
--- a/crates/gateway-core/src/types.rs
+++ b/crates/gateway-core/src/types.rs
@@ -145,13 +145,13 @@
     /// The request was shed because the servers are overloaded. Requests are shed at random, with a
     /// higher probability the lower their priority is.
     LoadShed,
-    /// The request waited for a quota owner's decision until half of the client's timeout had
-    /// passed.
+    /// The request waited for a quota owner's decision until the time that the client had left was
+    /// too short for an attempt.
     QuotaTimeout,
     /// The request waited in the queue, for its customer's limits, the in-flight limit or a server,
-    /// until half of the client's timeout had passed.
+    /// until the time that the client had left was too short for an attempt.
     QueueTimeout,
-    /// Attempts failed and no further attempt was possible or permitted, or the client's timeout
-    /// ended after an attempt had been sent.
+    /// Attempts failed and no further attempt was possible or permitted, or the time that the client
+    /// had left was too short for one, or the client's timeout ended during an attempt.
     RetriesExhausted,
 }
