Send the request whose client has the least time left first

Callers saw: once a request had waited past its latency objective, its priority fell to the late weight of its class, so the caller that had waited longest went behind every new one, and with a late weight of 0 behind those of every class.

Cause: `priority::remaining_priority` multiplied the priority by what a late answer still earns.

Change: the priority is that of the class and plan, for as long as the request waits. Among requests of the same priority, the one with the earliest deadline is sent first: its client has the least time left, and the others can still be answered after it.

Evidence: `sends_request_that_has_waited_past_its_objective_before_new_request` and `sends_request_with_least_time_left_first` failed before. They replace a test that required the contrary, a new request before one past its objective. `sends_request_of_higher_priority_first` passes before and after.

--- a/crates/gateway-core/src/gateway/dispatch.rs
+++ b/crates/gateway-core/src/gateway/dispatch.rs
@@ -25,7 +25,7 @@
             lowest_class,
             self.attempts.count_of(lowest_class),
         );
-        for id in dispatch::dispatch_order(self.context(now), self.requests.queued()) {
+        for id in dispatch::dispatch_order(&self.deployment, self.requests.queued()) {
             if selectable.is_empty() {
                 break;
             }
--- a/crates/gateway-core/src/policy/dispatch.rs
+++ b/crates/gateway-core/src/policy/dispatch.rs
@@ -1,8 +1,8 @@
 //! Dispatch: the order in which queued requests are sent, and which of them are skipped for now.
 //!
 //! The rules, in the order in which they apply whenever a server may have a free slot:
-//! 1. The queue is scanned in descending order of priority; requests of the same priority keep the
-//!    order in which they were queued ([`dispatch_order`]).
+//! 1. The queue is scanned in descending order of priority. Among requests of the same priority, the
+//!    one whose client has the least time left comes first ([`dispatch_order`]).
 //! 2. A first attempt is skipped while the customer's own limits do not allow it.
 //! 3. A request of the lowest class is skipped while that class is at its in-flight limit.
 //! 4. Any other request is sent if load balancing finds a server for it.
@@ -10,24 +10,48 @@
 //! [`DispatchPass::decide`] applies rules 2 and 3.
 
 use super::in_flight_limit::InFlightLimit;
-use super::priority::remaining_priority;
+use super::priority::priority;
 use super::quota_sharing::QuotaSharing;
-use crate::state::deployment::Context;
+use crate::state::deployment::{Context, Deployment};
 use crate::state::quota::QuotaState;
 use crate::state::request::Request;
+use crate::time::Timestamp;
 use crate::types::{ClassId, RequestId};
+use std::cmp::Ordering;
 
-/// Returns the ids of the queued requests in descending order of remaining priority. Requests of
-/// the same priority keep their order in `queued`, which is the order of the queue.
+/// Position of a queued request in the order of dispatch.
+struct DispatchRank {
+    priority: f64,
+    deadline: Timestamp,
+}
+
+impl DispatchRank {
+    fn of(deployment: &Deployment, request: &Request) -> Self {
+        DispatchRank {
+            priority: priority(deployment, request),
+            deadline: request.deadline(),
+        }
+    }
+
+    /// Compares in the order of dispatch: higher priorities first, then earlier deadlines.
+    fn compare(&self, other: &DispatchRank) -> Ordering {
+        let by_priority = other.priority.total_cmp(&self.priority);
+        by_priority.then(self.deadline.cmp(&other.deadline))
+    }
+}
+
+/// Returns the ids of the queued requests in the order in which they are sent: higher priorities
+/// first, and among requests of the same priority those with the earliest deadline. Requests that
+/// agree in both keep their order in `queued`, which is the order of the queue.
 pub(crate) fn dispatch_order<'a>(
-    context: Context<'_>,
+    deployment: &Deployment,
     queued: impl Iterator<Item = (&'a RequestId, &'a Request)>,
 ) -> Vec<RequestId> {
-    let mut prioritized: Vec<_> = queued
-        .map(|(id, request)| (remaining_priority(context, request), id.clone()))
+    let mut ranked: Vec<_> = queued
+        .map(|(id, request)| (DispatchRank::of(deployment, request), id.clone()))
         .collect();
-    prioritized.sort_by(|(left, _), (right, _)| right.total_cmp(left));
-    prioritized.into_iter().map(|(_, id)| id).collect()
+    ranked.sort_by(|(left, _), (right, _)| left.compare(right));
+    ranked.into_iter().map(|(_, id)| id).collect()
 }
 
 /// Decision on a queued request.
--- a/crates/gateway-core/src/state/deployment.rs
+++ b/crates/gateway-core/src/state/deployment.rs
@@ -63,11 +63,6 @@
         &self.settings.classes[request.class().0]
     }
 
-    /// Returns the latest time at which an answer to a request still meets its latency objective.
-    pub(crate) fn objective_deadline(&self, request: &Request) -> Timestamp {
-        request.arrived_at() + self.class_of(request).latency_objective
-    }
-
     /// Returns the time between two instants as a ratio to the latency objective of a class.
     pub(crate) fn objective_ratio(&self, class: ClassId, from: Timestamp, until: Timestamp) -> f64 {
         let objective = self.settings.classes[class.0].latency_objective;
--- a/crates/gateway-core/src/state/request.rs
+++ b/crates/gateway-core/src/state/request.rs
@@ -88,10 +88,6 @@
         self.details.units
     }
 
-    pub(crate) fn arrived_at(&self) -> Timestamp {
-        self.arrived_at
-    }
-
     /// Returns when the client stops waiting; [`Timestamp::MAX`] once the answer streams.
     pub(crate) fn deadline(&self) -> Timestamp {
         self.deadline
