Start no attempt with less than twice the mean latency left

Cause: an attempt was started with the mean latency left. The work of requests differs much, so that many need longer than the mean.

Change: an attempt is expected to need twice the mean latency (at most half of the client's timeout, as before). A request with less time left is answered at once.

--- a/crates/gateway-core/src/policy/deadlines.rs
+++ b/crates/gateway-core/src/policy/deadlines.rs
@@ -26,6 +26,9 @@
 /// How long before its deadline a request gets its final answer, because the next timer might fire
 /// too late.
 pub(super) const FINAL_ANSWER_MARGIN: Duration = TIMER_PERIOD.saturating_mul(2);
+/// Time that an attempt is expected to need, in mean latencies of all servers: most attempts are
+/// answered within it, also where the work of requests differs much.
+const ATTEMPT_TIME_LATENCIES: f64 = 2.0;
 /// Largest fraction of a client's timeout that an attempt is expected to need. The mean latency may
 /// have grown during an outage, and only further attempts correct it, so every request may be sent in
 /// the other part of its time.
@@ -53,13 +56,13 @@
 /// Returns whether an attempt that is sent now is not expected to be answered while the client of the
 /// request waits.
 ///
-/// An attempt is expected to need the mean latency of all servers, but at most
+/// An attempt is expected to need [`ATTEMPT_TIME_LATENCIES`], but at most
 /// [`MAX_ATTEMPT_TIME_FRACTION`] of the client's timeout. One with less time would most likely end
 /// without an answer: the client of a payment would not know whether it was executed, whereas a
 /// rejection tells it that it may try again.
 pub(super) fn is_too_late_for_attempt(context: Context<'_>, request: &Request) -> bool {
     let longest_us = request.client_timeout().as_micros_f64() * MAX_ATTEMPT_TIME_FRACTION;
-    let attempt_us = context.fleet.mean_latency_us().min(longest_us);
+    let attempt_us = (context.fleet.mean_latency_us() * ATTEMPT_TIME_LATENCIES).min(longest_us);
     let answered_at = context.now + Duration::from_micros_f64(attempt_us);
     answered_at + FINAL_ANSWER_MARGIN >= request.deadline()
 }
