Tell rejected clients when their units will have been refilled

Callers saw: a customer with a plan of 2.6 units a second and requests of 8 units, whose units take 3.1 s to refill, was told to return after 100 ms, under settings that allow a Retry-After of 10 s. Its clients returned 441 times and were admitted 14 times.

Cause: `deadlines::retry_after` bounded the refill time by 0.02 and 0.1 of the shortest latency objective, and told all clients of a customer the same time, though they compete for the same units.

Change: the new module `retry_after` tells a client when its customer's account will have been refilled with its units, less what peers use, and no earlier than the mean latency, in which servers finish what they hold. Clients of one customer are told successive times, each a refill of the units after the one before. Only the settings' maximum bounds the time. A client that a quota owner of a large fleet rejects is told the refill time of its units. The units of a request that was sent are counted as used.

Evidence: in `clients_that_return_when_told_are_admitted`, twelve clients that follow the times for a minute make at most three requests for each admission; that test and five others failed before.

--- a/crates/gateway-core/src/gateway/final_answer.rs
+++ b/crates/gateway-core/src/gateway/final_answer.rs
@@ -1,7 +1,8 @@
 //! Final answers that the gateway gives without a server, and the removal of requests.
 
 use super::Gateway;
-use crate::policy::{deadlines, retry};
+use crate::policy::{retry, retry_after};
+use crate::state::deployment::Context;
 use crate::time::Timestamp;
 use crate::types::{RejectReason, RequestId};
 use crate::Action;
@@ -20,8 +21,9 @@
             return;
         };
         self.rejections.record(reason, request.plan());
-        let account = self.quotas.account(request.customer());
-        let retry_after = deadlines::retry_after(self.context(now), account, request);
+        let context = Context::new(now, &self.deployment, self.servers.estimates());
+        let account = self.quotas.account_mut(request.customer());
+        let retry_after = retry_after::retry_after(context, account, request, reason);
         let retry_at = now + retry_after.unwrap_or_default();
         if retry::may_reject(&self.deployment, request, retry_at) {
             actions.push(Action::Reject {
--- a/crates/gateway-core/src/policy/deadlines.rs
+++ b/crates/gateway-core/src/policy/deadlines.rs
@@ -1,5 +1,4 @@
-//! Deadlines: when an open request gets its final answer because of its age, and when a rejected
-//! client may retry.
+//! Deadlines: when an open request gets its final answer because of its age.
 //!
 //! The rules, in the order in which they apply to a request at each timer:
 //! 1. A request with an attempt in flight gets its final answer shortly before its deadline.
@@ -8,14 +7,12 @@
 //!    is left of its time would be spent on an attempt without an answer.
 //! 3. A queued request that may never be sent again, because its idempotency key has been forgotten
 //!    since it was queued, gets its final answer immediately.
-//! 4. A rejection carries a `Retry-After`, if the settings allow one ([`retry_after`]).
 //!
 //! The design has requests over the in-flight limit wait: "Requests over the cap wait, and are refused
 //! at their deadline".
 
 use super::retry::may_never_be_sent_again;
 use crate::state::deployment::Context;
-use crate::state::quota::CustomerAccount;
 use crate::state::request::Request;
 use crate::time::DurationExt;
 use crate::types::RejectReason;
@@ -33,11 +30,6 @@
 /// have grown during an outage, and only further attempts correct it, so every request may be sent in
 /// the other part of its time.
 const MAX_ATTEMPT_TIME_FRACTION: f64 = 0.5;
-/// Shortest `Retry-After`, as a fraction of the shortest latency objective.
-const MIN_RETRY_AFTER_OBJECTIVE_FRACTION: f64 = 0.02;
-/// Longest `Retry-After`, as a fraction of the shortest latency objective. It is short because all
-/// requests of a customer compete for the units that are refilled.
-const MAX_RETRY_AFTER_OBJECTIVE_FRACTION: f64 = 0.1;
 
 /// Returns the reason for which an open request gets its final answer because of its age; `None` if
 /// none is due.
@@ -78,26 +70,3 @@
         RejectReason::QueueTimeout
     }
 }
-
-/// Returns the `Retry-After` of a rejection; `None` if the settings allow none.
-///
-/// It is the time until the customer's account is likely to hold the units of the request, bounded
-/// by fractions of the shortest latency objective and by the settings.
-pub(crate) fn retry_after(
-    context: Context<'_>,
-    account: Option<&CustomerAccount>,
-    request: &Request,
-) -> Option<Duration> {
-    let deployment = context.deployment;
-    let max_retry_after = deployment.settings.permissions.max_retry_after?;
-    let shortest_us = deployment.shortest_objective_us * MIN_RETRY_AFTER_OBJECTIVE_FRACTION;
-    let longest_us = deployment.shortest_objective_us * MAX_RETRY_AFTER_OBJECTIVE_FRACTION;
-    let available_in_us = match account {
-        Some(account) => {
-            account.time_until_available_us(deployment.plan_of(request), request.units())
-        }
-        None => shortest_us,
-    };
-    let retry_after = Duration::from_micros_f64(available_in_us.clamp(shortest_us, longest_us));
-    Some(retry_after.min(max_retry_after))
-}
--- a/crates/gateway-core/src/policy/mod.rs
+++ b/crates/gateway-core/src/policy/mod.rs
@@ -11,7 +11,7 @@
 //!    the `fuzzy_controller` adjusts using its `controller_inputs`.
 //! 4. Server selection: `load_balancing`, with `slow_start` and `outlier_detection`.
 //! 5. After an attempt: `retry`, within the `retry_budget`.
-//! 6. As time passes: `deadlines`.
+//! 6. As time passes: `deadlines`. For a rejection: `retry_after`.
 //! 7. Between gateways: gossip of usage (`quota_sharing`), and `health_reports` on servers, which
 //!    contribute to the `fleet_estimates`.
 
@@ -30,5 +30,6 @@
 pub(crate) mod priority;
 pub(crate) mod quota_sharing;
 pub(crate) mod retry;
+pub(crate) mod retry_after;
 pub(crate) mod retry_budget;
 pub(crate) mod slow_start;
--- a/crates/gateway-core/src/policy/quota_sharing/gossip.rs
+++ b/crates/gateway-core/src/policy/quota_sharing/gossip.rs
@@ -53,20 +53,30 @@
     }
 }
 
-/// Returns whether the account holds too few units for a request once units are reserved for
-/// peers' usage that this gateway has not been notified of yet. At most the peers' part of the
-/// burst is reserved, because peers have no claim to this gateway's even part.
+/// Returns whether the account holds too few units for a request once
+/// [`units_reserved_for_peers`] are set aside.
 fn is_quota_exceeded(
     context: Context<'_>,
     account: &mut CustomerAccount,
     request: &Request,
 ) -> bool {
+    let plan = &context.deployment.settings.plans[account.plan().0];
+    let reserved = units_reserved_for_peers(context, account);
+    plan.has_quota() && account.quota_tokens() - reserved < request.units()
+}
+
+/// Returns the units that are reserved for peers' usage that this gateway has not been notified of
+/// yet. At most the peers' part of the burst is reserved, because peers have no claim to this
+/// gateway's even part.
+pub(in crate::policy) fn units_reserved_for_peers(
+    context: Context<'_>,
+    account: &mut CustomerAccount,
+) -> Units {
     let plan = &context.deployment.settings.plans[account.plan().0];
     let peer_units_per_second = account.peer_units_per_second(context.now);
-    let reserved = Units::refilled(peer_units_per_second, USAGE_DELAY_SECONDS)
+    Units::refilled(peer_units_per_second, USAGE_DELAY_SECONDS)
         .min(account.excess_burst(plan))
-        .max(Units::ZERO);
-    plan.has_quota() && account.quota_tokens() - reserved < request.units()
+        .max(Units::ZERO)
 }
 
 /// Returns whether the customer's limits allow the first attempt of a queued request now; if not,
--- a/crates/gateway-core/src/state/quota/account.rs
+++ b/crates/gateway-core/src/state/quota/account.rs
@@ -34,6 +34,15 @@
     pub(crate) updated_at: Timestamp,
 }
 
+/// Units that a customer's account needs for a request, beyond those that have been charged for it.
+#[derive(Clone, Copy)]
+pub(crate) struct MissingUnits {
+    /// Units of the quota.
+    pub(crate) quota: Units,
+    /// Units of the hard limit.
+    pub(crate) hard_limit: Units,
+}
+
 /// A customer's usage as announced to peers.
 pub(super) struct AnnouncedUsage {
     /// The running usage count.
@@ -52,6 +61,9 @@
     hard_limit: HardLimitBucket,
     /// When the quota and the hard limit were last refilled.
     refilled_at: Timestamp,
+    /// When the units will have been refilled for which rejected clients were told to return; in the
+    /// past if there are none.
+    promised_until: Timestamp,
     /// When a request of the customer last arrived.
     last_used_at: Timestamp,
     /// Number of consecutive requests that named a different plan or gateway set.
@@ -96,6 +108,7 @@
             quota: TokenBucket::new(burst.max(even_burst), even_burst),
             hard_limit,
             refilled_at: now,
+            promised_until: Timestamp::EPOCH,
             last_used_at: Timestamp::EPOCH,
             conflicting_hints: 0,
             recent_demand: Units::ZERO,
@@ -315,19 +328,48 @@
         };
     }
 
-    /// Returns the microseconds until the account is likely to cover a request of `units`. These
-    /// units have been charged to the quota already, and are refunded if the request is never sent.
-    pub(crate) fn time_until_available_us(&self, plan: &Plan, units: Units) -> f64 {
+    /// Returns when the account will have been refilled with `missing` units, at
+    /// `units_per_second` for the quota. That is not later than now if it holds them already.
+    pub(crate) fn refilled_with_at(
+        &self,
+        plan: &Plan,
+        missing: &MissingUnits,
+        units_per_second: f64,
+    ) -> Timestamp {
         let quota_us = if plan.has_quota() {
-            refill_time_us(-self.quota.tokens(), plan.rate)
+            refill_time_us(missing.quota - self.quota.tokens(), units_per_second)
+        } else {
+            0.0
+        };
+        let hard_limit_us = plan.hard_limit.as_ref().map_or(0.0, |limit| {
+            self.hard_limit.time_until_us(missing.hard_limit, limit)
+        });
+        self.refilled_at + Duration::from_micros_f64(quota_us.max(hard_limit_us))
+    }
+
+    /// Returns the time in which `units` are refilled, at `units_per_second` for the quota.
+    pub(crate) fn refill_time(&self, plan: &Plan, units: Units, units_per_second: f64) -> Duration {
+        let quota_us = if plan.has_quota() {
+            refill_time_us(units, units_per_second)
         } else {
             0.0
         };
         let hard_limit_us = plan
             .hard_limit
             .as_ref()
-            .map_or(0.0, |limit| self.hard_limit.time_until_us(units, limit));
-        quota_us.max(hard_limit_us)
+            .map_or(0.0, |limit| self.hard_limit.refill_time_us(units, limit));
+        Duration::from_micros_f64(quota_us.max(hard_limit_us))
+    }
+
+    /// Returns when the units will have been refilled for which rejected clients were told to
+    /// return; in the past if there are none.
+    pub(crate) fn promised_until(&self) -> Timestamp {
+        self.promised_until
+    }
+
+    /// Records that a rejected client was told to return at `at` for its units.
+    pub(crate) fn promise_units_until(&mut self, at: Timestamp) {
+        self.promised_until = at;
     }
 
     /// Returns whether the account may be evicted without gain or loss for its customer: it has
--- a/crates/gateway-core/src/state/quota/hard_limit_bucket.rs
+++ b/crates/gateway-core/src/state/quota/hard_limit_bucket.rs
@@ -70,7 +70,12 @@
 
     /// Returns the microseconds until the bucket holds `units`; 0 if it holds them now.
     pub(crate) fn time_until_us(&self, units: Units, limit: &HardLimit) -> f64 {
-        refill_time_us(units - self.tokens, limit.rate * self.fraction)
+        self.refill_time_us(units - self.tokens, limit)
+    }
+
+    /// Returns the microseconds in which `units` are refilled; 0 if they are none.
+    pub(crate) fn refill_time_us(&self, units: Units, limit: &HardLimit) -> f64 {
+        refill_time_us(units, limit.rate * self.fraction)
     }
 }
 
--- a/crates/gateway-core/src/state/quota/mod.rs
+++ b/crates/gateway-core/src/state/quota/mod.rs
@@ -13,7 +13,7 @@
 mod progress;
 mod token_bucket;
 
-pub(crate) use account::{AccountConfig, CustomerAccount};
+pub(crate) use account::{AccountConfig, CustomerAccount, MissingUnits};
 pub(crate) use held_lease::HeldLease;
 pub(crate) use owned::{OwnedQuota, OwnedQuotaConfig};
 pub(crate) use owners::QuotaOwners;
--- a/crates/gateway-core/tests/policy.rs
+++ b/crates/gateway-core/tests/policy.rs
@@ -36,6 +36,8 @@
 mod quota_owner;
 #[path = "policy/retry.rs"]
 mod retry;
+#[path = "policy/retry_after.rs"]
+mod retry_after;
 #[path = "policy/retry_budget.rs"]
 mod retry_budget;
 #[path = "policy/slow_start.rs"]
