Hold a concurrency limit without regard to what exceeding it costs

Callers saw: a request under a plan with a limit on attempts at once waited longer the higher the plan's over-quota cost was, with the same number of attempts in flight.

Cause: `is_below_concurrency_limit` multiplied the probability that an attempt exceeds the limit by 1 plus `over_quota_cost`, a price.

Change: the probability alone decides. Its bound is 0.1, which is what a cost of 1 had made of the bound of 0.2, so that the limit is held at least as well for every plan with a cost up to 1.

Evidence: `wait_for_concurrency_limit_does_not_depend_on_over_quota_cost` failed before (with a peer that forwards 0 to 19 units in half a second, the outcomes differed by the cost) and passes now.

--- a/crates/gateway-core/src/policy/quota_sharing/gossip.rs
+++ b/crates/gateway-core/src/policy/quota_sharing/gossip.rs
@@ -27,9 +27,9 @@
 /// Delay, in seconds, with which this gateway is assumed to be notified of peers' usage. As many
 /// units as peers forward in that time are reserved for them.
 const USAGE_DELAY_SECONDS: f64 = 0.5;
-/// Upper bound of the accepted risk that a first attempt exceeds the customer's limit on attempts
-/// in flight. The risk is the probability, multiplied by 1 plus the plan's over-quota cost.
-const MAX_CONCURRENCY_RISK: f64 = 0.2;
+/// Upper bound of the accepted probability that a first attempt exceeds the customer's limit on
+/// attempts in flight.
+const MAX_EXCESS_PROBABILITY: f64 = 0.1;
 /// Shortest time between two broadcasts of usage.
 const MIN_BROADCAST_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which broadcasts repeat a customer's usage after its last increase, because messages
@@ -121,8 +121,8 @@
         limit.saturating_sub(account.attempts_in_flight()),
         expected_at_peers,
     );
-    let risk = (1.0 - below_limit_probability) * (1.0 + plan.over_quota_cost);
-    f64::from(account.attempts_in_flight()) < even_part && risk < MAX_CONCURRENCY_RISK
+    f64::from(account.attempts_in_flight()) < even_part
+        && 1.0 - below_limit_probability < MAX_EXCESS_PROBABILITY
 }
 
 /// Schedule of the usage broadcasts of this gateway.
--- a/crates/gateway-core/src/settings/mod.rs
+++ b/crates/gateway-core/src/settings/mod.rs
@@ -56,7 +56,8 @@
 pub struct Class {
     /// Time from a request's arrival within which an answer earns the full priority weight.
     pub latency_objective: Duration,
-    /// Fraction of the priority weight that an answer after the latency objective still earns.
+    /// Fraction of the priority weight that an answer after the latency objective still earns. No
+    /// decision depends on it: a client waits until its deadline.
     pub late_weight: f64,
     /// Priority of a request within its latency objective, before the plan's weight multiplies it.
     pub priority_weight: f64,
@@ -87,7 +88,8 @@
     /// Fraction of the priority weight that a request forwarded beyond the quota earns. No decision
     /// depends on it.
     pub over_quota_weight: f64,
-    /// Fraction of the priority weight that a request forwarded beyond the quota costs.
+    /// Fraction of the priority weight that a request forwarded beyond the quota costs. No decision
+    /// depends on it.
     pub over_quota_cost: f64,
     /// Hard limit; `None` if the plan has none.
     pub hard_limit: Option<HardLimit>,
--- a/crates/gateway-core/tests/common/settings.rs
+++ b/crates/gateway-core/tests/common/settings.rs
@@ -72,6 +72,11 @@
         self
     }
 
+    pub(crate) fn over_quota_cost(mut self, plan: PlanId, cost: f64) -> Self {
+        self.0.plans[plan.0].over_quota_cost = cost;
+        self
+    }
+
     pub(crate) fn hard_limit(mut self, plan: PlanId, limit: HardLimit) -> Self {
         self.0.plans[plan.0].hard_limit = Some(limit);
         self
--- a/crates/gateway-core/tests/policy/quota.rs
+++ b/crates/gateway-core/tests/policy/quota.rs
@@ -45,6 +45,37 @@
     }
 }
 
+/// Returns whether a request under a concurrency limit is sent at once while a peer forwards this many
+/// units every half second.
+fn is_sent_beside_peer_usage(over_quota_cost: f64, peer_units: u16) -> bool {
+    let settings = SettingsBuilder::new(0, 2)
+        .over_quota_cost(TWO_CONCURRENT, over_quota_cost)
+        .build();
+    let mut gateway = GatewayHarness::with_servers(1, settings, SECOND, 4);
+    gateway.request_and_complete(IDEMPOTENT, TWO_CONCURRENT, CUSTOMER, 2 * SECOND);
+    for number in 0..8 {
+        gateway.now += 500 * MILLISECOND;
+        gateway.handle(usage(5, CUSTOMER, number * peer_units));
+    }
+    gateway.request_and_complete(IDEMPOTENT, TWO_CONCURRENT, CUSTOMER, 2 * SECOND)
+}
+
+/// The plan promises its customer a number of attempts at once. What an attempt beyond it costs the
+/// operator does not make a caller within it wait longer.
+#[test]
+fn wait_for_concurrency_limit_does_not_depend_on_over_quota_cost() {
+    let outcomes = |cost| -> Vec<bool> {
+        (0..20)
+            .map(|peer_units| is_sent_beside_peer_usage(cost, peer_units))
+            .collect()
+    };
+    let without_cost = outcomes(0.0);
+    assert!(without_cost[0] && !without_cost[19], "{without_cost:?}");
+    for cost in [0.5, 1.0, 8.0] {
+        assert_eq!(outcomes(cost), without_cost, "cost {cost}");
+    }
+}
+
 #[test]
 fn token_bucket_rejects_uncovered_request_and_refills_at_rate() {
     let mut gateway = GatewayHarness::with_servers(1, settings(0, 2), SECOND, 4);
