Charge no retry after an attempt that reached no server, in any fleet

Callers saw: in a small fleet, a request whose attempt had reached no server (its connection was refused or came up too late) got no further attempt once the retry budget was used up, in a large fleet it did.

Cause: `RetryBudget` charged every retry in a small fleet. The budget is there so that retries do not multiply the load of failing servers; such an attempt put no load on any, and a caller has no reason to be treated differently by the number of gateways.

Change: retries after attempts that reached no server are free, in both fleet modes. The attempts that the settings permit for a request bound them.

--- a/crates/gateway-core/src/gateway/mod.rs
+++ b/crates/gateway-core/src/gateway/mod.rs
@@ -79,7 +79,7 @@
             has_requested_watch: false,
             requests: RequestTable::default(),
             attempts: AttemptTable::default(),
-            retry_budget: RetryBudget::new(mode),
+            retry_budget: RetryBudget::new(),
             servers,
             quota_sharing,
             quotas,
--- a/crates/gateway-core/src/policy/retry_budget.rs
+++ b/crates/gateway-core/src/policy/retry_budget.rs
@@ -4,10 +4,9 @@
 //! The rules:
 //! 1. Each first attempt adds a fraction of a retry to the budget, up to a maximum
 //!    ([`RetryBudget::record_first_attempt`]).
-//! 2. A retry is charged to the budget. In a large fleet it is free if the failed attempt reached
-//!    no server ([`RetryBudget::covers`], [`RetryBudget::charge`]).
+//! 2. A retry is charged to the budget, unless the failed attempt reached no server: such an attempt
+//!    put no load on any ([`RetryBudget::covers`], [`RetryBudget::charge`]).
 
-use crate::state::deployment::FleetMode;
 use crate::types::AttemptOutcome;
 
 /// Retries that each first attempt adds to the budget.
@@ -17,31 +16,16 @@
 /// Retries that one charged retry takes from the budget.
 const RETRY_COST: f64 = 1.0;
 
-/// Rule for which retries are charged to the budget.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Charging {
-    /// Every retry, in a small fleet.
-    EveryRetry,
-    /// Only a retry after an attempt that put load on a server, in a large fleet.
-    AfterReachedServer,
-}
-
 /// Budget of the retries that this gateway may still send.
 pub(crate) struct RetryBudget {
     retries: f64,
-    charging: Charging,
 }
 
 impl RetryBudget {
-    /// Creates the full budget of a gateway that starts in a fleet of this mode.
-    pub(crate) fn new(mode: FleetMode) -> Self {
-        let charging = match mode {
-            FleetMode::Gossip => Charging::EveryRetry,
-            FleetMode::Leases => Charging::AfterReachedServer,
-        };
+    /// Creates the full budget of a gateway that starts.
+    pub(crate) fn new() -> Self {
         RetryBudget {
             retries: MAX_RETRIES,
-            charging,
         }
     }
 
@@ -57,17 +41,13 @@
 
     /// Returns whether a retry may be sent after an attempt that ended with `outcome`.
     pub(crate) fn covers(&self, outcome: AttemptOutcome) -> bool {
-        self.is_free(outcome) || self.has_retry()
+        !outcome.reached_server() || self.has_retry()
     }
 
     /// Charges a retry after an attempt that ended with `outcome`, unless the retry is free.
     pub(crate) fn charge(&mut self, outcome: AttemptOutcome) {
-        if !self.is_free(outcome) {
+        if outcome.reached_server() {
             self.retries -= RETRY_COST;
         }
     }
-
-    fn is_free(&self, outcome: AttemptOutcome) -> bool {
-        self.charging == Charging::AfterReachedServer && !outcome.reached_server()
-    }
 }
