Expect the same latency of unknown servers whatever the objective is

Callers saw: the first requests of a gateway, and those during an outage from its start on, were given up early where a class had a long latency objective: with an objective of 60 s, a request whose client waits for 2 s was refused after 1 s.

Cause: before the first answer, 0.12 of the shortest latency objective counted as the latency of the servers. What clients wish for says nothing about how long the work takes.

Change: 100 ms are expected until attempts have ended.

--- a/crates/gateway-core/src/gateway/control_tick.rs
+++ b/crates/gateway-core/src/gateway/control_tick.rs
@@ -20,7 +20,7 @@
             self.servers.estimates_mut(),
         );
         actions.extend(warning.map(Action::Warn));
-        self.servers.update_estimates(now, &self.deployment);
+        self.servers.update_estimates(now);
         self.servers
             .grant_slow_start_credit(now, &self.deployment, &mut self.random);
         self.evict_idle(now);
--- a/crates/gateway-core/src/gateway/servers/control_tick.rs
+++ b/crates/gateway-core/src/gateway/servers/control_tick.rs
@@ -14,7 +14,7 @@
 impl Servers {
     /// Updates the estimates of the fleet: the throughput of a gateway, and the latency and load
     /// factor of the median server.
-    pub(in crate::gateway) fn update_estimates(&mut self, now: Timestamp, deployment: &Deployment) {
+    pub(in crate::gateway) fn update_estimates(&mut self, now: Timestamp) {
         let throughput_weight = self.estimation.own_throughput_weight();
         self.estimates
             .merge_own_throughput(TICK_PERIOD, throughput_weight);
@@ -25,10 +25,8 @@
             load.map(|load| server.load_factor(load))
         });
         let load_factor = self.estimation.median(&load_factors);
-        self.estimates.set_medians(
-            median_us.unwrap_or_else(|| initial_latency_us(deployment)),
-            load_factor,
-        );
+        self.estimates
+            .set_medians(median_us.unwrap_or_else(initial_latency_us), load_factor);
     }
 
     /// Grants slow-start credit to the servers in warm-up.
--- a/crates/gateway-core/src/gateway/servers/mod.rs
+++ b/crates/gateway-core/src/gateway/servers/mod.rs
@@ -8,12 +8,12 @@
 
 pub(super) use health::{StallEjection, StalledAttempt};
 
-use crate::policy::fleet_estimates::{FleetEstimation, INITIAL_LATENCY_FRACTION};
+use crate::policy::fleet_estimates::{FleetEstimation, INITIAL_LATENCY};
 use crate::policy::load_balancing::ServerSelection;
 use crate::policy::outlier_detection::OutlierDetection;
 use crate::state::deployment::{Context, Deployment};
 use crate::state::servers::{FleetEstimates, ServerTable};
-use crate::time::Timestamp;
+use crate::time::{DurationExt, Timestamp};
 use crate::types::{Endpoint, EndpointUpdate, ServerId};
 
 /// The servers that a gateway tracks, the estimates of the fleet, and the strategies for using
@@ -43,7 +43,7 @@
         let selection = ServerSelection::new(settings, deployment.mode);
         Servers {
             table: ServerTable::new(settings, selection.full_scan_limit()),
-            estimates: FleetEstimates::new(settings.classes.len(), initial_latency_us(deployment)),
+            estimates: FleetEstimates::new(settings.classes.len(), initial_latency_us()),
             fleet_concurrency: FleetConcurrency::default(),
             estimation: FleetEstimation::new(deployment.mode),
             selection,
@@ -98,6 +98,6 @@
 }
 
 /// Returns the expected latency per concurrent request, in µs, before any latency is observed.
-fn initial_latency_us(deployment: &Deployment) -> f64 {
-    deployment.shortest_objective_us * INITIAL_LATENCY_FRACTION
+fn initial_latency_us() -> f64 {
+    INITIAL_LATENCY.as_micros_f64()
 }
--- a/crates/gateway-core/src/policy/fleet_estimates.rs
+++ b/crates/gateway-core/src/policy/fleet_estimates.rs
@@ -1,6 +1,6 @@
 //! Estimates of the whole fleet: the weight of each observation in them.
 //!
-//! 1. [`INITIAL_LATENCY_FRACTION`] gives the latency that is expected before anything has been
+//! 1. [`INITIAL_LATENCY`] gives the latency that is expected before anything has been
 //!    observed.
 //! 2. Each attempt that ends counts with [`LATENCY_WEIGHT`] in the mean latency and the mean
 //!    service time, and with [`ZONE_WEIGHT`] in the reachability of its zone.
@@ -11,10 +11,11 @@
 
 use crate::state::deployment::FleetMode;
 use crate::statistics::{lower_median, upper_median};
+use std::time::Duration;
 
-/// Expected latency per concurrent request before anything has been observed, as a fraction of the
-/// shortest latency objective.
-pub(crate) const INITIAL_LATENCY_FRACTION: f64 = 0.12;
+/// Expected latency per concurrent request before anything has been observed. It does not depend on
+/// the settings, which state what clients wish for and not how long the work takes.
+pub(crate) const INITIAL_LATENCY: Duration = Duration::from_millis(100);
 /// Weight of an attempt in the mean latency and the mean service time of all servers.
 pub(crate) const LATENCY_WEIGHT: f64 = 0.02;
 /// Weight of an attempt in the reachability of its zone.
--- a/crates/gateway-core/tests/common/settings.rs
+++ b/crates/gateway-core/tests/common/settings.rs
@@ -93,6 +93,14 @@
         self
     }
 
+    /// Sets the latency objective of all classes.
+    pub(crate) fn latency_objective(mut self, objective: Duration) -> Self {
+        for class in &mut self.0.classes {
+            class.latency_objective = objective;
+        }
+        self
+    }
+
     /// Sets the weight of late answers of all classes.
     pub(crate) fn late_weight(mut self, late_weight: f64) -> Self {
         for class in &mut self.0.classes {
