Count a failed attempt with the mean latency, not with half an objective

Callers saw: where a class has a long latency objective, a few attempts that fail at once made requests whose clients wait for 2 s be refused after 1 s.

Cause: a failed attempt entered the latency estimates with at least half of the shortest latency objective, so that a server that fails fast does not look fast. With an objective of 60 s, five failures took the mean latency to seconds, and with it the time that an attempt is expected to need.

Change: a failed attempt counts with at least the mean latency. A server that fails fast looks no faster than the others, its failure rate raises its cost, and the estimates no longer depend on an objective.

Evidence: `request_waits_for_a_server_after_attempts_that_failed_at_once` failed before and passes now.

--- a/crates/gateway-core/src/gateway/attempts.rs
+++ b/crates/gateway-core/src/gateway/attempts.rs
@@ -71,14 +71,8 @@
         let request = self.requests.get(&key.request);
         let is_cancelled = request.is_some_and(Request::is_cancelled_or_streaming);
         let was_cancelled_here = is_cancelled && result.outcome == AttemptOutcome::Cancelled;
-        self.servers.observe_attempt(
-            now,
-            &self.deployment,
-            attempt,
-            &result,
-            was_cancelled_here,
-            &mut self.random,
-        );
+        self.servers
+            .observe_attempt(now, attempt, &result, was_cancelled_here, &mut self.random);
         if result.outcome == AttemptOutcome::Success {
             self.servers.estimates_mut().count_answer();
             self.control_loop
--- a/crates/gateway-core/src/gateway/servers/health.rs
+++ b/crates/gateway-core/src/gateway/servers/health.rs
@@ -40,7 +40,6 @@
     pub(in crate::gateway) fn observe_attempt(
         &mut self,
         now: Timestamp,
-        deployment: &Deployment,
         attempt: &Attempt,
         result: &AttemptResult,
         was_cancelled_here: bool,
@@ -68,7 +67,7 @@
         }
         observe_zone(&server, &mut self.estimates, class, is_unreachable);
         server.class_health_mut(class).record_observation(now);
-        let latency_us = outliers::counted_latency_us(deployment, latency_us, has_failed);
+        let latency_us = outliers::counted_latency_us(&self.estimates, latency_us, has_failed);
         self.outlier_detection.observe_latency(
             &mut server,
             now,
--- a/crates/gateway-core/src/policy/outlier_detection/failures.rs
+++ b/crates/gateway-core/src/policy/outlier_detection/failures.rs
@@ -1,8 +1,7 @@
 //! Which attempts count as failures, and how attempts that end enter the estimates.
 
 use crate::state::attempt::Attempt;
-use crate::state::deployment::Deployment;
-use crate::state::servers::Server;
+use crate::state::servers::{FleetEstimates, Server};
 use crate::types::{AttemptOutcome, ClassId};
 
 /// Weight of an attempt in its server's failure rate with its class.
@@ -10,9 +9,6 @@
 /// Fraction of [`FAILURE_WEIGHT`] with which an attempt counts for the server's other classes,
 /// because one class may fail alone.
 pub(crate) const OTHER_CLASS_WEIGHT_FRACTION: f64 = 0.25;
-/// Minimum latency that a failed attempt counts with, as a fraction of the shortest latency
-/// objective.
-const MIN_FAILED_LATENCY_FRACTION: f64 = 0.5;
 
 /// Returns whether an attempt that ended counts as a failure of its server.
 ///
@@ -48,18 +44,13 @@
     !is_unreachable || !server.class_health(class).is_ejected()
 }
 
-/// Returns the latency in µs with which an attempt counts. A failed attempt counts with at least
-/// [`MIN_FAILED_LATENCY_FRACTION`] of the shortest latency objective; otherwise a server that fails
-/// fast would look fast.
-pub(crate) fn counted_latency_us(
-    deployment: &Deployment,
-    latency_us: f64,
-    has_failed: bool,
-) -> f64 {
-    let minimum = if has_failed {
-        deployment.shortest_objective_us * MIN_FAILED_LATENCY_FRACTION
+/// Returns the latency in µs with which an attempt counts. A failed attempt counts with at least the
+/// mean latency of all servers: otherwise a server that fails fast would look fast, although its
+/// client has to wait for another attempt.
+pub(crate) fn counted_latency_us(fleet: &FleetEstimates, latency_us: f64, has_failed: bool) -> f64 {
+    if has_failed {
+        latency_us.max(fleet.mean_latency_us())
     } else {
-        0.0
-    };
-    latency_us.max(minimum)
+        latency_us
+    }
 }
--- a/crates/gateway-core/tests/policy/deadlines.rs
+++ b/crates/gateway-core/tests/policy/deadlines.rs
@@ -124,6 +124,32 @@
     }
 }
 
+/// Attempts that fail at once say nothing about how long an answer takes. They must not make the
+/// gateway give up requests whose clients have time for an attempt.
+#[test]
+fn request_waits_for_a_server_after_attempts_that_failed_at_once() {
+    for objective in LATENCY_OBJECTIVES {
+        let settings = SettingsBuilder::new(0, 2)
+            .latency_objective(objective)
+            .build();
+        let mut gateway = GatewayHarness::with_servers(1, settings, SECOND, 4);
+        for _ in 0..5 {
+            let id = gateway.request(IDEMPOTENT, UNLIMITED, CUSTOMER, 2 * SECOND);
+            while gateway.server_of(&id).is_some() {
+                gateway.finish(&id, AttemptOutcome::ServerError);
+            }
+        }
+        gateway.update_endpoints(EndpointUpdate::Snapshot, Vec::new());
+        let id = gateway.request(IDEMPOTENT, UNLIMITED, CUSTOMER, 2 * SECOND);
+        gateway.advance(1500 * MILLISECOND);
+        gateway.update_endpoints(EndpointUpdate::Snapshot, vec![ready_endpoint(7)]);
+        assert!(
+            gateway.server_of(&id).is_some(),
+            "objective of {objective:?}"
+        );
+    }
+}
+
 /// A retry that its client would no longer see answered is not sent: the client of a read is told at
 /// once that it may try again.
 #[test]
