Detect stalled attempts by the time of their clients, not by an objective

Callers saw: an attempt at a server that answers nothing was given up after half of the latency objective (0.75 of it, if it was the only one there). With a long objective, a read whose client waits for 3 s got no second attempt; with a client that waits 400 ms, the retry came after its time.

Cause: `stalls::min_stalled_age_us` took the objective as the measure of a long wait.

Change: an attempt may be stalled after four mean latencies, as before, and after 400 ms, or the client's timeout divided by the attempts that the settings permit, if that is less. The factor for the only attempt at a server stays.

--- a/crates/gateway-core/src/gateway/servers/health.rs
+++ b/crates/gateway-core/src/gateway/servers/health.rs
@@ -36,7 +36,7 @@
 impl Servers {
     /// Updates the health of an attempt's server and the estimates of its zone and of the fleet
     /// with the result of the attempt. `was_cancelled_here` is whether this gateway cancelled the
-    /// attempt, as stalled or past its latency objective, while its request was open.
+    /// attempt as stalled while its request was open.
     pub(in crate::gateway) fn observe_attempt(
         &mut self,
         now: Timestamp,
--- a/crates/gateway-core/src/state/attempt.rs
+++ b/crates/gateway-core/src/state/attempt.rs
@@ -3,6 +3,7 @@
 use crate::time::Timestamp;
 use crate::types::{AttemptNumber, ClassId, CustomerId, RequestId, ServerId};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// The request and number that identify an attempt.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,6 +23,8 @@
     pub(crate) eligible_since: Timestamp,
     /// When the attempt was sent.
     pub(crate) sent_at: Timestamp,
+    /// How long the client of the request waits, from the arrival of the request on.
+    pub(crate) client_timeout: Duration,
     /// Attempts of this gateway in flight at the server after this attempt was sent, including it.
     pub(crate) server_in_flight: f64,
 }
--- a/crates/gateway-core/src/state/request.rs
+++ b/crates/gateway-core/src/state/request.rs
@@ -205,6 +205,7 @@
             class: self.details.class,
             eligible_since: self.eligible_since,
             sent_at: now,
+            client_timeout: self.client_timeout(),
             server_in_flight,
         }
     }
--- a/crates/gateway-core/tests/policy/outlier_detection.rs
+++ b/crates/gateway-core/tests/policy/outlier_detection.rs
@@ -3,6 +3,7 @@
 
 use crate::common::*;
 use gateway_core::*;
+use std::time::Duration;
 
 fn cancels_attempt(actions: &[Action]) -> bool {
     actions
@@ -46,6 +47,41 @@
     assert_ne!(second, stalled, "the retry goes to another server");
 }
 
+/// A client that waits for 3 s can still be served by another server if its attempt is stalled, however
+/// long the latency objective of its class is.
+#[test]
+fn stalled_attempt_is_retried_in_the_time_of_its_client_whatever_its_objective() {
+    for objective_ms in [10, 800, 60_000] {
+        let settings = SettingsBuilder::new(0, 1)
+            .latency_objective(Duration::from_millis(objective_ms))
+            .build();
+        let mut gateway = GatewayHarness::with_servers(3, settings, SECOND, 4);
+        let id = gateway.request(IDEMPOTENT, UNLIMITED, CUSTOMER, 3 * SECOND);
+        assert!(
+            !cancels_attempt(&gateway.advance(390 * MILLISECOND)),
+            "a pause of a sound server is no stall, objective of {objective_ms} ms"
+        );
+        assert!(
+            cancels_attempt(&gateway.advance(300 * MILLISECOND)),
+            "{objective_ms} ms"
+        );
+        gateway.finish(&id, AttemptOutcome::Cancelled);
+        assert!(gateway.server_of(&id).is_some(), "{objective_ms} ms");
+    }
+}
+
+/// Clients that wait only 400 ms need the retry after a part of that time.
+#[test]
+fn stalled_attempt_of_short_request_is_retried_in_the_time_of_its_client() {
+    let mut gateway = GatewayHarness::with_servers(3, settings(0, 1), SECOND, 4);
+    // Fast answers, so that an attempt is expected to need little time.
+    gateway.complete_sequential_requests(150, 2 * MILLISECOND);
+    let id = gateway.request(IDEMPOTENT, UNLIMITED, CUSTOMER, 400 * MILLISECOND);
+    assert!(cancels_attempt(&gateway.advance(300 * MILLISECOND)));
+    gateway.finish(&id, AttemptOutcome::Cancelled);
+    assert!(gateway.server_of(&id).is_some());
+}
+
 /// A machine that hangs accepts no connections, so probes of it fail as if the link to its zone
 /// were cut. These failures must not keep requests away from the other servers of the zone.
 #[test]
--- a/crates/gateway-core/tests/replay.rs
+++ b/crates/gateway-core/tests/replay.rs
@@ -59,22 +59,22 @@
     }
 }
 
-/// Digests recorded when a failed attempt began to count with at least the mean latency.
+/// Digests recorded when the age of a stalled attempt became independent of the latency objective.
 const RECORDED: &[RecordedDigest] = &[
-    digest(3, 14, 1, 0x3abdc837e32f673e),
-    digest(3, 14, 2, 0xf93a25c302062954),
-    digest(3, 60, 1, 0xde49dc5cd16b8317),
-    digest(3, 60, 2, 0x922bd86eea1fa8fd),
-    digest(3, 200, 1, 0x4b47a7364caf28de),
-    digest(3, 200, 2, 0xcac73a4ea4389a7f),
-    digest(30, 200, 1, 0x037b608746bb1e17),
-    digest(30, 200, 2, 0x5bcdaa7d8e0a8d99),
-    digest(300, 14, 1, 0x7ce4c59eddab0628),
-    digest(300, 14, 2, 0x7e86a7895c27a6b5),
-    digest(300, 60, 1, 0x2f90c444fd0286f1),
-    digest(300, 60, 2, 0x5151822ba2365435),
-    digest(300, 200, 1, 0x924a911a5c786936),
-    digest(300, 200, 2, 0x82bdbd5ded025017),
+    digest(3, 14, 1, 0x3df755d4003eaab9),
+    digest(3, 14, 2, 0xba4c614d8f80aec2),
+    digest(3, 60, 1, 0xaba51b1e034a3f9b),
+    digest(3, 60, 2, 0x4d089974bdcf5a6f),
+    digest(3, 200, 1, 0xe2359bd35ebb2e0c),
+    digest(3, 200, 2, 0xea996eb499428b49),
+    digest(30, 200, 1, 0xc6c7d6755dd1fd3d),
+    digest(30, 200, 2, 0x5be4962741cccd6c),
+    digest(300, 14, 1, 0xd10a774b61bd371a),
+    digest(300, 14, 2, 0x0271dc73e5a021e4),
+    digest(300, 60, 1, 0x572274de00aebdfe),
+    digest(300, 60, 2, 0x239fe8ecea0e80f6),
+    digest(300, 200, 1, 0x6d0fae0ea10668b5),
+    digest(300, 200, 2, 0xab7f2be754b6ed76),
 ];
 
 /// Fleets that are simulated, each with all [`SEEDS`]. The list does not depend on [`RECORDED`], so
