Cancel a stalled attempt only if the time left suffices for another

Callers saw: a read whose attempt counted as stalled shortly before its client's deadline lost the answer that might still have come, for a retry that could not be answered in time.

Cause: `retry::may_cancel_stalled` looked at idempotency, the permitted attempts and the retry budget, and not at the time that the client has left.

Change: it also requires that the time left suffices for another attempt (`is_too_late_for_attempt`). The server is ejected all the same.

Evidence: `stalled_attempt_stays_in_flight_if_the_time_left_is_too_short_for_another` failed before and passes now.

--- a/crates/gateway-core/src/policy/retry.rs
+++ b/crates/gateway-core/src/policy/retry.rs
@@ -163,7 +163,8 @@
 }
 
 /// Returns whether a stalled attempt that was sent at `sent_at` may be cancelled: only if its
-/// request can be retried afterwards.
+/// request can be retried afterwards, in the time that its client has left. Otherwise the client
+/// would only lose the answer that may still come.
 pub(crate) fn may_cancel_stalled(
     context: Context<'_>,
     request: &Request,
@@ -174,6 +175,7 @@
     let may_cancel =
         deployment.settings.permissions.cancel_attempts && request.cancellable_attempt().is_some();
     may_cancel
+        && !is_too_late_for_attempt(context, request)
         && may_be_sent_after(context, request, sent_at)
         && has_attempt_left(deployment, request)
         && budget.has_retry()
--- a/crates/gateway-core/tests/policy/outlier_detection.rs
+++ b/crates/gateway-core/tests/policy/outlier_detection.rs
@@ -82,6 +82,15 @@
     assert!(gateway.server_of(&id).is_some());
 }
 
+/// Cancelled with too little time left for another attempt, the request of a client would only lose
+/// the answer that may still come.
+#[test]
+fn stalled_attempt_stays_in_flight_if_the_time_left_is_too_short_for_another() {
+    let mut gateway = GatewayHarness::with_servers(3, settings(0, 1), SECOND, 4);
+    gateway.request(IDEMPOTENT, UNLIMITED, CUSTOMER, 700 * MILLISECOND);
+    assert!(!cancels_attempt(&gateway.advance(660 * MILLISECOND)));
+}
+
 /// A machine that hangs accepts no connections, so probes of it fail as if the link to its zone
 /// were cut. These failures must not keep requests away from the other servers of the zone.
 #[test]
