Keep concurrency permits for as long as clients may wait

Callers saw: in a large fleet, a plan's limit on attempts at once did not hold while servers were slow: with a limit of 2 and a request every 0.5 s whose client waits for 4 s, 6 attempts were in flight after 3 s.

Cause: `ReceivedLeaseRequest::acquire_permit` let a permit expire after the longest latency objective, in case the message that releases it is lost. An attempt is in flight until its client's time ends.

Change: a permit expires after the longest time that a client of any class waits (`classes[].deadlineUs`, now part of the decision library's settings as `Class::client_deadline`).

Evidence: `owner_holds_concurrency_limit_while_clients_wait_past_their_objective` failed before (6 attempts in flight) and passes now. The fixtures check the new field for both forms of the configuration.

--- a/crates/edge-node/tests/fixtures.rs
+++ b/crates/edge-node/tests/fixtures.rs
@@ -95,30 +95,35 @@
         Class {
             latency_objective: Duration::from_micros(1_000_000),
             late_weight: 0.25,
+            client_deadline: Duration::from_micros(4_000_000),
             priority_weight: 3.0,
             idempotency: Idempotency::Idempotent,
         },
         Class {
             latency_objective: Duration::from_micros(1_100_000),
             late_weight: 0.5,
+            client_deadline: Duration::from_micros(5_000_000),
             priority_weight: 2.5,
             idempotency: keyed_idempotency(DeduplicationScope::Cell, 60_000_000),
         },
         Class {
             latency_objective: Duration::from_micros(1_200_000),
             late_weight: 0.75,
+            client_deadline: Duration::from_micros(3_000_000),
             priority_weight: 2.0,
             idempotency: keyed_idempotency(DeduplicationScope::Zone, 61_000_000),
         },
         Class {
             latency_objective: Duration::from_micros(1_300_000),
             late_weight: 1.0,
+            client_deadline: Duration::from_micros(2_000_000),
             priority_weight: 1.5,
             idempotency: keyed_idempotency(DeduplicationScope::AllServers, 62_000_000),
         },
         Class {
             latency_objective: Duration::from_micros(1_400_000),
             late_weight: 0.125,
+            client_deadline: Duration::from_micros(4_500_000),
             priority_weight: 5.0,
             idempotency: Idempotency::NonIdempotent,
         },
@@ -285,6 +290,7 @@
     let class = |priority_weight, idempotency| Class {
         latency_objective: Duration::from_micros(1_000_000),
         late_weight: 0.2,
+        client_deadline: Duration::from_micros(4_000_000),
         priority_weight,
         idempotency,
     };
--- a/crates/fleet-lab/src/scaling/fleet.rs
+++ b/crates/fleet-lab/src/scaling/fleet.rs
@@ -63,6 +63,7 @@
     Class {
         latency_objective: Duration::from_secs(1),
         late_weight: 0.2,
+        client_deadline: Duration::from_secs(4),
         priority_weight,
         idempotency,
     }
--- a/crates/gateway-core/src/policy/quota_sharing/owner.rs
+++ b/crates/gateway-core/src/policy/quota_sharing/owner.rs
@@ -227,16 +227,14 @@
         ))
     }
 
-    /// Grants a permit. It expires after the longest latency objective, in case the message that
-    /// releases it is lost.
+    /// Grants a permit. It expires after the longest time that a client waits, in case the message
+    /// that releases it is lost: until then an attempt may be in flight.
     fn acquire_permit(&self, settings: &Settings, now: Timestamp, owned: &mut OwnedQuota) {
-        let objectives = settings.classes.iter().map(|class| class.latency_objective);
         let holder = PermitHolder {
             gateway: self.from,
             sequence: self.request.sequence,
         };
-        let expires_at = now + objectives.max().unwrap_or_default();
-        owned.acquire_permit(holder, expires_at);
+        owned.acquire_permit(holder, now + longest_wait(settings));
     }
 
     /// Returns the units to lease: as many as requested, up to [`MAX_LEASE_FRACTION`] of what
@@ -257,6 +255,14 @@
     }
 }
 
+/// Returns the longest time that a client of any class waits. A class without a deadline counts with
+/// its latency objective.
+fn longest_wait(settings: &Settings) -> Duration {
+    let classes = settings.classes.iter();
+    let waits = classes.map(|class| class.client_deadline.max(class.latency_objective));
+    waits.max().unwrap_or_default()
+}
+
 /// Fractions of a customer's limits that one owner has.
 struct OwnedFractions {
     quota: f64,
--- a/crates/gateway-core/src/settings/mod.rs
+++ b/crates/gateway-core/src/settings/mod.rs
@@ -61,6 +61,8 @@
     pub late_weight: f64,
     /// Priority of a request within its latency objective, before the plan's weight multiplies it.
     pub priority_weight: f64,
+    /// Longest time that a client waits for an answer, its retries included; zero if unknown.
+    pub client_deadline: Duration,
     /// Whether a request may be executed more than once.
     pub idempotency: Idempotency,
 }
--- a/crates/gateway-core/src/settings/parse.rs
+++ b/crates/gateway-core/src/settings/parse.rs
@@ -217,6 +217,7 @@
         Ok(Class {
             latency_objective: Duration::from_micros(class.latency_objective_us),
             late_weight: class.late_weight,
+            client_deadline: Duration::from_micros(class.deadline_us),
             priority_weight: class.priority_weight,
             idempotency: class.idempotency()?,
         })
--- a/crates/gateway-core/tests/common/settings.rs
+++ b/crates/gateway-core/tests/common/settings.rs
@@ -123,6 +123,7 @@
     let class = |priority_weight, idempotency| Class {
         latency_objective: Duration::from_millis(800),
         late_weight: 0.2,
+        client_deadline: Duration::from_secs(4),
         priority_weight,
         idempotency,
     };
--- a/crates/gateway-core/tests/gateway_pair/mod.rs
+++ b/crates/gateway-core/tests/gateway_pair/mod.rs
@@ -52,6 +52,7 @@
     Class {
         latency_objective,
         late_weight: 0.2,
+        client_deadline: Duration::from_secs(4),
         priority_weight,
         idempotency: Idempotency::Idempotent,
     }
--- a/crates/gateway-core/tests/policy/quota_owner.rs
+++ b/crates/gateway-core/tests/policy/quota_owner.rs
@@ -116,6 +116,18 @@
     assert_eq!(gateway.in_flight.len(), 2);
 }
 
+/// Clients wait for 4 s, so their attempts may be in flight for as long. A permit that expired at the
+/// latency objective of 800 ms would let others through beyond the limit that the plan promises.
+#[test]
+fn owner_holds_concurrency_limit_while_clients_wait_past_their_objective() {
+    let mut gateway = GatewayHarness::sole_gateway(1, settings(0, LARGE_FLEET), SECOND, 40);
+    for _ in 0..6 {
+        gateway.request(IDEMPOTENT, TWO_CONCURRENT, CUSTOMER, 4 * SECOND);
+        gateway.advance(500 * MILLISECOND);
+        assert!(gateway.in_flight.len() <= 2, "at {} us", gateway.now);
+    }
+}
+
 /// A request that waits for a server asks for a new permit when its grant expires. If it kept the
 /// old permit, waiting requests would exhaust the permits.
 #[test]
--- a/crates/gateway-core/tests/unit/server_table.rs
+++ b/crates/gateway-core/tests/unit/server_table.rs
@@ -216,6 +216,7 @@
     let class = Class {
         latency_objective: Duration::from_micros(1),
         late_weight: 0.0,
+        client_deadline: Duration::from_micros(1),
         priority_weight: 1.0,
         idempotency: Idempotency::Idempotent,
     };
