Refuse at once what the hard limit will not admit in the client's time

Callers saw: a request under a hard limit that would have its units only after the client's time waited in the queue until that time was nearly over, and was then refused.

Cause: `deadlines::expiry` looked at the age of a queued request only, though the refill of its customer's part of the hard limit is known.

Change: in a small fleet, where the gateway's own part decides, an unsent request is rejected as soon as its part of the hard limit will hold its units only when it is too late for an attempt. Its Retry-After is the time of the refill.

Evidence: `request_that_hard_limit_will_not_admit_in_time_is_rejected_at_once` failed before (no answer in the first 20 ms) and passes now.

--- a/crates/gateway-core/src/gateway/requests.rs
+++ b/crates/gateway-core/src/gateway/requests.rs
@@ -75,7 +75,8 @@
     fn expired_requests(&self, now: Timestamp) -> Vec<ExpiredRequest> {
         let context = self.context(now);
         let expired = self.requests.iter().filter_map(|(id, request)| {
-            let reason = deadlines::expiry(context, request)?;
+            let account = self.quotas.account(request.customer());
+            let reason = deadlines::expiry(context, account, request)?;
             Some(ExpiredRequest {
                 id: id.clone(),
                 reason,
--- a/crates/gateway-core/src/state/quota/account.rs
+++ b/crates/gateway-core/src/state/quota/account.rs
@@ -341,10 +341,18 @@
         } else {
             0.0
         };
-        let hard_limit_us = plan.hard_limit.as_ref().map_or(0.0, |limit| {
-            self.hard_limit.time_until_us(missing.hard_limit, limit)
-        });
-        self.refilled_at + Duration::from_micros_f64(quota_us.max(hard_limit_us))
+        let quota_at = self.refilled_at + Duration::from_micros_f64(quota_us);
+        quota_at.max(self.hard_limit_available_at(plan, missing.hard_limit))
+    }
+
+    /// Returns when this gateway's part of the hard limit will hold `units`. That is not later than
+    /// now if it holds them already, or if the plan has no hard limit.
+    pub(crate) fn hard_limit_available_at(&self, plan: &Plan, units: Units) -> Timestamp {
+        let wait_us = plan
+            .hard_limit
+            .as_ref()
+            .map_or(0.0, |limit| self.hard_limit.time_until_us(units, limit));
+        self.refilled_at + Duration::from_micros_f64(wait_us)
     }
 
     /// Returns the time in which `units` are refilled, at `units_per_second` for the quota.
--- a/crates/gateway-core/tests/policy/quota.rs
+++ b/crates/gateway-core/tests/policy/quota.rs
@@ -210,6 +210,34 @@
     assert_eq!(gateway.in_flight.len(), 1, "the next request is sent");
 }
 
+/// A client whose request the hard limit will not admit in its time is told so at once, and when to
+/// return, instead of after it has waited in vain.
+#[test]
+fn request_that_hard_limit_will_not_admit_in_time_is_rejected_at_once() {
+    let hard_limit = HardLimit {
+        rate: 0.5,
+        capacity: Units::new(2.0),
+    };
+    let settings = SettingsBuilder::new(0, 1)
+        .hard_limit(HARD_LIMITED, hard_limit)
+        .build();
+    let mut gateway = GatewayHarness::with_servers(1, settings, SECOND, 4);
+    // The hard limit starts empty: one unit is refilled in 2 s.
+    let patient = gateway.request(IDEMPOTENT, HARD_LIMITED, CUSTOMER, 4 * SECOND);
+    let impatient = gateway.request(IDEMPOTENT, HARD_LIMITED, CUSTOMER, SECOND);
+    let actions = gateway.advance(20 * MILLISECOND);
+    let is_told_to_return_in_two_seconds = |action: &Action| {
+        matches!(action, Action::Reject { id, retry_after: Some(after) }
+            if *id == impatient && (1900..=2000).contains(&after.as_millis()))
+    };
+    assert!(
+        actions.iter().any(is_told_to_return_in_two_seconds),
+        "{actions:?}"
+    );
+    gateway.advance(2 * SECOND);
+    assert!(gateway.server_of(&patient).is_some());
+}
+
 /// Receives consecutive requests of a customer with a hard limit, and returns how many were sent.
 fn count_sent_under_hard_limit(
     gateway: &mut GatewayHarness,
