Bound attempts in flight by the time that clients wait, not by an objective

Callers saw: with a short latency objective, requests waited at the gateway one after the other while their server could have worked on several: with an objective of 10 ms, 1 attempt was in flight at a server that is expected to need 100 ms, of 20 requests that could have been sent there.

Cause: `Selector::has_free_slot` and `fleet_concurrency` allowed what is finished within 0.3 and 0.25 of the shortest latency objective.

Change: they allow what is finished within 0.075 and 0.0625 of the shortest time that clients of any class wait (`Class::longest_wait`). With an objective of 1 s and a deadline of 4 s that is what was allowed before.

Evidence: `attempts_in_flight_at_a_server_do_not_depend_on_latency_objective` failed before and passes now.

--- a/crates/gateway-core/src/gateway/servers/mod.rs
+++ b/crates/gateway-core/src/gateway/servers/mod.rs
@@ -31,7 +31,8 @@
 /// would be too much work.
 #[derive(Default)]
 struct FleetConcurrency {
-    /// Number of attempts that all servers together finish within the shortest latency objective.
+    /// Number of attempts that all servers together finish within the shortest time that clients
+    /// wait.
     attempts: f64,
     valid_until: Timestamp,
 }
--- a/crates/gateway-core/src/policy/load_balancing/capacity.rs
+++ b/crates/gateway-core/src/policy/load_balancing/capacity.rs
@@ -4,20 +4,24 @@
 use crate::state::servers::Server;
 use crate::statistics::count_as_f64;
 
-/// Fraction of the shortest latency objective that the expected latency at a server may reach.
-/// Queues that are longer than that build up faster than they drain.
-const MAX_SERVER_LATENCY_FRACTION: f64 = 0.3;
+/// Fraction of the shortest time that clients wait, which the expected latency at a server may reach.
+/// Clients need the rest for a request that takes longer than others and for retries; what waits at
+/// this gateway instead of at a server can still be sent to another server, or after a request of a
+/// higher priority.
+const MAX_SERVER_LATENCY_FRACTION: f64 = 0.075;
 /// Fraction of the fleet concurrency that this gateway may have in flight.
-const MAX_FLEET_CONCURRENCY_FRACTION: f64 = 0.25;
+const MAX_FLEET_CONCURRENCY_FRACTION: f64 = 0.0625;
 /// Attempts that all gateways together may always have in flight at each server.
 const MIN_IN_FLIGHT_PER_SERVER: f64 = 4.0;
 
 impl Selector<'_> {
     /// Returns the fleet concurrency: the number of attempts that all servers together finish
-    /// within the shortest latency objective.
+    /// within the shortest time that clients wait.
     pub(crate) fn fleet_concurrency(&self) -> f64 {
-        self.estimates
-            .fleet_concurrency(self.servers, self.context.deployment.shortest_objective_us)
+        self.estimates.fleet_concurrency(
+            self.servers,
+            self.context.deployment.shortest_client_wait_us,
+        )
     }
 
     /// Returns whether this gateway has as many attempts in flight at all servers together as it
@@ -53,10 +57,10 @@
     }
 
     /// Returns whether the expected latency with one more attempt in flight is within
-    /// [`MAX_SERVER_LATENCY_FRACTION`] of the shortest latency objective.
+    /// [`MAX_SERVER_LATENCY_FRACTION`] of the shortest time that clients wait.
     fn has_free_slot(&self, server: &Server) -> bool {
         let latency_us =
             self.estimates.expected_latency_us(server) * f64::from(server.in_flight() + 1);
-        latency_us <= MAX_SERVER_LATENCY_FRACTION * self.context.deployment.shortest_objective_us
+        latency_us <= MAX_SERVER_LATENCY_FRACTION * self.context.deployment.shortest_client_wait_us
     }
 }
--- a/crates/gateway-core/src/policy/quota_sharing/owner.rs
+++ b/crates/gateway-core/src/policy/quota_sharing/owner.rs
@@ -11,7 +11,7 @@
 //! 5. [`throttle_lease_requests`]: with which probability further requests may ask an owner.
 
 use crate::message::{LeaseDecision, LeaseRequest, LeaseResponse};
-use crate::settings::{HardLimit, Plan, Settings};
+use crate::settings::{Class, HardLimit, Plan, Settings};
 use crate::state::quota::{
     permits_of_owner, OwnedQuota, OwnedQuotaConfig, PermitHolder, QuotaOwners,
 };
@@ -255,11 +255,9 @@
     }
 }
 
-/// Returns the longest time that a client of any class waits. A class without a deadline counts with
-/// its latency objective.
+/// Returns the longest time that a client of any class waits.
 fn longest_wait(settings: &Settings) -> Duration {
-    let classes = settings.classes.iter();
-    let waits = classes.map(|class| class.client_deadline.max(class.latency_objective));
+    let waits = settings.classes.iter().map(Class::longest_wait);
     waits.max().unwrap_or_default()
 }
 
--- a/crates/gateway-core/src/settings/mod.rs
+++ b/crates/gateway-core/src/settings/mod.rs
@@ -67,6 +67,19 @@
     pub idempotency: Idempotency,
 }
 
+impl Class {
+    /// Returns the longest time that a client waits for an answer, its retries included: the latency
+    /// objective if the settings state no deadline.
+    #[must_use]
+    pub fn longest_wait(&self) -> Duration {
+        if self.client_deadline.is_zero() {
+            self.latency_objective
+        } else {
+            self.client_deadline
+        }
+    }
+}
+
 /// A hard limit on what all gateways together forward for one customer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HardLimit {
--- a/crates/gateway-core/src/state/deployment.rs
+++ b/crates/gateway-core/src/state/deployment.rs
@@ -26,8 +26,8 @@
     pub(crate) settings: Settings,
     /// How the gateways share quotas and observations.
     pub(crate) mode: FleetMode,
-    /// The shortest latency objective of all classes in µs; at least 1.
-    pub(crate) shortest_objective_us: f64,
+    /// The shortest time that clients of any class wait for an answer, in µs; at least 1.
+    pub(crate) shortest_client_wait_us: f64,
     /// The class with the lowest priority weight, or the first of several such classes. Its
     /// attempts are limited in favour of the other classes, the controlled classes.
     pub(crate) lowest_class: ClassId,
@@ -39,7 +39,7 @@
     /// Derives the values from the settings and the fleet mode.
     pub(crate) fn new(settings: Settings, mode: FleetMode) -> Self {
         let classes = &settings.classes;
-        let shortest = classes.iter().map(|class| class.latency_objective).min();
+        let shortest = classes.iter().map(Class::longest_wait).min();
         let priority_weights = classes.iter().map(|class| class.priority_weight);
         let lowest = priority_weights
             .enumerate()
@@ -47,7 +47,7 @@
         Deployment {
             mode,
             quota_owners_grant: mode == FleetMode::Leases,
-            shortest_objective_us: shortest.unwrap_or_default().as_micros_f64().max(1.0),
+            shortest_client_wait_us: shortest.unwrap_or_default().as_micros_f64().max(1.0),
             lowest_class: ClassId(lowest.map_or(0, |(class, _)| class)),
             settings,
         }
--- a/crates/gateway-core/src/state/servers/latency_estimates.rs
+++ b/crates/gateway-core/src/state/servers/latency_estimates.rs
@@ -72,11 +72,10 @@
     }
 
     /// Returns the fleet concurrency: how many attempts the ready servers together finish within
-    /// `objective_us` µs. Servers that are not tracked are assumed to have the median latency.
-    pub(crate) fn fleet_concurrency(&self, servers: &ServerTable, objective_us: f64) -> f64 {
+    /// `period_us` µs. Servers that are not tracked are assumed to have the median latency.
+    pub(crate) fn fleet_concurrency(&self, servers: &ServerTable, period_us: f64) -> f64 {
         let mut tracked = 0;
-        let concurrency =
-            |server| objective_us / self.expected_latency_us(server).max(MIN_LATENCY_US);
+        let concurrency = |server| period_us / self.expected_latency_us(server).max(MIN_LATENCY_US);
         let sum: f64 = servers
             .iter_ready()
             .inspect(|_| tracked += 1)
@@ -84,7 +83,7 @@
             .sum();
         let untracked = count_as_f64(servers.ready_count() - tracked);
         let median_us = self.fleet.median_latency_us();
-        sum + untracked * (objective_us / median_us.max(MIN_LATENCY_US))
+        sum + untracked * (period_us / median_us.max(MIN_LATENCY_US))
     }
 
     /// Returns whether a server has completed its warm-up.
--- a/crates/gateway-core/tests/policy/load_balancing.rs
+++ b/crates/gateway-core/tests/policy/load_balancing.rs
@@ -3,6 +3,7 @@
 use crate::common::*;
 use gateway_core::*;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 #[test]
 fn sends_no_attempt_to_draining_or_removed_server() {
@@ -131,3 +132,22 @@
         assert_ne!(gateway.server_of(&id), Some(first), "seed {seed}");
     }
 }
+
+/// Clients wait for 4 s, and the server is expected to need 100 ms. A short latency objective must not
+/// make requests wait here one after the other while the server could work on several.
+#[test]
+fn attempts_in_flight_at_a_server_do_not_depend_on_latency_objective() {
+    let in_flight = |objective_ms| {
+        let settings = SettingsBuilder::new(0, 1)
+            .latency_objective(Duration::from_millis(objective_ms))
+            .build();
+        let mut gateway = GatewayHarness::with_servers(1, settings, SECOND, 1);
+        for _ in 0..20 {
+            gateway.request(IDEMPOTENT, UNLIMITED, CUSTOMER, 4 * SECOND);
+        }
+        gateway.in_flight.len()
+    };
+    for objective_ms in [10, 400, 800, 60_000] {
+        assert_eq!(in_flight(objective_ms), 3, "objective of {objective_ms} ms");
+    }
+}
