Read the body of a slow client for as long as its request may take

Callers saw: a sound client that sent a body over 0.6 s, on a slow link, was answered 400, though it waits for seconds. A client that sent its head as slowly had 2.8 s.

Cause: `BODY_READ_TIMEOUT` of 0.6 s.

Change: the whole request, head and body, has 2.8 s from its first byte, or from accept for the first one on its connection. A body whose head has taken long still has 0.6 s, as before.

Evidence: `body_of_slow_client_is_read_while_its_client_sends` (a body over 1.5 s, on a new and on a used connection) failed before and passes now, as does `body_must_arrive_in_the_time_of_its_request`.

--- a/crates/edge-node/src/clients/connection_limits.rs
+++ b/crates/edge-node/src/clients/connection_limits.rs
@@ -11,10 +11,12 @@
 
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2200);
-/// Maximum time from the first byte of a request, or from accept for the first request, until its
-/// head is complete. Together with [`IDLE_TIMEOUT`] it bounds how long a client that stops sending
-/// holds a connection.
-const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_millis(2800);
+/// Maximum time from the first byte of a request, or from accept for the first request, until it is
+/// complete. The platform owes a client that stops in the middle an error or a close within 3 s.
+/// Together with [`IDLE_TIMEOUT`] it bounds how long such a client holds a connection.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(2800);
+/// Time for the body of a request whose head has taken long.
+const MIN_BODY_TIME: Duration = Duration::from_millis(600);
 /// Maximum time between two writes of a response once the answer limit has passed. The process must
 /// exit soon, and a client that reads keeps this pace.
 const LATE_WRITE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -56,12 +58,7 @@
         Activity::Idle { since } => close_at(since + IDLE_TIMEOUT, CloseReason::Idle, now),
         Activity::Receiving(_) if requests.is_evicted => Verdict::Close(CloseReason::Evicted),
         Activity::Receiving(span) => {
-            let begin = if has_requests {
-                span.first
-            } else {
-                accepted_at
-            };
-            let timeout = begin + REQUEST_HEAD_TIMEOUT;
+            let timeout = request_deadline(span.first, accepted_at, has_requests);
             match requests.answer_limit.filter(|limit| *limit < timeout) {
                 Some(limit) => close_at(limit, CloseReason::Shutdown, now),
                 None => close_at(timeout, CloseReason::IncompleteRequest, now),
@@ -89,6 +86,31 @@
     }
 }
 
+/// Returns the time by which a request must be complete whose first byte arrived at `first_byte`.
+fn request_deadline(
+    first_byte: Instant,
+    accepted_at: Instant,
+    has_earlier_requests: bool,
+) -> Instant {
+    let begin = if has_earlier_requests {
+        first_byte
+    } else {
+        accepted_at
+    };
+    begin + REQUEST_TIMEOUT
+}
+
+/// Returns the time by which the body of a request must have arrived whose head was complete at
+/// `now`. A client that sends slowly may use the whole time of the request.
+pub(super) fn body_deadline(
+    first_byte: Instant,
+    accepted_at: Instant,
+    has_earlier_requests: bool,
+    now: Instant,
+) -> Instant {
+    request_deadline(first_byte, accepted_at, has_earlier_requests).max(now + MIN_BODY_TIME)
+}
+
 fn close_at(time: Instant, reason: CloseReason, now: Instant) -> Verdict {
     if now >= time {
         Verdict::Close(reason)
--- a/crates/edge-node/src/clients/connection_state.rs
+++ b/crates/edge-node/src/clients/connection_state.rs
@@ -1,6 +1,7 @@
 //! The state of a client connection, from which it follows when the connection is closed or
 //! evicted.
 
+use super::connection_limits;
 use super::read_ahead::ReadAheadStream;
 use super::transfers::{ReceivedSpan, Transfers};
 use std::cell::{Cell, RefCell};
@@ -100,6 +101,14 @@
         self.requests.get()
     }
 
+    /// Returns the time by which the body of the request must have arrived whose head is complete now.
+    pub(super) fn body_deadline(&self) -> Instant {
+        let now = Instant::now();
+        let first_byte = self.transfers.received().map_or(now, |span| span.first);
+        let has_earlier_requests = self.requests.get() > 1;
+        connection_limits::body_deadline(first_byte, self.accepted_at, has_earlier_requests, now)
+    }
+
     /// Returns how long no request has been in flight; zero while one is.
     pub(super) fn idle_time(&self) -> Duration {
         match self.activity() {
--- a/crates/edge-node/src/clients/request.rs
+++ b/crates/edge-node/src/clients/request.rs
@@ -32,9 +32,6 @@
 /// Length of the forwarded part of a head that does not count, because it is part of what is
 /// reserved for every connection.
 const UNCOUNTED_HEAD_BYTES: usize = 1024;
-/// Maximum time from the head of a request to the end of its body. Without a limit, clients that
-/// never complete a body would hold memory and connections.
-const BODY_READ_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Error of a request whose client disconnected before the final answer, so that no response can be
 /// sent.
@@ -145,7 +142,8 @@
     if !head.allows_body && !body.is_end_stream() {
         return Err(RequestError::UnexpectedBody);
     }
-    let timeout = Instant::now() + BODY_READ_TIMEOUT;
+    // Without a limit, clients that never complete a body would hold memory and connections.
+    let timeout = state.body_deadline();
     let deadline = node
         .answer_limit()
         .map_or(timeout, |limit| limit.min(timeout));
--- a/crates/edge-node/tests/edge/forwarding.rs
+++ b/crates/edge-node/tests/edge/forwarding.rs
@@ -190,3 +190,27 @@
         "{told}"
     );
 }
+
+/// Pause between two parts of a body. The body takes longer than a second and less than the time
+/// within which a request must be complete.
+const PART_PAUSE: Duration = Duration::from_millis(500);
+
+/// A client on a slow link has time for its answer, so its body is read while it sends.
+#[test]
+fn body_of_slow_client_is_read_while_its_client_sends() {
+    let (servers, _discovery, node) = start_with_one_server("slow-body", &[RESPONDS_OK]);
+    let mut client = node.client();
+    for id in ["first", "second"] {
+        let request = request_text(id, "pay", "20000m");
+        let (head, body) = request.split_at(request.len() - 4);
+        client.send(head);
+        for part in body.split("").filter(|part| !part.is_empty()).take(3) {
+            std::thread::sleep(PART_PAUSE);
+            client.send(part);
+        }
+        client.send(&body[3..]);
+        let answer = client.read_response().expect("complete response");
+        assert_eq!(answer.status(), 200, "{id}");
+        assert_eq!(servers.next_request().message.body, b"time");
+    }
+}
--- a/crates/edge-node/tests/edge/shutdown.rs
+++ b/crates/edge-node/tests/edge/shutdown.rs
@@ -144,7 +144,7 @@
 /// connections are closed at 600 ms.
 const FIRST_PART_DELAY: Duration = Duration::from_millis(300);
 /// Time between the first part of a request and the rest. The rest is sent after idle connections
-/// are closed, and before the edge node's timeout of 600 ms for a request body.
+/// are closed, and within the time in which a request must be complete.
 const REST_DELAY: Duration = Duration::from_millis(450);
 
 /// If only part of a request has arrived when idle connections are closed, the rest is still read
--- a/crates/edge-node/tests/unit/connection_limits.rs
+++ b/crates/edge-node/tests/unit/connection_limits.rs
@@ -133,3 +133,25 @@
     );
     assert_eq!(check_written_at(1000, 1100), closed);
 }
+
+/// The pages owe clients that stop an answer within 3 s, from the connection for its first request.
+#[test]
+fn body_must_arrive_in_the_time_of_its_request() {
+    let accepted = Instant::now();
+    let first_byte = after(accepted, 1000);
+    let deadline = |has_earlier_requests, now| {
+        body_deadline(
+            first_byte,
+            accepted,
+            has_earlier_requests,
+            after(accepted, now),
+        )
+    };
+    assert_eq!(deadline(false, 1100), after(accepted, 2800));
+    assert_eq!(deadline(true, 1100), after(accepted, 3800));
+    assert_eq!(
+        deadline(false, 2700),
+        after(accepted, 3300),
+        "a body whose head has taken long still has 600 ms"
+    );
+}
