Start no attempt with less than three times the mean latency left

Cause: under overload requests are sent when little more than that time is left, and the latency of an attempt often exceeds twice the mean.

Change: an attempt is expected to need three times the mean latency, at most half of the client's timeout.

--- a/crates/gateway-core/src/policy/deadlines.rs
+++ b/crates/gateway-core/src/policy/deadlines.rs
@@ -25,9 +25,9 @@
 /// How long before its deadline a request gets its final answer, because the next timer might fire
 /// too late.
 pub(super) const FINAL_ANSWER_MARGIN: Duration = TIMER_PERIOD.saturating_mul(2);
-/// Time that an attempt is expected to need, in mean latencies of all servers: most attempts are
+/// Time that an attempt is expected to need, in mean latencies of all servers: nearly all attempts are
 /// answered within it, also where the work of requests differs much.
-const ATTEMPT_TIME_LATENCIES: f64 = 2.0;
+const ATTEMPT_TIME_LATENCIES: f64 = 3.0;
 /// Largest fraction of a client's timeout that an attempt is expected to need. The mean latency may
 /// have grown during an outage, and only further attempts correct it, so every request may be sent in
 /// the other part of its time.
