Test waits, retries and Retry-After of a real edge node where late answers earn nothing

Three tests now play what callers saw on a real edge node with a late weight of 0: a payment that is answered after its latency objective is served, a read whose attempt fails after the objective is retried, and a rejected client that returns when it is told to is admitted.

--- a/crates/edge-node/tests/edge/main.rs
+++ b/crates/edge-node/tests/edge/main.rs
@@ -3,6 +3,7 @@
 
 mod body_memory;
 mod client_disconnect;
+mod client_time;
 mod customer_memory;
 mod descriptors;
 mod discovery_deadline;
