--- a/crates/edge-node/src/clients/connection_limits.rs
+++ b/crates/edge-node/src/clients/connection_limits.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time after which an idle connection is closed.
+/// Time after which an idle connection is closed. The platform permits it from 2 s on.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2200);
 /// Maximum time from the first byte of a request, or from accept for the first request, until it is
 /// complete. The platform owes a client that stops in the middle an error or a close within 3 s.
--- a/crates/edge-node/tests/edge/client_time.rs
+++ b/crates/edge-node/tests/edge/client_time.rs
@@ -1,6 +1,7 @@
 //! Tests that requests wait, are retried and are rejected according to the time of their clients,
 //! where late answers earn the operator nothing.
 
+use super::start_with_one_server_and_config;
 use super::support::*;
 use std::io::Write;
 use std::net::Shutdown;
@@ -15,12 +16,9 @@
     tag: &str,
     behaviors: &[ServerBehavior],
 ) -> (FakeServers, FakeDiscovery, EdgeNode) {
-    let servers = FakeServers::new();
-    let entries = [servers.start_returning_entry("s-1", behaviors)];
-    let discovery = FakeDiscovery::start(&entries);
-    let edit = |config: String| config.replace(r#""lateValue":0.2"#, r#""lateValue":0.0"#);
-    let node = EdgeNode::start_with_edited_config(tag, discovery.address, &entries, edit);
-    (servers, discovery, node)
+    start_with_one_server_and_config(tag, behaviors, |config| {
+        config.replace(r#""lateValue":0.2"#, r#""lateValue":0.0"#)
+    })
 }
 
 /// The client of a payment waits for 20 s. Cancelled at the objective, it would not know whether its
--- a/crates/edge-node/tests/edge/main.rs
+++ b/crates/edge-node/tests/edge/main.rs
@@ -34,10 +34,20 @@
 fn start_with_one_server(
     tag: &str,
     behaviors: &[ServerBehavior],
+) -> (FakeServers, FakeDiscovery, EdgeNode) {
+    start_with_one_server_and_config(tag, behaviors, |config| config)
+}
+
+/// Starts an edge node with one server, as [`start_with_one_server`] does, and with the configuration
+/// text that `edit` returns for the usual one.
+fn start_with_one_server_and_config(
+    tag: &str,
+    behaviors: &[ServerBehavior],
+    edit: impl FnOnce(String) -> String,
 ) -> (FakeServers, FakeDiscovery, EdgeNode) {
     let servers = FakeServers::new();
     let entries = [servers.start_returning_entry("s-1", behaviors)];
     let discovery = FakeDiscovery::start(&entries);
-    let node = EdgeNode::start(tag, discovery.address, &entries);
+    let node = EdgeNode::start_with_edited_config(tag, discovery.address, &entries, edit);
     (servers, discovery, node)
 }
--- a/crates/edge-node/tests/edge/retries.rs
+++ b/crates/edge-node/tests/edge/retries.rs
@@ -161,11 +161,9 @@
     let entries = [endpoint_entry("s-1", first, 1, "ready")];
     let discovery = FakeDiscovery::start(&entries);
     let window_us = format!(r#""windowUs":{}"#, SHORT_WINDOW.as_micros());
-    // A long latency objective, so that the first attempt does not count as stalled.
     let edit = |config: String| {
         config
             .replace(r#""windowUs":60000000"#, &window_us)
-            .replace(r#""aimUs":400000"#, r#""aimUs":30000000"#)
             .replace(
                 r#""connectTimeoutUs":250000"#,
                 r#""connectTimeoutUs":20000000"#,
--- a/crates/gateway-core/src/settings/mod.rs
+++ b/crates/gateway-core/src/settings/mod.rs
@@ -170,7 +170,8 @@
     pub rules: ServerRules,
     /// What the deployment permits gateways to do.
     pub permissions: Permissions,
-    /// Cost of an attempt that is sent to a server in another zone, in units of priority weight.
+    /// Cost of an attempt that is sent to a server in another zone, in units of priority weight. It
+    /// affects the choice among servers only, not whether or when a request is sent.
     pub cross_zone_cost: f64,
     /// How changes of the endpoint list arrive.
     pub discovery: EndpointDiscovery,
