Look up an account for the expiry of a request only if it decides

The check of the hard limit had put a look-up of the customer's account on the path of every open request at every timer, though only unsent requests of a small fleet need it. `deadlines::expiry` now takes the look-up as a closure.

--- a/crates/gateway-core/src/gateway/requests.rs
+++ b/crates/gateway-core/src/gateway/requests.rs
@@ -75,8 +75,8 @@
     fn expired_requests(&self, now: Timestamp) -> Vec<ExpiredRequest> {
         let context = self.context(now);
         let expired = self.requests.iter().filter_map(|(id, request)| {
-            let account = self.quotas.account(request.customer());
-            let reason = deadlines::expiry(context, account, request)?;
+            let account = || self.quotas.account(request.customer());
+            let reason = deadlines::expiry(context, request, account)?;
             Some(ExpiredRequest {
                 id: id.clone(),
                 reason,
--- a/crates/gateway-core/src/policy/deadlines.rs
+++ b/crates/gateway-core/src/policy/deadlines.rs
@@ -34,14 +34,15 @@
 const MAX_ATTEMPT_TIME_FRACTION: f64 = 0.5;
 
 /// Returns the reason for which an open request gets its final answer because of its age; `None` if
-/// none is due. `account` is the account of its customer, if it has one.
+/// none is due. `account` looks up the account of its customer, if it has one; it is called only if
+/// the decision depends on it.
 ///
 /// A request with an attempt in flight gets its final answer at its deadline, any other as soon as no
 /// attempt could be answered in time or may be sent.
-pub(crate) fn expiry(
+pub(crate) fn expiry<'a>(
     context: Context<'_>,
-    account: Option<&CustomerAccount>,
     request: &Request,
+    account: impl FnOnce() -> Option<&'a CustomerAccount>,
 ) -> Option<RejectReason> {
     if request.is_in_flight() {
         let is_due = context.now + FINAL_ANSWER_MARGIN >= request.deadline();
@@ -50,7 +51,10 @@
     if is_too_late_for_attempt(context, request) || may_never_be_sent_again(context, request) {
         return Some(timeout_reason(context, request));
     }
-    account
+    if request.was_sent() || context.deployment.quota_owners_grant() {
+        return None;
+    }
+    account()
         .filter(|account| is_admitted_too_late(context, account, request))
         .map(|_| RejectReason::QuotaExceeded)
 }
@@ -76,17 +80,13 @@
 }
 
 /// Returns whether this gateway's part of the hard limit will hold the units of an unsent request
-/// only when it is too late for an attempt. In a large fleet, the quota owners decide that instead.
+/// only when it is too late for an attempt.
 fn is_admitted_too_late(
     context: Context<'_>,
     account: &CustomerAccount,
     request: &Request,
 ) -> bool {
-    let deployment = context.deployment;
-    if request.was_sent() || deployment.quota_owners_grant() {
-        return false;
-    }
-    let plan = &deployment.settings.plans[account.plan().0];
+    let plan = &context.deployment.settings.plans[account.plan().0];
     let admitted_at = account.hard_limit_available_at(plan, request.units());
     is_too_late_to_start(context, request, admitted_at.max(context.now))
 }
