Round Retry-After up, so that no client returns a moment too early

Callers saw: a client that returned exactly when it was told to was rejected again, now and then.

Cause: `response::rejection` wrote the time rounded to the nearest millisecond. Rounded down, it ends up to 0.5 ms before the last part of a unit is refilled, and the request that comes then lacks it.

Change: the time is rounded up to whole milliseconds.

Evidence: the unit test of the response expected 1.020 for 1.020499 s; it now expects 1.021 for 1.020001 s, which the code before does not write, and exact milliseconds unchanged.

--- a/crates/edge-node/src/clients/response.rs
+++ b/crates/edge-node/src/clients/response.rs
@@ -9,6 +9,9 @@
 use hyper::{Response, StatusCode};
 use std::time::Duration;
 
+const MICROS_PER_MILLI: u128 = 1000;
+const MILLIS_PER_SECOND: u128 = 1000;
+
 /// A response whose complete body is in memory.
 pub(super) type BufferedResponse = Response<Full<Bytes>>;
 
@@ -48,7 +51,13 @@
 fn rejection(retry_after: Option<Duration>) -> BufferedResponse {
     let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
     if let Some(retry_after) = retry_after {
-        let seconds = format!("{:.3}", retry_after.as_secs_f64());
+        // Rounded up: a client that returns a moment too early is rejected again.
+        let milliseconds = retry_after.as_micros().div_ceil(MICROS_PER_MILLI);
+        let seconds = format!(
+            "{}.{:03}",
+            milliseconds / MILLIS_PER_SECOND,
+            milliseconds % MILLIS_PER_SECOND
+        );
         // A decimal number is always a valid header value.
         if let Ok(value) = HeaderValue::try_from(seconds) {
             response.headers_mut().insert(RETRY_AFTER, value);
--- a/crates/edge-node/tests/unit/client_response.rs
+++ b/crates/edge-node/tests/unit/client_response.rs
@@ -44,10 +44,11 @@
         status_headers_and_body(from_answer(Answer::Rejected(None))),
         (503, HeaderMap::new(), Bytes::new())
     );
-    let rejected_with_retry_after = Answer::Rejected(Some(Duration::from_micros(1_020_499)));
+    // Rounded up, so that the client does not return too early.
+    let rejected_with_retry_after = Answer::Rejected(Some(Duration::from_micros(1_020_001)));
     assert_eq!(
         status_headers_and_body(from_answer(rejected_with_retry_after)),
-        (503, headers(&[("retry-after", "1.020")]), Bytes::new())
+        (503, headers(&[("retry-after", "1.021")]), Bytes::new())
     );
 }
 
@@ -80,3 +81,11 @@
         );
     }
 }
+
+#[test]
+fn states_whole_milliseconds_of_retry_after_exactly() {
+    for (micros, expected) in [(0, "0.000"), (40_000, "0.040"), (2_000_000, "2.000")] {
+        let rejection = from_answer(Answer::Rejected(Some(Duration::from_micros(micros))));
+        assert_eq!(rejection.headers()[RETRY_AFTER], expected);
+    }
+}
